Lay the shared shapes: messages, links, settings, daemon, checks

Cause: parts can only widen side by side once they meet at fixed shapes. Weighed: thrift structs as used by the library (untyped) against attrs classes bound to the IDL's field numbers; the bound classes are typed and need neither generator nor copy. Conclusion: attrs classes bound at import.

--- /dev/null
+++ b/wasabiturn/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduler for latency-critical services and batch tasks."""
--- /dev/null
+++ b/wasabiturn/conf/reader.py
@@ -0,0 +1,132 @@
+"""Reading and checking of a settings file, whole, before a port opens."""
+
+import configparser
+from pathlib import Path
+from types import MappingProxyType
+from typing import Any, TypeVar, final
+
+import attrs
+
+from wasabiturn.conf.sections import (
+    AgentSection,
+    ControlSection,
+    EntrySection,
+    InstanceSection,
+    LoggingSection,
+    MetricsSection,
+)
+from wasabiturn.conf.values import SETTING, Accepted
+from wasabiturn.exceptions import SettingsError
+
+SectionType = TypeVar('SectionType')
+
+
+@final
+@attrs.frozen(kw_only=True)
+class Settings:
+    """Checked settings of one process; absent sections are ``None``."""
+
+    source: Path
+    instance: InstanceSection
+    metrics: MetricsSection
+    logging: LoggingSection
+    control: ControlSection | None
+    entry: EntrySection | None
+    agent: AgentSection | None
+
+
+_CLASSES_BY_SECTION = MappingProxyType(
+    {
+        'instance': InstanceSection,
+        'metrics': MetricsSection,
+        'logging': LoggingSection,
+        'control': ControlSection,
+        'entry': EntrySection,
+        'agent': AgentSection,
+    }
+)
+_OPTIONAL_SECTIONS = ('control', 'entry', 'agent')
+
+
+def read_settings(source: Path) -> Settings:
+    """Read and check ``source``.
+
+    Raises:
+        SettingsError: lists each wrong key with file, section, key, value
+            and what is accepted.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        with source.open(encoding='utf-8') as settings_file:
+            parser.read_file(settings_file)
+    except (OSError, configparser.Error, UnicodeDecodeError) as error:
+        raise SettingsError(f'{source}: {error}') from error
+    problems = _find_unknown_sections(source, parser)
+    sections = {
+        name: _read_section(source, parser, name, problems)
+        for name in _CLASSES_BY_SECTION
+    }
+    if problems:
+        raise SettingsError('\n'.join(problems))
+    return Settings(source=source, **sections)
+
+
+def _find_unknown_sections(
+    source: Path,
+    parser: configparser.ConfigParser,
+) -> list[str]:
+    accepted = ', '.join(_CLASSES_BY_SECTION)
+    return [
+        f'{source}: [{name}] is no section; accepted are {accepted}'
+        for name in parser.sections()
+        if name not in _CLASSES_BY_SECTION
+    ]
+
+
+def _read_section(
+    source: Path,
+    parser: configparser.ConfigParser,
+    name: str,
+    problems: list[str],
+) -> Any:
+    if not parser.has_section(name) and name in _OPTIONAL_SECTIONS:
+        return None
+    section_class: Any = _CLASSES_BY_SECTION[name]
+    raw_by_key = dict(parser.items(name)) if parser.has_section(name) else {}
+    fields_by_key = {field.name: field for field in attrs.fields(section_class)}
+    where = f'{source}: [{name}]'
+    problems.extend(
+        f'{where} {key}: no such key; accepted are {", ".join(fields_by_key)}'
+        for key in raw_by_key
+        if key not in fields_by_key
+    )
+    parsed: dict[str, Any] = {}
+    known = len(problems)
+    for field in fields_by_key.values():
+        _read_key(where, field, raw_by_key, parsed, problems)
+    return section_class(**parsed) if len(problems) == known else None
+
+
+def _read_key(
+    where: str,
+    field: Any,
+    raw_by_key: dict[str, str],
+    parsed: dict[str, Any],
+    problems: list[str],
+) -> None:
+    accepted: Accepted = field.metadata[SETTING]
+    raw = raw_by_key.get(field.name)
+    if raw is None:
+        if field.default is attrs.NOTHING:
+            problems.append(
+                f'{where} {field.name}: missing; '
+                f'accepted is {accepted.description}',
+            )
+        return
+    try:
+        parsed[field.name] = accepted.parse(raw)
+    except ValueError:
+        problems.append(
+            f'{where} {field.name} = {raw!r}: '
+            f'accepted is {accepted.description}',
+        )
--- /dev/null
+++ b/wasabiturn/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for a connection: frames, links, adapters."""
--- /dev/null
+++ b/wasabiturn/connection/dialer.py
@@ -0,0 +1,174 @@
+"""Dialer: keeps one link to a fixed address open."""
+
+from random import Random
+from typing import Any, final
+
+import attrs
+from twisted.internet.interfaces import IAddress
+from twisted.internet.protocol import Factory
+
+from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.connection.link import Link
+
+FIRST_RETRY_SECONDS = 0.05
+MAX_RETRY_SECONDS = 1.0
+CONNECT_TIMEOUT_SECONDS = 1.0
+
+
+@final
+@attrs.frozen
+class Endpoint:
+    """IP number and port of a process."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return the form used in settings."""
+        return f'{self.host}:{self.port}'
+
+
+@final
+class LinkFactory(Factory):
+    """Builds links for accepted or dialled connections."""
+
+    noisy = False
+
+    def __init__(self, dispatch: Dispatch, clock: Any, dialled: bool) -> None:
+        """Create a factory whose links share ``dispatch``."""
+        self.dispatch = dispatch
+        self.clock = clock
+        self.dialled = dialled
+
+    def buildProtocol(self, addr: IAddress | None) -> Link:
+        """Build the link of one connection."""
+        return Link(
+            dispatch=self.dispatch,
+            clock=self.clock,
+            dialled=self.dialled,
+        )
+
+
+@final
+class Dialer:
+    """Dials an address again whenever its link is lost."""
+
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        dispatch: Dispatch,
+        reactor: Any,
+        random: Random,
+    ) -> None:
+        """Create a dialer; ``start`` begins to dial."""
+        self.endpoint = endpoint
+        self.link: Link | None = None
+        self._dispatch = dispatch
+        self._reactor = reactor
+        self._random = random
+        self._retry_seconds = FIRST_RETRY_SECONDS
+        self._stopped = False
+        self._timer: Any = None
+        self._current: _DialledFactory | None = None
+
+    def start(self) -> None:
+        """Dial now."""
+        self._timer = None
+        if self._stopped:
+            return
+        self._current = _DialledFactory(
+            self._dispatch,
+            self._reactor,
+            self,
+        )
+        self._reactor.connectTCP(
+            self.endpoint.host,
+            self.endpoint.port,
+            self._current,
+            timeout=CONNECT_TIMEOUT_SECONDS,
+        )
+
+    def stop(self) -> None:
+        """Close the link and dial no more."""
+        self._stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._current is not None:
+            self._current.close()
+
+    def link_opened(self, link: Link) -> None:
+        """Take the link into use."""
+        self.link = link
+        self._retry_seconds = FIRST_RETRY_SECONDS
+
+    def link_closed(self, link: Link) -> None:
+        """Stop using the link."""
+        if self.link is link:
+            self.link = None
+
+    def schedule(self) -> None:
+        """Dial again after a wait that doubles with each failure."""
+        if self._stopped or self._timer is not None:
+            return
+        wait = self._retry_seconds * self._random.uniform(0.5, 1.0)
+        self._retry_seconds = min(self._retry_seconds * 2, MAX_RETRY_SECONDS)
+        self._timer = self._reactor.callLater(wait, self.start)
+
+
+@final
+class _DialledFactory(Factory):
+    """Client factory of one dial attempt."""
+
+    noisy = False
+
+    def __init__(
+        self,
+        dispatch: Dispatch,
+        reactor: Any,
+        dialer: Dialer,
+    ) -> None:
+        self._dispatch = dispatch
+        self._reactor = reactor
+        self._dialer = dialer
+        self._link: Link | None = None
+        self._connector: Any = None
+
+    def startedConnecting(self, connector: Any) -> None:
+        """Remember the connector, so that ``close`` can stop it."""
+        self._connector = connector
+
+    def buildProtocol(self, addr: IAddress | None) -> Link:
+        """Build the dialled side of the link."""
+        self._link = Link(
+            dispatch=self._dispatch,
+            clock=self._reactor,
+            dialled=True,
+        )
+        self._link.on_open.append(self._dialer.link_opened)
+        self._link.on_close.append(self._dialer.link_closed)
+        return self._link
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
+        """Try again later."""
+        self._dialer.schedule()
+
+    def clientConnectionLost(self, connector: Any, reason: Any) -> None:
+        """Try again soon."""
+        self._dialer.schedule()
+
+    def close(self) -> None:
+        """Drop the attempt or the link."""
+        if self._connector is not None:
+            self._connector.disconnect()
+
+
+def parse_endpoint(text: str) -> Endpoint:
+    """Parse ``ip:port``.
+
+    Raises:
+        ValueError: the text has another form.
+    """
+    host, separator, port = text.rpartition(':')
+    if not separator or not host:
+        raise ValueError(f'{text!r} is not ip:port')
+    return Endpoint(host=host, port=int(port))
--- /dev/null
+++ b/wasabiturn/connection/frames.py
@@ -0,0 +1,65 @@
+"""Framing: length, CRC-32 and payload of each frame.
+
+A frame that is too long or fails its CRC ends the connection: nothing after
+it can be trusted.
+"""
+
+import struct
+import zlib
+from collections.abc import Iterator
+from typing import final
+
+import attrs
+
+from wasabiturn.exceptions import ConnectionLayerError
+
+MAX_FRAME_BYTES = 8 * 1024 * 1024
+
+_HEADER = struct.Struct('!II')
+
+
+class FrameError(ConnectionLayerError):
+    """The peer sent bytes that are no frame."""
+
+
+@final
+@attrs.define
+class FrameBuffer:
+    """Bytes received on one connection that are not yet a whole frame."""
+
+    pending: bytearray = attrs.field(factory=bytearray)
+
+    def feed(self, received: bytes) -> Iterator[bytes]:
+        """Yield the payload of each frame that ``received`` completes.
+
+        Raises:
+            FrameError: the length or the CRC is wrong.
+        """
+        self.pending.extend(received)
+        while len(self.pending) >= _HEADER.size:
+            length, crc = _HEADER.unpack_from(self.pending)
+            if length > MAX_FRAME_BYTES:
+                raise FrameError(f'frame of {length} bytes is over the limit')
+            end = _HEADER.size + length
+            if len(self.pending) < end:
+                return
+            payload = bytes(self.pending[_HEADER.size : end])
+            del self.pending[:end]
+            _check_crc(payload, crc)
+            yield payload
+
+
+def encode_frame(payload: bytes) -> bytes:
+    """Return ``payload`` with its header.
+
+    Raises:
+        FrameError: the payload is over the limit.
+    """
+    if len(payload) > MAX_FRAME_BYTES:
+        raise FrameError(f'frame of {len(payload)} bytes is over the limit')
+    return _HEADER.pack(len(payload), zlib.crc32(payload)) + payload
+
+
+def _check_crc(payload: bytes, crc: int) -> None:
+    if zlib.crc32(payload) != crc:
+        raise FrameError('frame fails its CRC')
--- /dev/null
+++ b/wasabiturn/connection/link.py
@@ -0,0 +1,270 @@
+"""Link: one TCP connection between two processes, multiplexed.
+
+Calls, notices and streams share it. Each side sends a heartbeat when it has
+sent nothing else; a link silent for ``SILENCE_LIMIT_SECONDS`` is aborted.
+"""
+
+from collections.abc import Callable
+from typing import Any, TypeVar, cast, final
+
+from twisted.internet.defer import Deferred, fail, maybeDeferred
+from twisted.internet.protocol import Protocol
+from twisted.internet.task import LoopingCall
+from twisted.python.failure import Failure as TwistedFailure
+
+from wasabiturn.connection.calls import CallError, CallTable
+from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.connection.frames import (
+    FrameBuffer,
+    FrameError,
+    encode_frame,
+)
+from wasabiturn.connection.streams import Stream, StreamReceiver
+from wasabiturn.messages.codec import CodecError, pack, unpack
+from wasabiturn.messages.kinds import FailureCode, FrameKind, Method
+from wasabiturn.messages.link import Failure, Frame, Hello
+from wasabiturn.utils.logs import create_part_log
+
+HEARTBEAT_SECONDS = 0.5
+SILENCE_LIMIT_SECONDS = 1.5
+PROTOCOL_VERSION = 1
+
+MessageType = TypeVar('MessageType')
+
+_log = create_part_log('link')
+
+
+@final
+class Link(Protocol):
+    """One side of a link."""
+
+    def __init__(
+        self,
+        dispatch: Dispatch,
+        clock: Any,
+        dialled: bool,
+    ) -> None:
+        """Create the side that ``dialled``, or the side that accepted."""
+        self.dispatch = dispatch
+        self.peer = Hello()
+        self.peer_revision = 0
+        self.is_open = False
+        self.on_open: list[Callable[[Link], None]] = []
+        self.on_close: list[Callable[[Link], None]] = []
+        self._clock = clock
+        self._next_exchange = 1 if dialled else 2
+        self._buffer = FrameBuffer()
+        self._calls = CallTable(clock=clock)
+        self._streams_by_exchange: dict[int, Stream] = {}
+        self._last_received = 0.0
+        self._last_sent = 0.0
+        self._handlers_by_kind: dict[FrameKind, Callable[[Frame], None]] = {
+            FrameKind.hello: self._handle_hello,
+            FrameKind.call: self._handle_call,
+            FrameKind.notice: self._handle_call,
+            FrameKind.reply: self._calls.settle,
+            FrameKind.failure: self._calls.settle,
+            FrameKind.open: self._handle_open,
+            FrameKind.data: self._handle_stream_frame,
+            FrameKind.end: self._handle_stream_frame,
+            FrameKind.reset: self._handle_stream_frame,
+            FrameKind.credit: self._handle_stream_frame,
+        }
+        self._ticker = LoopingCall(self._tick)
+        self._ticker.clock = clock
+
+    def call(
+        self,
+        method: Method,
+        message: Any,
+        reply_class: type[MessageType],
+        timeout_seconds: float,
+    ) -> Deferred[MessageType]:
+        """Send a call; fires with the reply or fails with ``CallError``."""
+        if not self.is_open:
+            return fail(CallError(FailureCode.closed, 'link is closed'))
+        exchange = self._take_exchange()
+        settled = self._calls.start(exchange, reply_class, timeout_seconds)
+        self.send_frame(FrameKind.call, exchange, method, pack(message))
+        return settled
+
+    def notify(self, method: Method, message: Any) -> None:
+        """Send a message without reply; lost when the link is lost."""
+        if self.is_open:
+            self.send_frame(FrameKind.notice, 0, method, pack(message))
+
+    def open_stream(
+        self,
+        method: Method,
+        head: Any,
+        receiver: StreamReceiver,
+    ) -> Stream:
+        """Open a stream; it is reset at once when the link is closed."""
+        exchange = self._take_exchange()
+        stream = Stream(link=self, exchange=exchange, method=method)
+        stream.attach(receiver)
+        if not self.is_open:
+            stream.handle_reset('link is closed')
+            return stream
+        self._streams_by_exchange[exchange] = stream
+        self.send_frame(FrameKind.open, exchange, method, pack(head))
+        return stream
+
+    def abort(self, reason: str) -> None:
+        """Drop the connection now; everything open on it fails."""
+        if self.transport is not None:
+            _log.event('dropped', peer=self.peer.name, reason=reason)
+            cast(Any, self.transport).abortConnection()
+
+    def send_frame(
+        self,
+        kind: FrameKind,
+        exchange: int,
+        method: Method,
+        body: bytes,
+    ) -> None:
+        """Send one frame."""
+        if self.transport is None:
+            return
+        self._last_sent = self._clock.seconds()
+        frame = Frame(
+            kind=kind,
+            exchange=exchange,
+            method=method,
+            body=body,
+            revision=self.dispatch.revision(),
+        )
+        cast(Any, self.transport).write(encode_frame(pack(frame)))
+
+    def forget_stream(self, exchange: int) -> None:
+        """Drop a stream that has ended."""
+        self._streams_by_exchange.pop(exchange, None)
+
+    def connectionMade(self) -> None:
+        """Greet the peer and begin to watch for silence."""
+        transport = cast(Any, self.transport)
+        if hasattr(transport, 'setTcpNoDelay'):
+            transport.setTcpNoDelay(True)
+        self._last_received = self._clock.seconds()
+        self._ticker.start(HEARTBEAT_SECONDS / 2, now=False)
+        body = pack(self.dispatch.hello)
+        self.send_frame(FrameKind.hello, 0, Method.none, body)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Take bytes from the connection."""
+        self._last_received = self._clock.seconds()
+        try:
+            for payload in self._buffer.feed(data):
+                self._handle_frame(unpack(Frame, payload))
+        except (FrameError, CodecError) as error:
+            self.abort(f'malformed frame: {error}')
+
+    def connectionLost(self, reason: TwistedFailure | None = None) -> None:
+        """Fail all that was open on the link."""
+        was_open = self.is_open
+        self.is_open = False
+        if self._ticker.running:
+            self._ticker.stop()
+        self._calls.fail_all()
+        for stream in list(self._streams_by_exchange.values()):
+            stream.handle_reset('link was lost')
+        if was_open:
+            for callback in (*self.on_close, *self.dispatch.on_close):
+                callback(self)
+
+    def _take_exchange(self) -> int:
+        exchange = self._next_exchange
+        self._next_exchange += 2
+        return exchange
+
+    def _tick(self) -> None:
+        now = self._clock.seconds()
+        if now - self._last_received > SILENCE_LIMIT_SECONDS:
+            self.abort('peer is silent')
+        elif now - self._last_sent >= HEARTBEAT_SECONDS:
+            self.send_frame(FrameKind.heartbeat, 0, Method.none, b'')
+
+    def _handle_frame(self, frame: Frame) -> None:
+        self.peer_revision = max(self.peer_revision, frame.revision)
+        handler = self._handlers_by_kind.get(frame.kind)
+        if handler is not None:
+            handler(frame)
+
+    def _handle_hello(self, frame: Frame) -> None:
+        hello = unpack(Hello, frame.body)
+        self.peer = hello
+        if hello.protocol_version != PROTOCOL_VERSION:
+            self.abort(f'protocol version {hello.protocol_version}')
+            return
+        self.is_open = True
+        for callback in (*self.on_open, *self.dispatch.on_open):
+            callback(self)
+
+    def _handle_call(self, frame: Frame) -> None:
+        route = self.dispatch.calls_by_method.get(frame.method)
+        if route is None:
+            self._reply_failure(
+                frame,
+                CallError(FailureCode.unknown_method, frame.method.name),
+            )
+            return
+        message: Any = unpack(route.message_class, frame.body)
+        handled = maybeDeferred(route.handler, self, message)
+        if frame.kind is FrameKind.notice:
+            handled.addErrback(self._log_notice_failure, frame.method)
+            return
+        handled.addCallbacks(
+            lambda reply: self._reply(frame, reply),
+            lambda failure: self._reply_failure(frame, failure.value),
+        )
+        handled.addErrback(self._log_notice_failure, frame.method)
+
+    def _reply(self, frame: Frame, reply: Any) -> None:
+        body = pack(reply)
+        self.send_frame(FrameKind.reply, frame.exchange, frame.method, body)
+
+    def _reply_failure(self, frame: Frame, error: BaseException) -> None:
+        if not isinstance(error, CallError):
+            _log.warning('handler failed', error=repr(error))
+            error = CallError(FailureCode.internal, repr(error))
+        if frame.kind is FrameKind.notice:
+            return
+        failure = Failure(
+            code=error.code,
+            text=error.text,
+            leader=error.leader,
+        )
+        body = pack(failure)
+        self.send_frame(FrameKind.failure, frame.exchange, frame.method, body)
+
+    def _log_notice_failure(
+        self,
+        failure: TwistedFailure,
+        method: Method,
+    ) -> None:
+        _log.warning(
+            'notice failed',
+            method=method.name,
+            error=repr(failure.value),
+            trace=failure.getTraceback(),
+        )
+
+    def _handle_open(self, frame: Frame) -> None:
+        route = self.dispatch.streams_by_method.get(frame.method)
+        stream = Stream(
+            link=self,
+            exchange=frame.exchange,
+            method=frame.method,
+        )
+        if route is None:
+            stream.reset('unknown method')
+            return
+        self._streams_by_exchange[frame.exchange] = stream
+        head: Any = unpack(route.head_class, frame.body)
+        route.handler(self, head, stream)
+
+    def _handle_stream_frame(self, frame: Frame) -> None:
+        stream = self._streams_by_exchange.get(frame.exchange)
+        if stream is None:
+            return
+        stream.handle_frame(frame)
--- /dev/null
+++ b/wasabiturn/ids.py
@@ -0,0 +1,19 @@
+"""Identifiers and counters that more than one part names."""
+
+from typing import NewType
+
+InstanceName = NewType('InstanceName', str)
+IncarnationId = NewType('IncarnationId', str)
+DataCentre = NewType('DataCentre', str)
+Rack = NewType('Rack', str)
+Region = NewType('Region', str)
+TeamName = NewType('TeamName', str)
+ServiceName = NewType('ServiceName', str)
+TaskId = NewType('TaskId', str)
+AttemptNumber = NewType('AttemptNumber', int)
+ResourceName = NewType('ResourceName', str)
+RequestId = NewType('RequestId', str)
+ClaimKey = NewType('ClaimKey', str)
+Revision = NewType('Revision', int)
+Term = NewType('Term', int)
+LogIndex = NewType('LogIndex', int)
--- /dev/null
+++ b/wasabiturn/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages and their thrift IDL."""
--- /dev/null
+++ b/wasabiturn/messages/kinds.py
@@ -0,0 +1,170 @@
+"""Enumerations that messages carry as 32-bit integers."""
+
+import enum
+from typing import final
+
+
+@final
+class FrameKind(enum.IntEnum):
+    """What a frame does to its exchange."""
+
+    hello = 1
+    heartbeat = 2
+    call = 3
+    reply = 4
+    failure = 5
+    notice = 6
+    open = 7
+    data = 8
+    end = 9
+    reset = 10
+    credit = 11
+
+
+@final
+class Role(enum.IntEnum):
+    """Program that a process runs."""
+
+    unknown = 0
+    control = 1
+    entry = 2
+    agent = 3
+    operator = 4
+
+
+@final
+class Method(enum.IntEnum):
+    """Calls, notices and streams between processes."""
+
+    none = 0
+    announce = 1
+    subscribe = 2
+    changes = 3
+    directory_changes = 4
+    fresh = 5
+    submit = 6
+    claim = 7
+    record_answer = 8
+    look_up_claim = 9
+    heartbeat = 10
+    orders = 11
+    serve = 12
+    refuse_claim = 13
+    read_barrier = 14
+    pre_vote = 20
+    vote = 21
+    append = 22
+    install_snapshot = 23
+    join = 24
+    status = 30
+
+
+@final
+class FailureCode(enum.IntEnum):
+    """Why a call failed."""
+
+    internal = 0
+    not_leader = 1
+    unavailable = 2
+    unknown_method = 3
+    invalid = 4
+    timeout = 5
+    outcome_unknown = 6
+    closed = 7
+
+
+@final
+class Kind(enum.IntEnum):
+    """Kinds of resources."""
+
+    none = 0
+    service = 1
+    job = 2
+    task = 3
+    data_centre = 4
+    configuration = 5
+    team = 6
+    worker = 7
+    backend_server = 8
+
+
+@final
+class TaskState(enum.IntEnum):
+    """Life of a task; see docs/design/placement.md."""
+
+    waiting = 0
+    assigned = 1
+    running = 2
+    evicting = 3
+    finished = 4
+    failed = 5
+    cancelled = 6
+    outcome_unknown = 7
+    impossible = 8
+    stopping = 9
+
+
+@final
+class AttemptState(enum.IntEnum):
+    """What an agent knows of one attempt."""
+
+    unknown = 0
+    starting = 1
+    running = 2
+    finished = 3
+    failed = 4
+    stopped = 5
+    refused = 6
+    lost = 7
+
+
+@final
+class OrderAction(enum.IntEnum):
+    """What control wants of one attempt."""
+
+    hold = 0
+    start = 1
+    evict = 2
+    stop = 3
+
+
+@final
+class ClaimState(enum.IntEnum):
+    """Life of the claim of a keyed non-idempotent request."""
+
+    none = 0
+    claimed = 1
+    answered = 2
+    not_run = 3
+    unknown = 4
+
+
+@final
+class AgentClaimState(enum.IntEnum):
+    """What the agent named in a claim says of it."""
+
+    refused = 0
+    running = 1
+    done = 2
+    unknown = 3
+
+
+@final
+class OutcomeCode(enum.IntEnum):
+    """Result of a command on the state machine."""
+
+    ok = 0
+    conflict = 1
+    not_found = 2
+    invalid = 3
+    quota = 4
+    forbidden = 5
+
+
+@final
+class Verdict(enum.IntEnum):
+    """What an agent says of a request on its stream."""
+
+    answered = 0
+    not_run = 1
+    unknown = 2
--- /dev/null
+++ b/wasabiturn/messages/link.py
@@ -0,0 +1,70 @@
+"""Messages of the link between two processes.
+
+Field numbers and units are in ``wire/link.thrift``.
+"""
+
+from typing import final
+
+import attrs
+
+from wasabiturn.messages.codec import bind, load_idl
+from wasabiturn.messages.kinds import FailureCode, FrameKind, Method, Role
+
+_idl = load_idl('link.thrift')
+
+
+@bind(_idl)
+@final
+@attrs.define
+class Frame:
+    """One frame; the revision is the newest that the sender has in force."""
+
+    kind: FrameKind = attrs.field(
+        default=FrameKind.heartbeat, converter=FrameKind
+    )
+    exchange: int = 0
+    method: Method = attrs.field(default=Method.none, converter=Method)
+    body: bytes = b''
+    revision: int = 0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class Hello:
+    """First frame of each side of a link."""
+
+    name: str = ''
+    role: Role = attrs.field(default=Role.unknown, converter=Role)
+    incarnation: str = ''
+    data_centre: str = ''
+    protocol_version: int = 0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class Failure:
+    """Reply to a call that failed."""
+
+    code: FailureCode = attrs.field(
+        default=FailureCode.internal, converter=FailureCode
+    )
+    text: str = ''
+    leader: str = ''
+
+
+@bind(_idl)
+@final
+@attrs.define
+class Credit:
+    """Bytes of a stream that the receiver has consumed."""
+
+    amount: int = 0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class Nothing:
+    """Message without content."""
--- /dev/null
+++ b/wasabiturn/messages/session.py
@@ -0,0 +1,303 @@
+"""Messages of entries, agents and control to each other.
+
+Field numbers and units are in ``wire/session.thrift``.
+"""
+
+from typing import final
+
+import attrs
+
+from wasabiturn.messages.codec import bind, load_idl
+from wasabiturn.messages.kinds import (
+    AgentClaimState,
+    AttemptState,
+    OrderAction,
+    Verdict,
+)
+from wasabiturn.messages.state import (
+    Capacity,
+    Change,
+    ClaimRecord,
+    Command,
+    Header,
+    TaskSpec,
+)
+
+_idl = load_idl('session.thrift')
+
+
+@bind(_idl)
+@final
+@attrs.define
+class BackendRecord:
+    """One announced backend server."""
+
+    service_name: str = ''
+    slots: int = 0
+    connections: int = 0
+    leaving: bool = False
+    address: str = ''
+    incarnation: str = ''
+
+
+@bind(_idl)
+@final
+@attrs.define
+class AgentRecord:
+    """One agent as the directory knows it."""
+
+    name: str = ''
+    incarnation: str = ''
+    data_centre: str = ''
+    rack: str = ''
+    region: str = ''
+    address: str = ''
+    backends: list[BackendRecord] = attrs.field(factory=list)
+    leaving: bool = False
+    sequence: int = 0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class Announce:
+    """Directory record that an agent sends to control."""
+
+    record: AgentRecord = attrs.field(factory=AgentRecord)
+
+
+@bind(_idl)
+@final
+@attrs.define
+class Subscribe:
+    """Ask for changes since a revision, -1 for none."""
+
+    since: int = 0
+    kinds: list[int] = attrs.field(factory=list)
+    directory: bool = False
+
+
+@bind(_idl)
+@final
+@attrs.define
+class Subscribed:
+    """Revision at which a subscription began."""
+
+    revision: int = 0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class Changes:
+    """Changes for a subscriber; a snapshot replaces what it holds."""
+
+    snapshot: bool = False
+    complete: bool = False
+    revision: int = 0
+    changes: list[Change] = attrs.field(factory=list)
+
+
+@bind(_idl)
+@final
+@attrs.define
+class DirectoryChanges:
+    """Changes of the directory of agents."""
+
+    snapshot: bool = False
+    agents: list[AgentRecord] = attrs.field(factory=list)
+    gone: list[str] = attrs.field(factory=list)
+
+
+@bind(_idl)
+@final
+@attrs.define
+class Fresh:
+    """Revision that a quorum confirmed within the freshness period."""
+
+    revision: int = 0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class Submit:
+    """Command for the leader."""
+
+    command: Command = attrs.field(factory=Command)
+
+
+@bind(_idl)
+@final
+@attrs.define
+class LookUpClaim:
+    """Ask for the record of a claim."""
+
+    service_name: str = ''
+    key: str = ''
+
+
+@bind(_idl)
+@final
+@attrs.define
+class ClaimLookup:
+    """Record of a claim, if there is one."""
+
+    record: ClaimRecord | None = None
+
+
+@bind(_idl)
+@final
+@attrs.define
+class AttemptReport:
+    """Attempt that an agent holds or remembers."""
+
+    task: str = ''
+    attempt: int = 0
+    state: AttemptState = attrs.field(
+        default=AttemptState.unknown, converter=AttemptState
+    )
+    checkpoint: str = ''
+    reason: str = ''
+    run_seconds: float = 0.0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class UsageReport:
+    """Late usage of a task; progress 1.0 is full speed."""
+
+    task: str = ''
+    used: Capacity = attrs.field(factory=Capacity)
+    lag_seconds: float = 0.0
+    progress: float = 0.0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class ServiceReport:
+    """Answer times and load of a local backend server."""
+
+    service_name: str = ''
+    p99_ms: float = 0.0
+    load: float = 0.0
+    answered: int = 0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class Heartbeat:
+    """Heartbeat of an agent to the control leader."""
+
+    agent: str = ''
+    incarnation: str = ''
+    sequence: int = 0
+    data_centre: str = ''
+    rack: str = ''
+    capacity: Capacity = attrs.field(factory=Capacity)
+    attempts: list[AttemptReport] = attrs.field(factory=list)
+    usage: list[UsageReport] = attrs.field(factory=list)
+    services: list[ServiceReport] = attrs.field(factory=list)
+    leaving: bool = False
+
+
+@bind(_idl)
+@final
+@attrs.define
+class Order:
+    """What control wants of one attempt."""
+
+    task: str = ''
+    attempt: int = 0
+    action: OrderAction = attrs.field(
+        default=OrderAction.hold, converter=OrderAction
+    )
+    spec: TaskSpec = attrs.field(factory=TaskSpec)
+    command: str = ''
+    throttle: float = 0.0
+    run_seconds: float = 0.0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class Orders:
+    """All attempts that an agent shall hold; the rest are stopped."""
+
+    sequence: int = 0
+    term: int = 0
+    may_start: bool = False
+    orders: list[Order] = attrs.field(factory=list)
+    permit_seconds: float = 0.0
+    lease_seconds: float = 0.0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class RequestHead:
+    """Head of one HTTP request from entry to agent; time left in ms."""
+
+    request_id: str = ''
+    attempt: int = 0
+    service_name: str = ''
+    method: str = ''
+    path: str = ''
+    headers: list[Header] = attrs.field(factory=list)
+    timeout_ms: float = 0.0
+    idempotent: bool = False
+    claim_id: str = ''
+    claim_key: str = ''
+    caller: str = ''
+
+
+@bind(_idl)
+@final
+@attrs.define
+class LoadReport:
+    """Load of one backend server; times in milliseconds."""
+
+    service_name: str = ''
+    running: int = 0
+    waiting: int = 0
+    slots: int = 0
+    mean_service_ms: float = 0.0
+    p95_ms: float = 0.0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class ResponseHead:
+    """First message of an agent on a stream."""
+
+    verdict: Verdict = attrs.field(default=Verdict.answered, converter=Verdict)
+    status: int = 0
+    headers: list[Header] = attrs.field(factory=list)
+    retry_after_ms: float = 0.0
+    reason: str = ''
+    load: LoadReport = attrs.field(factory=LoadReport)
+
+
+@bind(_idl)
+@final
+@attrs.define
+class RefuseClaim:
+    """Ask an agent to refuse a claim that it has not seen."""
+
+    claim_id: str = ''
+    agent_incarnation: str = ''
+
+
+@bind(_idl)
+@final
+@attrs.define
+class ClaimVerdict:
+    """What the agent says of a claim."""
+
+    state: AgentClaimState = attrs.field(
+        default=AgentClaimState.unknown, converter=AgentClaimState
+    )
--- /dev/null
+++ b/wasabiturn/messages/wire/link.thrift
@@ -0,0 +1,31 @@
+// Frames between two processes of the system.
+// On the wire: length (u32), CRC-32 of the payload (u32), payload = Frame.
+
+struct Frame {
+  1: i32 kind,        // FrameKind
+  2: i64 exchange,    // call or stream number; odd from the dialling side
+  3: i32 method,      // Method
+  4: binary body,     // packed message, or bytes of a stream
+  5: i64 revision,    // newest revision that the sender has in force
+}
+
+struct Hello {
+  1: string name,
+  2: i32 role,        // Role
+  3: string incarnation,
+  4: string data_centre,
+  5: i32 protocol_version,
+}
+
+struct Failure {
+  1: i32 code,        // FailureCode
+  2: string text,
+  3: string leader,   // name of the leader, if the sender knows one
+}
+
+struct Credit {
+  1: i64 amount,
+}
+
+struct Nothing {
+}
--- /dev/null
+++ b/wasabiturn/messages/wire/session.thrift
@@ -0,0 +1,173 @@
+// Sessions of entries and agents with control, and of entries with agents.
+include "state.thrift"
+
+struct BackendRecord {
+  1: string service_name,
+  2: i32 slots,
+  3: i32 connections,
+  4: bool leaving,
+  5: string address,        // ip:port of the backend server
+  6: string incarnation,
+}
+
+// One agent as the directory knows it.
+struct AgentRecord {
+  1: string name,
+  2: string incarnation,
+  3: string data_centre,
+  4: string rack,
+  5: string region,
+  6: string address,        // ip:port where the agent listens to entries
+  7: list<BackendRecord> backends,
+  8: bool leaving,
+  9: i64 sequence,          // grows with each change of this record
+}
+
+struct Announce {
+  1: AgentRecord record,
+}
+
+struct Subscribe {
+  1: i64 since,             // revision that the subscriber has, -1 for none
+  2: list<i32> kinds,       // Kind
+  3: bool directory,        // agents too
+}
+
+struct Subscribed {
+  1: i64 revision,
+}
+
+// Sent by control to a subscriber. A snapshot replaces all that the
+// subscriber holds of the subscribed kinds.
+struct Changes {
+  1: bool snapshot,
+  2: bool complete,         // last part of a snapshot
+  3: i64 revision,          // in force once this message is applied
+  4: list<state.Change> changes,
+}
+
+struct DirectoryChanges {
+  1: bool snapshot,
+  2: list<AgentRecord> agents,
+  3: list<string> gone,
+}
+
+// Sent every FRESHNESS_PERIOD by a control instance that has confirmed with
+// a quorum, within that period, that its revision is current.
+struct Fresh {
+  1: i64 revision,
+}
+
+struct Submit {
+  1: state.Command command,
+}
+
+struct LookUpClaim {
+  1: string service_name,
+  2: string key,
+}
+
+struct ClaimLookup {
+  1: optional state.ClaimRecord record,
+}
+
+struct AttemptReport {
+  1: string task,
+  2: i64 attempt,
+  3: i32 state,             // AttemptState
+  4: string checkpoint,
+  5: string reason,
+  6: double run_seconds,
+}
+
+struct UsageReport {
+  1: string task,
+  2: state.Capacity used,
+  3: double lag_seconds,
+  4: double progress,       // share of full speed, 1.0 alone on the worker
+}
+
+struct ServiceReport {
+  1: string service_name,
+  2: double p99_ms,
+  3: double load,           // share of slots in use
+  4: i64 answered,
+}
+
+// Agent heartbeat to the control leader.
+struct Heartbeat {
+  1: string agent,
+  2: string incarnation,
+  3: i64 sequence,
+  4: string data_centre,
+  5: string rack,
+  6: state.Capacity capacity,
+  7: list<AttemptReport> attempts,
+  8: list<UsageReport> usage,
+  9: list<ServiceReport> services,
+  10: bool leaving,
+}
+
+struct Order {
+  1: string task,
+  2: i64 attempt,
+  3: i32 action,            // OrderAction
+  4: state.TaskSpec spec,
+  5: string command,
+  6: double throttle,       // share of full speed, 1.0 for none
+  7: double run_seconds,
+}
+
+// Answer to a heartbeat, and pushed when orders change in between. Orders
+// name every attempt that the agent shall hold; the rest are to be stopped.
+struct Orders {
+  1: i64 sequence,          // of the newest heartbeat that was received
+  2: i64 term,
+  3: bool may_start,        // starts are permitted under this heartbeat
+  4: list<Order> orders,
+  5: double permit_seconds,
+  6: double lease_seconds,
+}
+
+// Opens a stream from entry to agent: one HTTP request.
+struct RequestHead {
+  1: string request_id,
+  2: i64 attempt,
+  3: string service_name,
+  4: string method,
+  5: string path,
+  6: list<state.Header> headers,
+  7: double timeout_ms,     // left when the entry sent it
+  8: bool idempotent,
+  9: string claim_id,
+  10: string claim_key,
+  11: string caller,
+}
+
+struct LoadReport {
+  1: string service_name,
+  2: i32 running,
+  3: i32 waiting,
+  4: i32 slots,
+  5: double mean_service_ms,
+  6: double p95_ms,
+}
+
+// First message of the agent on the stream.
+struct ResponseHead {
+  1: i32 verdict,           // Verdict
+  2: i32 status,
+  3: list<state.Header> headers,
+  4: double retry_after_ms,
+  5: string reason,
+  6: LoadReport load,
+}
+
+struct RefuseClaim {
+  1: string claim_id,
+  2: string agent_incarnation,
+}
+
+struct ClaimVerdict {
+  1: i32 state,             // AgentClaimState
+}
--- /dev/null
+++ b/wasabiturn/messages/wire/state.thrift
@@ -0,0 +1,173 @@
+// Resources, commands of the replicated state machine, and their outcomes.
+
+struct Capacity {
+  1: double cores,
+  2: i64 memory_mb,
+  3: i32 accelerators,
+}
+
+struct ServiceSpec {
+  1: i32 replicas,
+  2: Capacity size,
+  3: i32 slots,
+  4: i32 connections,
+  5: double target_p99_ms,
+  6: string task_kind,
+  7: string command,
+}
+
+struct JobSpec {
+  1: i32 tasks,
+  2: Capacity size,
+  3: double run_seconds,
+  4: bool urgent,
+  5: bool idempotent,
+  6: i32 max_failures,
+  7: string task_kind,
+  8: string command,
+}
+
+struct DataCentreSpec {
+  1: bool out,
+  2: string region,
+}
+
+struct ConfigurationSpec {
+  1: map<string, string> settings,
+}
+
+struct TeamSpec {
+  1: Capacity quota,
+  2: double weight,
+}
+
+struct TaskSpec {
+  1: i32 owner_kind,       // Kind.service or Kind.job
+  2: string owner,
+  3: i32 number,
+  4: i32 state,            // TaskState
+  5: i64 attempt,          // 0 before the first attempt
+  6: string worker,
+  7: string incarnation,   // of the agent beside that worker
+  8: string checkpoint,
+  9: i32 evictions,
+  10: i32 failures,
+  11: string reason,
+  12: Capacity size,       // charged size
+  13: string task_kind,
+  14: bool idempotent,
+  15: bool urgent,
+}
+
+struct Resource {
+  1: i32 kind,             // Kind
+  2: string name,
+  3: string team,
+  4: i64 revision,         // of its last change
+  5: i64 created,          // revision that created it
+  6: optional ServiceSpec service_spec,
+  7: optional JobSpec job_spec,
+  8: optional DataCentreSpec data_centre_spec,
+  9: optional ConfigurationSpec configuration_spec,
+  10: optional TeamSpec team_spec,
+  11: optional TaskSpec task_spec,
+}
+
+struct PutResource {
+  1: Resource resource,
+  2: i64 expected_revision, // 0: must not exist, -1: any
+}
+
+struct DeleteResource {
+  1: i32 kind,
+  2: string name,
+  3: i64 expected_revision, // -1: any
+}
+
+// One transition of a task, proposed by the scheduler of the leader.
+struct TaskTransition {
+  1: string task,
+  2: i64 expected_attempt,
+  3: i32 expected_state,
+  4: TaskSpec task_spec,
+}
+
+struct UpdateTasks {
+  1: list<TaskTransition> transitions,
+}
+
+struct ClaimRequest {
+  1: string service_name,
+  2: string key,
+  3: string agent,
+  4: string agent_incarnation,
+  5: string entry,
+  6: string claim_id,
+  7: string fingerprint,    // SHA-256 of method, path and body
+}
+
+struct ClaimRequests {
+  1: list<ClaimRequest> claims,
+}
+
+struct Header {
+  1: string name,
+  2: string value,
+}
+
+struct RecordAnswer {
+  1: string service_name,
+  2: string key,
+  3: string claim_id,
+  4: i32 outcome,           // ClaimState
+  5: i32 status,
+  6: list<Header> headers,
+  7: binary body,
+  8: bool body_omitted,     // body was over the recorded limit
+}
+
+struct RecordAnswers {
+  1: list<RecordAnswer> answers,
+}
+
+struct ClaimRecord {
+  1: ClaimRequest claim,
+  2: i32 state,             // ClaimState
+  3: i32 status,
+  4: list<Header> headers,
+  5: binary body,
+  6: bool body_omitted,
+  7: i64 revision,
+}
+
+struct ExpireClaims {
+  1: i64 before_revision,
+}
+
+// Exactly one of the optional fields is set.
+struct Command {
+  1: string request_id,     // "" when a resend needs no first answer
+  2: optional PutResource put,
+  3: optional DeleteResource remove,
+  4: optional UpdateTasks update_tasks,
+  5: optional ClaimRequests claim,
+  6: optional RecordAnswers record,
+  7: optional ExpireClaims expire,
+}
+
+struct Outcome {
+  1: i32 code,              // OutcomeCode
+  2: string text,
+  3: string field,
+  4: i64 revision,          // of the state after the command
+  5: optional Resource resource,
+  6: list<ClaimRecord> claims,
+  7: list<i32> codes,       // one for each transition, claim or answer
+}
+
+// One change of the state, as watches see it.
+struct Change {
+  1: i64 revision,
+  2: bool removed,
+  3: Resource resource,
+}
--- /dev/null
+++ b/wasabiturn/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for a process: the daemons and their parts."""
--- /dev/null
+++ b/wasabiturn/process/daemon.py
@@ -0,0 +1,155 @@
+"""Life of a daemon: settings, log, metrics, signals and clean-up."""
+
+import signal
+import sys
+from collections.abc import Callable
+from contextlib import ExitStack
+from typing import Any, Protocol, final
+
+import attrs
+from twisted.internet.defer import Deferred
+from twisted.internet.error import CannotListenError
+
+from wasabiturn.conf import Settings
+from wasabiturn.exceptions import ProcessError, WasabiturnError
+from wasabiturn.utils.logs import create_part_log, open_log_output
+from wasabiturn.utils.metrics import Metrics, create_metrics
+
+_log = create_part_log('process')
+
+
+class Service(Protocol):
+    """A program that a daemon runs."""
+
+    def start(self) -> None:
+        """Open ports and begin to work.
+
+        Raises:
+            ProcessError: the program cannot start; the text says why.
+        """
+
+    def drain(self) -> Deferred[None]:
+        """Stop gracefully; fires once nothing is in flight."""
+
+    def close(self) -> None:
+        """Release ports and files."""
+
+
+@final
+@attrs.define
+class Context:
+    """What every program of one process shares."""
+
+    settings: Settings
+    reactor: Any
+    metrics: Metrics
+
+
+ServiceFactory = Callable[[Context], Service]
+
+
+def run_daemon(settings: Settings, factories: list[ServiceFactory]) -> int:
+    """Run programs on one loop until SIGTERM; return the exit status."""
+    from twisted.internet import reactor
+
+    with ExitStack() as stack:
+        try:
+            _open_log(settings, stack)
+            daemon = _Daemon(_create_context(settings, reactor), stack)
+            daemon.start(factories)
+        except (WasabiturnError, CannotListenError, OSError) as error:
+            sys.stderr.write(f'wasabiturn: {error}\n')
+            return 1
+        daemon.run()
+        return daemon.exit_status
+
+
+def _create_context(settings: Settings, reactor: Any) -> Context:
+    statsd = settings.metrics.statsd
+    address = (statsd.host, statsd.port) if statsd else None
+    prefix = f'{settings.metrics.prefix}.{settings.instance.name}'
+    return Context(
+        settings=settings,
+        reactor=reactor,
+        metrics=create_metrics(address, prefix),
+    )
+
+
+def _open_log(settings: Settings, stack: ExitStack) -> None:
+    stream = sys.stderr
+    if settings.logging.file is not None:
+        settings.logging.file.parent.mkdir(parents=True, exist_ok=True)
+        stream = stack.enter_context(
+            settings.logging.file.open('a', encoding='utf-8', buffering=1),
+        )
+    output = open_log_output(stream, settings.logging.level)
+    stack.callback(output.close)
+
+
+@final
+class _Daemon:
+    def __init__(self, context: Context, stack: ExitStack) -> None:
+        self.exit_status = 0
+        self._context = context
+        self._stack = stack
+        self._services: list[Service] = []
+        self._stopping = False
+
+    def start(self, factories: list[ServiceFactory]) -> None:
+        """Start each program, in order."""
+        for factory in factories:
+            service = factory(self._context)
+            self._stack.callback(service.close)
+            service.start()
+            self._services.append(service)
+        name = self._context.settings.instance.name
+        _log.event('started', instance=name)
+
+    def run(self) -> None:
+        """Run the loop until the programs have drained."""
+        reactor = self._context.reactor
+        signal.signal(signal.SIGTERM, self._on_signal)
+        signal.signal(signal.SIGINT, self._on_signal)
+        reactor.run(installSignalHandlers=False)
+
+    def _on_signal(self, number: int, frame: Any) -> None:
+        self._context.reactor.callFromThread(self._drain)
+
+    def _drain(self) -> None:
+        if self._stopping:
+            return
+        self._stopping = True
+        _log.event('draining')
+        self._drain_next(list(reversed(self._services)))
+
+    def _drain_next(self, services: list[Service]) -> None:
+        if not services:
+            _log.event('stopped')
+            self._context.reactor.stop()
+            return
+        drained = services[0].drain()
+        drained.addErrback(self._log_failure)
+        drained.addBoth(lambda _: self._drain_next(services[1:]))
+
+    def _log_failure(self, failure: Any) -> None:
+        _log.warning('drain failed', error=repr(failure.value))
+        self.exit_status = 1
+
+
+def listen(reactor: Any, endpoint: Any, factory: Any) -> Any:
+    """Listen on ``endpoint``; the caller owns the returned port.
+
+    Raises:
+        ProcessError: the port is in use or not permitted.
+    """
+    try:
+        return reactor.listenTCP(
+            endpoint.port,
+            factory,
+            interface=endpoint.host,
+        )
+    except CannotListenError as error:
+        raise ProcessError(
+            f'cannot listen on {endpoint}: {error.socketError}; '
+            'stop what uses the port or change it in the settings',
+        ) from error
--- /dev/null
+++ b/wasabiturn/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for a request: routing, admission, retries, claims."""
--- /dev/null
+++ b/wasabiturn/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without state of the system."""
--- /dev/null
+++ b/wasabiturn/version/replica.py
@@ -0,0 +1,67 @@
+"""What the parts of a control instance need of the replicated state."""
+
+from collections.abc import Callable
+from typing import Protocol, final
+
+import attrs
+from twisted.internet.defer import Deferred
+
+from wasabiturn.exceptions import StateError
+from wasabiturn.ids import InstanceName, LogIndex
+from wasabiturn.messages.state import Change, Command, Outcome
+from wasabiturn.version.state import State
+
+
+class NotLeaderError(StateError):
+    """The command was not run: this member does not lead."""
+
+    def __init__(self, leader: InstanceName | None) -> None:
+        """Name the leader, if this member knows one."""
+        super().__init__(f'the leader is {leader or "not known"}')
+        self.leader = leader
+
+
+class OutcomeUnknownError(StateError):
+    """Leadership was lost before the command was known to be committed."""
+
+
+@final
+@attrs.frozen
+class Applied:
+    """One applied command: its outcome, and the changes that watches see."""
+
+    index: LogIndex
+    command: Command
+    outcome: Outcome
+    changes: tuple[Change, ...]
+
+
+class Replica(Protocol):
+    """One member of the control group."""
+
+    name: InstanceName
+    state: State
+    on_applied: list[Callable[[Applied], None]]
+    on_role_change: list[Callable[[], None]]
+
+    def submit(self, command: Command) -> Deferred[Outcome]:
+        """Commit and apply ``command`` here; only the leader accepts it.
+
+        Fails with ``NotLeaderError`` (certainly not run) or
+        ``OutcomeUnknownError``.
+        """
+
+    def read_barrier(self) -> Deferred[None]:
+        """Fire once ``state`` holds all that was committed before the call.
+
+        Fails with ``NotLeaderError`` on a member without leader lease.
+        """
+
+    def leader(self) -> InstanceName | None:
+        """Return the name of the leader that this member follows."""
+
+    def holds_lease(self, now: float) -> bool:
+        """Tell whether this member leads and no other can lead at ``now``."""
+
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether ``state`` was current within the freshness period."""
