--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; not part of the checks."""
--- /dev/null
+++ b/wasabiturn/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems: backend server and platform worker."""
