--- /dev/null
+++ b/benchmarks/soak/programs.py
@@ -0,0 +1,101 @@
+"""Programs under measurement, each a process of its own."""
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import IO, final
+
+import attrs
+
+STOP_TIMEOUT_SECONDS = 45
+
+
+@final
+@attrs.define(eq=False)
+class Program:
+    """One process and how to start it again."""
+
+    name: str
+    arguments: tuple[str, ...]
+    output: Path
+    process: subprocess.Popen[bytes] | None = None
+    frozen: bool = False
+
+    def start(self) -> None:
+        """Start the process; its output is appended to ``output``."""
+        with self.output.open('ab') as stream:
+            self.process = self._spawn(stream)
+        self.frozen = False
+
+    def kill(self) -> None:
+        """End the process at once, as a crash does."""
+        self._signal(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+        self.process = None
+
+    def terminate(self) -> None:
+        """Ask for a graceful stop."""
+        self._signal(signal.SIGTERM)
+
+    def wait(self) -> int:
+        """Wait for the end after ``terminate``; return the exit status."""
+        if self.process is None:
+            return 0
+        status = self.process.wait(timeout=STOP_TIMEOUT_SECONDS)
+        self.process = None
+        return status
+
+    def freeze(self) -> None:
+        """Stop the process without ending it."""
+        self._signal(signal.SIGSTOP)
+        self.frozen = True
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        self._signal(signal.SIGCONT)
+        self.frozen = False
+
+    def is_running(self) -> bool:
+        """Tell whether the process has not ended."""
+        return self.process is not None and self.process.poll() is None
+
+    def _spawn(self, stream: IO[bytes]) -> subprocess.Popen[bytes]:
+        return subprocess.Popen(
+            [sys.executable, *self.arguments],
+            stdin=subprocess.DEVNULL,
+            stdout=stream,
+            stderr=stream,
+            cwd=str(self.output.parent),
+            env={**os.environ, 'PYTHONPATH': str(Path.cwd())},
+        )
+
+    def _signal(self, number: int) -> None:
+        if self.is_running() and self.process is not None:
+            self.process.send_signal(number)
+
+
+def create_daemon(command: str, settings: Path) -> Program:
+    """Create the program that runs ``wasabiturn COMMAND SETTINGS``."""
+    return Program(
+        name=settings.stem,
+        arguments=('-m', 'wasabiturn', command, str(settings)),
+        output=settings.parent / f'{settings.stem}.out',
+    )
+
+
+def create_standin(
+    name: str,
+    folder: Path,
+    module: str,
+    options: dict[str, str],
+) -> Program:
+    """Create the program that runs a stand-in of an outside system."""
+    words = [word for pair in options.items() for word in pair]
+    return Program(
+        name=name,
+        arguments=('-m', f'wasabiturn.standins.{module}', *words),
+        output=folder / f'{name}.out',
+    )
--- a/wasabiturn/conf/sections.py
+++ b/wasabiturn/conf/sections.py
@@ -59,9 +59,14 @@
 @final
 @attrs.frozen(kw_only=True)
 class AgentSection:
-    """``[agent]``: the process beside one backend server and worker."""
+    """``[agent]``: the process beside one backend server and worker.
+
+    ``advertise`` is the address told to entries where it differs from
+    ``listen``.
+    """
 
     listen: Endpoint = setting(values.endpoint())
+    advertise: Endpoint | None = setting(values.endpoint(), default=None)
     announce_listen: Endpoint = setting(values.endpoint())
     control: tuple[Endpoint, ...] = setting(values.endpoints())
     worker_url: str | None = setting(values.text(), default=None)
