--- /dev/null
+++ b/tests/version/test_claims.py
@@ -0,0 +1,73 @@
+"""Claims of keyed non-idempotent requests."""
+
+import pytest
+
+from tests.version.resources import answer, claim
+from wasabiturn.messages.kinds import ClaimState, OutcomeCode
+from wasabiturn.messages.state import (
+    ClaimRecord,
+    Command,
+    ExpireClaims,
+)
+from wasabiturn.version import apply_claims
+from wasabiturn.version.apply import apply_command
+from wasabiturn.version.state import State, create_state
+
+
+def run(state: State, command: Command) -> tuple[ClaimRecord, int]:
+    outcome = apply_command(state, command).outcome
+    return outcome.claims[0], outcome.codes[0]
+
+
+def test_second_claim_gets_the_claim_that_exists() -> None:
+    state = create_state()
+    run(state, claim('c-1'))
+    record, code = run(state, claim('c-2'))
+    assert (record.claim.claim_id, code) == ('c-1', OutcomeCode.ok)
+
+
+def test_key_of_another_request_is_refused_without_its_answer() -> None:
+    state = create_state()
+    run(state, claim('c-1'))
+    run(state, answer('c-1', outcome=ClaimState.answered, body=b'secret'))
+    record, code = run(state, claim('c-2', fingerprint='other'))
+    assert (record.body, code) == (b'', OutcomeCode.conflict)
+
+
+def test_claim_that_did_not_run_is_claimed_anew() -> None:
+    state = create_state()
+    run(state, claim('c-1'))
+    run(state, answer('c-1', outcome=ClaimState.not_run))
+    record, _ = run(state, claim('c-1'))
+    assert record.state is ClaimState.not_run
+    record, _ = run(state, claim('c-2'))
+    assert record.claim.claim_id == 'c-2'
+    assert record.state is ClaimState.claimed
+    record, code = run(state, answer('c-1', outcome=ClaimState.answered))
+    assert code == OutcomeCode.conflict
+
+
+def test_first_answer_stays() -> None:
+    state = create_state()
+    run(state, claim('c-1'))
+    run(state, answer('c-1', outcome=ClaimState.unknown))
+    run(state, answer('c-1', outcome=ClaimState.answered, status=200))
+    record, _ = run(state, answer('c-1', outcome=ClaimState.not_run))
+    assert (record.state, record.status) == (ClaimState.answered, 200)
+
+
+def test_claims_expire_and_are_bounded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(apply_claims, 'CLAIM_LIMIT', 2)
+    state = create_state()
+    run(state, claim('c-1', key='k'))
+    run(state, claim('c-2', key='other'))
+    _, code = run(state, claim('c-3', key='third'))
+    assert code == OutcomeCode.quota
+    run(state, answer('c-1', outcome=ClaimState.answered))
+    _, code = run(state, claim('c-3', key='third'))
+    assert code == OutcomeCode.ok
+    expire = ExpireClaims(before_revision=state.claims_revision)
+    apply_command(state, Command(expire=expire))
+    assert list(state.claims_by_key) == ['desk/third']
--- a/wasabiturn/messages/kinds.py
+++ b/wasabiturn/messages/kinds.py
@@ -57,6 +57,8 @@
     install_snapshot = 23
     join = 24
     status = 30
+    api = 40
+    watch = 41
 
 
 @final
--- a/wasabiturn/messages/session.py
+++ b/wasabiturn/messages/session.py
@@ -301,3 +301,39 @@
     state: AgentClaimState = attrs.field(
         default=AgentClaimState.unknown, converter=AgentClaimState
     )
+
+
+@bind(_idl)
+@final
+@attrs.define
+class ApiRequest:
+    """Operator's HTTP request, relayed to the leader."""
+
+    method: str = ''
+    path: str = ''
+    request_id: str = ''
+    if_match: str = ''
+    authorization: str = attrs.field(default='', repr=False)
+    body: bytes = b''
+
+
+@bind(_idl)
+@final
+@attrs.define
+class ApiResponse:
+    """Answer to an operator's request."""
+
+    status: int = 0
+    headers: list[Header] = attrs.field(factory=list)
+    body: bytes = b''
+
+
+@bind(_idl)
+@final
+@attrs.define
+class WatchRequest:
+    """Ask for a stream of changes as newline-delimited JSON."""
+
+    kind: int = 0
+    since: int = 0
+    authorization: str = attrs.field(default='', repr=False)
--- a/wasabiturn/messages/state.py
+++ b/wasabiturn/messages/state.py
@@ -53,6 +53,7 @@
     max_failures: int = 0
     task_kind: str = ''
     command: str = ''
+    cancelled: bool = False
 
 
 @bind(_idl)
@@ -136,6 +137,7 @@
 
     resource: Resource = attrs.field(factory=Resource)
     expected_revision: int = 0
+    actor_team: str = ''
 
 
 @bind(_idl)
@@ -147,6 +149,7 @@
     kind: int = 0
     name: str = ''
     expected_revision: int = 0
+    actor_team: str = ''
 
 
 @bind(_idl)
@@ -298,3 +301,29 @@
     revision: int = 0
     removed: bool = False
     resource: Resource = attrs.field(factory=Resource)
+
+
+@bind(_idl)
+@final
+@attrs.define
+class RememberedOutcome:
+    """First answer to a request id."""
+
+    request_id: str = ''
+    digest: int = 0
+    outcome: Outcome = attrs.field(factory=Outcome)
+
+
+@bind(_idl)
+@final
+@attrs.define
+class StateDump:
+    """Whole state, as a snapshot holds it."""
+
+    format: int = 0
+    revision: int = 0
+    claims_revision: int = 0
+    resources: list[Resource] = attrs.field(factory=list)
+    claims: list[ClaimRecord] = attrs.field(factory=list)
+    outcomes: list[RememberedOutcome] = attrs.field(factory=list)
+    history: list[Change] = attrs.field(factory=list)
--- a/wasabiturn/messages/wire/session.thrift
+++ b/wasabiturn/messages/wire/session.thrift
@@ -171,3 +171,26 @@
 struct ClaimVerdict {
   1: i32 state,             // AgentClaimState
 }
+
+// Operator's HTTP request, relayed to the leader.
+struct ApiRequest {
+  1: string method,
+  2: string path,
+  3: string request_id,
+  4: string if_match,
+  5: string authorization,
+  6: binary body,
+}
+
+struct ApiResponse {
+  1: i32 status,
+  2: list<state.Header> headers,
+  3: binary body,
+}
+
+// Opens a stream of newline-delimited JSON.
+struct WatchRequest {
+  1: i32 kind,              // Kind
+  2: i64 since,             // -1 for a snapshot first
+  3: string authorization,
+}
--- a/wasabiturn/messages/wire/state.thrift
+++ b/wasabiturn/messages/wire/state.thrift
@@ -25,6 +25,7 @@
   6: i32 max_failures,
   7: string task_kind,
   8: string command,
+  9: bool cancelled,
 }
 
 struct DataCentreSpec {
@@ -46,7 +47,7 @@
   2: string owner,
   3: i32 number,
   4: i32 state,            // TaskState
-  5: i64 attempt,          // 0 before the first attempt
+  5: i64 attempt,          // grows for ever; starts at the revision that created the task
   6: string worker,
   7: string incarnation,   // of the agent beside that worker
   8: string checkpoint,
@@ -76,12 +77,14 @@
 struct PutResource {
   1: Resource resource,
   2: i64 expected_revision, // 0: must not exist, -1: any
+  3: string actor_team,     // owner that the writer may change, "" for any
 }
 
 struct DeleteResource {
   1: i32 kind,
   2: string name,
   3: i64 expected_revision, // -1: any
+  4: string actor_team,     // owner that the writer may change, "" for any
 }
 
 // One transition of a task, proposed by the scheduler of the leader.
@@ -171,3 +174,21 @@
   2: bool removed,
   3: Resource resource,
 }
+
+// First answer to a request id.
+struct RememberedOutcome {
+  1: string request_id,
+  2: i64 digest,            // CRC-32 of the packed command
+  3: Outcome outcome,
+}
+
+// Whole state, as a snapshot holds it.
+struct StateDump {
+  1: i32 format,
+  2: i64 revision,
+  3: i64 claims_revision,
+  4: list<Resource> resources,
+  5: list<ClaimRecord> claims,
+  6: list<RememberedOutcome> outcomes,
+  7: list<Change> history,
+}
--- /dev/null
+++ b/wasabiturn/version/apply_tasks.py
@@ -0,0 +1,55 @@
+"""Application of transitions of tasks, which the scheduler proposes."""
+
+import attrs
+
+from wasabiturn.messages.kinds import Kind, OutcomeCode
+from wasabiturn.messages.state import (
+    Change,
+    Outcome,
+    TaskTransition,
+    UpdateTasks,
+)
+from wasabiturn.version.state import Effect, State, store
+from wasabiturn.version.tasks import settle_task
+
+
+def update_tasks(body: UpdateTasks, state: State) -> Effect:
+    """Apply the transitions whose task is as they expect it.
+
+    ``Outcome.codes`` has one code for each: ``ok``, ``not_found``, or
+    ``conflict`` when the attempt or the state is another.
+    """
+    codes: list[int] = []
+    changes: list[Change] = []
+    for transition in body.transitions:
+        code = _check_transition(state, transition)
+        codes.append(code)
+        if code is OutcomeCode.ok:
+            changes.extend(_apply_transition(state, transition))
+    outcome = Outcome(revision=state.revision, codes=codes)
+    return Effect(outcome=outcome, changes=tuple(changes))
+
+
+def _check_transition(
+    state: State,
+    transition: TaskTransition,
+) -> OutcomeCode:
+    task = state.resources_by_kind[Kind.task].get(transition.task)
+    if task is None or task.task_spec is None:
+        return OutcomeCode.not_found
+    present = task.task_spec
+    if present.attempt != transition.expected_attempt:
+        return OutcomeCode.conflict
+    if present.state != transition.expected_state:
+        return OutcomeCode.conflict
+    return OutcomeCode.ok
+
+
+def _apply_transition(
+    state: State,
+    transition: TaskTransition,
+) -> list[Change]:
+    task = state.resources_by_kind[Kind.task][transition.task]
+    moved = attrs.evolve(task, task_spec=transition.task_spec)
+    stored = store(state, moved)
+    return [stored, *settle_task(state, stored.resource)]
--- /dev/null
+++ b/wasabiturn/version/persistence.py
@@ -0,0 +1,58 @@
+"""The state as bytes, for snapshots."""
+
+from wasabiturn.exceptions import StorageError
+from wasabiturn.messages.codec import CodecError, pack, unpack
+from wasabiturn.messages.state import StateDump
+from wasabiturn.version.apply_claims import claim_key
+from wasabiturn.version.state import State, create_state
+
+FORMAT = 1
+
+
+def dump_state(state: State) -> bytes:
+    """Return the whole state as bytes."""
+    dump = StateDump(
+        format=FORMAT,
+        revision=state.revision,
+        claims_revision=state.claims_revision,
+        resources=[
+            resource
+            for resources_by_name in state.resources_by_kind.values()
+            for resource in resources_by_name.values()
+        ],
+        claims=list(state.claims_by_key.values()),
+        outcomes=list(state.outcomes_by_request_id.values()),
+        history=list(state.history),
+    )
+    return pack(dump)
+
+
+def load_state(packed: bytes) -> State:
+    """Return the state that ``dump_state`` wrote.
+
+    Raises:
+        StorageError: the bytes hold no state of this format.
+    """
+    try:
+        dump = unpack(StateDump, packed)
+    except CodecError as error:
+        raise StorageError(f'cannot load the state: {error}') from error
+    if dump.format != FORMAT:
+        raise StorageError(f'state has format {dump.format}, not {FORMAT}')
+    state = create_state()
+    state.revision = dump.revision
+    state.claims_revision = dump.claims_revision
+    _fill(state, dump)
+    return state
+
+
+def _fill(state: State, dump: StateDump) -> None:
+    for resource in dump.resources:
+        state.resources_by_kind[resource.kind][resource.name] = resource
+    for record in dump.claims:
+        claim = record.claim
+        key = claim_key(claim.service_name, claim.key)
+        state.claims_by_key[key] = record
+    for remembered in dump.outcomes:
+        state.outcomes_by_request_id[remembered.request_id] = remembered
+    state.history.extend(dump.history)
