--- /dev/null
+++ b/benchmarks/soak/fleet.py
@@ -0,0 +1,209 @@
+"""A small deployment on loopback: settings, programs and relayed paths."""
+
+import configparser
+import socket
+from pathlib import Path
+from typing import Any, final
+
+import attrs
+
+from benchmarks.soak.programs import Program, create_daemon, create_standin
+from benchmarks.soak.relay import Path as RelayedPath
+from benchmarks.soak.relay import open_relay
+from wasabiturn.connection.dialer import Endpoint
+
+LOOPBACK = '127.0.0.1'
+SERVICE = 'taller-app'
+
+
+@final
+@attrs.frozen
+class Shape:
+    """How many instances of each role, and in how many data centres."""
+
+    controls: int = 3
+    entries: int = 2
+    agents: int = 3
+    data_centres: int = 3
+
+
+@final
+@attrs.define(eq=False)
+class Fleet:
+    """Programs of one deployment and the paths between them."""
+
+    folder: Path
+    shape: Shape
+    reactor: Any = None
+    programs_by_name: dict[str, Program] = attrs.field(factory=dict)
+    endpoints_by_name: dict[str, Endpoint] = attrs.field(factory=dict)
+    paths_by_name: dict[str, RelayedPath] = attrs.field(factory=dict)
+
+    def start(self) -> None:
+        """Start every program."""
+        for program in self.programs_by_name.values():
+            program.start()
+
+    def stop(self) -> list[str]:
+        """Stop gracefully; return the names that did not end cleanly."""
+        running = [
+            each for each in self.programs_by_name.values() if each.is_running()
+        ]
+        for program in running:
+            program.thaw()
+            program.terminate()
+        return [each.name for each in running if each.wait() != 0]
+
+    def kill(self) -> None:
+        """End whatever is left."""
+        for program in self.programs_by_name.values():
+            program.kill()
+
+    def endpoint(self, name: str) -> Endpoint:
+        """Return the endpoint of ``name``, taking a free port at first use."""
+        if name not in self.endpoints_by_name:
+            self.endpoints_by_name[name] = _take_endpoint()
+        return self.endpoints_by_name[name]
+
+    def relayed(self, source: str, target: str) -> Endpoint:
+        """Return where ``source`` dials ``target``."""
+        if self.reactor is None:
+            return self.endpoint(target)
+        name = f'{source}>{target}'
+        if name not in self.paths_by_name:
+            self.paths_by_name[name] = open_relay(
+                self.reactor,
+                self.endpoint(name),
+                self.endpoint(target),
+            )
+        return self.endpoint(name)
+
+
+def create_fleet(
+    folder: Path,
+    shape: Shape,
+    reactor: Any = None,
+) -> Fleet:
+    """Write the settings of a deployment; ``reactor`` puts relays between."""
+    fleet = Fleet(folder=folder.resolve(), shape=shape, reactor=reactor)
+    fleet.folder.mkdir(parents=True, exist_ok=True)
+    for number in range(1, shape.controls + 1):
+        _add_control(fleet, number)
+    for number in range(1, shape.agents + 1):
+        _add_agent(fleet, number)
+    for number in range(1, shape.entries + 1):
+        _add_entry(fleet, number)
+    return fleet
+
+
+def _add_control(fleet: Fleet, number: int) -> None:
+    name = f'control-{number}'
+    members = [
+        f'{peer}@{_member_endpoint(fleet, name, peer)}'
+        for peer in _control_names(fleet)
+    ]
+    section = {
+        'listen': fleet.endpoint(name),
+        'api_listen': fleet.endpoint(f'{name}-api'),
+        'members': ', '.join(members),
+        'data_folder': fleet.folder / 'data' / name,
+        'snapshot_entries': 500,
+    }
+    _add_daemon(fleet, 'control', number, section)
+
+
+def _add_agent(fleet: Fleet, number: int) -> None:
+    name = f'agent-{number}'
+    worker = fleet.endpoint(f'worker-{number}')
+    section = {
+        'listen': fleet.endpoint(name),
+        'advertise': fleet.relayed('entries', name),
+        'announce_listen': fleet.endpoint(f'{name}-announce'),
+        'control': _controls_seen_by(fleet, name),
+        'worker_url': f'http://{worker}',
+        'drain_seconds': 10,
+    }
+    _add_standins(fleet, number)
+    _add_daemon(fleet, 'agent', number, section)
+
+
+def _add_standins(fleet: Fleet, number: int) -> None:
+    backend = create_standin(
+        f'backend-{number}',
+        fleet.folder,
+        'backend',
+        {
+            '--listen': str(fleet.endpoint(f'backend-{number}')),
+            '--announce': str(fleet.endpoint(f'agent-{number}-announce')),
+            '--service': SERVICE,
+            '--record': str(fleet.folder / f'backend-{number}.records'),
+        },
+    )
+    worker = create_standin(
+        f'worker-{number}',
+        fleet.folder,
+        'worker',
+        {
+            '--listen': str(fleet.endpoint(f'worker-{number}')),
+            '--record': str(fleet.folder / f'worker-{number}.records'),
+        },
+    )
+    fleet.programs_by_name[backend.name] = backend
+    fleet.programs_by_name[worker.name] = worker
+
+
+def _add_entry(fleet: Fleet, number: int) -> None:
+    name = f'entry-{number}'
+    section = {
+        'listen': fleet.endpoint(name),
+        'api_listen': fleet.endpoint(f'{name}-api'),
+        'control': _controls_seen_by(fleet, name),
+        'drain_seconds': 1,
+    }
+    _add_daemon(fleet, 'entry', number, section)
+
+
+def _add_daemon(
+    fleet: Fleet,
+    command: str,
+    number: int,
+    section: dict[str, Any],
+) -> None:
+    name = f'{command}-{number}'
+    data_centre = (number - 1) % fleet.shape.data_centres + 1
+    parser = configparser.ConfigParser(interpolation=None)
+    parser['instance'] = {
+        'name': name,
+        'data_centre': f'dc-{data_centre}',
+        'rack': f'rack-{number}',
+    }
+    parser[command] = {key: str(value) for key, value in section.items()}
+    parser['logging'] = {'file': str(fleet.folder / f'{name}.log')}
+    settings = fleet.folder / f'{name}.ini'
+    with settings.open('w', encoding='utf-8') as settings_file:
+        parser.write(settings_file)
+    fleet.programs_by_name[name] = create_daemon(command, settings)
+
+
+def _control_names(fleet: Fleet) -> list[str]:
+    return [
+        f'control-{number}' for number in range(1, fleet.shape.controls + 1)
+    ]
+
+
+def _member_endpoint(fleet: Fleet, name: str, peer: str) -> Endpoint:
+    if peer == name:
+        return fleet.endpoint(name)
+    return fleet.relayed(name, peer)
+
+
+def _controls_seen_by(fleet: Fleet, name: str) -> str:
+    return ', '.join(
+        str(fleet.relayed(name, control)) for control in _control_names(fleet)
+    )
+
+
+def _take_endpoint() -> Endpoint:
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return Endpoint(host=LOOPBACK, port=probe.getsockname()[1])
