Run the loop by the boot clock

Cause: Twisted's reactors read the wall clock, so a step of it would end or stretch every lease; the monotonic clock stands still while an instance is suspended, which would stretch a lease held there. Ruled out: the monotonic clock, for the reason above. After: it fires when an hour has passed.

--- /dev/null
+++ b/tests/utils/test_clock.py
@@ -0,0 +1,33 @@
+"""The loop's clock under a step of the wall clock."""
+
+import time
+
+import pytest
+from twisted.internet.selectreactor import SelectReactor
+
+from wasabiturn.utils.clock import use_boot_clock
+
+DAY_SECONDS = 86400
+
+
+@pytest.mark.parametrize('step', [-DAY_SECONDS, DAY_SECONDS])
+def test_step_of_wall_clock_moves_no_timer(
+    monkeypatch: pytest.MonkeyPatch,
+    step: int,
+) -> None:
+    reactor = SelectReactor()
+    use_boot_clock(reactor)
+    early: list[str] = []
+    due = reactor.callLater(3600, early.append, 'early')
+    before = reactor.seconds()
+    # Twisted's own clock is the wall clock; this steps it.
+    monkeypatch.setattr(
+        SelectReactor,
+        'seconds',
+        staticmethod(lambda: time.time() + step),
+    )
+    reactor.runUntilCurrent()
+    assert not early
+    assert abs(reactor.seconds() - before) < DAY_SECONDS / 2
+    assert due.getTime() - reactor.seconds() > 3000
+    due.cancel()
