--- a/wasabiturn/process/daemon.py
+++ b/wasabiturn/process/daemon.py
@@ -12,6 +12,7 @@
 
 from wasabiturn.conf import Settings
 from wasabiturn.exceptions import ProcessError, WasabiturnError
+from wasabiturn.utils.clock import use_boot_clock
 from wasabiturn.utils.logs import create_part_log, open_log_output
 from wasabiturn.utils.metrics import Metrics, create_metrics
 
@@ -52,6 +53,7 @@
     """Run programs on one loop until SIGTERM; return the exit status."""
     from twisted.internet import reactor
 
+    use_boot_clock(reactor)
     with ExitStack() as stack:
         try:
             _open_log(settings, stack)
