Place jobs on workers under permits and leases, thin path

Cause: nothing decided where a task runs, and nothing ran it. Ruled out: leases kept as durations at the platform, since a request that is delivered late would prolong them; the adapter converts to the worker's clock. Before: no placement.

--- /dev/null
+++ b/benchmarks/soak/__main__.py
@@ -0,0 +1,253 @@
+"""Run a soak: ``python -m benchmarks.soak --seconds 300 --seed 1``."""
+
+import json
+import sys
+from pathlib import Path
+from random import Random
+from typing import Annotated, Any, final
+
+import attrs
+import typer
+from twisted.internet import reactor as default_reactor
+from twisted.internet.defer import DeferredList, inlineCallbacks
+from twisted.internet.task import deferLater, react
+
+from benchmarks.soak import checker
+from benchmarks.soak.callers import Callers
+from benchmarks.soak.faults import Faults
+from benchmarks.soak.fleet import SERVICE, Fleet, Shape, create_fleet
+from benchmarks.soak.operators import Operators
+from wasabiturn.utils.clock import use_boot_clock
+
+WARM_UP_SECONDS = 12.0
+SETTLE_SECONDS = 40.0
+CALLER_PAUSE_SECONDS = 0.05
+JOB_PAUSE_SECONDS = 1.0
+CONFIGURATION_PAUSE_SECONDS = 0.7
+OUTAGE_PAUSE_SECONDS = 15.0
+DEFAULT_FOLDER = Path('data/soak')
+
+
+@final
+@attrs.frozen
+class Plan:
+    """What one soak does."""
+
+    folder: Path
+    seconds: float
+    seed: int
+    callers: int
+    fault_pause_seconds: float
+    shape: Shape
+
+
+@final
+@attrs.define(eq=False)
+class Soak:
+    """One soak under way."""
+
+    plan: Plan
+    reactor: Any
+    fleet: Fleet
+    callers: Callers
+    operators: Operators
+    faults: Faults
+
+    @inlineCallbacks
+    def run(self) -> Any:
+        """Run load and faults, settle, stop; return the report."""
+        self.fleet.start()
+        yield self._pause(WARM_UP_SECONDS)
+        self.operators.start()
+        yield self._declare()
+        loops = self._start_load()
+        self.faults.start()
+        yield self._pause(self.plan.seconds)
+        self.faults.stop()
+        self.callers.stop()
+        self.operators.stop()
+        yield DeferredList(loops, consumeErrors=True)
+        yield self._pause(SETTLE_SECONDS)
+        jobs = yield self.operators.get('/v1/tasks')
+        unclean = self.fleet.stop()
+        return self._check(jobs, unclean)
+
+    def _start_load(self) -> list[Any]:
+        data_centres = [
+            f'dc-{number}'
+            for number in range(1, self.plan.shape.data_centres + 1)
+        ]
+        return [
+            *self.callers.start(self.plan.callers, CALLER_PAUSE_SECONDS),
+            self.operators.apply_jobs(JOB_PAUSE_SECONDS),
+            self.operators.change_configuration(CONFIGURATION_PAUSE_SECONDS),
+            self.operators.take_out_and_bring_back(
+                data_centres,
+                OUTAGE_PAUSE_SECONDS,
+            ),
+        ]
+
+    @inlineCallbacks
+    def _declare(self) -> Any:
+        yield self.operators.put(
+            f'/v1/services/{SERVICE}',
+            {
+                'spec': {
+                    'replicas': 0,
+                    'size': {'cores': 1, 'memory_mb': 256, 'accelerators': 0},
+                    'slots': 8,
+                    'connections': 64,
+                    'target_p99_ms': 200,
+                    'task_kind': 'quote',
+                },
+            },
+        )
+
+    def _check(self, tasks: Any, unclean: list[str]) -> checker.Report:
+        report = checker.Report()
+        for name in unclean:
+            report.check('planned stop is clean', holds=False, detail=name)
+        backends = self.fleet.folder.glob('backend-*.records')
+        checker.check_calls(
+            report,
+            self.callers.records_by_id.values(),
+            checker.read_backend_runs(backends),
+        )
+        self._check_tasks(report)
+        _check_states(report, tasks)
+        report.counts_by_name.update(
+            f'fault {record.kind.value}' for record in self.faults.records
+        )
+        report.counts_by_name['writes'] = len(self.operators.writes)
+        return report
+
+    def _check_tasks(self, report: checker.Report) -> None:
+        runs: list[checker.TaskRun] = []
+        data_centre_by_worker: dict[str, str] = {}
+        for number in range(1, self.plan.shape.agents + 1):
+            worker = f'worker-{number}'
+            data_centre = (number - 1) % self.plan.shape.data_centres + 1
+            data_centre_by_worker[worker] = f'dc-{data_centre}'
+            records = self.fleet.folder / f'{worker}.records'
+            runs += checker.read_task_runs(
+                worker,
+                records,
+                self.faults.kills_of(worker),
+            )
+        checker.check_tasks(report, runs)
+        checker.check_outages(
+            report,
+            runs,
+            _pair_outages(self.operators),
+            data_centre_by_worker,
+        )
+
+    def _pause(self, seconds: float) -> Any:
+        return deferLater(self.reactor, seconds, _nothing)
+
+
+def create_soak(plan: Plan, reactor: Any) -> Soak:
+    """Create the soak of ``plan`` with its parts."""
+    fleet = create_fleet(plan.folder, plan.shape, reactor)
+    numbers = range(1, plan.shape.entries + 1)
+    return Soak(
+        plan=plan,
+        reactor=reactor,
+        fleet=fleet,
+        callers=Callers(
+            reactor=reactor,
+            entries=[fleet.endpoint(f'entry-{number}') for number in numbers],
+            service=SERVICE,
+            random=Random(plan.seed),
+        ),
+        operators=Operators(
+            reactor=reactor,
+            servers=[
+                fleet.endpoint(f'entry-{number}-api') for number in numbers
+            ],
+            random=Random(plan.seed + 1),
+        ),
+        faults=Faults(
+            reactor=reactor,
+            fleet=fleet,
+            random=Random(plan.seed + 2),
+            pause_seconds=plan.fault_pause_seconds,
+        ),
+    )
+
+
+def _pair_outages(operators: Operators) -> list[checker.Outage]:
+    out = operators.outages[::2]
+    back = operators.outages[1::2]
+    return [
+        checker.Outage(
+            data_centre=taken.path.rpartition('/')[2],
+            since=taken.answered_at,
+            until=brought.answered_at,
+        )
+        for taken, brought in zip(out, back, strict=False)
+    ]
+
+
+def _check_states(report: checker.Report, tasks: Any) -> None:
+    if tasks is None:
+        report.check('state can be read', holds=False, detail='no answer')
+        return
+    for task in tasks['items']:
+        report.counts_by_name[f'task {task["spec"]["state"]}'] += 1
+
+
+def _nothing() -> None:
+    """Do nothing after a pause."""
+
+
+def main(
+    seconds: Annotated[float, typer.Option(help='Time under faults.')] = 120,
+    seed: Annotated[int, typer.Option(help='Seed of load and faults.')] = 1,
+    callers: Annotated[int, typer.Option(help='Request loops.')] = 8,
+    fault_pause: Annotated[
+        float,
+        typer.Option(help='Longest pause between two faults, in seconds.'),
+    ] = 4,
+    folder: Annotated[
+        Path,
+        typer.Option(help='Folder of settings, data, logs and records.'),
+    ] = DEFAULT_FOLDER,
+) -> None:
+    """Run load and seeded faults, then check what must always hold."""
+    plan = Plan(
+        folder=folder / f'seed-{seed}',
+        seconds=seconds,
+        seed=seed,
+        callers=callers,
+        fault_pause_seconds=fault_pause,
+        shape=Shape(),
+    )
+    use_boot_clock(default_reactor)
+    reports: list[checker.Report] = []
+
+    def run(reactor: Any) -> Any:
+        soak = create_soak(plan, reactor)
+        done = soak.run()
+        done.addCallback(reports.append)
+        done.addBoth(lambda outcome: _end(soak, outcome))
+        return done
+
+    try:
+        react(run)
+    except SystemExit as stopped:
+        if not reports:
+            raise typer.Exit(1) from stopped
+    report = reports[0]
+    print(json.dumps(dict(sorted(report.counts_by_name.items())), indent=1))
+    print('\n'.join(report.violations))
+    sys.exit(1 if report.violations else 0)
+
+
+def _end(soak: Soak, outcome: Any) -> Any:
+    soak.fleet.kill()
+    return outcome
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -62,6 +62,14 @@
         """Cause no more; those under way are still undone."""
         self.stopped = True
 
+    def kills_of(self, name: str) -> list[float]:
+        """Return when the program ``name`` was killed."""
+        return [
+            record.started
+            for record in self.records
+            if record.target == name and record.kind is FaultKind.kill
+        ]
+
     def _cause_next(self) -> None:
         if self.stopped:
             return
--- a/wasabiturn/conf/reader.py
+++ b/wasabiturn/conf/reader.py
@@ -35,7 +35,7 @@
     agent: AgentSection | None
 
 
-_CLASSES_BY_SECTION = MappingProxyType(
+CLASSES_BY_SECTION = MappingProxyType(
     {
         'instance': InstanceSection,
         'metrics': MetricsSection,
@@ -64,7 +64,7 @@
     problems = _find_unknown_sections(source, parser)
     sections = {
         name: _read_section(source, parser, name, problems)
-        for name in _CLASSES_BY_SECTION
+        for name in CLASSES_BY_SECTION
     }
     if problems:
         raise SettingsError('\n'.join(problems))
@@ -75,11 +75,11 @@
     source: Path,
     parser: configparser.ConfigParser,
 ) -> list[str]:
-    accepted = ', '.join(_CLASSES_BY_SECTION)
+    accepted = ', '.join(CLASSES_BY_SECTION)
     return [
         f'{source}: [{name}] is no section; accepted are {accepted}'
         for name in parser.sections()
-        if name not in _CLASSES_BY_SECTION
+        if name not in CLASSES_BY_SECTION
     ]
 
 
@@ -91,7 +91,7 @@
 ) -> Any:
     if not parser.has_section(name) and name in _OPTIONAL_SECTIONS:
         return None
-    section_class: Any = _CLASSES_BY_SECTION[name]
+    section_class: Any = CLASSES_BY_SECTION[name]
     raw_by_key = dict(parser.items(name)) if parser.has_section(name) else {}
     fields_by_key = {field.name: field for field in attrs.fields(section_class)}
     where = f'{source}: [{name}]'
--- /dev/null
+++ b/wasabiturn/connection/worker.py
@@ -0,0 +1,232 @@
+"""Adapter of the platform's worker interface: HTTP and JSON.
+
+No other module knows the shape of that interface. Times that the platform
+shall keep are given on the worker's own clock, so that a request that is
+delivered late neither starts a task late nor prolongs its lease.
+"""
+
+import json
+from typing import Any, final
+from urllib.parse import quote
+
+import attrs
+import cattrs
+from twisted.internet.defer import Deferred
+from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IBodyProducer
+from zope.interface import implementer
+
+from wasabiturn.connection.worker_messages import (
+    Listing,
+    RefusedByPlatformError,
+    RunName,
+    RunRequest,
+)
+from wasabiturn.exceptions import PlatformError
+from wasabiturn.messages.kinds import AttemptState, Kind
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+REQUEST_TIMEOUT_SECONDS = 2.0
+CHECKPOINT_TIMEOUT_SECONDS = 10.0
+# The worker's clock runs slower than this process's by less than 2 %.
+CLOCK_DRIFT_SHARE = 0.02
+HTTP_ERRORS_FROM = 400
+
+
+@final
+class WorkerClient:
+    """Client of one worker."""
+
+    def __init__(self, url: str, reactor: Any) -> None:
+        """Create a client of the worker at ``url``; it connects on use."""
+        self._url = url.rstrip('/')
+        self._reactor = reactor
+        self._pool = HTTPConnectionPool(reactor, persistent=True)
+        self._agent = Agent(
+            reactor,
+            connectTimeout=CONNECT_TIMEOUT_SECONDS,
+            pool=self._pool,
+        )
+        self._clock = _WorkerClock()
+
+    def fetch_listing(self) -> Deferred[Listing]:
+        """Fetch what the worker runs; fails with ``PlatformError``."""
+        fetched = self._request('GET', '/v1/state', None)
+        fetched.addCallback(self._read_listing)
+        return fetched
+
+    def start(self, request: RunRequest) -> Deferred[None]:
+        """Start a run under a lease, not after ``start_until``.
+
+        Fails with ``RefusedByPlatformError`` when it certainly was not
+        started, and with ``PlatformError`` when that is open.
+        """
+        body = {
+            'task': request.task,
+            'attempt': request.attempt,
+            'size': attrs.asdict(request.size),
+            'kind': request.task_kind,
+            'service': request.owner_kind is Kind.service,
+            'command': request.command,
+            'checkpoint': request.checkpoint,
+            'run_seconds': request.run_seconds,
+            'throttle': request.throttle,
+            'start_until': self._clock.deadline(request.start_until),
+            'lease_until': self._clock.deadline(request.lease_until),
+        }
+        return self._request('POST', '/v1/runs', body).addCallback(_drop)
+
+    def renew(self, names: list[RunName], until: float) -> Deferred[None]:
+        """Prolong the leases of runs to ``until``."""
+        body = {
+            'lease_until': self._clock.deadline(until),
+            'runs': [attrs.asdict(name) for name in names],
+        }
+        return self._request('POST', '/v1/leases', body).addCallback(_drop)
+
+    def throttle(self, name: RunName, share: float) -> Deferred[None]:
+        """Limit a run to ``share`` of full speed."""
+        path = f'{_run_path(name)}/throttle'
+        return self._request('POST', path, {'share': share}).addCallback(_drop)
+
+    def checkpoint(self, name: RunName) -> Deferred[str]:
+        """Save a run's progress; fires with the checkpoint."""
+        path = f'{_run_path(name)}/checkpoint'
+        saved = self._request('POST', path, {}, CHECKPOINT_TIMEOUT_SECONDS)
+        return saved.addCallback(lambda answer: str(answer['checkpoint']))
+
+    def stop(self, name: RunName) -> Deferred[None]:
+        """Stop a run; the listing confirms it."""
+        path = f'{_run_path(name)}/stop'
+        return self._request('POST', path, {}).addCallback(_drop)
+
+    def forget(self, name: RunName) -> Deferred[None]:
+        """Let the worker drop an ended run from its listing."""
+        return self._request('DELETE', _run_path(name), None).addCallback(_drop)
+
+    def close(self) -> Deferred[None]:
+        """Close kept connections."""
+        closed: Deferred[None] = self._pool.closeCachedConnections()
+        return closed
+
+    def _request(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None,
+        timeout_seconds: float = REQUEST_TIMEOUT_SECONDS,
+    ) -> Deferred[Any]:
+        sent = self._agent.request(
+            method.encode(),
+            f'{self._url}{path}'.encode(),
+            Headers({'content-type': ['application/json']}),
+            _create_body(body),
+        )
+        answered: Deferred[Any] = sent.addCallback(self._read)
+        answered.addTimeout(timeout_seconds, self._reactor)
+        answered.addErrback(_turn_error)
+        return answered
+
+    def _read(self, response: Any) -> Deferred[Any]:
+        whole = readBody(response)
+        return whole.addCallback(_decode, response.code)
+
+    def _read_listing(self, answer: Any) -> Listing:
+        listing = read_listing(answer)
+        self._clock.observe(listing.now, self._reactor.seconds())
+        return listing
+
+
+def create_worker_client(url: str, reactor: Any) -> WorkerClient:
+    """Create the client of the worker at ``url``."""
+    return WorkerClient(url=url, reactor=reactor)
+
+
+@final
+@attrs.define
+class _WorkerClock:
+    """Lower bound of the worker's clock, from its newest answer."""
+
+    worker_now: float = 0.0
+    received_at: float = 0.0
+
+    def observe(self, worker_now: float, received_at: float) -> None:
+        self.worker_now = worker_now
+        self.received_at = received_at
+
+    def deadline(self, until: float) -> float:
+        left = until - self.received_at
+        return self.worker_now + left * (1 - CLOCK_DRIFT_SHARE)
+
+
+@implementer(IBodyProducer)
+@final
+class _Body:
+    def __init__(self, body: bytes) -> None:
+        self.length = len(body)
+        self._body = body
+
+    def startProducing(self, consumer: Any) -> Deferred[None]:
+        consumer.write(self._body)
+        done: Deferred[None] = Deferred()
+        done.callback(None)
+        return done
+
+    def pauseProducing(self) -> None:
+        """Do nothing: the body is written at once."""
+
+    def resumeProducing(self) -> None:
+        """Do nothing: the body is written at once."""
+
+    def stopProducing(self) -> None:
+        """Do nothing: the body is written at once."""
+
+
+def _create_body(body: dict[str, Any] | None) -> Any:
+    if body is None:
+        return None
+    return _Body(json.dumps(body).encode())
+
+
+_converter = cattrs.Converter()
+_converter.register_structure_hook(
+    AttemptState,
+    lambda raw, _: AttemptState[raw],
+)
+
+
+def read_listing(answer: Any) -> Listing:
+    """Read the decoded answer to a request for the listing.
+
+    Raises:
+        PlatformError: it is out of form.
+    """
+    try:
+        return _converter.structure(answer, Listing)
+    except Exception as error:
+        raise PlatformError(f'listing is out of form: {error!r}') from error
+
+
+def _run_path(name: RunName) -> str:
+    return f'/v1/runs/{quote(name.task, safe="")}/{name.attempt}'
+
+
+def _decode(body: bytes, code: int) -> Any:
+    try:
+        answer = json.loads(body) if body else {}
+    except ValueError as error:
+        raise PlatformError(f'answer is not JSON: {error}') from error
+    if code >= HTTP_ERRORS_FROM:
+        raise RefusedByPlatformError(str(answer.get('error', code)))
+    return answer
+
+
+def _turn_error(failure: Any) -> Any:
+    if failure.check(PlatformError):
+        return failure
+    raise PlatformError(repr(failure.value)) from failure.value
+
+
+def _drop(answer: Any) -> None:
+    """Drop the body of an answer that says nothing more."""
--- a/wasabiturn/management/cli.py
+++ b/wasabiturn/management/cli.py
@@ -2,7 +2,7 @@
 
 import typer
 
-from wasabiturn.management import check_settings
+from wasabiturn.management import check_settings, list_settings
 from wasabiturn.management.daemons import agent, control, entry
 
 app = typer.Typer(
@@ -14,6 +14,7 @@
 app.command('entry')(entry)
 app.command('agent')(agent)
 app.command('check-settings')(check_settings.check_settings)
+app.command('list-settings')(list_settings.list_settings)
 
 
 def main() -> None:
--- a/wasabiturn/messages/kinds.py
+++ b/wasabiturn/messages/kinds.py
@@ -56,7 +56,6 @@
     append = 22
     install_snapshot = 23
     join = 24
-    consensus = 25
     status = 30
     api = 40
     watch = 41
@@ -129,6 +128,7 @@
     start = 1
     evict = 2
     stop = 3
+    adopt = 4
 
 
 @final
@@ -171,12 +171,3 @@
     answered = 0
     not_run = 1
     unknown = 2
-
-
-@final
-class EntryKind(enum.IntEnum):
-    """What an entry of the replicated log holds."""
-
-    noop = 0
-    command = 1
-    membership = 2
--- a/wasabiturn/messages/session.py
+++ b/wasabiturn/messages/session.py
@@ -202,6 +202,7 @@
     usage: list[UsageReport] = attrs.field(factory=list)
     services: list[ServiceReport] = attrs.field(factory=list)
     leaving: bool = False
+    reconciled: bool = False
 
 
 @bind(_idl)
@@ -215,7 +216,7 @@
     action: OrderAction = attrs.field(
         default=OrderAction.hold, converter=OrderAction
     )
-    spec: TaskSpec = attrs.field(factory=TaskSpec)
+    spec: TaskSpec | None = None
     command: str = ''
     throttle: float = 0.0
     run_seconds: float = 0.0
@@ -228,11 +229,12 @@
     """All attempts that an agent shall hold; the rest are stopped."""
 
     sequence: int = 0
-    term: int = 0
+    revision: int = 0
     may_start: bool = False
     orders: list[Order] = attrs.field(factory=list)
     permit_seconds: float = 0.0
     lease_seconds: float = 0.0
+    serial: int = 0
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/session.thrift
+++ b/wasabiturn/messages/wire/session.thrift
@@ -106,13 +106,14 @@
   8: list<UsageReport> usage,
   9: list<ServiceReport> services,
   10: bool leaving,
+  11: bool reconciled,      // the worker's list of running tasks is known
 }
 
 struct Order {
   1: string task,
   2: i64 attempt,
   3: i32 action,            // OrderAction
-  4: state.TaskSpec spec,
+  4: optional state.TaskSpec spec, // of a start only
   5: string command,
   6: double throttle,       // share of full speed, 1.0 for none
   7: double run_seconds,
@@ -122,11 +123,12 @@
 // name every attempt that the agent shall hold; the rest are to be stopped.
 struct Orders {
   1: i64 sequence,          // of the newest heartbeat that was received
-  2: i64 term,
+  2: i64 revision,          // of the state that the orders follow from
   3: bool may_start,        // starts are permitted under this heartbeat
   4: list<Order> orders,
   5: double permit_seconds,
   6: double lease_seconds,
+  7: i64 serial,            // grows with each message of one leader
 }
 
 // Opens a stream from entry to agent: one HTTP request.
--- /dev/null
+++ b/wasabiturn/process/agent/backends.py
@@ -0,0 +1,256 @@
+"""Backend servers that have announced themselves to this agent."""
+
+from collections.abc import Callable
+from itertools import count
+from typing import Any, final
+
+import attrs
+
+from wasabiturn.connection.backend import IDLE_LIMIT_SECONDS, BackendPool
+from wasabiturn.connection.dialer import parse_endpoint
+from wasabiturn.ids import ClaimId, ServiceName, Ticket
+from wasabiturn.messages.session import (
+    BackendRecord,
+    LoadReport,
+    ServiceReport,
+)
+from wasabiturn.request.admission import (
+    SlotTable,
+    apply,
+    create_slot_table,
+)
+from wasabiturn.request.admission_events import (
+    Arrived,
+    Decisions,
+    Finished,
+    Resized,
+    Reviewed,
+    Withdrawn,
+)
+from wasabiturn.request.agent_claims import AgentClaims
+from wasabiturn.request.estimates import ServiceTimes
+from wasabiturn.request.served import Phase, ServedRequest
+from wasabiturn.utils.logs import create_part_log
+
+MILLISECONDS = 1000
+P95 = 0.95
+P99 = 0.99
+
+_log = create_part_log('admission')
+
+
+@final
+@attrs.define(eq=False)
+class LocalBackend:
+    """One announced backend server, with the requests that are on it."""
+
+    record: BackendRecord
+    pool: BackendPool
+    table: SlotTable
+    claims: AgentClaims
+    clock: Any
+    renewed_at: float
+    answer_times: ServiceTimes = attrs.field(factory=ServiceTimes)
+    answered: int = 0
+    expired: bool = False
+    on_empty: list[Callable[[], None]] = attrs.field(factory=list)
+    requests_by_ticket: dict[Ticket, ServedRequest] = attrs.field(factory=dict)
+
+    @property
+    def accepts_work(self) -> bool:
+        """Return whether new requests may be given to the backend server."""
+        return not self.record.leaving and not self.expired
+
+    def arrive(self, request: ServedRequest) -> None:
+        """Ask for a slot for ``request``."""
+        event = Arrived(
+            ticket=request.ticket,
+            caller=request.head.caller,
+            deadline=request.deadline,
+        )
+        self._apply(event)
+
+    def leave(self, request: ServedRequest, ran: bool) -> None:
+        """Take back the slot of ``request``, or its place in the queue."""
+        self.requests_by_ticket.pop(request.ticket, None)
+        if request.head.claim_id:
+            self.claims.finish(ClaimId(request.head.claim_id), ran=ran)
+        if request.ticket in self.table.started_by_ticket:
+            self._apply(Finished(request.ticket))
+        else:
+            self._apply(Withdrawn(request.ticket))
+        if not self.requests_by_ticket:
+            for callback in self.on_empty:
+                callback()
+
+    def observe_answer(self, seconds: float) -> None:
+        """Record the time from sending a request to its answer's head."""
+        self.answered += 1
+        self.answer_times.observe(seconds)
+
+    def load_report(self) -> LoadReport:
+        """Return the present load."""
+        return LoadReport(
+            service_name=self.record.service_name,
+            running=len(self.table.started_by_ticket),
+            waiting=len(self.table.queue),
+            slots=self.table.capacity,
+            mean_service_ms=self.table.times.mean_seconds * MILLISECONDS,
+            p95_ms=self.answer_times.percentile(P95) * MILLISECONDS,
+        )
+
+    def service_report(self) -> ServiceReport:
+        """Return answer times and load for the agent's heartbeat."""
+        running = len(self.table.started_by_ticket)
+        return ServiceReport(
+            service_name=self.record.service_name,
+            p99_ms=self.answer_times.percentile(P99) * MILLISECONDS,
+            load=running / max(self.table.capacity, 1),
+            answered=self.answered,
+        )
+
+    def renew(self, record: BackendRecord, now: float) -> None:
+        """Take an announcement of the same backend server."""
+        if record.incarnation != self.record.incarnation or record.leaving:
+            self.pool.close_idle()
+        self.record = record
+        self.renewed_at = now
+        self.expired = False
+        self.pool.limit = record.connections
+        self._apply(Resized(record.slots, record.connections))
+
+    def review(self, now: float) -> None:
+        """Refuse and end what cannot be answered in time any more."""
+        if self.table.queue:
+            self._apply(Reviewed())
+        for request in list(self.requests_by_ticket.values()):
+            if now >= request.deadline and request.phase is not Phase.detached:
+                request.expire()
+        self.pool.reap(now, IDLE_LIMIT_SECONDS)
+
+    def refuse_waiting(self, reason: str) -> None:
+        """Refuse every request that has not been given a slot."""
+        for request in list(self.requests_by_ticket.values()):
+            if request.phase in {Phase.gathering, Phase.queued}:
+                request.refuse(reason)
+
+    def _apply(self, event: object) -> None:
+        decisions = apply(event, self.table, self.clock.seconds())
+        self._carry_out(decisions)
+
+    def _carry_out(self, decisions: Decisions) -> None:
+        for refused in decisions.refused:
+            request = self.requests_by_ticket[refused.ticket]
+            _log.decision(
+                'request refused',
+                request=request.head.request_id,
+                service=self.record.service_name,
+                running=len(self.table.started_by_ticket),
+                waiting=len(self.table.queue),
+                retry_after=refused.retry_after_seconds,
+                chosen=refused.reason,
+            )
+            request.refuse(refused.reason, refused.retry_after_seconds)
+        for ticket in decisions.started:
+            self.requests_by_ticket[ticket].start()
+
+
+@final
+@attrs.define
+class Backends:
+    """Backend servers of this agent by service and address."""
+
+    reactor: Any
+    claims: AgentClaims = attrs.field(factory=AgentClaims)
+    on_change: list[Callable[[], None]] = attrs.field(factory=list)
+    _backends_by_key: dict[tuple[str, str], LocalBackend] = attrs.field(
+        factory=dict,
+    )
+    _tickets: Any = attrs.field(factory=lambda: count(1))
+
+    def announce(self, record: BackendRecord) -> None:
+        """Take the announcement of a backend server."""
+        now = self.reactor.seconds()
+        key = (record.service_name, record.address)
+        backend = self._backends_by_key.get(key)
+        if backend is None:
+            self._backends_by_key[key] = self._create(record, now)
+            self._changed()
+            return
+        is_new = backend.record != record or backend.expired
+        backend.renew(record, now)
+        if is_new:
+            if record.leaving:
+                backend.refuse_waiting('backend server is leaving')
+            self._changed()
+
+    def find(self, service_name: ServiceName) -> LocalBackend | None:
+        """Return the backend server that new requests are given to."""
+        candidates = [
+            backend
+            for backend in self._backends_by_key.values()
+            if backend.record.service_name == service_name
+            and backend.accepts_work
+        ]
+        return candidates[-1] if candidates else None
+
+    def records(self) -> list[BackendRecord]:
+        """Return what the directory shall know."""
+        return [
+            backend.record
+            for backend in self._backends_by_key.values()
+            if not backend.expired
+        ]
+
+    def reports(self) -> list[ServiceReport]:
+        """Return answer times and load of each backend server."""
+        return [
+            backend.service_report()
+            for backend in self._backends_by_key.values()
+        ]
+
+    def all_backends(self) -> list[LocalBackend]:
+        """Return every backend server, also those that are leaving."""
+        return list(self._backends_by_key.values())
+
+    def in_flight(self) -> int:
+        """Return how many requests are not settled."""
+        return sum(
+            len(backend.requests_by_ticket)
+            for backend in self._backends_by_key.values()
+        )
+
+    def next_ticket(self) -> Ticket:
+        """Return a number that no other request of this process has."""
+        return Ticket(next(self._tickets))
+
+    def expire(self, now: float, limit_seconds: float) -> None:
+        """Give no work to backend servers that are silent for the limit."""
+        for key, backend in list(self._backends_by_key.items()):
+            silent = now - backend.renewed_at > limit_seconds
+            if silent and not backend.expired:
+                backend.expired = True
+                backend.refuse_waiting('backend server is silent')
+                self._changed()
+            if backend.expired and not backend.requests_by_ticket:
+                backend.pool.close_idle()
+                self._backends_by_key.pop(key)
+
+    def _create(self, record: BackendRecord, now: float) -> LocalBackend:
+        pool = BackendPool(
+            endpoint=parse_endpoint(record.address),
+            limit=record.connections,
+            reactor=self.reactor,
+        )
+        return LocalBackend(
+            record=record,
+            pool=pool,
+            table=create_slot_table(record.slots, record.connections),
+            claims=self.claims,
+            clock=self.reactor,
+            renewed_at=now,
+        )
+
+    def _changed(self) -> None:
+        for callback in self.on_change:
+            callback()
--- a/wasabiturn/process/daemon.py
+++ b/wasabiturn/process/daemon.py
@@ -12,6 +12,7 @@
 
 from wasabiturn.conf import Settings
 from wasabiturn.exceptions import ProcessError, WasabiturnError
+from wasabiturn.utils.clock import use_boot_clock
 from wasabiturn.utils.logs import create_part_log, open_log_output
 from wasabiturn.utils.metrics import Metrics, create_metrics
 
@@ -35,10 +36,6 @@
         """Release ports and files."""
 
 
-def _raise_failure(error: WasabiturnError) -> None:
-    raise error
-
-
 @final
 @attrs.define
 class Context:
@@ -47,13 +44,6 @@
     settings: Settings
     reactor: Any
     metrics: Metrics
-    on_failure: Callable[[WasabiturnError], None] = attrs.field(
-        default=_raise_failure,
-    )
-
-    def fail(self, error: WasabiturnError) -> None:
-        """Stop the process at once, without draining, with exit status 1."""
-        self.on_failure(error)
 
 
 ServiceFactory = Callable[[Context], Service]
@@ -63,6 +53,7 @@
     """Run programs on one loop until SIGTERM; return the exit status."""
     from twisted.internet import reactor
 
+    use_boot_clock(reactor)
     with ExitStack() as stack:
         try:
             _open_log(settings, stack)
@@ -105,7 +96,6 @@
         self._stack = stack
         self._services: list[Service] = []
         self._stopping = False
-        context.on_failure = self._fail
 
     def start(self, factories: list[ServiceFactory]) -> None:
         """Start each program, in order."""
@@ -124,14 +114,6 @@
         signal.signal(signal.SIGINT, self._on_signal)
         reactor.run(installSignalHandlers=False)
 
-    def _fail(self, error: WasabiturnError) -> None:
-        _log.warning('failed', error=str(error))
-        sys.stderr.write(f'wasabiturn: {error}\n')
-        self.exit_status = 1
-        if not self._stopping:
-            self._stopping = True
-            self._context.reactor.callLater(0, self._context.reactor.stop)
-
     def _on_signal(self, number: int, frame: Any) -> None:
         self._context.reactor.callFromThread(self._drain)
 
--- /dev/null
+++ b/wasabiturn/version/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Deciding core of placement: pure functions that take ``now``."""
--- /dev/null
+++ b/wasabiturn/version/placement/losses.py
@@ -0,0 +1,46 @@
+"""Attempts whose lease has surely ended without a word from their worker."""
+
+import attrs
+
+from wasabiturn.messages.state import TaskSpec
+from wasabiturn.version.placement.lifecycle import after_loss
+from wasabiturn.version.placement.periods import (
+    TASK_LEASE_SECONDS,
+    over_after,
+)
+from wasabiturn.version.placement.table import PlacementTable, Worker
+
+
+def find_lost(table: PlacementTable, now: float) -> dict[str, TaskSpec]:
+    """Return the next state of each task whose attempt is surely over."""
+    next_by_task = {}
+    for worker in table.workers_by_name.values():
+        if worker.charges_by_task and not worker.is_heard(now):
+            next_by_task.update(_find_on(table, worker, now))
+    return next_by_task
+
+
+def _find_on(
+    table: PlacementTable,
+    worker: Worker,
+    now: float,
+) -> dict[str, TaskSpec]:
+    next_by_task = {}
+    granted = max(
+        table.granted_at(worker.name, worker.incarnation),
+        *(
+            table.granted_at(worker.name, past)
+            for past in worker.past_incarnations
+        ),
+        table.leading_since,
+    )
+    if now <= over_after(granted, TASK_LEASE_SECONDS):
+        return {}
+    for task in worker.charges_by_task:
+        spec = table.specs_by_task[task]
+        checkpoint = table.checkpoints_by_task.get(task, spec.checkpoint)
+        kept = attrs.evolve(spec, checkpoint=checkpoint)
+        lost = after_loss(kept, f'lease ended on silent {worker.name}')
+        if lost is not None:
+            next_by_task[task] = lost
+    return next_by_task
--- /dev/null
+++ b/wasabiturn/version/placement/orders.py
@@ -0,0 +1,82 @@
+"""Orders for one agent, from the committed state of its tasks."""
+
+from wasabiturn.messages.kinds import Kind, OrderAction, TaskState
+from wasabiturn.messages.session import Order
+from wasabiturn.messages.state import TaskSpec
+from wasabiturn.version.placement.heartbeats import may_ask_for_loss
+from wasabiturn.version.placement.table import PlacementTable, Worker
+
+FULL_SPEED = 1.0
+
+_actions_by_state = {
+    TaskState.assigned: OrderAction.start,
+    TaskState.running: OrderAction.hold,
+    TaskState.evicting: OrderAction.evict,
+    TaskState.stopping: OrderAction.stop,
+}
+
+
+def list_orders(
+    table: PlacementTable,
+    worker: Worker,
+    now: float,
+) -> list[Order]:
+    """Return an order for each attempt that the worker shall hold."""
+    return [
+        _order(table, worker, task, now)
+        for task in worker.charges_by_task
+        if task in table.specs_by_task
+    ]
+
+
+def may_start(table: PlacementTable, worker: Worker) -> bool:
+    """Tell whether the agent may start attempts under this answer."""
+    is_out = worker.data_centre in table.out_data_centres
+    return worker.reconciled and not worker.leaving and not is_out
+
+
+def _order(
+    table: PlacementTable,
+    worker: Worker,
+    task: str,
+    now: float,
+) -> Order:
+    spec = table.specs_by_task[task]
+    action = _actions_by_state[spec.state]
+    if spec.incarnation != worker.incarnation:
+        action = _ask(table, spec, now)
+    if action is OrderAction.start:
+        return _start(table, task, spec)
+    return Order(
+        task=task,
+        attempt=spec.attempt,
+        action=action,
+        spec=spec if action is OrderAction.evict else None,
+        throttle=FULL_SPEED,
+    )
+
+
+def _ask(table: PlacementTable, spec: TaskSpec, now: float) -> OrderAction:
+    if may_ask_for_loss(table, spec, now):
+        return OrderAction.adopt
+    return OrderAction.hold
+
+
+def _start(table: PlacementTable, task: str, spec: TaskSpec) -> Order:
+    command = ''
+    run_seconds = float(0)
+    owner = table.owners_by_name.get((spec.owner_kind, spec.owner))
+    if owner is not None and owner.job_spec is not None:
+        command = owner.job_spec.command
+        run_seconds = owner.job_spec.run_seconds
+    elif owner is not None and owner.service_spec is not None:
+        command = owner.service_spec.command
+    return Order(
+        task=task,
+        attempt=spec.attempt,
+        action=OrderAction.start,
+        spec=spec,
+        command=command,
+        throttle=FULL_SPEED,
+        run_seconds=run_seconds if spec.owner_kind is Kind.job else 0,
+    )
--- a/wasabiturn/version/replica.py
+++ b/wasabiturn/version/replica.py
@@ -37,16 +37,11 @@
 
 
 class Replica(Protocol):
-    """One member of the control group.
-
-    ``state`` is another object after a snapshot was installed, so no part
-    keeps it: ``on_restored`` is then called in place of ``on_applied``.
-    """
+    """One member of the control group."""
 
     name: InstanceName
     state: State
     on_applied: list[Callable[[Applied], None]]
-    on_restored: list[Callable[[], None]]
     on_role_change: list[Callable[[], None]]
 
     def submit(self, command: Command) -> Deferred[Outcome]:
