--- a/wasabiturn/process/agent/backends.py
+++ b/wasabiturn/process/agent/backends.py
@@ -124,7 +124,7 @@
         if self.table.queue:
             self._apply(Reviewed())
         for request in list(self.requests_by_ticket.values()):
-            if now >= request.deadline and request.phase is not Phase.detached:
+            if now >= request.deadline:
                 request.expire()
         self.pool.reap(now, IDLE_LIMIT_SECONDS)
 
--- a/wasabiturn/request/served.py
+++ b/wasabiturn/request/served.py
@@ -22,6 +22,8 @@
 
 # A body up to this size arrives whole before the request asks for a slot.
 GATHER_BYTES = 65536
+# How long a request that nobody waits for any more may hold its slot.
+DETACHED_LIMIT_SECONDS = 10.0
 MILLISECONDS = 1000
 
 
@@ -82,6 +84,9 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Take bytes of the request's body."""
+        if self.phase is Phase.over:
+            self.stream.consumed(len(chunk))
+            return
         self.last_activity = self.clock.seconds()
         self.body.feed(chunk)
         if self.phase is Phase.gathering and self.body.size >= GATHER_BYTES:
@@ -120,10 +125,12 @@
 
     def expire(self) -> None:
         """Stop waiting because the deadline has passed."""
-        if self.phase in {Phase.sent, Phase.answering}:
+        if self.phase is Phase.detached:
+            self.cut('abandoned for too long')
+        elif self.phase in {Phase.sent, Phase.answering}:
             self._break_off('deadline has passed')
             self._detach()
-        elif self.phase is not Phase.detached:
+        else:
             self.refuse('deadline has passed')
 
     def abandon(self) -> None:
@@ -148,6 +155,9 @@
         if self.phase is not Phase.connecting:
             self.slots.pool.release(connection)
             return
+        if connection not in self.slots.pool.open:
+            self.refuse('connection to the backend was lost')
+            return
         try:
             request = build_request(
                 self.head,
@@ -214,6 +224,7 @@
             self.cut('abandoned')
             return
         self.phase = Phase.detached
+        self.deadline = self.clock.seconds() + DETACHED_LIMIT_SECONDS
         if self.download is not None:
             self.download.resumeProducing()
 
