--- /dev/null
+++ b/tests/version/storage/test_store.py
@@ -0,0 +1,216 @@
+"""The data folder: recovery, torn tails, damage, full disk, failed fsync."""
+
+import errno
+import os
+from pathlib import Path
+
+import pytest
+
+from wasabiturn.exceptions import StorageError
+from wasabiturn.messages.raft import Ballot, Entry, SnapshotHead
+from wasabiturn.version.raft.state import Snapshot
+from wasabiturn.version.storage import Store, open_store, segments
+
+
+def entry(index: int, term: int = 1, payload: bytes = b'command') -> Entry:
+    return Entry(term=term, index=index, payload=payload)
+
+
+def snapshot(index: int, term: int = 1) -> Snapshot:
+    return Snapshot(SnapshotHead(index=index, term=term), b'state')
+
+
+def reopen(store: Store) -> Store:
+    store.close()
+    return open_store(store.folder, 'control-1', 'other')
+
+
+@pytest.fixture
+def store(tmp_path: Path) -> Store:
+    return open_store(tmp_path / 'data', 'control-1', 'first')
+
+
+def indexes(store: Store) -> list[tuple[int, int]]:
+    return [(each.index, each.term) for each in store.recovered.entries]
+
+
+def last_segment(store: Store) -> Path:
+    return store.log.segments[-1].path
+
+
+def test_ballot_and_entries_survive_a_restart(store: Store) -> None:
+    ballot = Ballot(cluster='c', term=3, voted_for='control-2/x')
+    store.save(ballot, [entry(1), entry(2)], None)
+    again = reopen(store)
+    assert again.recovered.ballot == ballot
+    assert indexes(again) == [(1, 1), (2, 1)]
+    assert again.member_id == 'control-1/first'
+
+
+def test_later_entry_at_the_same_index_replaces_the_rest(store: Store) -> None:
+    store.save(None, [entry(1), entry(2), entry(3)], None)
+    store.save(None, [entry(2, term=2)], None)
+    assert indexes(reopen(store)) == [(1, 1), (2, 2)]
+
+
+@pytest.mark.parametrize('kept', [1, 10, 30])
+def test_torn_tail_is_cut_and_writing_goes_on(store: Store, kept: int) -> None:
+    store.save(None, [entry(1)], None)
+    whole = last_segment(store).stat().st_size
+    store.save(None, [entry(2)], None)
+    with last_segment(store).open('rb+') as torn:
+        torn.truncate(whole + kept)
+    again = reopen(store)
+    assert indexes(again) == [(1, 1)]
+    again.save(None, [entry(2, term=2)], None)
+    assert indexes(reopen(again)) == [(1, 1), (2, 2)]
+
+
+def test_zeros_after_a_crash_are_cut(store: Store) -> None:
+    store.save(None, [entry(1)], None)
+    with last_segment(store).open('ab') as torn:
+        torn.write(bytes(4096))
+    assert indexes(reopen(store)) == [(1, 1)]
+
+
+@pytest.mark.parametrize('offset', [5, 20, 40])
+def test_damage_in_the_middle_stops(store: Store, offset: int) -> None:
+    start = last_segment(store).stat().st_size
+    store.save(None, [entry(1)], None)
+    store.save(None, [entry(2)], None)
+    flip(last_segment(store), start + offset)
+    with pytest.raises(StorageError, match='is damaged at byte'):
+        reopen(store)
+
+
+def test_damage_in_an_older_segment_stops(store: Store) -> None:
+    store.save(None, [entry(1)], None)
+    older = last_segment(store)
+    store.log.roll(Ballot())
+    flip(older, older.stat().st_size - 1)
+    with pytest.raises(StorageError, match='is damaged at byte'):
+        reopen(store)
+
+
+def test_missing_segment_stops(store: Store) -> None:
+    for index in range(1, 4):
+        store.save(None, [entry(index)], None)
+        store.log.roll(Ballot())
+    store.log.segments[1].path.unlink()
+    with pytest.raises(StorageError, match='before it is missing'):
+        reopen(store)
+
+
+def test_damaged_snapshot_stops(store: Store) -> None:
+    store.save(None, [entry(1)], None)
+    store.save_snapshot(snapshot(1))
+    flip(next(store.folder.glob('snapshot-*')), 80)
+    with pytest.raises(StorageError, match='is damaged'):
+        reopen(store)
+
+
+@pytest.mark.parametrize(
+    ('pattern', 'text'),
+    [
+        ('snapshot-*', 'lost its snapshot'),
+        ('identity', 'lost its identity'),
+        ('log-*', 'lost its log'),
+    ],
+)
+def test_a_lost_part_stops(store: Store, pattern: str, text: str) -> None:
+    store.save(Ballot(cluster='c'), [entry(1)], None)
+    store.save_snapshot(snapshot(1))
+    for path in store.folder.glob(pattern):
+        path.unlink()
+    with pytest.raises(StorageError, match=text):
+        reopen(store)
+
+
+def test_emptied_folder_takes_a_new_incarnation(store: Store) -> None:
+    store.save(Ballot(cluster='c'), [entry(1)], None)
+    for path in store.folder.iterdir():
+        path.unlink()
+    again = reopen(store)
+    assert again.member_id == 'control-1/other'
+    assert again.recovered.ballot == Ballot()
+
+
+def test_folder_of_another_instance_is_refused(store: Store) -> None:
+    store.close()
+    with pytest.raises(StorageError, match='belongs to the instance control-1'):
+        open_store(store.folder, 'control-2', 'x')
+
+
+def test_folder_in_use_is_refused(store: Store) -> None:
+    with pytest.raises(StorageError, match='in use by another process'):
+        open_store(store.folder, 'control-1', 'x')
+
+
+def test_snapshot_removes_the_segments_that_it_covers(store: Store) -> None:
+    store.save(None, [entry(1), entry(2)], None)
+    store.save_snapshot(snapshot(2))
+    store.save(None, [entry(3)], None)
+    assert len(store.log.segments) == 1
+    again = reopen(store)
+    assert again.recovered.snapshot == snapshot(2)
+    assert indexes(again) == [(3, 1)]
+
+
+def test_received_snapshot_replaces_other_entries(store: Store) -> None:
+    store.save(None, [entry(index) for index in range(1, 6)], None)
+    store.save(None, [], snapshot(3, term=2))
+    store.save(None, [entry(4, term=2)], None)
+    assert indexes(reopen(store)) == [(4, 2)]
+
+
+def test_crash_between_snapshot_and_reset_is_finished(
+    store: Store,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    store.save(None, [entry(1), entry(2)], None)
+    with monkeypatch.context() as patched:
+        patched.setattr(segments.SegmentedLog, 'append', fail_to_append)
+        with pytest.raises(StorageError):
+            store.save(None, [], snapshot(8, term=2))
+    again = reopen(store)
+    assert indexes(again) == []
+    again.save(None, [entry(9, term=2)], None)
+    assert indexes(reopen(again)) == [(9, 2)]
+
+
+@pytest.mark.parametrize(
+    ('function', 'code', 'text'),
+    [
+        ('write', errno.ENOSPC, 'cannot write .*No space left'),
+        ('fdatasync', errno.EIO, 'cannot sync .*Input/output error'),
+    ],
+)
+def test_full_disk_and_failed_sync_are_errors(
+    store: Store,
+    monkeypatch: pytest.MonkeyPatch,
+    function: str,
+    code: int,
+    text: str,
+) -> None:
+    def refuse(*arguments: object) -> int:
+        raise OSError(code, os.strerror(code))
+
+    monkeypatch.setattr(os, function, refuse)
+    with pytest.raises(StorageError, match=text):
+        store.save(None, [entry(1)], None)
+
+
+def test_unwritable_folder_is_a_clear_error(tmp_path: Path) -> None:
+    (tmp_path / 'file').write_text('')
+    with pytest.raises(StorageError, match='cannot create'):
+        open_store(tmp_path / 'file' / 'data', 'control-1', 'x')
+
+
+def fail_to_append(log: object, record: object) -> None:
+    raise StorageError('crash')
+
+
+def flip(path: Path, offset: int) -> None:
+    content = bytearray(path.read_bytes())
+    content[offset] ^= 1
+    path.write_bytes(content)
--- a/wasabiturn/messages/kinds.py
+++ b/wasabiturn/messages/kinds.py
@@ -56,6 +56,7 @@
     append = 22
     install_snapshot = 23
     join = 24
+    consensus = 25
     status = 30
     api = 40
     watch = 41
@@ -171,3 +172,12 @@
     answered = 0
     not_run = 1
     unknown = 2
+
+
+@final
+class EntryKind(enum.IntEnum):
+    """What an entry of the replicated log holds."""
+
+    noop = 0
+    command = 1
+    membership = 2
--- /dev/null
+++ b/wasabiturn/process/control/consensus.py
@@ -0,0 +1,222 @@
+"""The replica of this process: consensus on the loop's timers and links.
+
+All messages and submits of one turn of the loop are stepped first and then
+flushed together.
+"""
+
+from collections.abc import Callable
+from contextlib import ExitStack
+from typing import Any, cast, final
+
+import attrs
+from twisted.internet.defer import Deferred, fail, succeed
+from twisted.internet.task import LoopingCall
+
+from wasabiturn.conf.sections import ControlSection
+from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.exceptions import StateError, StorageError
+from wasabiturn.ids import InstanceName
+from wasabiturn.messages.kinds import Method
+from wasabiturn.messages.link import Nothing
+from wasabiturn.messages.raft import Envelope
+from wasabiturn.messages.state import Command, Outcome
+from wasabiturn.process.control.applier import Applier
+from wasabiturn.process.control.member import (
+    ActiveMember,
+    open_member,
+)
+from wasabiturn.process.control.peers import create_peers
+from wasabiturn.process.daemon import Context
+from wasabiturn.utils.logs import create_part_log
+from wasabiturn.version.raft import lease
+from wasabiturn.version.raft.core import Tick, step
+from wasabiturn.version.replica import Applied, NotLeaderError
+from wasabiturn.version.state import State
+
+TICK_SECONDS = 0.05
+
+_log = create_part_log('consensus')
+
+
+@final
+@attrs.frozen
+class _Standing:
+    leader: InstanceName | None
+    leads: bool
+
+
+@final
+class ConsensusReplica:
+    """Member of the cluster in this process; see ``version.replica``."""
+
+    def __init__(
+        self,
+        context: Context,
+        section: ControlSection,
+        dispatch: Dispatch,
+    ) -> None:
+        """Create the member; ``start`` opens its data folder."""
+        self.name = InstanceName(context.settings.instance.name)
+        self.on_role_change: list[Callable[[], None]] = []
+        self._context = context
+        self._section = section
+        self._peers = create_peers(context, section, dispatch)
+        self._applier = Applier()
+        self._standing = _Standing(leader=None, leads=False)
+        self._flush_call: Any = None
+        self._stack = ExitStack()
+        self._member: ActiveMember | None = None
+
+    @property
+    def state(self) -> State:
+        """Return the state after the last applied entry."""
+        return self._applier.state
+
+    @property
+    def on_applied(self) -> list[Callable[[Applied], None]]:
+        """Return the callables that see each applied command."""
+        return self._applier.on_applied
+
+    @property
+    def on_restored(self) -> list[Callable[[], None]]:
+        """Return the callables that hear of a state restored whole."""
+        return self._applier.on_restored
+
+    def start(self) -> None:
+        """Recover from the data folder, and begin to dial and tick.
+
+        Raises:
+            StorageError: the data folder cannot be used.
+        """
+        member = open_member(
+            self._section,
+            self.name,
+            self._peers,
+            self._applier,
+            self._now(),
+        )
+        self._stack.callback(member.store.close)
+        self._member = member
+        self._stack.callback(self._peers.stop)
+        self._peers.start()
+        ticker = LoopingCall(self._tick)
+        ticker.clock = self._context.reactor
+        self._stack.callback(ticker.stop)
+        ticker.start(TICK_SECONDS)
+
+    def drain(self) -> Deferred[None]:
+        """Stop gracefully; what was submitted is settled or left open."""
+        return succeed(None)
+
+    def close(self) -> None:
+        """Stop, and close data folder and links."""
+        if self._flush_call is not None:
+            self._flush_call.cancel()
+            self._flush_call = None
+        self._member = None
+        self._stack.close()
+
+    def submit(self, command: Command) -> Deferred[Outcome]:
+        """Commit and apply ``command``; see ``Replica.submit``."""
+        if self._member is None:
+            return fail(NotLeaderError(None))
+        settled = self._member.submit(command, self._now())
+        self._schedule_flush()
+        return settled
+
+    def read_barrier(self) -> Deferred[None]:
+        """Wait until a quorum confirms; see ``Replica.read_barrier``."""
+        member = self._member
+        now = self._now()
+        if member is None or member.raft.leadership is None:
+            return fail(NotLeaderError(self.leader()))
+        if self.holds_lease(now):
+            return succeed(None)
+        return member.barriers.wait(now)
+
+    def leader(self) -> InstanceName | None:
+        """Return the name of the leader that this member hears."""
+        if self._member is None:
+            return None
+        return self._member.leader(self._now())
+
+    def holds_lease(self, now: float) -> bool:
+        """Tell whether this member leads and no other can at ``now``."""
+        member = self._member
+        if member is None or not member.leads():
+            return False
+        return lease.holds_lease(member.raft, now)
+
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether ``state`` was current within the period."""
+        member = self._member
+        return member is not None and lease.is_fresh(member.raft, now)
+
+    def receive(self, link: Any, envelope: Envelope) -> Nothing:
+        """Step the core with a message of another member."""
+        self._step(envelope)
+        return Nothing()
+
+    def _now(self) -> float:
+        return cast(float, self._context.reactor.seconds())
+
+    def _tick(self) -> None:
+        self._step(Tick())
+
+    def _step(self, message: object) -> None:
+        if self._member is None:
+            return
+        try:
+            step(message, self._member.raft, self._now())
+        except StateError as error:
+            self._give_up(error)
+            return
+        self._schedule_flush()
+
+    def _schedule_flush(self) -> None:
+        if self._flush_call is None:
+            self._flush_call = self._context.reactor.callLater(0, self._flush)
+
+    def _flush(self) -> None:
+        self._flush_call = None
+        if self._member is None:
+            return
+        try:
+            self._member.flush(self._now())
+        except StateError as error:
+            self._give_up(error)
+            return
+        self._note_standing(self._member)
+
+    def _note_standing(self, member: ActiveMember) -> None:
+        standing = _Standing(leader=self.leader(), leads=member.leads())
+        if standing == self._standing:
+            return
+        self._standing = standing
+        _log.event(
+            'role changed',
+            role=member.raft.role.value,
+            term=member.raft.ballot.term,
+            leader=standing.leader,
+        )
+        for callback in self.on_role_change:
+            callback()
+
+    def _give_up(self, error: StateError) -> None:
+        """Stop the process: nothing more may be said for this member."""
+        self._member = None
+        self._context.fail(error)
+
+
+def create_replica(context: Context, dispatch: Dispatch) -> ConsensusReplica:
+    """Create the member of this process; its peers reach it by ``dispatch``.
+
+    Raises:
+        StorageError: the settings have no control section.
+    """
+    section = context.settings.control
+    if section is None:
+        raise StorageError('the settings have no [control] section')
+    replica = ConsensusReplica(context, section, dispatch)
+    dispatch.handle(Method.consensus, Envelope, replica.receive)
+    return replica
--- a/wasabiturn/process/control/program.py
+++ b/wasabiturn/process/control/program.py
@@ -1,31 +1,84 @@
 """Assembly of the control program from its parts."""
 
-from typing import final
+import secrets
+from contextlib import ExitStack
+from typing import Any, final
 
-import attrs
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred
 
-from wasabiturn.process.daemon import Context
+from wasabiturn.connection.dialer import LinkFactory
+from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.connection.link import PROTOCOL_VERSION
+from wasabiturn.exceptions import ProcessError
+from wasabiturn.messages.kinds import Role
+from wasabiturn.messages.link import Hello
+from wasabiturn.process.control.consensus import create_replica
+from wasabiturn.process.control.scheduler import create_scheduler
+from wasabiturn.process.daemon import Context, Service, listen
+
+_INCARNATION_BYTES = 8
 
 
 @final
-@attrs.define
 class ControlProgram:
     """The control program of one process."""
 
-    context: Context
+    def __init__(self, context: Context) -> None:
+        """Create the parts; ``start`` opens ports."""
+        self._context = context
+        self._dispatch = _create_dispatch(context)
+        self._parts = _create_parts(context, self._dispatch)
+        self._stack = ExitStack()
 
     def start(self) -> None:
         """Open ports and begin to work."""
+        section = self._context.settings.control
+        if section is None:
+            raise ProcessError('the settings have no [control] section')
+        reactor = self._context.reactor
+        factory = LinkFactory(self._dispatch, reactor, dialled=False)
+        port = listen(reactor, section.listen, factory)
+        self._stack.callback(port.stopListening)
+        for part in self._parts:
+            self._stack.callback(part.close)
+            part.start()
 
     def drain(self) -> Deferred[None]:
-        """Stop gracefully."""
-        return succeed(None)
+        """Stop each part gracefully, the last one first."""
+        drained: Deferred[None] = Deferred()
+        for part in reversed(self._parts):
+            drained.addCallback(_drain, part)
+        drained.callback(None)
+        return drained
 
     def close(self) -> None:
         """Release ports and files."""
+        self._stack.close()
 
 
 def create_control(context: Context) -> ControlProgram:
     """Create the control program from the settings of ``context``."""
     return ControlProgram(context=context)
+
+
+def _create_dispatch(context: Context) -> Dispatch:
+    instance = context.settings.instance
+    return Dispatch(
+        hello=Hello(
+            name=instance.name,
+            role=Role.control,
+            incarnation=secrets.token_hex(_INCARNATION_BYTES),
+            data_centre=instance.data_centre,
+            protocol_version=PROTOCOL_VERSION,
+        ),
+    )
+
+
+def _create_parts(context: Context, dispatch: Dispatch) -> list[Service]:
+    replica = create_replica(context, dispatch)
+    dispatch.revision = lambda: replica.state.revision
+    return [replica, create_scheduler(context, replica, dispatch)]
+
+
+def _drain(_: Any, part: Service) -> Deferred[None]:
+    return part.drain()
--- a/wasabiturn/process/daemon.py
+++ b/wasabiturn/process/daemon.py
@@ -36,6 +36,10 @@
         """Release ports and files."""
 
 
+def _raise_failure(error: WasabiturnError) -> None:
+    raise error
+
+
 @final
 @attrs.define
 class Context:
@@ -44,6 +48,13 @@
     settings: Settings
     reactor: Any
     metrics: Metrics
+    on_failure: Callable[[WasabiturnError], None] = attrs.field(
+        default=_raise_failure,
+    )
+
+    def fail(self, error: WasabiturnError) -> None:
+        """Stop the process at once, without draining, with exit status 1."""
+        self.on_failure(error)
 
 
 ServiceFactory = Callable[[Context], Service]
@@ -96,6 +107,7 @@
         self._stack = stack
         self._services: list[Service] = []
         self._stopping = False
+        context.on_failure = self._fail
 
     def start(self, factories: list[ServiceFactory]) -> None:
         """Start each program, in order."""
@@ -114,6 +126,14 @@
         signal.signal(signal.SIGINT, self._on_signal)
         reactor.run(installSignalHandlers=False)
 
+    def _fail(self, error: WasabiturnError) -> None:
+        _log.warning('failed', error=str(error))
+        sys.stderr.write(f'wasabiturn: {error}\n')
+        self.exit_status = 1
+        if not self._stopping:
+            self._stopping = True
+            self._context.reactor.callLater(0, self._context.reactor.stop)
+
     def _on_signal(self, number: int, frame: Any) -> None:
         self._context.reactor.callFromThread(self._drain)
 
--- /dev/null
+++ b/wasabiturn/version/raft/core.py
@@ -0,0 +1,166 @@
+"""The consensus core: pure steps of one member.
+
+``step`` changes the state and queues what has to be saved and sent;
+``take_effects`` hands that to the driver. Nothing queued may be sent before
+all of it is durable.
+"""
+
+from functools import singledispatch
+from random import Random
+from typing import final
+
+import attrs
+from expression import Error, Ok, Result
+
+from wasabiturn.messages.kinds import EntryKind
+from wasabiturn.messages.raft import Entry, Envelope
+from wasabiturn.version.raft import (
+    election,
+    introduction,
+    lease,
+    membership,
+    reconfiguration,
+    replication,
+    snapshots,
+)
+from wasabiturn.version.raft.receipt import receive
+from wasabiturn.version.raft.state import (
+    Effects,
+    RaftState,
+    Recovered,
+    Unsaved,
+)
+from wasabiturn.version.raft.timing import CHECK_QUORUM_SECONDS
+
+_LIFE_BITS = 62
+
+
+@final
+@attrs.frozen
+class Tick:
+    """Time has passed."""
+
+
+@final
+@attrs.frozen
+class Propose:
+    """Commit these packed commands, in order, with one save."""
+
+    payloads: tuple[bytes, ...]
+
+
+@final
+@attrs.frozen
+class NotLeader:
+    """The proposal was not taken: this member does not lead."""
+
+    leader_id: str
+
+
+def create_raft(
+    member_id: str,
+    names: tuple[str, ...],
+    recovered: Recovered,
+    random: Random,
+    now: float,
+) -> RaftState:
+    """Create a member from what storage held.
+
+    A member with a ballot may have acknowledged a leader just before it
+    stopped, so it refuses votes for one election period.
+    """
+    state = RaftState(
+        member_id=member_id,
+        names=names,
+        random=random,
+        life=random.getrandbits(_LIFE_BITS),
+        ballot=recovered.ballot,
+    )
+    if recovered.snapshot is not None:
+        head = recovered.snapshot.head
+        state.log.reset(head.index, head.term)
+        state.commit_index = head.index
+        state.emitted_index = head.index
+        snapshots.adopt_snapshot(state, recovered.snapshot, kept_entries=0)
+    for entry in recovered.entries:
+        state.log.entries.append(entry)
+        membership.adopt(state, entry)
+    if recovered.ballot.cluster:
+        state.heard_leader_at = now
+    election.delay_election(state, now)
+    return state
+
+
+@singledispatch
+def step(message: object, state: RaftState, now: float) -> None:
+    """Apply ``message`` to ``state`` at ``now``, in loop seconds.
+
+    Raises:
+        TypeError: no handler is registered for the type of ``message``.
+    """
+    raise TypeError(f'no consensus rule for {type(message).__name__}')
+
+
+@step.register
+def _(message: Tick, state: RaftState, now: float) -> None:
+    introduction.introduce(state, now)
+    if state.leadership is not None:
+        _lead(state, now)
+    elif lease.may_campaign(state, now):
+        election.start_pre_vote(state, now)
+
+
+@step.register
+def _(message: Envelope, state: RaftState, now: float) -> None:
+    receive(message, state, now)
+
+
+def propose(
+    state: RaftState,
+    message: Propose,
+    now: float,
+) -> Result[int, NotLeader]:
+    """Append commands on the leader; return the index of the first."""
+    if state.leadership is None:
+        return Error(NotLeader(state.leader_id))
+    entries = [
+        Entry(kind=EntryKind.command, payload=payload)
+        for payload in message.payloads
+    ]
+    last = replication.append(state, entries)
+    replication.broadcast(state, now)
+    return Ok(last - len(entries) + 1)
+
+
+def take_effects(state: RaftState) -> Effects:
+    """Return what the driver has to do, and forget it here."""
+    unsaved = state.unsaved
+    entries: list[Entry] = []
+    if unsaved.first_index is not None:
+        last = state.log.last_index
+        entries = state.log.between(unsaved.first_index, last)
+    committed = state.log.between(state.emitted_index + 1, state.commit_index)
+    effects = Effects(
+        ballot=attrs.evolve(state.ballot) if unsaved.ballot else None,
+        entries=entries,
+        snapshot=unsaved.snapshot,
+        messages=state.outbox,
+        committed=committed,
+    )
+    state.unsaved = Unsaved()
+    state.outbox = []
+    state.emitted_index = state.commit_index
+    return effects
+
+
+def _lead(state: RaftState, now: float) -> None:
+    leadership = state.leadership
+    if leadership is None:
+        return
+    contact = max(leadership.since, lease.quorum_contact_at(state, now))
+    if now > contact + CHECK_QUORUM_SECONDS:
+        election.follow(state, state.ballot.term, '', now)
+        return
+    reconfiguration.tend_members(state, now)
+    if now >= leadership.next_heartbeat_at:
+        replication.broadcast(state, now)
--- /dev/null
+++ b/wasabiturn/version/raft/election.py
@@ -0,0 +1,154 @@
+"""Elections: pre-vote, votes, and the changes of role they lead to."""
+
+from wasabiturn.messages.kinds import EntryKind
+from wasabiturn.messages.raft import (
+    Entry,
+    Envelope,
+    VoteReply,
+    VoteRequest,
+)
+from wasabiturn.version.raft import membership
+from wasabiturn.version.raft.lease import is_protected
+from wasabiturn.version.raft.replication import append, broadcast
+from wasabiturn.version.raft.state import (
+    Leadership,
+    Progress,
+    RaftRole,
+    RaftState,
+    send,
+    set_term,
+)
+from wasabiturn.version.raft.timing import (
+    ELECTION_SECONDS,
+    ELECTION_SPREAD_SECONDS,
+)
+
+
+def follow(state: RaftState, term: int, leader_id: str, now: float) -> None:
+    """Become a follower in ``term``."""
+    if term > state.ballot.term:
+        set_term(state, term, '')
+    state.role = RaftRole.follower
+    state.leader_id = leader_id
+    state.leadership = None
+    state.votes = set()
+    delay_election(state, now)
+
+
+def delay_election(state: RaftState, now: float) -> None:
+    """Wait a random time before this member campaigns."""
+    spread = state.random.random() * ELECTION_SPREAD_SECONDS
+    state.election_at = now + ELECTION_SECONDS + spread
+
+
+def start_pre_vote(state: RaftState, now: float) -> None:
+    """Ask whether a quorum would vote, without entering a new term."""
+    state.role = RaftRole.pre_candidate
+    state.leader_id = ''
+    state.votes = {state.member_id}
+    delay_election(state, now)
+    _ask(state, pre_vote=True, proposed_term=state.ballot.term + 1)
+    _count(state, now)
+
+
+def handle_vote_request(
+    state: RaftState,
+    request: VoteRequest,
+    envelope: Envelope,
+    now: float,
+) -> None:
+    """Grant or refuse a vote; a member that hears a leader stays silent."""
+    if is_protected(state, now):
+        return
+    if not request.pre_vote and request.proposed_term > state.ballot.term:
+        follow(state, request.proposed_term, '', now)
+    granted = _would_grant(state, request, envelope.sender)
+    if granted and not request.pre_vote:
+        set_term(state, request.proposed_term, envelope.sender)
+        delay_election(state, now)
+    reply = VoteReply(
+        pre_vote=request.pre_vote,
+        proposed_term=request.proposed_term,
+        granted=granted,
+    )
+    send(state, Envelope(receiver=envelope.sender, vote_reply=reply))
+
+
+def handle_vote_reply(
+    state: RaftState,
+    reply: VoteReply,
+    envelope: Envelope,
+    now: float,
+) -> None:
+    """Count a granted vote."""
+    expected = RaftRole.candidate
+    term = state.ballot.term
+    if reply.pre_vote:
+        expected = RaftRole.pre_candidate
+        term += 1
+    if state.role is not expected or reply.proposed_term != term:
+        return
+    if reply.granted:
+        state.votes.add(envelope.sender)
+        _count(state, now)
+
+
+def _would_grant(
+    state: RaftState,
+    request: VoteRequest,
+    candidate: str,
+) -> bool:
+    theirs = (request.last_term, request.last_index)
+    if theirs < (state.log.last_term, state.log.last_index):
+        return False
+    if request.pre_vote:
+        return request.proposed_term > state.ballot.term
+    if request.proposed_term != state.ballot.term:
+        return False
+    return state.ballot.voted_for in {'', candidate}
+
+
+def _ask(state: RaftState, pre_vote: bool, proposed_term: int) -> None:
+    for voter in membership.voters(state):
+        if voter != state.member_id:
+            request = VoteRequest(
+                pre_vote=pre_vote,
+                proposed_term=proposed_term,
+                last_index=state.log.last_index,
+                last_term=state.log.last_term,
+            )
+            send(state, Envelope(receiver=voter, vote_request=request))
+
+
+def _count(state: RaftState, now: float) -> None:
+    if not membership.is_quorum(state, state.votes):
+        return
+    if state.role is RaftRole.pre_candidate:
+        _start_vote(state, now)
+    else:
+        _lead(state, now)
+
+
+def _start_vote(state: RaftState, now: float) -> None:
+    state.role = RaftRole.candidate
+    set_term(state, state.ballot.term + 1, state.member_id)
+    state.votes = {state.member_id}
+    delay_election(state, now)
+    _ask(state, pre_vote=False, proposed_term=state.ballot.term)
+    _count(state, now)
+
+
+def _lead(state: RaftState, now: float) -> None:
+    state.role = RaftRole.leader
+    state.leader_id = state.member_id
+    first_index = state.log.last_index + 1
+    state.leadership = Leadership(
+        since=now,
+        first_index=first_index,
+        progress_by_id={
+            peer: Progress(next_index=first_index)
+            for peer in membership.peers(state)
+        },
+    )
+    append(state, [Entry(kind=EntryKind.noop)])
+    broadcast(state, now)
--- /dev/null
+++ b/wasabiturn/version/raft/log.py
@@ -0,0 +1,76 @@
+"""In-memory tail of the replicated log."""
+
+from typing import final
+
+import attrs
+
+from wasabiturn.exceptions import StateError
+from wasabiturn.messages.raft import Entry
+
+
+class InvariantError(StateError):
+    """A message would change what is committed; the member must stop."""
+
+
+@final
+@attrs.define
+class Log:
+    """Entries after ``offset``; those up to it are in a snapshot."""
+
+    offset: int = 0
+    offset_term: int = 0
+    entries: list[Entry] = attrs.field(factory=list)
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.offset + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        if self.entries:
+            return self.entries[-1].term
+        return self.offset_term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or ``None`` if it is not held."""
+        if index == self.offset:
+            return self.offset_term
+        if self.offset < index <= self.last_index:
+            return self.entries[index - self.offset - 1].term
+        return None
+
+    def read(self, first: int, max_bytes: int) -> list[Entry]:
+        """Return entries from ``first``, at least one and up to a size."""
+        size = 0
+        chosen: list[Entry] = []
+        for entry in self.entries[first - self.offset - 1 :]:
+            size += len(entry.payload)
+            if chosen and size > max_bytes:
+                break
+            chosen.append(entry)
+        return chosen
+
+    def between(self, first: int, last: int) -> list[Entry]:
+        """Return the entries from ``first`` to ``last``, both included."""
+        return self.entries[first - self.offset - 1 : last - self.offset]
+
+    def truncate(self, first: int) -> None:
+        """Drop the entries from ``first`` on."""
+        del self.entries[first - self.offset - 1 :]
+
+    def compact(self, index: int) -> None:
+        """Forget the entries up to ``index``, which a snapshot covers."""
+        term = self.term_at(index)
+        if term is None or index <= self.offset:
+            return
+        del self.entries[: index - self.offset]
+        self.offset = index
+        self.offset_term = term
+
+    def reset(self, index: int, term: int) -> None:
+        """Replace everything by a snapshot that ends at ``index``."""
+        self.entries.clear()
+        self.offset = index
+        self.offset_term = term
--- /dev/null
+++ b/wasabiturn/version/raft/reconfiguration.py
@@ -0,0 +1,115 @@
+"""Changes of the membership, one voter at a time, proposed by the leader.
+
+A new incarnation of an instance joins as a learner. Once it has caught up, and
+the old incarnation is silent, the leader commits the removal of the old voter
+and then the vote of the new one.
+"""
+
+from wasabiturn.messages.codec import pack
+from wasabiturn.messages.kinds import EntryKind
+from wasabiturn.messages.raft import Entry, Member, Membership
+from wasabiturn.version.raft.membership import current, name_of
+from wasabiturn.version.raft.replication import append
+from wasabiturn.version.raft.state import Leadership, RaftState
+from wasabiturn.version.raft.timing import (
+    CHECK_QUORUM_SECONDS,
+    ELECTION_SECONDS,
+)
+
+MAX_LEARNER_LAG_ENTRIES = 256
+
+
+def tend_members(state: RaftState, now: float) -> None:
+    """Propose the next single-step change of membership, if one is due."""
+    leadership = state.leadership
+    if leadership is None or state.commit_index < leadership.first_index:
+        return
+    if state.memberships[-1].index > state.commit_index:
+        return
+    changed = _next_members(state, leadership, now)
+    if changed is not None:
+        payload = pack(Membership(members=changed))
+        append(state, [Entry(kind=EntryKind.membership, payload=payload)])
+
+
+def _next_members(
+    state: RaftState,
+    leadership: Leadership,
+    now: float,
+) -> list[Member] | None:
+    members = current(state).members
+    newcomer = _find_newcomer(state, members, now)
+    if newcomer is not None:
+        return _add_learner(members, newcomer)
+    for member in members:
+        if member.voter or not _has_caught_up(state, leadership, member, now):
+            continue
+        return _exchange(leadership, members, member, now)
+    return None
+
+
+def _find_newcomer(
+    state: RaftState,
+    members: list[Member],
+    now: float,
+) -> str | None:
+    known = {member.member_id for member in members}
+    for introduction in state.introductions_by_name.values():
+        recent = now < introduction.heard_at + ELECTION_SECONDS
+        if recent and introduction.member_id not in known:
+            return introduction.member_id
+    return None
+
+
+def _add_learner(members: list[Member], newcomer: str) -> list[Member]:
+    """Add a learner in place of older learners of the same instance."""
+    kept = [
+        member
+        for member in members
+        if member.voter or name_of(member.member_id) != name_of(newcomer)
+    ]
+    return [*kept, Member(member_id=newcomer, voter=False)]
+
+
+def _has_caught_up(
+    state: RaftState,
+    leadership: Leadership,
+    member: Member,
+    now: float,
+) -> bool:
+    progress = leadership.progress_by_id[member.member_id]
+    recent = now < progress.acknowledged_sent_at + ELECTION_SECONDS
+    lag = state.commit_index - progress.match_index
+    return recent and lag <= MAX_LEARNER_LAG_ENTRIES
+
+
+def _exchange(
+    leadership: Leadership,
+    members: list[Member],
+    learner: Member,
+    now: float,
+) -> list[Member] | None:
+    """Remove the old voter of the learner's instance, or else promote it."""
+    old = _find_old_voter(members, learner)
+    if old is None:
+        promoted = Member(member_id=learner.member_id, voter=True)
+        return [promoted if each is learner else each for each in members]
+    if not _is_silent(leadership, old, now):
+        return None
+    return [member for member in members if member is not old]
+
+
+def _find_old_voter(members: list[Member], learner: Member) -> Member | None:
+    name = name_of(learner.member_id)
+    for member in members:
+        if member.voter and name_of(member.member_id) == name:
+            return member
+    return None
+
+
+def _is_silent(leadership: Leadership, member: Member, now: float) -> bool:
+    progress = leadership.progress_by_id.get(member.member_id)
+    if progress is None:
+        return False
+    heard_at = max(leadership.since, progress.acknowledged_sent_at)
+    return now > heard_at + CHECK_QUORUM_SECONDS
--- a/wasabiturn/version/replica.py
+++ b/wasabiturn/version/replica.py
@@ -37,13 +37,27 @@
 
 
 class Replica(Protocol):
-    """One member of the control group."""
+    """One member of the control group.
+
+    ``state`` is another object after a snapshot was installed, so no part
+    keeps it: ``on_restored`` is then called in place of ``on_applied``.
+    """
 
     name: InstanceName
-    state: State
-    on_applied: list[Callable[[Applied], None]]
     on_role_change: list[Callable[[], None]]
 
+    @property
+    def state(self) -> State:
+        """Return the state after the last applied command."""
+
+    @property
+    def on_applied(self) -> list[Callable[[Applied], None]]:
+        """Return the callables that see each applied command."""
+
+    @property
+    def on_restored(self) -> list[Callable[[], None]]:
+        """Return the callables that hear of a state replaced whole."""
+
     def submit(self, command: Command) -> Deferred[Outcome]:
         """Commit and apply ``command`` here; only the leader accepts it.
 
--- /dev/null
+++ b/wasabiturn/version/storage/segments.py
@@ -0,0 +1,171 @@
+"""Segmented log: one record and one fsync for each batch."""
+
+import os
+from pathlib import Path
+from typing import final
+
+import attrs
+
+from wasabiturn.exceptions import StorageError
+from wasabiturn.messages.codec import CodecError, pack, unpack
+from wasabiturn.messages.raft import Ballot, LogRecord
+from wasabiturn.utils.logs import create_part_log
+from wasabiturn.version.storage import disk
+from wasabiturn.version.storage.records import (
+    Record,
+    decode_records,
+    encode_record,
+    find_record_after,
+)
+from wasabiturn.version.storage.replay import Replay
+
+SEGMENT_BYTES = 16_777_216
+_PREFIX = 'log-'
+
+_log = create_part_log('storage')
+
+
+@final
+@attrs.define
+class Segment:
+    """One file of the log, named by the sequence number of its first record."""
+
+    path: Path
+    first_sequence: int
+    size: int = 0
+    last_index: int = 0
+
+
+@final
+@attrs.define
+class SegmentedLog:
+    """The log of one data folder, open for appending."""
+
+    folder: Path
+    segments: list[Segment]
+    next_sequence: int
+    descriptor: int = -1
+
+    def append(self, record: LogRecord) -> None:
+        """Write one record and sync it.
+
+        Raises:
+            StorageError: the record may not be durable; the process must stop.
+        """
+        encoded = encode_record(self.next_sequence, pack(record))
+        segment = self.segments[-1]
+        disk.write_all(self.descriptor, encoded, segment.path)
+        disk.sync_file(self.descriptor, segment.path)
+        self.next_sequence += 1
+        segment.size += len(encoded)
+        _note_entries(segment, record)
+
+    def is_full(self) -> bool:
+        """Tell whether the next record belongs into a new segment."""
+        return self.segments[-1].size >= SEGMENT_BYTES
+
+    def roll(self, ballot: Ballot) -> None:
+        """Begin a new segment, which repeats the ballot."""
+        self.close()
+        name = f'{_PREFIX}{self.next_sequence:020d}'
+        path = self.folder / name
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        self.descriptor = disk.open_file(path, flags)
+        disk.sync_folder(self.folder)
+        self.segments.append(
+            Segment(path=path, first_sequence=self.next_sequence),
+        )
+        self.append(LogRecord(ballot=ballot))
+
+    def remove_until(self, index: int) -> None:
+        """Remove the oldest segments that hold no entry after ``index``."""
+        removed = False
+        while len(self.segments) > 1 and self.segments[0].last_index <= index:
+            disk.remove_file(self.segments.pop(0).path)
+            removed = True
+        if removed:
+            disk.sync_folder(self.folder)
+
+    def close(self) -> None:
+        """Close the file that is open for appending."""
+        if self.descriptor >= 0:
+            os.close(self.descriptor)
+            self.descriptor = -1
+
+
+def open_segments(folder: Path, replay: Replay) -> SegmentedLog:
+    """Read the log into ``replay``, cut a torn tail and open it.
+
+    Raises:
+        StorageError: the log is damaged elsewhere than in its tail.
+    """
+    log = SegmentedLog(folder=folder, segments=[], next_sequence=1)
+    paths = sorted(folder.glob(f'{_PREFIX}*'))
+    for path in paths:
+        _read_segment(log, path, replay, is_last=path == paths[-1])
+    if log.segments:
+        flags = os.O_WRONLY | os.O_APPEND
+        log.descriptor = disk.open_file(log.segments[-1].path, flags)
+    return log
+
+
+def _read_segment(
+    log: SegmentedLog,
+    path: Path,
+    replay: Replay,
+    is_last: bool,
+) -> None:
+    first_sequence = int(path.name.removeprefix(_PREFIX))
+    if log.segments and first_sequence != log.next_sequence:
+        raise StorageError(
+            f'{path}: a segment of the log before it is missing',
+        )
+    log.next_sequence = first_sequence
+    segment = Segment(path=path, first_sequence=first_sequence)
+    content = disk.read_file(path)
+    for record in decode_records(content):
+        _replay_record(log, segment, record, replay)
+    if segment.size < len(content):
+        _cut_tail(path, content, segment.size, is_last)
+    log.segments.append(segment)
+
+
+def _replay_record(
+    log: SegmentedLog,
+    segment: Segment,
+    record: Record,
+    replay: Replay,
+) -> None:
+    try:
+        decoded = unpack(LogRecord, record.payload)
+    except CodecError as error:
+        raise StorageError(f'{segment.path}: {error}') from error
+    if record.sequence != log.next_sequence:
+        raise StorageError(
+            f'{segment.path}: record {record.sequence} stands where '
+            f'{log.next_sequence} belongs',
+        )
+    replay.apply(decoded)
+    log.next_sequence += 1
+    segment.size = record.end
+    _note_entries(segment, decoded)
+
+
+def _note_entries(segment: Segment, record: LogRecord) -> None:
+    for entry in record.entries:
+        segment.last_index = max(segment.last_index, entry.index)
+
+
+def _cut_tail(path: Path, content: bytes, size: int, is_last: bool) -> None:
+    if not is_last or find_record_after(content, size) is not None:
+        raise StorageError(
+            f'{path} is damaged at byte {size}; restore the disk, or empty '
+            'the data folder so that this instance joins anew',
+        )
+    _log.warning(
+        'cut torn tail',
+        file=path.name,
+        kept_bytes=size,
+        cut_bytes=len(content) - size,
+    )
+    disk.truncate_file(path, size)
--- /dev/null
+++ b/wasabiturn/version/storage/snapshot_files.py
@@ -0,0 +1,62 @@
+"""Snapshots of the state machine, one file each."""
+
+from pathlib import Path
+
+from wasabiturn.exceptions import StorageError
+from wasabiturn.messages.codec import CodecError, pack, unpack
+from wasabiturn.messages.raft import SnapshotHead
+from wasabiturn.version.raft.state import Snapshot
+from wasabiturn.version.storage import disk
+from wasabiturn.version.storage.records import decode_records, encode_record
+
+_PREFIX = 'snapshot-'
+_HEAD_SEQUENCE = 1
+_CONTENT_SEQUENCE = 2
+
+
+def write_snapshot(folder: Path, snapshot: Snapshot) -> None:
+    """Write a snapshot durably, then remove older ones.
+
+    Raises:
+        StorageError: the snapshot is not durable; the older one is kept.
+    """
+    path = folder / f'{_PREFIX}{snapshot.head.index:020d}'
+    encoded = encode_record(_HEAD_SEQUENCE, pack(snapshot.head))
+    encoded += encode_record(_CONTENT_SEQUENCE, snapshot.content)
+    disk.replace_file(path, encoded)
+    for older in _list_files(folder):
+        if older < path:
+            disk.remove_file(older)
+
+
+def read_newest_snapshot(folder: Path) -> Snapshot | None:
+    """Read the newest snapshot, if there is one.
+
+    Raises:
+        StorageError: it is damaged.
+    """
+    for leftover in folder.glob(f'{_PREFIX}*.tmp'):
+        disk.remove_file(leftover)
+    paths = _list_files(folder)
+    if not paths:
+        return None
+    path = paths[-1]
+    payloads = [
+        record.payload for record in decode_records(disk.read_file(path))
+    ]
+    if len(payloads) != _CONTENT_SEQUENCE:
+        raise StorageError(
+            f'{path} is damaged; restore the disk, or empty the data folder '
+            'so that this instance joins anew',
+        )
+    try:
+        head = unpack(SnapshotHead, payloads[0])
+    except CodecError as error:
+        raise StorageError(f'{path}: {error}') from error
+    return Snapshot(head=head, content=payloads[1])
+
+
+def _list_files(folder: Path) -> list[Path]:
+    return sorted(
+        path for path in folder.glob(f'{_PREFIX}*') if path.suffix != '.tmp'
+    )
--- /dev/null
+++ b/wasabiturn/version/storage/store.py
@@ -0,0 +1,189 @@
+"""The data folder of one control instance."""
+
+import fcntl
+import os
+from pathlib import Path
+from typing import final
+
+import attrs
+
+from wasabiturn.exceptions import StorageError
+from wasabiturn.messages.raft import (
+    Ballot,
+    Entry,
+    Identity,
+    LogRecord,
+    SnapshotHead,
+)
+from wasabiturn.version.raft.state import Recovered, Snapshot
+from wasabiturn.version.storage import disk
+from wasabiturn.version.storage.identity import read_identity, write_identity
+from wasabiturn.version.storage.replay import Replay
+from wasabiturn.version.storage.segments import SegmentedLog, open_segments
+from wasabiturn.version.storage.snapshot_files import (
+    read_newest_snapshot,
+    write_snapshot,
+)
+
+
+@final
+@attrs.define
+class Store:
+    """Open data folder; after an error of any method the process must stop."""
+
+    folder: Path
+    identity: Identity
+    recovered: Recovered
+    log: SegmentedLog
+    ballot: Ballot
+    lock: int
+
+    @property
+    def member_id(self) -> str:
+        """Return the member id that this folder stands for."""
+        return f'{self.identity.name}/{self.identity.incarnation}'
+
+    def save(
+        self,
+        ballot: Ballot | None,
+        entries: list[Entry],
+        snapshot: Snapshot | None,
+    ) -> None:
+        """Make one batch durable with one fsync of the log.
+
+        A snapshot that was received replaces all entries before ``entries``.
+        """
+        reset_index = 0
+        if snapshot is not None:
+            write_snapshot(self.folder, snapshot)
+            reset_index = snapshot.head.index
+        if ballot is None and not entries and not reset_index:
+            return
+        self.ballot = ballot or self.ballot
+        if self.log.is_full():
+            self.log.roll(self.ballot)
+        record = LogRecord(
+            ballot=ballot,
+            entries=entries,
+            reset_index=reset_index,
+        )
+        self.log.append(record)
+
+    def save_snapshot(self, snapshot: Snapshot) -> None:
+        """Make a snapshot durable; remove segments that it makes useless."""
+        write_snapshot(self.folder, snapshot)
+        self.log.roll(self.ballot)
+        self.log.remove_until(snapshot.head.index)
+
+    def close(self) -> None:
+        """Close the files and unlock the folder."""
+        self.log.close()
+        if self.lock >= 0:
+            os.close(self.lock)
+            self.lock = -1
+
+
+def open_store(folder: Path, name: str, new_incarnation: str) -> Store:
+    """Open the data folder of the instance ``name``; create it if needed.
+
+    An empty folder takes ``new_incarnation``.
+
+    Raises:
+        StorageError: the folder cannot be used; the text says why.
+    """
+    with disk.storage_errors('create', folder):
+        folder.mkdir(parents=True, exist_ok=True)
+    lock = _lock(folder)
+    try:
+        return _open_locked(folder, name, new_incarnation, lock)
+    except StorageError:
+        os.close(lock)
+        raise
+
+
+def _open_locked(
+    folder: Path,
+    name: str,
+    new_incarnation: str,
+    lock: int,
+) -> Store:
+    identity = read_identity(folder, name)
+    replay = Replay()
+    snapshot = read_newest_snapshot(folder)
+    log = open_segments(folder, replay)
+    if identity is None:
+        _check_blank(folder, replay, snapshot)
+        identity = Identity(name=name, incarnation=new_incarnation)
+        _create(folder, identity, log)
+    elif log.next_sequence == 1:
+        raise StorageError(
+            f'{folder} has lost its log; empty the folder so that this '
+            'instance joins anew',
+        )
+    return Store(
+        folder=folder,
+        identity=identity,
+        recovered=_recover(folder, log, replay, snapshot),
+        log=log,
+        ballot=replay.ballot,
+        lock=lock,
+    )
+
+
+def _create(folder: Path, identity: Identity, log: SegmentedLog) -> None:
+    if log.next_sequence == 1:
+        for segment in log.segments:
+            disk.remove_file(segment.path)
+        log.segments.clear()
+        log.roll(Ballot())
+    write_identity(folder, identity)
+
+
+def _check_blank(
+    folder: Path,
+    replay: Replay,
+    snapshot: Snapshot | None,
+) -> None:
+    if snapshot is not None or replay.entries or replay.ballot.cluster:
+        raise StorageError(
+            f'{folder} has lost its identity; empty the folder so that this '
+            'instance joins anew',
+        )
+
+
+def _recover(
+    folder: Path,
+    log: SegmentedLog,
+    replay: Replay,
+    snapshot: Snapshot | None,
+) -> Recovered:
+    head = SnapshotHead() if snapshot is None else snapshot.head
+    first_sequence = log.segments[0].first_sequence
+    if head.index < replay.reset_index or (
+        snapshot is None and first_sequence > 1
+    ):
+        raise StorageError(
+            f'{folder} has lost its snapshot; empty the folder so that this '
+            'instance joins anew',
+        )
+    entries = replay.entries_after(head)
+    if replay.contradicts(head):
+        log.append(LogRecord(reset_index=head.index))
+    return Recovered(
+        ballot=replay.ballot,
+        snapshot=snapshot,
+        entries=entries,
+    )
+
+
+def _lock(folder: Path) -> int:
+    path = folder / 'lock'
+    lock = disk.open_file(path, os.O_RDWR | os.O_CREAT)
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError as error:
+        os.close(lock)
+        raise StorageError(
+            f'{folder} is in use by another process',
+        ) from error
+    return lock
