Give up silent backend connections; test answers, bodies and hang-ups

Cause: a connection that goes silent while new ones work held its slot and its caller until the deadline. Ruled out: a fixed time limit, which would cut slow requests; judging non-idempotent requests, for which an early unknown gains nothing.

--- a/tests/process/agent/fakes.py
+++ b/tests/process/agent/fakes.py
@@ -52,6 +52,7 @@
     def __init__(self, clock: Clock, factory: Any) -> None:
         self.clock = clock
         self.is_lost = False
+        self.answered = 0
         self.transport = BackendTransport(self)
         self.protocol = factory.buildProtocol(None)
         self.protocol.makeConnection(self.transport)
@@ -64,6 +65,10 @@
     def requests(self) -> int:
         return self.received.count(b' HTTP/1.1\r\n')
 
+    def answer(self, content: bytes) -> None:
+        self.answered += 1
+        self.send(content)
+
     def send(self, content: bytes) -> None:
         if not self.is_lost:
             self.protocol.dataReceived(content)
--- a/wasabiturn/process/agent/backends.py
+++ b/wasabiturn/process/agent/backends.py
@@ -29,7 +29,12 @@
 )
 from wasabiturn.request.agent_claims import AgentClaims
 from wasabiturn.request.estimates import ServiceTimes
-from wasabiturn.request.served import Phase, ServedRequest
+from wasabiturn.request.served import (
+    Phase,
+    ServedRequest,
+    describe_quiet,
+)
+from wasabiturn.request.silence import is_silent
 from wasabiturn.utils.logs import create_part_log
 
 MILLISECONDS = 1000
@@ -52,6 +57,7 @@
     renewed_at: float
     answer_times: ServiceTimes = attrs.field(factory=ServiceTimes)
     answered: int = 0
+    newest_answered: float = 0.0
     expired: bool = False
     on_empty: list[Callable[[], None]] = attrs.field(factory=list)
     requests_by_ticket: dict[Ticket, ServedRequest] = attrs.field(factory=dict)
@@ -86,6 +92,8 @@
     def observe_answer(self, seconds: float) -> None:
         """Record the time from sending a request to its answer's head."""
         self.answered += 1
+        sent_at = self.clock.seconds() - seconds
+        self.newest_answered = max(self.newest_answered, sent_at)
         self.answer_times.observe(seconds)
 
     def load_report(self) -> LoadReport:
@@ -126,6 +134,8 @@
         for request in list(self.requests_by_ticket.values()):
             if now >= request.deadline:
                 request.expire()
+            elif self._is_silent(request, now):
+                self._cut_silent(request)
         self.pool.reap(now, IDLE_LIMIT_SECONDS)
 
     def refuse_waiting(self, reason: str) -> None:
@@ -134,6 +144,25 @@
             if request.phase in {Phase.gathering, Phase.queued}:
                 request.refuse(reason)
 
+    def _is_silent(self, request: ServedRequest, now: float) -> bool:
+        quiet = describe_quiet(request)
+        if quiet is None:
+            return False
+        p99_seconds = self.answer_times.percentile(P99)
+        return is_silent(quiet, self.newest_answered, p99_seconds, now)
+
+    def _cut_silent(self, request: ServedRequest) -> None:
+        """Give up a silent connection, and idle ones as old as it."""
+        _log.decision(
+            'silent connection dropped',
+            request=request.head.request_id,
+            service=self.record.service_name,
+            sent_at=request.sent_at,
+            newest_answered=self.newest_answered,
+        )
+        request.cut('connection to the backend is silent')
+        self.pool.close_idle()
+
     def _apply(self, event: object) -> None:
         decisions = apply(event, self.table, self.clock.seconds())
         self._carry_out(decisions)
--- a/wasabiturn/request/served.py
+++ b/wasabiturn/request/served.py
@@ -18,6 +18,7 @@
     build_response_head,
 )
 from wasabiturn.request.reply import Reply
+from wasabiturn.request.silence import Quiet
 from wasabiturn.request.upload import RequestBody
 
 # A body up to this size arrives whole before the request asks for a slot.
@@ -79,6 +80,7 @@
     phase: Phase = Phase.gathering
     last_activity: float = 0.0
     sent_at: float = 0.0
+    is_paused: bool = False
     connection: BackendConnection | None = None
     download: Any = None
 
@@ -104,6 +106,8 @@
 
     def writable(self) -> None:
         """Read on from the backend server."""
+        self.is_paused = False
+        self.last_activity = self.clock.seconds()
         if self.download is not None:
             self.download.resumeProducing()
 
@@ -204,7 +208,8 @@
     def download_received(self, chunk: bytes) -> None:
         """Pass on bytes of the answer."""
         self.last_activity = self.clock.seconds()
-        if self.phase is Phase.answering and not self.stream.write(chunk):
+        if self.phase is Phase.answering and not self.reply.write(chunk):
+            self.is_paused = True
             self.download.pauseProducing()
 
     def download_ended(self, reason: Failure) -> None:
@@ -216,7 +221,7 @@
             self.cut('answer of the backend broke off')
             return
         if self.phase is Phase.answering:
-            self.stream.end()
+            self.reply.end()
         self._leave(ran=True)
 
     def _detach(self) -> None:
@@ -258,6 +263,19 @@
     )
 
 
+def describe_quiet(request: ServedRequest) -> Quiet | None:
+    """Return what is known of a backend connection that is awaited."""
+    is_awaited = request.phase in {Phase.sent, Phase.answering}
+    if request.is_paused or not is_awaited:
+        return None
+    return Quiet(
+        idempotent=request.head.idempotent,
+        attempt=request.head.attempt,
+        sent_at=request.sent_at,
+        last_activity=request.last_activity,
+    )
+
+
 @final
 class _Download(BodyReceiver):
     """Receiver of the backend's answer."""
