--- a/wasabiturn/standins/backend.py
+++ b/wasabiturn/standins/backend.py
@@ -31,7 +31,6 @@
 LEAVE_SECONDS = 0.5
 CUT_SECONDS = 0.01
 FAULT_HEADER = 'standin-fault'
-REQUEST_ID_HEADER = 'wasabiturn-request-id'
 
 
 @final
@@ -122,15 +121,15 @@
         )
         sent.addCallbacks(lambda answer: answer.deliverBody(Protocol()), _drop)
 
-    def begin(self, request_id: str) -> None:
-        """Count and record the start of one run."""
+    def begin(self, path: str) -> None:
+        """Count the start of one run, and record its path."""
         counters = self.counters
         counters.running += 1
         counters.most_running = max(counters.most_running, counters.running)
         if counters.running > self.options.slots:
             counters.overflows += 1
-        if self.options.record_file is not None and request_id:
-            _append_line(self.options.record_file, request_id)
+        if self.options.record_file is not None:
+            _append_line(self.options.record_file, path)
 
     def finish(self) -> None:
         """Count the end of one run."""
@@ -212,7 +211,7 @@
         request = self._request
         gone = request.notifyFinish()
         gone.addBoth(self._handle_gone)
-        self._standin.begin(_header(request, REQUEST_ID_HEADER))
+        self._standin.begin(request.path.decode())
         seconds = self._standin.options.service_seconds
         if self._fault == 'delay':
             seconds = self._amount
@@ -278,7 +277,7 @@
     slots: int = 8,
     connections: int = 64,
     service_ms: float = 10.0,
-    record_file: Annotated[Path | None, typer.Option()] = None,
+    record: Annotated[Path | None, typer.Option()] = None,
 ) -> None:
     """Run the stand-in until SIGTERM."""
     standin = StandinBackend(
@@ -289,7 +288,7 @@
             slots=slots,
             connections=connections,
             service_seconds=service_ms / 1000,
-            record_file=record_file,
+            record_file=record,
         ),
         default_reactor,
     )
