Add sessions of entries and agents with control

Cause: entries and agents need the resources in force, the agents, and calls to the leader, through any fault of the control group.

A process keeps links to all members; one feeds its view. Freshness counts from the question, so a frozen process or a delayed answer never looks fresh. Another member takes over when the present one is not confirmed for 1 s; only an answer to a question asked since the last switch counts, as two members that answered at once made the session switch for ever in the first trial of the test.

--- /dev/null
+++ b/tests/process/test_session.py
@@ -0,0 +1,207 @@
+"""A process's session with control: views, freshness, leader calls."""
+
+from random import Random
+from typing import Any
+
+import pytest
+
+from tests.process.group import Group
+from tests.process.network import Network
+from tests.version.resources import claim, configuration, put
+from wasabiturn.connection.calls import CallError
+from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.messages.kinds import FailureCode, Kind, Method, Role
+from wasabiturn.messages.link import Hello
+from wasabiturn.messages.session import AgentRecord, Submit
+from wasabiturn.messages.state import ClaimRecord, Outcome
+from wasabiturn.process.session import ControlSession, create_control_session
+
+
+def create_session(group: Group, name: str = 'entry-1') -> ControlSession:
+    hello = Hello(name=name, role=Role.entry, protocol_version=1)
+    session = create_control_session(
+        endpoints=group.endpoints,
+        dispatch=Dispatch(hello=hello),
+        reactor=group.network,
+        random=Random(1),
+        kinds=(Kind.configuration,),
+        directory=True,
+    )
+    session.start()
+    group.network.run(1)
+    return session
+
+
+def in_force(session: ControlSession) -> str:
+    configurations = session.view.resources_by_kind[Kind.configuration]
+    spec = configurations['policy'].configuration_spec
+    return spec.settings['value'] if spec else ''
+
+
+def feeding_port(session: ControlSession) -> int:
+    link = session._current
+    return int(link.peer.name.rpartition('-')[2]) if link else 0
+
+
+def settle(call: Any) -> list[Any]:
+    results: list[Any] = []
+    call.addBoth(results.append)
+    return results
+
+
+def test_accepted_configuration_is_in_force_at_once() -> None:
+    group = Group(Network())
+    session = create_session(group)
+    group.commit(put(configuration('a')))
+    group.network.run(0.1)
+    assert in_force(session) == 'a'
+    assert session.is_fresh(group.network.seconds())
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_view_moves_away_from_a_member_that_is_cut_off(seed: int) -> None:
+    group = Group(Network())
+    session = create_session(group)
+    port = feeding_port(session)
+    group.leader = group.replicas[port % 3]
+    group.replicas[port - 1].cut_off = True
+    group.commit(put(configuration('a')))
+    group.network.run(3)
+    assert in_force(session) == 'a'
+    assert session.is_fresh(group.network.seconds())
+
+
+def test_view_never_falls_back_to_a_lagging_member() -> None:
+    group = Group(Network())
+    session = create_session(group)
+    port = feeding_port(session)
+    lagging = group.replicas[port % 3]
+    group.leader = group.replicas[port - 1]
+    group.commit(put(configuration('old')))
+    lagging.cut_off = True
+    group.commit(put(configuration('new')))
+    group.network.run(0.5)
+    assert in_force(session) == 'new'
+    for other in range(1, 4):
+        if other - 1 != port % 3:
+            group.network.stop_listening(other)
+    group.network.run(4)
+    assert in_force(session) == 'new'
+    assert session.view.revision == 2
+    assert not session.is_fresh(group.network.seconds())
+
+
+def test_process_without_control_is_not_fresh_after_three_seconds() -> None:
+    group = Group(Network())
+    session = create_session(group)
+    group.network.cut_ports.update((1, 2, 3))
+    group.network.run(3)
+    assert not session.is_fresh(group.network.seconds())
+    group.network.cut_ports.clear()
+    group.network.run(3)
+    assert session.is_fresh(group.network.seconds())
+
+
+def test_late_confirmation_counts_from_its_question() -> None:
+    group = Group(Network())
+    session = create_session(group)
+    asked = group.network.seconds()
+    group.network.advance(2.9)
+    assert not session.is_fresh(asked + 2.9)
+
+
+def test_missed_changes_arrive_after_a_snapshot_at_the_member() -> None:
+    group = Group(Network())
+    session = create_session(group)
+    port = feeding_port(session)
+    member = group.replicas[port - 1]
+    group.leader = group.replicas[port % 3]
+    member.cut_off = True
+    group.commit(put(configuration('a')))
+    member.cut_off = False
+    member.install_snapshot()
+    group.network.run(1)
+    assert in_force(session) == 'a'
+
+
+def test_leader_call_follows_the_leader() -> None:
+    group = Group(Network())
+    session = create_session(group)
+    for leader in group.replicas:
+        group.leader = leader
+        message = Submit(command=put(configuration(leader.name)))
+        result = settle(
+            session.call_leader(Method.submit, message, Outcome, 2.0),
+        )
+        group.network.run(1)
+        assert isinstance(result[0], Outcome)
+    assert in_force(session) == 'control-3'
+
+
+@pytest.mark.parametrize(
+    ('loses_answers', 'code'),
+    [(False, FailureCode.unavailable), (True, FailureCode.outcome_unknown)],
+)
+def test_leader_call_says_whether_it_may_have_run(
+    loses_answers: bool,
+    code: FailureCode,
+) -> None:
+    group = Group(Network())
+    session = create_session(group)
+    group.loses_answers = loses_answers
+    if not loses_answers:
+        group.leader = None
+    message = Submit(command=put(configuration('a')))
+    result = settle(session.call_leader(Method.submit, message, Outcome, 1.0))
+    group.network.run(1.5)
+    error = result[0].value
+    assert isinstance(error, CallError)
+    assert error.code is code
+
+
+def test_claims_of_two_entries_are_committed_together() -> None:
+    group = Group(Network())
+    session = create_session(group)
+    calls = []
+    for claim_id in ('c-1', 'c-2'):
+        body = claim(claim_id).claim
+        assert body is not None
+        call = session.call_leader(
+            Method.claim, body.claims[0], ClaimRecord, 2.0
+        )
+        calls.append(settle(call))
+    group.network.run(1)
+    holders = {call[0].claim.claim_id for call in calls}
+    assert holders == {'c-1'}
+
+
+def test_agents_reach_entries_without_a_quorum() -> None:
+    group = Group(Network())
+    group.leader = None
+    agent = create_session(group, 'agent-1')
+    record = AgentRecord(name='agent-1', incarnation='i', sequence=1)
+    agent.announce(record)
+    entry = create_session(group)
+    group.network.run(3)
+    assert list(entry.view.agents_by_name) == ['agent-1']
+    agent.stop()
+    group.network.run(4)
+    assert not entry.view.agents_by_name
+
+
+def test_restarted_member_does_not_empty_the_directory() -> None:
+    group = Group(Network())
+    agent = create_session(group, 'agent-1')
+    agent.announce(AgentRecord(name='agent-1', incarnation='i', sequence=1))
+    entry = create_session(group)
+    port = feeding_port(entry)
+    directory = group.sessions[port - 1].directory
+    directory.entries_by_name.clear()
+    directory.started_at = group.network.seconds()
+    seen: list[int] = []
+    entry.on_change.append(lambda: seen.append(len(entry.view.agents_by_name)))
+    group.network.stop_listening(port)
+    group.network.listen(port, group.dispatches[port - 1])
+    group.network.run(5)
+    assert 0 not in seen
+    assert list(entry.view.agents_by_name) == ['agent-1']
--- /dev/null
+++ b/wasabiturn/process/control/sessions.py
@@ -0,0 +1,158 @@
+"""Sessions of entries and agents at one control instance.
+
+``subscribe``, ``announce`` and ``fresh`` are served by every member;
+``submit``, ``claim``, ``record_answer`` and ``look_up_claim`` by the leader,
+and others fail with ``not_leader`` and its name. Messages and replies:
+
+- ``claim``: ``ClaimRequest``, ``ClaimRecord``. The caller holds the claim if
+  the record bears its ``claim_id``; ``invalid`` means that the key was used
+  for another request.
+- ``record_answer``: ``RecordAnswer``, ``ClaimRecord``.
+- ``look_up_claim``: ``LookUpClaim``, ``ClaimLookup``.
+- ``submit``: ``Submit``, ``Outcome``.
+"""
+
+from typing import Any, final
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from wasabiturn.connection.calls import CallError
+from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.connection.link import Link
+from wasabiturn.messages.kinds import FailureCode, Method
+from wasabiturn.messages.link import Nothing
+from wasabiturn.messages.session import (
+    Announce,
+    ClaimLookup,
+    DirectoryChanges,
+    Fresh,
+    LookUpClaim,
+    Submit,
+    Subscribe,
+    Subscribed,
+)
+from wasabiturn.messages.state import ClaimRequest, Outcome, RecordAnswer
+from wasabiturn.process.control.claim_batches import (
+    create_answer_batches,
+    create_claim_batches,
+)
+from wasabiturn.process.control.directory import (
+    Directory,
+    create_directory,
+    snapshot_directory,
+)
+from wasabiturn.process.control.submission import read_barrier, submit
+from wasabiturn.process.control.subscribers import Subscribers
+from wasabiturn.process.daemon import Context
+from wasabiturn.version.apply_claims import claim_key
+from wasabiturn.version.replica import Applied, Replica
+
+EXPIRE_PERIOD_SECONDS = 0.5
+
+
+@final
+class Sessions:
+    """Serves entries and agents on the links of one control instance."""
+
+    def __init__(self, replica: Replica, directory: Directory, clock: Any):
+        """Create the sessions; ``register`` offers them on links."""
+        self.directory = directory
+        self.subscribers = Subscribers()
+        self._replica = replica
+        self._clock = clock
+        self._claims = create_claim_batches(replica)
+        self._answers = create_answer_batches(replica)
+        self._was_complete = False
+        self._ticker = LoopingCall(self._tick)
+        self._ticker.clock = clock
+
+    def register(self, dispatch: Dispatch) -> None:
+        """Register the handlers on ``dispatch``."""
+        dispatch.revision = lambda: self._replica.state.revision
+        dispatch.on_close.append(self.subscribers.remove)
+        dispatch.handle(Method.subscribe, Subscribe, self._subscribe)
+        dispatch.handle(Method.announce, Announce, self._announce)
+        dispatch.handle(Method.fresh, Nothing, self._confirm)
+        dispatch.handle(Method.submit, Submit, self._submit)
+        dispatch.handle(Method.claim, ClaimRequest, self._claim)
+        dispatch.handle(Method.record_answer, RecordAnswer, self._record)
+        dispatch.handle(Method.look_up_claim, LookUpClaim, self._look_up)
+        self._replica.on_applied.append(self._publish)
+
+    def start(self) -> None:
+        """Begin to expire silent agents."""
+        self._ticker.start(EXPIRE_PERIOD_SECONDS, now=False)
+
+    def stop(self) -> None:
+        """Stop expiring agents."""
+        if self._ticker.running:
+            self._ticker.stop()
+
+    def _publish(self, applied: Applied) -> None:
+        if applied.changes:
+            self.subscribers.publish(self._replica.state)
+
+    def _subscribe(self, link: Link, message: Subscribe) -> Subscribed:
+        state = self._replica.state
+        self.subscribers.add(link, message, state)
+        if message.directory:
+            agents = snapshot_directory(self.directory, self._clock.seconds())
+            link.notify(Method.directory_changes, agents)
+        return Subscribed(revision=state.revision)
+
+    def _announce(self, link: Link, message: Announce) -> None:
+        if self.directory.take(message.record, self._clock.seconds()):
+            change = DirectoryChanges(agents=[message.record])
+            self.subscribers.publish_directory(change)
+
+    def _confirm(self, link: Link, message: Nothing) -> Fresh:
+        if not self._replica.is_fresh(self._clock.seconds()):
+            text = 'no quorum has confirmed the state lately'
+            raise CallError(FailureCode.unavailable, text)
+        # A snapshot that this member installed brought changes of its own.
+        self.subscribers.catch_up(link, self._replica.state)
+        return Fresh(revision=self._replica.state.revision)
+
+    def _submit(self, link: Link, message: Submit) -> Deferred[Outcome]:
+        return submit(self._replica, message.command)
+
+    def _claim(self, link: Link, message: ClaimRequest) -> Deferred[Any]:
+        return self._claims.add(message)
+
+    def _record(self, link: Link, message: RecordAnswer) -> Deferred[Any]:
+        return self._answers.add(message)
+
+    def _look_up(
+        self,
+        link: Link,
+        message: LookUpClaim,
+    ) -> Deferred[ClaimLookup]:
+        key = claim_key(message.service_name, message.key)
+        return read_barrier(self._replica).addCallback(
+            lambda _: ClaimLookup(
+                record=self._replica.state.claims_by_key.get(key),
+            ),
+        )
+
+    def _tick(self) -> None:
+        now = self._clock.seconds()
+        gone = self.directory.expire(now)
+        if gone:
+            self.subscribers.publish_directory(DirectoryChanges(gone=gone))
+        if self.directory.is_complete(now) and not self._was_complete:
+            self._was_complete = True
+            whole = snapshot_directory(self.directory, now)
+            self.subscribers.publish_directory(whole)
+
+
+def create_sessions(
+    context: Context,
+    replica: Replica,
+    dispatch: Dispatch,
+) -> Sessions:
+    """Create the sessions of a control instance and register them."""
+    clock = context.reactor
+    sessions = Sessions(replica, create_directory(clock), clock)
+    sessions.register(dispatch)
+    return sessions
--- /dev/null
+++ b/wasabiturn/process/control/submission.py
@@ -0,0 +1,44 @@
+"""Calls on the replica, with its errors turned into those of calls."""
+
+from typing import Any, NoReturn
+
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure as TwistedFailure
+
+from wasabiturn.connection.calls import CallError
+from wasabiturn.messages.kinds import FailureCode
+from wasabiturn.messages.state import Command, Outcome
+from wasabiturn.version.replica import (
+    NotLeaderError,
+    OutcomeUnknownError,
+    Replica,
+)
+
+
+def submit(replica: Replica, command: Command) -> Deferred[Outcome]:
+    """Commit ``command``; fails with ``CallError``.
+
+    ``not_leader`` is certainly not run; ``outcome_unknown`` is open.
+    """
+    return replica.submit(command).addErrback(_turn)
+
+
+def read_barrier(replica: Replica) -> Deferred[None]:
+    """Wait until the state holds all that was committed before the call.
+
+    Fails with ``CallError``.
+    """
+    return replica.read_barrier().addErrback(_turn)
+
+
+def _turn(failure: TwistedFailure) -> NoReturn:
+    error: Any = failure.value
+    if isinstance(error, NotLeaderError):
+        raise CallError(
+            FailureCode.not_leader,
+            str(error),
+            leader=error.leader or '',
+        ) from error
+    if isinstance(error, OutcomeUnknownError):
+        raise CallError(FailureCode.outcome_unknown, str(error)) from error
+    raise error
--- /dev/null
+++ b/wasabiturn/process/freshness.py
@@ -0,0 +1,44 @@
+"""How lately a quorum confirmed a process's view."""
+
+from typing import final
+
+import attrs
+
+# A member vouches for its state for up to 1 s, so that both make up 3 s.
+FRESH_SECONDS = 2.0
+SWITCH_SECONDS = 1.0
+
+
+@final
+@attrs.define
+class Freshness:
+    """Times of the newest confirmed question and of the newest switch."""
+
+    asked_at: float | None = None
+    chosen_at: float = 0.0
+
+    def confirm(self, asked_at: float) -> None:
+        """Note that a member confirmed the view; counts from the question."""
+        if self.asked_at is None or asked_at > self.asked_at:
+            self.asked_at = asked_at
+
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether the view was current within 3 s of ``now``."""
+        return self._is_within(now, FRESH_SECONDS)
+
+    def is_settled(self, now: float) -> bool:
+        """Tell whether there is no reason to ask another member."""
+        return self._is_within(now, SWITCH_SECONDS)
+
+    def may_switch(self, asked_at: float, now: float) -> bool:
+        """Tell whether a member that answers may take over the feed.
+
+        Only an answer to a question from after the last switch counts: of
+        several members that answer at once the first takes over.
+        """
+        return asked_at > self.chosen_at and not self.is_settled(now)
+
+    def _is_within(self, now: float, limit_seconds: float) -> bool:
+        if self.asked_at is None:
+            return False
+        return now - self.asked_at <= limit_seconds
--- /dev/null
+++ b/wasabiturn/process/session.py
@@ -0,0 +1,229 @@
+"""Session of one entry or agent process with the control group.
+
+Links to all control instances stay open. One of them feeds the view; when it
+does not confirm that it is current, another that does takes over.
+"""
+
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Any, final
+
+import attrs
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from wasabiturn.connection.dialer import Endpoint
+from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.connection.link import Link
+from wasabiturn.messages.kinds import Kind, Method
+from wasabiturn.messages.link import Nothing
+from wasabiturn.messages.session import (
+    AgentRecord,
+    Announce,
+    Changes,
+    DirectoryChanges,
+    Fresh,
+    Subscribe,
+    Subscribed,
+)
+from wasabiturn.process.control_links import (
+    ControlLinks,
+    create_control_links,
+)
+from wasabiturn.process.freshness import Freshness
+from wasabiturn.process.leader_calls import LeaderCalls
+from wasabiturn.utils.logs import create_part_log
+from wasabiturn.version.view import Feed, View
+
+TICK_SECONDS = 0.5
+ANNOUNCE_TICKS = 2
+CALL_TIMEOUT_SECONDS = 1.0
+NO_REVISION = -1
+
+_log = create_part_log('session')
+
+
+@final
+class ControlSession:
+    """Subscription to the shared state, announcements, and leader calls."""
+
+    def __init__(
+        self,
+        links: ControlLinks,
+        dispatch: Dispatch,
+        clock: Any,
+        random: Random,
+        interest: Subscribe,
+    ) -> None:
+        """Create the session; ``start`` begins to dial."""
+        self.view = View()
+        self.on_change: list[Callable[[], None]] = []
+        self._links = links
+        self._clock = clock
+        self._random = random
+        self._interest = interest
+        self._current: Link | None = None
+        self._feed = _create_feed(self.view, interest)
+        self._freshness = Freshness()
+        self._record: AgentRecord | None = None
+        self._ticks = 0
+        self._ticker = LoopingCall(self._tick)
+        self._ticker.clock = clock
+        self.call_leader = LeaderCalls(self.open_links, clock, random).call
+        self._register(dispatch)
+
+    def start(self) -> None:
+        """Dial every control instance."""
+        self._links.start()
+        self._ticker.start(TICK_SECONDS, now=False)
+
+    def stop(self) -> None:
+        """Close the links."""
+        if self._ticker.running:
+            self._ticker.stop()
+        self._links.stop()
+
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether a quorum confirmed the view within 3 s of ``now``."""
+        return self._freshness.is_fresh(now)
+
+    def open_links(self) -> list[Link]:
+        """Return the links to control instances that are open."""
+        return self._links.open_links()
+
+    def announce(self, record: AgentRecord) -> None:
+        """Send ``record`` to every control instance, at once and each second.
+
+        A changed record needs a higher ``sequence``.
+        """
+        self._record = record
+        self._send_record(self.open_links())
+
+    def _register(self, dispatch: Dispatch) -> None:
+        dispatch.revision = lambda: self.view.revision
+        dispatch.handle(Method.changes, Changes, self._handle_changes)
+        dispatch.handle(
+            Method.directory_changes,
+            DirectoryChanges,
+            self._handle_directory,
+        )
+        dispatch.on_open.append(self._on_open)
+        dispatch.on_close.append(self._on_close)
+
+    def _on_open(self, link: Link) -> None:
+        if link not in self.open_links():
+            return
+        self._send_record([link])
+        if self._current is None:
+            self._subscribe(link)
+
+    def _on_close(self, link: Link) -> None:
+        if link is not self._current:
+            return
+        self._current = None
+        links = [other for other in self.open_links() if other is not link]
+        if links:
+            self._subscribe(self._random.choice(links))
+
+    def _tick(self) -> None:
+        self._ticks += 1
+        links = self.open_links()
+        if self._ticks % ANNOUNCE_TICKS == 0:
+            self._send_record(links)
+        now = self._clock.seconds()
+        if self._current is None and links:
+            self._subscribe(self._random.choice(links))
+        if self._freshness.is_settled(now):
+            links = [link for link in links if link is self._current]
+        for link in links:
+            self._ask_fresh(link, now)
+
+    def _ask_fresh(self, link: Link, asked_at: float) -> None:
+        call = link.call(Method.fresh, Nothing(), Fresh, CALL_TIMEOUT_SECONDS)
+        call.addCallback(self._on_fresh, link, asked_at)
+        call.addErrback(lambda _: None)
+
+    def _on_fresh(self, fresh: Fresh, link: Link, asked_at: float) -> None:
+        if link is self._current:
+            self._confirm(fresh, asked_at)
+        elif self._freshness.may_switch(asked_at, self._clock.seconds()):
+            self._subscribe(link)
+
+    def _confirm(self, fresh: Fresh, asked_at: float) -> None:
+        if not self.view.is_loaded:
+            return
+        self.view.raise_revision(fresh.revision)
+        self._freshness.confirm(asked_at)
+
+    def _subscribe(self, link: Link) -> None:
+        previous = self._current
+        self._current = link
+        self._freshness.chosen_at = self._clock.seconds()
+        self._feed = _create_feed(self.view, self._interest)
+        since = self.view.revision if self.view.is_loaded else NO_REVISION
+        _log.event('subscribed', control=link.peer.name, since=since)
+        asked = self._request(link, attrs.evolve(self._interest, since=since))
+        asked.addCallback(lambda _: self._ask_current(link))
+        asked.addErrback(lambda _: self._on_close(link))
+        if previous is not None and previous is not link:
+            ended = self._request(previous, Subscribe())
+            ended.addErrback(lambda _: None)
+
+    def _ask_current(self, link: Link) -> None:
+        if link is self._current:
+            self._ask_fresh(link, self._clock.seconds())
+
+    def _request(self, link: Link, subscription: Subscribe) -> Deferred[Any]:
+        return link.call(
+            Method.subscribe,
+            subscription,
+            Subscribed,
+            CALL_TIMEOUT_SECONDS,
+        )
+
+    def _handle_changes(self, link: Link, message: Changes) -> None:
+        if link is self._current and self._feed.take_changes(message):
+            self._notify()
+
+    def _handle_directory(self, link: Link, message: DirectoryChanges) -> None:
+        if link is self._current and self._feed.take_directory(message):
+            self._notify()
+
+    def _notify(self) -> None:
+        for callback in self.on_change:
+            callback()
+
+    def _send_record(self, links: Iterable[Link]) -> None:
+        if self._record is None:
+            return
+        for link in links:
+            link.notify(Method.announce, Announce(record=self._record))
+
+
+def _create_feed(view: View, interest: Subscribe) -> Feed:
+    return Feed(view=view, kinds=tuple(Kind(kind) for kind in interest.kinds))
+
+
+def create_control_session(
+    endpoints: Iterable[Endpoint],
+    dispatch: Dispatch,
+    reactor: Any,
+    random: Random,
+    kinds: Iterable[Kind],
+    directory: bool,
+) -> ControlSession:
+    """Create the session of a process with the control group.
+
+    Registers its handlers on ``dispatch``. The view holds ``kinds``, and the
+    agents too if ``directory`` is set.
+    """
+    return ControlSession(
+        links=create_control_links(endpoints, dispatch, reactor, random),
+        dispatch=dispatch,
+        clock=reactor,
+        random=random,
+        interest=Subscribe(
+            kinds=[int(kind) for kind in kinds],
+            directory=directory,
+        ),
+    )
