--- a/wasabiturn/request/hop_by_hop.py
+++ b/wasabiturn/request/hop_by_hop.py
@@ -17,6 +17,8 @@
         'upgrade',
     )
 )
+# The next hop frames the body by it, so ``Connection`` cannot drop it.
+_KEPT_NAMES = frozenset(('content-length',))
 
 
 def end_to_end(headers: Iterable[Header]) -> list[Header]:
@@ -26,7 +28,7 @@
     are dropped.
     """
     kept = list(headers)
-    dropped = HOP_BY_HOP_NAMES.union(*map(_listed_names, kept))
+    dropped = HOP_BY_HOP_NAMES.union(*map(_listed_names, kept)) - _KEPT_NAMES
     return [header for header in kept if header.name.lower() not in dropped]
 
 
--- /dev/null
+++ b/wasabiturn/request/limits.py
@@ -0,0 +1,122 @@
+"""Limits on the requests that one entry has in flight."""
+
+import math
+from collections import Counter
+from collections.abc import Mapping
+from http import HTTPStatus
+from typing import final
+
+import attrs
+from expression import Error, Ok, Result
+
+from wasabiturn.ids import ServiceName
+from wasabiturn.request.refusal import Refusal, refuse_not_run
+
+SERVICE_LIMIT_KEY = 'service_limit'
+CALLER_LIMIT_KEY = 'caller_limit'
+# A caller may hold this many times what is left of its service's limit.
+FAIR_FACTOR = 8
+RETRY_AFTER_SECONDS = 1
+
+
+@final
+@attrs.frozen
+class Limits:
+    """Limits in force; the default of a kind has the empty name."""
+
+    limits_by_service: Mapping[str, int] = attrs.field(factory=dict)
+    limits_by_caller: Mapping[str, int] = attrs.field(factory=dict)
+
+
+@final
+@attrs.define
+class InFlight:
+    """Requests in flight at one entry."""
+
+    count_by_service: Counter[ServiceName] = attrs.field(factory=Counter)
+    count_by_caller: Counter[str] = attrs.field(factory=Counter)
+    count_by_share: Counter[tuple[ServiceName, str]] = attrs.field(
+        factory=Counter,
+    )
+
+
+def read_limits(settings: Mapping[str, str]) -> Limits:
+    """Read the limits of a configuration; malformed ones are left out.
+
+    ``service_limit`` and ``caller_limit`` are the defaults;
+    ``service_limit.NAME`` and ``caller_limit.NAME`` go before them.
+    """
+    return Limits(
+        limits_by_service=_read_kind(settings, SERVICE_LIMIT_KEY),
+        limits_by_caller=_read_kind(settings, CALLER_LIMIT_KEY),
+    )
+
+
+def admit(
+    in_flight: InFlight,
+    limits: Limits,
+    service_name: ServiceName,
+    caller: str,
+) -> Result[None, Refusal]:
+    """Count a request in, or refuse it.
+
+    As the service's limit fills up, the share of each caller shrinks with
+    what is left, so that a newcomer finds room however many requests another
+    caller sends.
+    """
+    caller_limit = _find(limits.limits_by_caller, caller)
+    if in_flight.count_by_caller[caller] >= caller_limit:
+        return Error(_refuse('the caller has too many requests in flight'))
+    service_limit = _find(limits.limits_by_service, service_name)
+    left = service_limit - in_flight.count_by_service[service_name]
+    own = in_flight.count_by_share[service_name, caller]
+    if left <= 0 or own >= left * FAIR_FACTOR:
+        return Error(_refuse('the service has too many requests in flight'))
+    _count(in_flight, service_name, caller, 1)
+    return Ok(None)
+
+
+def release(
+    in_flight: InFlight,
+    service_name: ServiceName,
+    caller: str,
+) -> None:
+    """Count a request out."""
+    _count(in_flight, service_name, caller, -1)
+
+
+def _count(
+    in_flight: InFlight,
+    service_name: ServiceName,
+    caller: str,
+    change: int,
+) -> None:
+    in_flight.count_by_service[service_name] += change
+    in_flight.count_by_caller[caller] += change
+    in_flight.count_by_share[service_name, caller] += change
+    if in_flight.count_by_caller[caller] <= 0:
+        in_flight.count_by_caller.pop(caller)
+    if in_flight.count_by_share[service_name, caller] <= 0:
+        in_flight.count_by_share.pop((service_name, caller))
+
+
+def _find(limits_by_name: Mapping[str, int], name: str) -> float:
+    default = limits_by_name.get('', math.inf)
+    return limits_by_name.get(name, default)
+
+
+def _read_kind(settings: Mapping[str, str], key: str) -> dict[str, int]:
+    limits_by_name = {}
+    for setting, text in settings.items():
+        kind, _, name = setting.partition('.')
+        if kind == key and text.strip().isdecimal():
+            limits_by_name[name] = int(text)
+    return limits_by_name
+
+
+def _refuse(reason: str) -> Refusal:
+    return refuse_not_run(
+        HTTPStatus.TOO_MANY_REQUESTS,
+        reason,
+        RETRY_AFTER_SECONDS,
+    )
