Serve callers at the entry, at most once where a request is not idempotent

Cause: callers had no way to a backend server. Ruled out: whole buffering of bodies, because memory would grow with them. Before: the entry opened no port. Conclusion: the seam to control is EntrySession, the seam to agents the stream of Method.serve.

--- /dev/null
+++ b/tests/process/entry/test_front.py
@@ -0,0 +1,243 @@
+"""HTTP edges of the callers' front."""
+
+from pathlib import Path
+
+import pytest
+
+from tests.process.entry.fakes import Bench
+from wasabiturn.messages.state import Header
+
+GET = 'GET /standdesk/x HTTP/1.1\r\nHost: x\r\n\r\n'
+
+
+@pytest.fixture
+def bench(tmp_path: Path) -> Bench:
+    return Bench(tmp_path)
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        'nonsense\r\n\r\n',
+        'GET http://other/standdesk/x HTTP/1.1\r\nHost: x\r\n\r\n',
+        'OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n',
+        'CONNECT other:80 HTTP/1.1\r\nHost: x\r\n\r\n',
+        'GET /standdesk/x HTTP/1.1\r\nHost: x\r\nno colon\r\n\r\n',
+        'GET /standdesk/x HTTP/1.1\r\nWasabiturn-Timeout-Ms: soon\r\n\r\n',
+        'POST /standdesk/x HTTP/1.1\r\nWasabiturn-Idempotent: maybe\r\n'
+        'Content-Length: 0\r\n\r\n',
+        'POST /standdesk/x HTTP/1.1\r\nContent-Length: 1\r\n'
+        'Content-Length: 2\r\n\r\nab',
+        'POST /standdesk/x HTTP/1.1\r\nContent-Length: 3\r\n'
+        'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+        'POST /standdesk/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n'
+        'Content-Length: 3\r\n\r\n0\r\n\r\n',
+        'POST /standdesk/x HTTP/1.1\r\nContent-Length: -1\r\n\r\n',
+        'POST /standdesk/x HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc',
+        'POST /standdesk/x HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n',
+        'GET /standdesk/x HTTP/1.1\r\nX: ' + 'y' * 20000 + '\r\n\r\n',
+        'GET /standdesk/' + 'y' * 20000 + ' HTTP/1.1\r\nHost: x\r\n\r\n',
+    ],
+)
+def test_malformed_request_is_refused(bench: Bench, text: str) -> None:
+    caller = bench.call(text)
+    assert caller.received.startswith('HTTP/1.1 400')
+    assert 'Wasabiturn-Outcome: not-run' in caller.received
+    assert not bench.requests()
+
+
+def test_slow_head_is_dropped(bench: Bench) -> None:
+    caller = bench.call('GET /standdesk/x HTTP/1.1\r\n')
+    for number in range(12):
+        caller.send(f'X-{number}: y\r\n')
+        bench.advance(1.0, step=0.5)
+    assert caller.is_aborted
+    assert not bench.requests()
+
+
+def test_slow_body_ends_at_the_deadline(bench: Bench) -> None:
+    caller = bench.call(
+        'PUT /standdesk/x HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n'
+        'Wasabiturn-Timeout-Ms: 3000\r\n\r\n',
+    )
+    for _ in range(4):
+        caller.send('y')
+        bench.advance(1.0, step=0.5)
+    assert caller.received.startswith('HTTP/1.1 504')
+    (request,) = bench.requests()
+    assert request.reset_reason == 'deadline passed'
+
+
+def test_expect_continue_is_answered_when_the_body_is_wanted(
+    bench: Bench,
+) -> None:
+    caller = bench.call(
+        'POST /standdesk/x HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n'
+        'Expect: 100-continue\r\n\r\n',
+    )
+    assert caller.received == 'HTTP/1.1 100 Continue\r\n\r\n'
+    caller.send('hi')
+    (request,) = bench.requests()
+    assert request.body == b'hi'
+    names = [header.name.lower() for header in request.head.headers]
+    assert 'expect' not in names
+
+
+def test_expect_continue_gets_the_refusal_alone(bench: Bench) -> None:
+    caller = bench.call(
+        'POST /nothing/x HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n'
+        'Expect: 100-continue\r\n\r\n',
+    )
+    assert caller.received.startswith('HTTP/1.1 404')
+    assert '100 Continue' not in caller.received
+    assert caller.is_closed
+
+
+def test_declared_body_over_the_limit_is_refused(bench: Bench) -> None:
+    caller = bench.call(
+        'PUT /standdesk/x HTTP/1.1\r\nHost: x\r\n'
+        'Content-Length: 1000001\r\n\r\n',
+    )
+    assert caller.received.startswith('HTTP/1.1 413')
+    assert 'Wasabiturn-Outcome: not-run' in caller.received
+    assert not bench.requests()
+
+
+def test_chunked_body_over_the_limit_is_refused(bench: Bench) -> None:
+    caller = bench.call(
+        'PUT /standdesk/x HTTP/1.1\r\nHost: x\r\n'
+        'Transfer-Encoding: chunked\r\n\r\n',
+    )
+    for _ in range(11):
+        caller.send(b'186a0\r\n' + bytes(100_000) + b'\r\n')
+    assert caller.received.startswith('HTTP/1.1 413')
+    (request,) = bench.requests()
+    assert request.reset_reason is not None
+
+
+def test_refused_body_is_read_before_the_close(bench: Bench) -> None:
+    caller = bench.call(
+        'POST /nothing/x HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nab',
+    )
+    assert caller.received.startswith('HTTP/1.1 404')
+    assert not caller.is_closed
+    caller.send('cd')
+    assert caller.is_closed
+
+
+def test_malformed_chunk_aborts_the_request(bench: Bench) -> None:
+    caller = bench.call(
+        'POST /standdesk/x HTTP/1.1\r\nHost: x\r\n'
+        'Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\nzz\r\n',
+    )
+    (request,) = bench.requests()
+    assert request.reset_reason is not None
+    assert not request.ended
+    assert 'not-run' not in caller.received
+
+
+def test_head_answer_has_no_body(bench: Bench) -> None:
+    caller = bench.call('HEAD /standdesk/x HTTP/1.1\r\nHost: x\r\n\r\n')
+    bench.requests()[0].answer(b'', 200, (Header('Content-Length', '9'),))
+    bench.pump()
+    assert caller.received == 'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n'
+    assert not caller.is_aborted
+
+
+@pytest.mark.parametrize('status', [204, 304])
+def test_status_without_body(bench: Bench, status: int) -> None:
+    caller = bench.call(GET)
+    bench.requests()[0].answer(b'', status)
+    bench.pump()
+    assert caller.received.startswith(f'HTTP/1.1 {status} ')
+    assert 'chunked' not in caller.received.lower()
+    caller.send(GET)
+    assert len(bench.requests()) == 2
+
+
+def test_answer_of_unknown_length_is_chunked(bench: Bench) -> None:
+    caller = bench.call(GET)
+    bench.requests()[0].answer(b'hello')
+    bench.pump()
+    assert 'Transfer-Encoding: chunked' in caller.received
+    assert caller.received.endswith('5\r\nhello\r\n0\r\n\r\n')
+
+
+def test_hop_by_hop_headers_stay(bench: Bench) -> None:
+    bench.call(
+        'GET /standdesk/x HTTP/1.1\r\nHost: x\r\nTE: trailers\r\n'
+        'Connection: keep-alive, X-Mine, Content-Length\r\nX-Mine: 1\r\n'
+        'X-Kept: 2\r\nContent-Length: 0\r\n\r\n',
+    )
+    (request,) = bench.requests()
+    names = {header.name.lower() for header in request.head.headers}
+    assert names == {'host', 'x-kept', 'content-length'}
+
+
+def test_requests_of_one_connection_are_served_in_order(bench: Bench) -> None:
+    caller = bench.call(GET + GET)
+    (first,) = bench.requests()
+    first.answer(b'1', 200, (Header('Content-Length', '1'),))
+    bench.pump()
+    second = next(each for each in bench.requests() if each is not first)
+    second.answer(b'2', 200, (Header('Content-Length', '1'),))
+    bench.pump()
+    assert [part[-1] for part in caller.received.split('HTTP/1.1')[1:]] == [
+        '1',
+        '2',
+    ]
+
+
+def test_slow_caller_holds_the_agent_back(bench: Bench) -> None:
+    caller = bench.call(GET)
+    (request,) = bench.requests()
+    request.begin()
+    bench.pump()
+    caller.channel.pauseProducing()
+    written = 0
+    for _ in range(1000):
+        if not request.stream.write(bytes(65536)):
+            break
+        written += 65536
+        bench.pump()
+    assert written < 600_000
+    caller.channel.resumeProducing()
+    bench.pump()
+    assert request.stream.credit > 0
+
+
+def test_slow_agent_holds_the_caller_back(bench: Bench) -> None:
+    caller = bench.call(
+        'PUT /standdesk/x HTTP/1.1\r\nHost: x\r\n'
+        'Content-Length: 900000\r\n\r\n',
+    )
+    (request,) = bench.requests()
+    request.hold_credit = True
+    sent = 0
+    while caller.transport.producerState == 'producing' and sent < 900_000:
+        caller.send(bytes(50_000))
+        sent += 50_000
+    assert sent <= 350_000
+    request.release_credit()
+    bench.pump()
+    assert caller.transport.producerState == 'producing'
+
+
+def test_probes(bench: Bench) -> None:
+    probe = 'GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n'
+    assert bench.call(probe).received.startswith('HTTP/1.1 200')
+    bench.session.fresh = False
+    assert bench.call(probe).received.startswith('HTTP/1.1 503')
+    health = probe.replace('ready', 'health')
+    assert bench.call(health).received.startswith('HTTP/1.1 200')
+
+
+def test_not_fresh_serves_idempotent_requests_only(bench: Bench) -> None:
+    bench.session.fresh = False
+    bench.call(GET)
+    assert len(bench.requests()) == 1
+    post = GET.replace('GET', 'POST')
+    caller = bench.call(post)
+    assert len(bench.requests()) == 1
+    assert caller.received.startswith('HTTP/1.1 503')
+    assert 'Wasabiturn-Outcome: not-run' in caller.received
--- a/wasabiturn/connection/link.py
+++ b/wasabiturn/connection/link.py
@@ -56,7 +56,7 @@
         self._buffer = FrameBuffer()
         self._calls = CallTable(clock=clock)
         self._streams_by_exchange: dict[int, Stream] = {}
-        self._last_received = 0.0
+        self.last_received = 0.0
         self._last_sent = 0.0
         self._handlers_by_kind: dict[FrameKind, Callable[[Frame], None]] = {
             FrameKind.hello: self._handle_hello,
@@ -145,14 +145,14 @@
         transport = cast(Any, self.transport)
         if hasattr(transport, 'setTcpNoDelay'):
             transport.setTcpNoDelay(True)
-        self._last_received = self._clock.seconds()
+        self.last_received = self._clock.seconds()
         self._ticker.start(HEARTBEAT_SECONDS / 2, now=False)
         body = pack(self.dispatch.hello)
         self.send_frame(FrameKind.hello, 0, Method.none, body)
 
     def dataReceived(self, data: bytes) -> None:
         """Take bytes from the connection."""
-        self._last_received = self._clock.seconds()
+        self.last_received = self._clock.seconds()
         try:
             for payload in self._buffer.feed(data):
                 self._handle_frame(unpack(Frame, payload))
@@ -179,7 +179,7 @@
 
     def _tick(self) -> None:
         now = self._clock.seconds()
-        if now - self._last_received > SILENCE_LIMIT_SECONDS:
+        if now - self.last_received > SILENCE_LIMIT_SECONDS:
             self.abort('peer is silent')
         elif now - self._last_sent >= HEARTBEAT_SECONDS:
             self.send_frame(FrameKind.heartbeat, 0, Method.none, b'')
--- /dev/null
+++ b/wasabiturn/process/entry/claim_calls.py
@@ -0,0 +1,81 @@
+"""Calls to the control leader about claims.
+
+The leader commits the claims of all entries in batches.
+"""
+
+import itertools
+from typing import Any, final
+
+import attrs
+from twisted.internet.defer import Deferred
+
+from wasabiturn.messages.kinds import Method
+from wasabiturn.messages.session import ClaimLookup, LookUpClaim
+from wasabiturn.messages.state import (
+    ClaimRecord,
+    ClaimRequest,
+    RecordAnswer,
+)
+from wasabiturn.process.entry.session import EntrySession
+
+CLAIM_TIMEOUT_SECONDS = 3.0
+# An answer that a request had is worth trying to record for long.
+RECORD_TIMEOUT_SECONDS = 30.0
+LOOK_UP_TIMEOUT_SECONDS = 1.0
+
+
+@final
+@attrs.define
+class ClaimCalls:
+    """Claims of one entry; each call fails with ``CallError``.
+
+    ``pending`` counts claims and answers that are not settled.
+    """
+
+    session: EntrySession
+    entry: str
+    incarnation: str
+    pending: int = 0
+    numbers: Any = attrs.field(factory=lambda: itertools.count(1))
+
+    def create_claim(self, claim: ClaimRequest) -> ClaimRequest:
+        """Return ``claim`` as made by this entry, with a new id."""
+        claim_id = f'{self.entry}-{self.incarnation}-{next(self.numbers)}'
+        return attrs.evolve(claim, entry=self.entry, claim_id=claim_id)
+
+    def claim(self, claim: ClaimRequest) -> Deferred[ClaimRecord]:
+        """Commit a claim; fires with the record that is in force."""
+        called = self.session.call_leader(
+            Method.claim,
+            claim,
+            ClaimRecord,
+            CLAIM_TIMEOUT_SECONDS,
+        )
+        return self._count(called)
+
+    def record(self, answer: RecordAnswer) -> Deferred[ClaimRecord]:
+        """Commit how a claim ended."""
+        called = self.session.call_leader(
+            Method.record_answer,
+            answer,
+            ClaimRecord,
+            RECORD_TIMEOUT_SECONDS,
+        )
+        return self._count(called)
+
+    def look_up(self, claim: ClaimRequest) -> Deferred[ClaimLookup]:
+        """Read the record of a key."""
+        return self.session.call_leader(
+            Method.look_up_claim,
+            LookUpClaim(service_name=claim.service_name, key=claim.key),
+            ClaimLookup,
+            LOOK_UP_TIMEOUT_SECONDS,
+        )
+
+    def _count(self, called: Deferred[ClaimRecord]) -> Deferred[ClaimRecord]:
+        self.pending += 1
+        return called.addBoth(self._uncount)
+
+    def _uncount(self, result: Any) -> Any:
+        self.pending -= 1
+        return result
--- a/wasabiturn/process/entry/program.py
+++ b/wasabiturn/process/entry/program.py
@@ -1,31 +1,135 @@
 """Assembly of the entry program from its parts."""
 
-from typing import final
+import uuid
+from contextlib import ExitStack
+from random import Random
+from typing import Any, final
 
-import attrs
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred
 
-from wasabiturn.process.daemon import Context
+from wasabiturn.conf.sections import EntrySection
+from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.connection.link import PROTOCOL_VERSION
+from wasabiturn.exceptions import ProcessError
+from wasabiturn.ids import DataCentre, InstanceName
+from wasabiturn.messages.kinds import Kind, Role
+from wasabiturn.messages.link import Hello
+from wasabiturn.process.daemon import Context, listen
+from wasabiturn.process.entry.agents import AgentPool
+from wasabiturn.process.entry.claim_calls import ClaimCalls
+from wasabiturn.process.entry.draining import Draining
+from wasabiturn.process.entry.front import CallerFactory
+from wasabiturn.process.entry.readiness import Readiness
+from wasabiturn.process.entry.requests import RequestOpening
+from wasabiturn.process.entry.router import Router
+from wasabiturn.process.entry.session import EntrySession
+from wasabiturn.process.session import create_control_session
+
+KINDS = (Kind.service, Kind.data_centre, Kind.configuration)
 
 
 @final
-@attrs.define
 class EntryProgram:
     """The entry program of one process."""
 
-    context: Context
+    def __init__(
+        self,
+        context: Context,
+        section: EntrySection,
+        session: EntrySession,
+        dispatch: Dispatch,
+    ) -> None:
+        """Create the program; ``start`` opens its ports."""
+        self._context = context
+        self._section = section
+        self._session = session
+        reactor = context.reactor
+        instance = context.settings.instance
+        random = Random()
+        self._pool = AgentPool(session, dispatch, reactor, random)
+        router = Router(
+            self._pool,
+            DataCentre(instance.data_centre),
+            reactor,
+            random,
+        )
+        self._readiness = Readiness(session, reactor)
+        self._claims = ClaimCalls(
+            session,
+            instance.name,
+            dispatch.hello.incarnation,
+        )
+        self._opening = RequestOpening(
+            InstanceName(instance.name),
+            section,
+            self._readiness,
+            router,
+            self._claims,
+        )
+        self._callers = CallerFactory(reactor, self._opening.open)
+        self._port: Any = None
+        self._stack = ExitStack()
 
     def start(self) -> None:
         """Open ports and begin to work."""
+        self._stack.callback(self._pool.stop)
+        self._session.on_change.append(self._pool.refresh)
+        self._session.on_change.append(self._opening.refresh)
+        self._session.start()
+        self._stack.callback(self._session.stop)
+        self._port = listen(
+            self._context.reactor,
+            self._section.listen,
+            self._callers,
+        )
+        self._stack.callback(self._port.stopListening)
 
     def drain(self) -> Deferred[None]:
-        """Stop gracefully."""
-        return succeed(None)
+        """Stop gracefully: not ready first, then finish what is in flight."""
+        self._readiness.draining = True
+        return Draining(
+            reactor=self._context.reactor,
+            callers=self._callers,
+            stop_listening=self._port.stopListening,
+            count_in_flight=self._count_in_flight,
+            drain_seconds=self._section.drain_seconds,
+        ).start()
 
     def close(self) -> None:
-        """Release ports and files."""
+        """Release ports and links."""
+        self._stack.close()
+
+    def _count_in_flight(self) -> int:
+        return self._pool.count_in_flight() + self._claims.pending
 
 
 def create_entry(context: Context) -> EntryProgram:
-    """Create the entry program from the settings of ``context``."""
-    return EntryProgram(context=context)
+    """Create the entry program from the settings of ``context``.
+
+    Raises:
+        ProcessError: the settings have no section ``[entry]``.
+    """
+    section = context.settings.entry
+    if section is None:
+        raise ProcessError(f'{context.settings.source}: [entry] is missing')
+    dispatch = Dispatch(hello=_create_hello(context))
+    session: Any = create_control_session(
+        section.control,
+        dispatch,
+        context.reactor,
+        Random(),
+        KINDS,
+        directory=True,
+    )
+    return EntryProgram(context, section, session, dispatch)
+
+
+def _create_hello(context: Context) -> Hello:
+    instance = context.settings.instance
+    return Hello(
+        name=instance.name,
+        role=Role.entry,
+        incarnation=uuid.uuid4().hex,
+        data_centre=instance.data_centre,
+        protocol_version=PROTOCOL_VERSION,
+    )
--- /dev/null
+++ b/wasabiturn/process/entry/requests.py
@@ -0,0 +1,181 @@
+"""Opening of callers' requests: checks, then an exchange."""
+
+import itertools
+from functools import partial
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import final
+
+from expression import Error, Result
+
+from wasabiturn.conf.sections import EntrySection
+from wasabiturn.ids import InstanceName, RequestId
+from wasabiturn.messages.kinds import Kind
+from wasabiturn.messages.state import Header
+from wasabiturn.process.entry.caller import CallerRequest
+from wasabiturn.process.entry.caller_side import AnswerSource
+from wasabiturn.process.entry.claim_calls import ClaimCalls
+from wasabiturn.process.entry.exchange import Exchange
+from wasabiturn.process.entry.keyed import KeyedRequest
+from wasabiturn.process.entry.readiness import Readiness
+from wasabiturn.process.entry.router import Router
+from wasabiturn.request.body import RequestBody
+from wasabiturn.request.hop_by_hop import end_to_end
+from wasabiturn.request.inbound import (
+    InboundRequest,
+    RequestLine,
+    read_inbound,
+)
+from wasabiturn.request.limits import (
+    InFlight,
+    Limits,
+    admit,
+    read_limits,
+    release,
+)
+from wasabiturn.request.refusal import Refusal, refuse_not_run
+from wasabiturn.request.retry import earn_retry
+
+# Configuration resource that holds the limits on requests.
+LIMITS_RESOURCE = 'requests'
+
+_HEALTH_TARGET = '/-/health'
+_READY_TARGET = '/-/ready'
+_ENCODING = 'latin-1'
+_MS_PER_SECOND = 1000
+_STATUS_BY_READINESS = MappingProxyType(
+    {True: HTTPStatus.OK, False: HTTPStatus.SERVICE_UNAVAILABLE},
+)
+
+
+@final
+class RequestOpening:
+    """Opens an exchange for each request, or refuses it."""
+
+    def __init__(
+        self,
+        name: InstanceName,
+        section: EntrySection,
+        readiness: Readiness,
+        router: Router,
+        claims: ClaimCalls,
+    ) -> None:
+        """Create the opening of the requests of one entry."""
+        self._name = name
+        self._section = section
+        self._readiness = readiness
+        self._router = router
+        self._claims = claims
+        self._limits = Limits()
+        self._in_flight = InFlight()
+        self._numbers = itertools.count(1)
+
+    def refresh(self) -> None:
+        """Follow the limits of the configuration."""
+        view = self._readiness.session.view
+        resource = view.resources_by_kind[Kind.configuration].get(
+            LIMITS_RESOURCE,
+        )
+        spec = resource and resource.configuration_spec
+        self._limits = read_limits(spec.settings if spec else {})
+
+    def open(self, caller: CallerRequest) -> AnswerSource | None:
+        """Begin to serve a request; ``None`` when it is already answered."""
+        target = caller.uri.decode(_ENCODING)
+        if target in {_HEALTH_TARGET, _READY_TARGET}:
+            ready = target == _HEALTH_TARGET or self._readiness.is_ready()
+            _answer_probe(caller, _STATUS_BY_READINESS[ready])
+            return None
+        opened = self._read(caller, target).bind(
+            lambda request: self._check(caller, request),
+        )
+        if opened.is_error():
+            caller.refuse(opened.error)
+            return None
+        return self._start(caller, opened.ok)
+
+    def _read(
+        self,
+        caller: CallerRequest,
+        target: str,
+    ) -> Result[InboundRequest, Refusal]:
+        line = RequestLine(
+            method=caller.method.decode(_ENCODING),
+            target=target,
+            peer=caller.peer,
+        )
+        return read_inbound(
+            RequestId(f'{self._name}-{next(self._numbers)}'),
+            line,
+            end_to_end(caller.read_headers()),
+            self._section.default_timeout_ms / _MS_PER_SECOND,
+            self._router.now(),
+        )
+
+    def _check(
+        self,
+        caller: CallerRequest,
+        request: InboundRequest,
+    ) -> Result[InboundRequest, Refusal]:
+        if not self._router.pool.knows(request.service_name):
+            return Error(
+                refuse_not_run(HTTPStatus.NOT_FOUND, 'no such service'),
+            )
+        if (caller.body_length or 0) > self._section.max_body_bytes:
+            return Error(
+                refuse_not_run(
+                    HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                    'the body is over the limit',
+                ),
+            )
+        if not self._may_run(request):
+            return Error(
+                refuse_not_run(
+                    HTTPStatus.SERVICE_UNAVAILABLE,
+                    'no contact with control',
+                    1,
+                ),
+            )
+        return admit(
+            self._in_flight,
+            self._limits,
+            request.service_name,
+            request.caller,
+        ).map(lambda _: request)
+
+    def _may_run(self, request: InboundRequest) -> bool:
+        if request.idempotency.idempotent:
+            return True
+        return self._readiness.session.is_fresh(self._router.now())
+
+    def _start(
+        self,
+        caller: CallerRequest,
+        request: InboundRequest,
+    ) -> AnswerSource:
+        earn_retry(self._router.find_budget(request.service_name))
+        caller.on_done.append(
+            partial(
+                release,
+                self._in_flight,
+                request.service_name,
+                request.caller,
+            ),
+        )
+        if request.idempotency.key is not None:
+            return KeyedRequest(request, caller, self._router, self._claims)
+        exchange = Exchange(
+            request,
+            caller,
+            self._router,
+            RequestBody(max_bytes=self._section.max_body_bytes),
+        )
+        exchange.start()
+        return exchange
+
+
+def _answer_probe(caller: CallerRequest, status: HTTPStatus) -> None:
+    text = f'{status.phrase}\n'.encode()
+    caller.send_head(status, [Header('Content-Length', str(len(text)))])
+    caller.send_body(text)
+    caller.finish_answer()
