Keep the connection after the refusal of a request without a body

Cause: a request without a body counted as unread until Twisted said so, after its refusal was sent. Before: Connection: close on each such refusal. After: the connection stays.

--- a/tests/process/entry/test_front.py
+++ b/tests/process/entry/test_front.py
@@ -125,6 +125,14 @@
     assert caller.is_closed
 
 
+def test_refusal_without_body_keeps_the_connection(bench: Bench) -> None:
+    refused = 'GET /nothing/x HTTP/1.1\r\nHost: x\r\n\r\n'
+    caller = bench.call(refused + GET)
+    assert caller.received.startswith('HTTP/1.1 404')
+    assert 'Connection: close' not in caller.received
+    assert len(bench.requests()) == 1
+
+
 def test_malformed_chunk_aborts_the_request(bench: Bench) -> None:
     caller = bench.call(
         'POST /standdesk/x HTTP/1.1\r\nHost: x\r\n'
--- a/wasabiturn/process/entry/caller.py
+++ b/wasabiturn/process/entry/caller.py
@@ -119,7 +119,8 @@
             )
         lengths = self.responseHeaders.getRawHeaders(b'content-length')
         self._promised = int(lengths[0]) if lengths else None
-        if not self.body_complete or self._caller_channel.is_draining():
+        unread = self.body_length != 0 and not self.body_complete
+        if unread or self._caller_channel.is_draining():
             self._caller_channel.persistent = False
             self.responseHeaders.setRawHeaders(b'connection', [b'close'])
         self.registerProducer(self, True)
