Let the body of an answer outlast the deadline of its head

Ruled out: no limit at all, because a backend server that stops midway would hold its slot for ever. Before: reset at the deadline. After: past the deadline an answer under way is given up once its bytes stop for 5 s while the caller is not the slow side. Conclusion: the deadline is that of the answer's head.

--- a/wasabiturn/process/agent/backends.py
+++ b/wasabiturn/process/agent/backends.py
@@ -33,6 +33,7 @@
     Phase,
     ServedRequest,
     describe_quiet,
+    is_overdue,
 )
 from wasabiturn.request.silence import is_silent
 from wasabiturn.utils.logs import create_part_log
@@ -132,7 +133,7 @@
         if self.table.queue:
             self._apply(Reviewed())
         for request in list(self.requests_by_ticket.values()):
-            if now >= request.deadline:
+            if is_overdue(request, now):
                 request.expire()
             elif self._is_silent(request, now):
                 self._cut_silent(request)
--- a/wasabiturn/process/entry/attempts.py
+++ b/wasabiturn/process/entry/attempts.py
@@ -9,7 +9,7 @@
 from wasabiturn.messages.session import RequestHead
 from wasabiturn.process.entry.attempt import Attempt, AttemptOwner
 from wasabiturn.process.entry.router import Router
-from wasabiturn.request.body import RequestBody
+from wasabiturn.request.held_body import HeldBody
 from wasabiturn.request.inbound import InboundRequest
 from wasabiturn.request.load import record_done, record_sent
 from wasabiturn.request.refusal import (
@@ -42,7 +42,7 @@
     """
 
     request: InboundRequest
-    body: RequestBody
+    body: HeldBody
     router: Router
     owner: AttemptOwner
     claim: ClaimIdentity = attrs.field(factory=ClaimIdentity)
--- a/wasabiturn/process/entry/exchange.py
+++ b/wasabiturn/process/entry/exchange.py
@@ -10,8 +10,8 @@
 from wasabiturn.process.entry.caller_side import CallerSide
 from wasabiturn.process.entry.router import Router
 from wasabiturn.process.entry.timers import Timers
-from wasabiturn.request.body import RequestBody
 from wasabiturn.request.health import record_failure, record_success
+from wasabiturn.request.held_body import HeldBody
 from wasabiturn.request.inbound import InboundRequest
 from wasabiturn.request.load import record_report
 from wasabiturn.request.refusal import (
@@ -34,7 +34,7 @@
         request: InboundRequest,
         caller: CallerSide,
         router: Router,
-        body: RequestBody,
+        body: HeldBody,
     ) -> None:
         """Create an exchange; ``start`` or ``start_claimed`` sends it."""
         self._request = request
--- a/wasabiturn/process/entry/keyed.py
+++ b/wasabiturn/process/entry/keyed.py
@@ -16,7 +16,6 @@
 from wasabiturn.process.entry.recorder import AnswerRecorder
 from wasabiturn.process.entry.router import Router
 from wasabiturn.process.entry.timers import Timers
-from wasabiturn.request.body import RequestBody
 from wasabiturn.request.claims import (
     ClaimAnew,
     ClaimStep,
@@ -26,6 +25,7 @@
     compute_fingerprint,
     decide_on_record,
 )
+from wasabiturn.request.held_body import HeldBody
 from wasabiturn.request.inbound import InboundRequest
 from wasabiturn.request.refusal import (
     Refusal,
@@ -61,7 +61,7 @@
         self._caller = caller
         self._router = router
         self._calls = calls
-        self._body = RequestBody(
+        self._body = HeldBody(
             max_bytes=MAX_KEYED_BODY_BYTES,
             max_held_bytes=MAX_KEYED_BODY_BYTES,
         )
--- a/wasabiturn/process/entry/requests.py
+++ b/wasabiturn/process/entry/requests.py
@@ -19,7 +19,7 @@
 from wasabiturn.process.entry.keyed import KeyedRequest
 from wasabiturn.process.entry.readiness import Readiness
 from wasabiturn.process.entry.router import Router
-from wasabiturn.request.body import RequestBody
+from wasabiturn.request.held_body import HeldBody
 from wasabiturn.request.hop_by_hop import end_to_end
 from wasabiturn.request.inbound import (
     InboundRequest,
@@ -168,7 +168,7 @@
             request,
             caller,
             self._router,
-            RequestBody(max_bytes=self._section.max_body_bytes),
+            HeldBody(max_bytes=self._section.max_body_bytes),
         )
         exchange.start()
         return exchange
--- a/wasabiturn/request/body.py
+++ b/wasabiturn/request/held_body.py
@@ -9,7 +9,7 @@
 
 @final
 @attrs.define
-class RequestBody:
+class HeldBody:
     """Chunks received so far; dropped once they exceed ``max_held_bytes``."""
 
     max_bytes: int
--- a/wasabiturn/request/served.py
+++ b/wasabiturn/request/served.py
@@ -27,6 +27,9 @@
 DETACHED_LIMIT_SECONDS = 10.0
 MILLISECONDS = 1000
 
+# Past its deadline, an answer whose bytes stop for so long is given up.
+ANSWER_IDLE_SECONDS = 5.0
+
 
 @final
 class Phase(enum.Enum):
@@ -263,6 +266,20 @@
     )
 
 
+def is_overdue(request: ServedRequest, now: float) -> bool:
+    """Return whether a request shall be given up at ``now``.
+
+    The deadline is that of the answer's head; its body may take longer while
+    bytes flow, or while the caller is slow to take them.
+    """
+    if now < request.deadline:
+        return False
+    if request.phase is not Phase.answering:
+        return True
+    idle_seconds = now - request.last_activity
+    return not request.is_paused and idle_seconds > ANSWER_IDLE_SECONDS
+
+
 def describe_quiet(request: ServedRequest) -> Quiet | None:
     """Return what is known of a backend connection that is awaited."""
     is_awaited = request.phase in {Phase.sent, Phase.answering}
