--- a/tests/process/entry/test_front.py
+++ b/tests/process/entry/test_front.py
@@ -214,6 +214,30 @@
     assert request.stream.credit > 0
 
 
+def test_caller_that_reads_nothing_is_dropped(bench: Bench) -> None:
+    caller = bench.call(GET)
+    (request,) = bench.requests()
+    request.begin()
+    bench.pump()
+    caller.channel.pauseProducing()
+    request.stream.write(b'x')
+    bench.advance(31, step=0.5)
+    assert caller.is_aborted
+
+
+def test_answer_that_stops_is_aborted(bench: Bench) -> None:
+    caller = bench.call(GET)
+    (request,) = bench.requests()
+    request.begin()
+    bench.advance(25, step=0.5)
+    request.stream.write(b'x')
+    bench.advance(31, step=0.5)
+    assert not caller.is_aborted
+    bench.advance(31, step=0.5)
+    assert caller.is_aborted
+    assert request.reset_reason == 'the answer has stopped'
+
+
 def test_slow_agent_holds_the_caller_back(bench: Bench) -> None:
     caller = bench.call(
         'PUT /standdesk/x HTTP/1.1\r\nHost: x\r\n'
--- a/wasabiturn/process/entry/exchange.py
+++ b/wasabiturn/process/entry/exchange.py
@@ -1,5 +1,6 @@
 """Life of one request: attempts, retries, hedges and its one answer."""
 
+from functools import partial
 from http import HTTPStatus
 from typing import final
 
@@ -22,6 +23,8 @@
 from wasabiturn.request.retry import may_hedge
 from wasabiturn.request.routing import Candidate
 
+ANSWER_IDLE_SECONDS = 30.0
+
 _MS_PER_SECOND = 1000
 
 
@@ -44,6 +47,7 @@
         self._attempts = AttemptSet(request, body, router, self)
         self._answering: Attempt | None = None
         self._unconsumed = 0
+        self._moved = False
         self._finished = False
         self._timers = Timers(router.reactor)
 
@@ -109,6 +113,7 @@
 
     def attempt_data(self, attempt: Attempt, chunk: bytes) -> None:
         """Send on bytes of the answer; hold credit while the caller is slow."""
+        self._moved = True
         if self._caller.send_body(chunk):
             attempt.consumed(len(chunk))
         else:
@@ -144,9 +149,21 @@
         )
         self._answering = attempt
         self._timers.cancel()
+        self._timers.start(ANSWER_IDLE_SECONDS, self._check_progress)
         self._attempts.cancel_others(attempt, 'another attempt was answered')
         self._caller.send_head(head.status, head.headers)
 
+    def _check_progress(self) -> None:
+        """Abort an answer whose agent has sent nothing since the last check.
+
+        While the caller is slow, its connection has a limit of its own.
+        """
+        if self._moved or self._unconsumed:
+            self._moved = False
+            self._timers.start(ANSWER_IDLE_SECONDS, self._check_progress)
+        else:
+            self._give_up(HTTPStatus.GATEWAY_TIMEOUT, 'the answer has stopped')
+
     def _settle(self, reason: str, retry_after: float | None) -> None:
         """Retry or refuse, unless another attempt is still under way."""
         if self._finished or self._attempts.active:
@@ -163,9 +180,6 @@
         if may_hedge(self._attempts.made, budget):
             self._attempts.send_to_chosen()
 
-    def _expire(self) -> None:
-        self._give_up(HTTPStatus.GATEWAY_TIMEOUT, 'deadline passed')
-
     def _give_up(self, status: HTTPStatus, reason: str) -> None:
         if self._answering:
             self._close(reason)
@@ -186,4 +200,11 @@
 
     def _arm_deadline(self) -> None:
         left = self._request.deadline - self._router.now()
-        self._timers.start(left, self._expire)
+        self._timers.start(
+            left,
+            partial(
+                self._give_up,
+                HTTPStatus.GATEWAY_TIMEOUT,
+                'deadline passed',
+            ),
+        )
--- a/wasabiturn/process/entry/front.py
+++ b/wasabiturn/process/entry/front.py
@@ -43,6 +43,7 @@
         self.reactor = reactor
         self.opener = opener
         self.is_draining = is_draining
+        self.closing = False
         self.on_close: Callable[[CallerChannel], None] | None = None
         self._head_timer: Any = None
 
@@ -130,7 +131,8 @@
     def close_idle(self) -> None:
         """Close the connections on which no request is under way."""
         for channel in list(self.channels):
-            if not channel.requests:
+            if not channel.requests and not channel.closing:
+                channel.closing = True
                 channel.loseConnection()
 
     def is_draining(self) -> bool:
