Search for broken invariants of consensus by rules over 3 and 5 members

One leader a term, committed entries unchanged, one lease, no stale read under a lease and no false freshness, under loss, doubles, reordering, one-way cuts, crashes that lose what was not saved, lost disks, freezes and clocks that drift; after healing all converge and writes go on.

--- /dev/null
+++ b/tests/version/raft/test_invariants.py
@@ -0,0 +1,122 @@
+"""Rule-based search for a broken invariant over 3 and 5 members.
+
+``Cluster.check`` holds the invariants: one leader a term, committed entries
+never lost or changed, at most one lease, no stale read, freshness.
+"""
+
+from random import Random
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from tests.version.raft.cluster import Cluster, Machine
+
+numbers = st.integers(0, 4)
+durations = st.sampled_from([0.05, 0.1, 0.5, 1.0, 2.0])
+
+
+class ClusterMachine(RuleBasedStateMachine):
+    size = 3
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cluster = Cluster(self.size, Random(0))
+
+    @initialize(seed=st.integers(0, 2**16))
+    def found(self, seed: int) -> None:
+        self.cluster = Cluster(self.size, Random(seed))
+        self.cluster.run(1)
+
+    def pick(self, number: int) -> Machine:
+        """Number 0 is a leader, if there is one."""
+        machines = sorted(self.cluster.machines, key=_rank)
+        return machines[number % self.size]
+
+    @rule(seconds=durations, flush_share=st.sampled_from([0.5, 1.0]))
+    def run(self, seconds: float, flush_share: float) -> None:
+        self.cluster.run(seconds, flush_share)
+
+    @rule(number=numbers)
+    def submit(self, number: int) -> None:
+        self.cluster.submit(self.pick(number))
+
+    @rule(number=numbers)
+    def crash(self, number: int) -> None:
+        self.cluster.crash(self.pick(number))
+
+    @rule(number=numbers)
+    def start(self, number: int) -> None:
+        machine = self.pick(number)
+        if machine.raft is None:
+            self.cluster.reboot_clock(machine)
+            self.cluster.start(machine)
+
+    @rule(number=numbers)
+    @precondition(lambda self: self.cluster.may_lose_disk())
+    def lose_disk(self, number: int) -> None:
+        self.cluster.lose_disk(self.pick(number))
+
+    @rule(number=numbers)
+    def freeze_or_thaw(self, number: int) -> None:
+        machine = self.pick(number)
+        machine.frozen = not machine.frozen
+
+    @rule(source=numbers, sink=numbers)
+    def cut_one_way(self, source: int, sink: int) -> None:
+        route = (self.pick(source).name, self.pick(sink).name)
+        self.cluster.cuts.add(route)
+
+    @rule(number=numbers)
+    def isolate(self, number: int) -> None:
+        name = self.pick(number).name
+        for other in self.cluster.names:
+            self.cluster.cuts |= {(name, other), (other, name)}
+
+    @rule(loss=st.sampled_from([0.0, 0.1, 0.3]))
+    def lose_messages(self, loss: float) -> None:
+        self.cluster.loss = loss
+
+    @rule(number=numbers)
+    def take_snapshot(self, number: int) -> None:
+        self.cluster.take_snapshot(self.pick(number))
+
+    @rule()
+    def heal(self) -> None:
+        self.cluster.heal()
+        self.cluster.run(2)
+
+    @invariant()
+    def invariants_hold(self) -> None:
+        self.cluster.check()
+
+    def teardown(self) -> None:
+        self.cluster.check_recovery()
+
+
+class FiveMembers(ClusterMachine):
+    size = 5
+
+
+def _rank(machine: Machine) -> tuple[bool, str]:
+    raft = machine.raft
+    return (raft is None or raft.leadership is None, machine.name)
+
+
+_SETTINGS = settings(
+    derandomize=True,
+    max_examples=60,
+    stateful_step_count=40,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+TestThreeMembers = ClusterMachine.TestCase
+TestThreeMembers.settings = _SETTINGS
+TestFiveMembers = FiveMembers.TestCase
+TestFiveMembers.settings = settings(_SETTINGS, max_examples=30)
