--- a/wasabiturn/process/control/applier.py
+++ b/wasabiturn/process/control/applier.py
@@ -10,7 +10,7 @@
 from wasabiturn.ids import LogIndex
 from wasabiturn.messages.codec import unpack
 from wasabiturn.messages.kinds import EntryKind
-from wasabiturn.messages.raft import Entry
+from wasabiturn.messages.raft import Entry, Membership
 from wasabiturn.messages.state import Command, Outcome
 from wasabiturn.utils.logs import create_part_log
 from wasabiturn.version.apply import apply_command
@@ -63,6 +63,7 @@
             if entry.kind is EntryKind.command:
                 self._apply_command(entry)
             else:
+                _log_members(entry)
                 self._settle(entry, None)
 
     def abandon(self) -> None:
@@ -97,6 +98,17 @@
             waiting.settled.callback(outcome)
 
 
+def _log_members(entry: Entry) -> None:
+    if entry.kind is not EntryKind.membership:
+        return
+    members = unpack(Membership, entry.payload).members
+    _log.event(
+        'members changed',
+        voters=[each.member_id for each in members if each.voter],
+        learners=[each.member_id for each in members if not each.voter],
+    )
+
+
 def _call(callback: Callable[..., None], *arguments: Any) -> None:
     """Call another part; its failure must not stop replication."""
     try:
--- a/wasabiturn/process/control/consensus.py
+++ b/wasabiturn/process/control/consensus.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from contextlib import ExitStack
+from random import Random, SystemRandom
 from typing import Any, cast, final
 
 import attrs
@@ -18,19 +19,19 @@
 from wasabiturn.ids import InstanceName
 from wasabiturn.messages.kinds import Method
 from wasabiturn.messages.link import Nothing
-from wasabiturn.messages.raft import Envelope
+from wasabiturn.messages.raft import Envelope, Membership
 from wasabiturn.messages.state import Command, Outcome
 from wasabiturn.process.control.applier import Applier
 from wasabiturn.process.control.member import (
     ActiveMember,
     open_member,
 )
-from wasabiturn.process.control.peers import create_peers
+from wasabiturn.process.control.peers import Peers, create_peers
 from wasabiturn.process.daemon import Context
 from wasabiturn.utils.logs import create_part_log
-from wasabiturn.version.raft import lease
+from wasabiturn.version.raft import lease, membership
 from wasabiturn.version.raft.core import Tick, step
-from wasabiturn.version.replica import Applied, NotLeaderError
+from wasabiturn.version.replica import NotLeaderError
 from wasabiturn.version.state import State
 
 TICK_SECONDS = 0.05
@@ -53,15 +54,19 @@
         self,
         context: Context,
         section: ControlSection,
-        dispatch: Dispatch,
+        peers: Peers,
+        random: Random,
     ) -> None:
         """Create the member; ``start`` opens its data folder."""
         self.name = InstanceName(context.settings.instance.name)
         self.on_role_change: list[Callable[[], None]] = []
         self._context = context
         self._section = section
-        self._peers = create_peers(context, section, dispatch)
+        self._peers = peers
+        self._random = random
         self._applier = Applier()
+        self.on_applied = self._applier.on_applied
+        self.on_restored = self._applier.on_restored
         self._standing = _Standing(leader=None, leads=False)
         self._flush_call: Any = None
         self._stack = ExitStack()
@@ -72,16 +77,6 @@
         """Return the state after the last applied entry."""
         return self._applier.state
 
-    @property
-    def on_applied(self) -> list[Callable[[Applied], None]]:
-        """Return the callables that see each applied command."""
-        return self._applier.on_applied
-
-    @property
-    def on_restored(self) -> list[Callable[[], None]]:
-        """Return the callables that hear of a state restored whole."""
-        return self._applier.on_restored
-
     def start(self) -> None:
         """Recover from the data folder, and begin to dial and tick.
 
@@ -93,6 +88,7 @@
             self.name,
             self._peers,
             self._applier,
+            self._random,
             self._now(),
         )
         self._stack.callback(member.store.close)
@@ -140,6 +136,12 @@
             return None
         return self._member.leader(self._now())
 
+    def members(self) -> Membership:
+        """Return the members as this one knows them."""
+        if self._member is None:
+            return Membership()
+        return membership.current(self._member.raft)
+
     def holds_lease(self, now: float) -> bool:
         """Tell whether this member leads and no other can at ``now``."""
         member = self._member
@@ -217,6 +219,7 @@
     section = context.settings.control
     if section is None:
         raise StorageError('the settings have no [control] section')
-    replica = ConsensusReplica(context, section, dispatch)
+    peers = create_peers(context, section, dispatch)
+    replica = ConsensusReplica(context, section, peers, SystemRandom())
     dispatch.handle(Method.consensus, Envelope, replica.receive)
     return replica
--- a/wasabiturn/process/control/member.py
+++ b/wasabiturn/process/control/member.py
@@ -4,7 +4,6 @@
 messages leave and committed entries are applied.
 """
 
-import secrets
 from random import Random
 from typing import final
 
@@ -35,7 +34,7 @@
 
 KEPT_ENTRIES = 1000
 MAX_COMMAND_BYTES = 4 * 1024 * 1024
-_INCARNATION_BYTES = 8
+_INCARNATION_BITS = 64
 
 _log = create_part_log('consensus')
 
@@ -146,6 +145,7 @@
     name: InstanceName,
     peers: Peers,
     applier: Applier,
+    random: Random,
     now: float,
 ) -> ActiveMember:
     """Open the data folder and recover the member that owns it.
@@ -153,13 +153,13 @@
     Raises:
         StorageError: the data folder cannot be used.
     """
-    incarnation = secrets.token_hex(_INCARNATION_BYTES)
+    incarnation = f'{random.getrandbits(_INCARNATION_BITS):016x}'
     store = open_store(section.data_folder, name, incarnation)
     raft = create_raft(
         store.member_id,
         tuple(member.name for member in section.members),
         store.recovered,
-        Random(),
+        random,
         now,
     )
     if raft.snapshot is not None:
--- a/wasabiturn/process/control/peers.py
+++ b/wasabiturn/process/control/peers.py
@@ -1,7 +1,7 @@
 """Links to the other members of the cluster."""
 
 from random import Random
-from typing import final
+from typing import Protocol, final
 
 import attrs
 
@@ -14,9 +14,22 @@
 from wasabiturn.version.raft.membership import name_of
 
 
+class Peers(Protocol):
+    """What a member needs of the way to the others."""
+
+    def start(self) -> None:
+        """Begin to connect."""
+
+    def stop(self) -> None:
+        """Disconnect for good."""
+
+    def send(self, envelope: Envelope) -> None:
+        """Send a message, which may be lost."""
+
+
 @final
 @attrs.frozen
-class Peers:
+class DialledPeers:
     """One dialled link to each other control instance."""
 
     dialers_by_name: dict[str, Dialer]
@@ -42,7 +55,7 @@
     context: Context,
     section: ControlSection,
     dispatch: Dispatch,
-) -> Peers:
+) -> DialledPeers:
     """Create the links to the other members that the settings name."""
     dialers_by_name = {
         member.name: Dialer(
@@ -54,4 +67,4 @@
         for member in section.members
         if member.name != context.settings.instance.name
     }
-    return Peers(dialers_by_name=dialers_by_name)
+    return DialledPeers(dialers_by_name=dialers_by_name)
--- a/wasabiturn/version/replica.py
+++ b/wasabiturn/version/replica.py
@@ -44,20 +44,14 @@
     """
 
     name: InstanceName
+    on_applied: list[Callable[[Applied], None]]
+    on_restored: list[Callable[[], None]]
     on_role_change: list[Callable[[], None]]
 
     @property
     def state(self) -> State:
         """Return the state after the last applied command."""
 
-    @property
-    def on_applied(self) -> list[Callable[[Applied], None]]:
-        """Return the callables that see each applied command."""
-
-    @property
-    def on_restored(self) -> list[Callable[[], None]]:
-        """Return the callables that hear of a state replaced whole."""
-
     def submit(self, command: Command) -> Deferred[Outcome]:
         """Commit and apply ``command`` here; only the leader accepts it.
 
