Add the operators' API, watches and tokens

Cause: operators write and follow resources through any control instance or entry. A front holds no state: requests travel to the leader by one call that follows leader hints, with a request id, so that a resend gets its first answer whoever leads then.

Ruled out: a relay over HTTP between members (their API addresses are not in the settings of others); a buffer for each watcher (no bound).

Before: no API.

--- a/tests/process/group.py
+++ b/tests/process/group.py
@@ -10,8 +10,11 @@
 from wasabiturn.messages.kinds import Role
 from wasabiturn.messages.link import Hello
 from wasabiturn.messages.state import Command, Outcome
+from wasabiturn.process.control.api_core import ApiCore, register_api
 from wasabiturn.process.control.directory import create_directory
 from wasabiturn.process.control.sessions import Sessions
+from wasabiturn.process.control.tokens import Tokens
+from wasabiturn.process.control.watches import create_watches
 from wasabiturn.version.apply import apply_command
 from wasabiturn.version.persistence import dump_state, load_state
 from wasabiturn.version.replica import (
@@ -83,7 +86,13 @@
 class Group:
     """Members ``control-1``... behind ports 1, 2, ... of a network."""
 
-    def __init__(self, network: Network, size: int = 3) -> None:
+    def __init__(
+        self,
+        network: Network,
+        size: int = 3,
+        tokens: Tokens | None = None,
+    ) -> None:
+        self.tokens = tokens or Tokens()
         self.log: list[Command] = []
         self.loses_answers = False
         self.network = network
@@ -119,6 +128,14 @@
         directory = create_directory(self.network)
         sessions = Sessions(replica, directory, self.network)
         sessions.register(dispatch)
+        core = ApiCore(replica, directory, self.tokens)
+        register_api(core, dispatch)
+        sessions.watches = create_watches(
+            replica,
+            self.tokens,
+            self.network,
+            dispatch,
+        )
         sessions.start()
         self.dispatches.append(dispatch)
         self.sessions.append(sessions)
--- a/tests/version/test_apply.py
+++ b/tests/version/test_apply.py
@@ -163,6 +163,14 @@
     assert refused.code is OutcomeCode.forbidden
 
 
+def test_service_and_job_do_not_share_a_name() -> None:
+    state = create_state()
+    other = job(1)
+    other.name = 'desk'
+    _, refused = run(state, put(service(0)), put(other))
+    assert (refused.code, refused.field) == (OutcomeCode.conflict, 'name')
+
+
 def test_unknown_commands_are_refused() -> None:
     state = create_state()
     outcomes = run(state, Command(), delete(Kind.task, 'plots.0'))
--- /dev/null
+++ b/wasabiturn/process/control/api_core.py
@@ -0,0 +1,268 @@
+"""The operators' API at the member that leads; other members refuse."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Any, final
+
+from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.python.failure import Failure as TwistedFailure
+
+from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.messages.kinds import Kind, Method, OutcomeCode
+from wasabiturn.messages.session import ApiRequest, ApiResponse
+from wasabiturn.messages.state import (
+    Command,
+    DeleteResource,
+    Header,
+    Outcome,
+    PutResource,
+    Resource,
+)
+from wasabiturn.process.api_answers import create_answer, create_error
+from wasabiturn.process.control.api_routes import (
+    Action,
+    Route,
+    RouteError,
+    acting_team,
+    check_operator,
+    find_route,
+    parse_if_match,
+)
+from wasabiturn.process.control.directory import Directory
+from wasabiturn.process.control.settlement import (
+    create_settlement,
+    find_task,
+    parse_settlement,
+)
+from wasabiturn.process.control.soft_resources import (
+    SOFT_KINDS,
+    render_soft,
+)
+from wasabiturn.process.control.submission import read_barrier, submit
+from wasabiturn.process.control.tokens import Operator, Tokens
+from wasabiturn.version.replica import Replica
+from wasabiturn.version.resources import (
+    FieldError,
+    MalformedError,
+    parse_json,
+    parse_resource,
+    render_resource,
+)
+
+_STATUS_BY_CODE = MappingProxyType(
+    {
+        OutcomeCode.conflict: HTTPStatus.CONFLICT,
+        OutcomeCode.not_found: HTTPStatus.NOT_FOUND,
+        OutcomeCode.invalid: HTTPStatus.UNPROCESSABLE_ENTITY,
+        OutcomeCode.quota: HTTPStatus.UNPROCESSABLE_ENTITY,
+        OutcomeCode.forbidden: HTTPStatus.FORBIDDEN,
+    }
+)
+
+
+@final
+class ApiCore:
+    """Serves requests of operators on the replicated state."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        directory: Directory,
+        tokens: Tokens,
+    ) -> None:
+        """Create the core on one member."""
+        self._replica = replica
+        self._directory = directory
+        self._tokens = tokens
+        self._handlers: dict[Action, Callable[..., Any]] = {
+            Action.read: self._read,
+            Action.put: self._put,
+            Action.delete: self._delete,
+            Action.settle: self._settle,
+            Action.status: self._show_status,
+        }
+
+    def serve(self, request: ApiRequest) -> Deferred[ApiResponse]:
+        """Answer ``request``.
+
+        Fails with ``CallError``: ``not_leader`` or ``outcome_unknown``.
+        """
+        served = maybeDeferred(self._dispatch, request)
+        return served.addErrback(_answer_refusal)
+
+    def _dispatch(self, request: ApiRequest) -> Any:
+        route = find_route(request)
+        known = self._tokens.identify(request.authorization)
+        operator = check_operator(route, known)
+        return self._handlers[route.action](request, route, operator)
+
+    def _show_status(
+        self,
+        request: ApiRequest,
+        route: Route,
+        operator: Operator,
+    ) -> ApiResponse:
+        return create_answer(HTTPStatus.OK, describe_member(self._replica))
+
+    def _read(
+        self,
+        request: ApiRequest,
+        route: Route,
+        operator: Operator,
+    ) -> Deferred[ApiResponse]:
+        return read_barrier(self._replica).addCallback(
+            lambda _: self._render(route),
+        )
+
+    def _put(
+        self,
+        request: ApiRequest,
+        route: Route,
+        operator: Operator,
+    ) -> Deferred[ApiResponse]:
+        written = parse_json(request.body)
+        body = PutResource(
+            resource=parse_resource(route.kind, route.name, written),
+            expected_revision=parse_if_match(request.if_match),
+            actor_team=acting_team(operator),
+        )
+        command = Command(request_id=request.request_id, put=body)
+        return submit(self._replica, command).addCallback(_answer_outcome)
+
+    def _delete(
+        self,
+        request: ApiRequest,
+        route: Route,
+        operator: Operator,
+    ) -> Deferred[ApiResponse]:
+        body = DeleteResource(
+            kind=route.kind,
+            name=route.name,
+            expected_revision=parse_if_match(request.if_match),
+            actor_team=acting_team(operator),
+        )
+        command = Command(request_id=request.request_id, remove=body)
+        return submit(self._replica, command).addCallback(_answer_outcome)
+
+    def _settle(
+        self,
+        request: ApiRequest,
+        route: Route,
+        operator: Operator,
+    ) -> Deferred[ApiResponse]:
+        settled = parse_settlement(request.body)
+
+        def propose(_: None) -> Any:
+            state = self._replica.state
+            task = find_task(state, route.name, acting_team(operator))
+            if request.request_id in state.outcomes_by_request_id:
+                return _answer_resource(task)
+            command = create_settlement(task, settled, request.request_id)
+            return submit(self._replica, command).addCallback(
+                lambda outcome: self._answer_settlement(task, outcome),
+            )
+
+        return read_barrier(self._replica).addCallback(propose)
+
+    def _answer_settlement(
+        self,
+        task: Resource,
+        outcome: Outcome,
+    ) -> ApiResponse:
+        tasks = self._replica.state.resources_by_kind[Kind.task]
+        if outcome.codes != [OutcomeCode.ok]:
+            return create_error(
+                HTTPStatus.CONFLICT, 'the task has changed', field='state'
+            )
+        return _answer_resource(tasks.get(task.name, task))
+
+    def _render(self, route: Route) -> ApiResponse:
+        if route.kind in SOFT_KINDS:
+            return self._render_soft(route)
+        state = self._replica.state
+        resources = state.resources_by_kind[route.kind]
+        if not route.name:
+            ordered = [each for _, each in sorted(resources.items())]
+            items = [render_resource(each) for each in ordered]
+            return create_answer(
+                HTTPStatus.OK,
+                {'revision': state.revision, 'items': items},
+            )
+        found = resources.get(route.name)
+        if found is None:
+            return _answer_missing(route)
+        return _answer_resource(found)
+
+    def _render_soft(self, route: Route) -> ApiResponse:
+        rendered = render_soft(route.kind, self._directory)
+        if not route.name:
+            revision = self._replica.state.revision
+            return create_answer(
+                HTTPStatus.OK,
+                {'revision': revision, 'items': rendered},
+            )
+        for each in rendered:
+            if each['name'] == route.name:
+                return create_answer(HTTPStatus.OK, each)
+        return _answer_missing(route)
+
+
+def register_api(core: ApiCore, dispatch: Dispatch) -> None:
+    """Offer the API to the fronts of other processes."""
+    dispatch.handle(
+        Method.api,
+        ApiRequest,
+        lambda link, request: core.serve(request),
+    )
+
+
+def describe_member(replica: Replica) -> dict[str, Any]:
+    """Return what ``GET /v1/status`` says of this member."""
+    described = {
+        'member': replica.name,
+        'leader': replica.leader(),
+        'revision': replica.state.revision,
+    }
+    describe = getattr(replica, 'describe', None)
+    if describe is not None:
+        described.update(describe())
+    return described
+
+
+def _answer_refusal(failure: TwistedFailure) -> ApiResponse:
+    error: Any = failure.value
+    if isinstance(error, RouteError):
+        return create_error(error.status, error.message, error.field)
+    if isinstance(error, FieldError):
+        return create_error(
+            HTTPStatus.UNPROCESSABLE_ENTITY, error.text, error.field
+        )
+    if isinstance(error, MalformedError):
+        return create_error(HTTPStatus.BAD_REQUEST, str(error), 'body')
+    failure.raiseException()
+    raise AssertionError
+
+
+def _answer_missing(route: Route) -> ApiResponse:
+    text = f'there is no {route.kind.name} {route.name!r}'
+    return create_error(HTTPStatus.NOT_FOUND, text, 'name')
+
+
+def _answer_outcome(outcome: Outcome) -> ApiResponse:
+    resource = outcome.resource
+    if outcome.code is OutcomeCode.ok and resource is not None:
+        return _answer_resource(resource)
+    beside = {} if resource is None else {'resource': render_resource(resource)}
+    return create_error(
+        _STATUS_BY_CODE.get(outcome.code, HTTPStatus.UNPROCESSABLE_ENTITY),
+        outcome.text,
+        outcome.field,
+        code=outcome.code.name,
+        **beside,
+    )
+
+
+def _answer_resource(resource: Resource) -> ApiResponse:
+    tag = Header('ETag', f'"{resource.revision}"')
+    return create_answer(HTTPStatus.OK, render_resource(resource), [tag])
--- a/wasabiturn/process/control/program.py
+++ b/wasabiturn/process/control/program.py
@@ -12,8 +12,10 @@
 from wasabiturn.exceptions import ProcessError
 from wasabiturn.messages.kinds import Role
 from wasabiturn.messages.link import Hello
+from wasabiturn.process.control.api import create_api
 from wasabiturn.process.control.consensus import create_replica
 from wasabiturn.process.control.scheduler import create_scheduler
+from wasabiturn.process.control.sessions import create_sessions
 from wasabiturn.process.daemon import Context, Service, listen
 
 _INCARNATION_BYTES = 8
@@ -77,7 +79,12 @@
 def _create_parts(context: Context, dispatch: Dispatch) -> list[Service]:
     replica = create_replica(context, dispatch)
     dispatch.revision = lambda: replica.state.revision
-    return [replica, create_scheduler(context, replica, dispatch)]
+    return [
+        replica,
+        create_sessions(context, replica, dispatch),
+        create_api(context, replica),
+        create_scheduler(context, replica, dispatch),
+    ]
 
 
 def _drain(_: Any, part: Service) -> Deferred[None]:
--- a/wasabiturn/process/control/sessions.py
+++ b/wasabiturn/process/control/sessions.py
@@ -14,7 +14,7 @@
 
 from typing import Any, final
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import LoopingCall
 
 from wasabiturn.connection.calls import CallError
@@ -33,6 +33,7 @@
     Subscribed,
 )
 from wasabiturn.messages.state import ClaimRequest, Outcome, RecordAnswer
+from wasabiturn.process.control.api_core import ApiCore, register_api
 from wasabiturn.process.control.claim_batches import (
     create_answer_batches,
     create_claim_batches,
@@ -44,7 +45,10 @@
 )
 from wasabiturn.process.control.submission import read_barrier, submit
 from wasabiturn.process.control.subscribers import Subscribers
+from wasabiturn.process.control.tokens import read_tokens
+from wasabiturn.process.control.watches import Watches, create_watches
 from wasabiturn.process.daemon import Context
+from wasabiturn.process.freshness import FRESH_SECONDS
 from wasabiturn.version.apply_claims import claim_key
 from wasabiturn.version.replica import Applied, Replica
 
@@ -59,6 +63,7 @@
         """Create the sessions; ``register`` offers them on links."""
         self.directory = directory
         self.subscribers = Subscribers()
+        self.watches: Watches | None = None
         self._replica = replica
         self._clock = clock
         self._claims = create_claim_batches(replica)
@@ -83,11 +88,19 @@
     def start(self) -> None:
         """Begin to expire silent agents."""
         self._ticker.start(EXPIRE_PERIOD_SECONDS, now=False)
+        if self.watches is not None:
+            self.watches.start()
 
-    def stop(self) -> None:
+    def drain(self) -> Deferred[None]:
+        """Stop at once: sessions move to other members by themselves."""
+        return succeed(None)
+
+    def close(self) -> None:
         """Stop expiring agents."""
         if self._ticker.running:
             self._ticker.stop()
+        if self.watches is not None:
+            self.watches.stop()
 
     def _publish(self, applied: Applied) -> None:
         if applied.changes:
@@ -107,7 +120,9 @@
             self.subscribers.publish_directory(change)
 
     def _confirm(self, link: Link, message: Nothing) -> Fresh:
-        if not self._replica.is_fresh(self._clock.seconds()):
+        # The subscriber relies on the answer for this long.
+        relied_until = self._clock.seconds() + FRESH_SECONDS
+        if not self._replica.is_fresh(relied_until):
             text = 'no quorum has confirmed the state lately'
             raise CallError(FailureCode.unavailable, text)
         # A snapshot that this member installed brought changes of its own.
@@ -153,6 +168,12 @@
 ) -> Sessions:
     """Create the sessions of a control instance and register them."""
     clock = context.reactor
-    sessions = Sessions(replica, create_directory(clock), clock)
+    directory = create_directory(clock)
+    sessions = Sessions(replica, directory, clock)
     sessions.register(dispatch)
+    section = context.settings.control
+    tokens = read_tokens(section.token_file if section else None)
+    core = ApiCore(replica, directory, tokens)
+    register_api(core, dispatch)
+    sessions.watches = create_watches(replica, tokens, clock, dispatch)
     return sessions
--- a/wasabiturn/process/freshness.py
+++ b/wasabiturn/process/freshness.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-# A member vouches for its state for up to 1 s, so that both make up 3 s.
+# A member answers only if its state stays within 3 s for this long.
 FRESH_SECONDS = 2.0
 SWITCH_SECONDS = 1.0
 
--- a/wasabiturn/version/write_checks.py
+++ b/wasabiturn/version/write_checks.py
@@ -120,6 +120,10 @@
 ) -> Outcome | None:
     if present is not None or wanted.kind not in OWNER_KINDS:
         return None
+    other = Kind.job if wanted.kind is Kind.service else Kind.service
+    if wanted.name in state.resources_by_kind[other]:
+        text = f'there is a {other.name} of this name'
+        return refuse(OutcomeCode.conflict, text, field='name')
     task = find_leftover(state, wanted)
     if task is None:
         return None
