Decide by score, queue, moves, relief and what is learnt

Ruled out: a scan of all workers for each task (candidates are taken in rotation and compared); surplus replicas outside of the replicated state. Conclusion: each part has a weight or limit in the configuration placement.

--- a/tests/sessions/placement_fakes.py
+++ b/tests/sessions/placement_fakes.py
@@ -4,6 +4,7 @@
 way from their sender to their receiver is cut.
 """
 
+from collections import Counter
 from collections.abc import Callable, Iterator
 from typing import Any
 
@@ -51,6 +52,7 @@
 LATENCY_SECONDS = 0.001
 COMMIT_SECONDS = 0.004
 STEP_SECONDS = 0.05
+OUT_SECONDS = 3
 SIZE = Capacity(4, 1000, 0)
 
 
@@ -73,6 +75,31 @@
     metrics: Any
 
 
+class PausableClock:
+    """Clock of one process, whose timers wait while it is frozen."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.paused = False
+        self.late: list[Callable[[], None]] = []
+        self.seconds = clock.seconds
+
+    def callLater(self, delay: float, call: Any, *args: Any, **kw: Any) -> Any:
+        def run() -> None:
+            if self.paused:
+                self.late.append(run)
+            else:
+                call(*args, **kw)
+
+        return self.clock.callLater(delay, run)
+
+    def resume(self) -> None:
+        self.paused = False
+        late, self.late = self.late, []
+        for run in late:
+            run()
+
+
 class Network:
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
@@ -99,6 +126,7 @@
         self.name = name
         self.cluster = cluster
         self.on_applied: list[Any] = []
+        self.on_restored: list[Any] = []
         self.on_role_change: list[Any] = []
 
     @property
@@ -329,12 +357,13 @@
         self.cluster = cluster
         self.name = name
         self.alive = True
+        self.clock = PausableClock(cluster.clock)
         self.dispatch = Dispatch(
             hello=Hello(name=name, incarnation=f'{name}-{incarnation}'),
         )
         settings = FakeSettings(FakeInstance(name, data_centre, rack))
         self.attempts = Attempts(
-            context=FakeContext(settings, cluster.clock, NoMetrics()),  # type: ignore
+            context=FakeContext(settings, self.clock, NoMetrics()),  # type: ignore
             session=FakeSession(cluster, self),
             dispatch=self.dispatch,
             platform=FakePlatform(cluster, name, worker),
@@ -348,7 +377,7 @@
 
     def kill(self) -> None:
         self.alive = False
-        self.attempts.close()
+        self.clock.paused = True
 
 
 class Cluster:
@@ -364,8 +393,9 @@
         self.network = Network(self.clock)
         self.state = create_state()
         self.lines: list[str] = []
-        self.doubles: list[str] = []
-        self.starts_by_data_centre: dict[str, list[float]] = {}
+        self.faults: list[str] = []
+        self.outs: dict[str, float] = {}
+        self.fresh_starts: Counter[str] = Counter()
         self.leader: str | None = 'c1'
         self.controls = {
             f'c{number}': Control(f'c{number}', self)
@@ -408,6 +438,10 @@
 
     def take_out(self, data_centre: str, is_out: bool = True) -> None:
         spec = DataCentreSpec(out=is_out)
+        if is_out:
+            self.outs.setdefault(data_centre, self.clock.seconds())
+        else:
+            self.outs.pop(data_centre, None)
         self._put_owner(Kind.data_centre, data_centre, data_centre_spec=spec)
 
     def _put_owner(self, kind: Kind, name: str, **spec: Any) -> None:
@@ -430,12 +464,19 @@
         return effect.outcome
 
     def lead(self, name: str | None) -> None:
+        if self.leader == name:
+            return
         self.leader = name
         self._log(f'leader {name}')
         for control in self.controls.values():
             for callback in control.replica.on_role_change:
                 callback()
 
+    def restart_agent(self, name: str) -> None:
+        self.kill_agent(name)
+        self._log(f'start agent {name}')
+        self.start_agent(name)
+
     def start_agent(self, name: str) -> None:
         self.incarnations += 1
         self.agents[name] = Agent(
@@ -447,18 +488,23 @@
         )
 
     def kill_agent(self, name: str) -> None:
-        self._log(f'kill agent {name}')
-        self.agents[name].kill()
+        if self.agents[name].alive:
+            self._log(f'kill agent {name}')
+            self.agents[name].kill()
 
     def freeze(self, name: str) -> None:
         """Deliver nothing to ``name`` until ``thaw``."""
         self._log(f'freeze {name}')
-        self.network.frozen[name] = []
+        self.network.frozen.setdefault(name, [])
+        if name in self.agents:
+            self.agents[name].clock.paused = True
 
     def thaw(self, name: str) -> None:
         self._log(f'thaw {name}')
-        for deliver in self.network.frozen.pop(name):
+        for deliver in self.network.frozen.pop(name, []):
             deliver()
+        if name in self.agents and self.agents[name].alive:
+            self.agents[name].clock.resume()
 
     def cut(self, source: str, target: str) -> None:
         self._log(f'cut {source} to {target}')
@@ -510,19 +556,21 @@
             self._log(f'{worker} ends {what} {run.state.name}{reason}')
 
     def _check_start(self, worker: str, run: StandInRun, what: str) -> None:
-        data_centre = self.data_centres[worker]
-        starts = self.starts_by_data_centre.setdefault(data_centre, [])
-        starts.append(self.clock.seconds())
+        out_since = self.outs.get(self.data_centres[worker], float('inf'))
+        if self.clock.seconds() > out_since + OUT_SECONDS:
+            self.faults.append(f'{what} started on {worker}, which is out')
+        if not run.order.checkpoint:
+            self.fresh_starts[run.order.task] += 1
         for other, present in self.running():
             if present is not run and present.order.task == run.order.task:
-                self.doubles.append(f'{what} on {worker} and {other}')
+                self.faults.append(f'{what} on {worker} and {other}')
         cores = sum(
             present.order.size.cores
             for other, present in self.running()
             if other == worker
         )
         if cores > self.capacity.cores + 1e-6:
-            self.doubles.append(f'{worker} over capacity with {what}')
+            self.faults.append(f'{worker} over capacity with {what}')
 
     def _log_change(self, resource: Resource, is_removed: bool) -> None:
         spec = resource.task_spec
--- a/tests/sessions/test_placement.py
+++ b/tests/sessions/test_placement.py
@@ -10,5 +10,5 @@
     cluster.put_job('cut', tasks=2, run_seconds=4)
     cluster.advance(6)
     assert all(spec.state is TaskState.finished for spec in cluster.tasks())
-    assert not cluster.doubles
+    assert not cluster.faults
     assert cluster.lines == snapshot
--- a/wasabiturn/messages/state.py
+++ b/wasabiturn/messages/state.py
@@ -171,6 +171,7 @@
     """Transitions that the scheduler of the leader proposes."""
 
     transitions: list[TaskTransition] = attrs.field(factory=list)
+    surplus_services: list[str] = attrs.field(factory=list)
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/state.thrift
+++ b/wasabiturn/messages/wire/state.thrift
@@ -97,6 +97,7 @@
 
 struct UpdateTasks {
   1: list<TaskTransition> transitions,
+  2: list<string> surplus_services, // that get one replica beyond the declared
 }
 
 struct ClaimRequest {
--- a/wasabiturn/process/control/order_desk.py
+++ b/wasabiturn/process/control/order_desk.py
@@ -10,7 +10,8 @@
     PERMIT_SECONDS,
     TASK_LEASE_SECONDS,
 )
-from wasabiturn.version.placement.table import PlacementTable, Worker
+from wasabiturn.version.placement.table import PlacementTable
+from wasabiturn.version.placement.workers import Worker
 from wasabiturn.version.replica import Replica
 
 
--- a/wasabiturn/process/control/scheduler.py
+++ b/wasabiturn/process/control/scheduler.py
@@ -30,7 +30,9 @@
     judge_reports,
     register_worker,
 )
-from wasabiturn.version.placement.planner import Plan, plan
+from wasabiturn.version.placement.learning import learn_from_heartbeat
+from wasabiturn.version.placement.plan import Plan
+from wasabiturn.version.placement.planner import plan
 from wasabiturn.version.placement.table import (
     PlacementTable,
     create_table,
@@ -40,6 +42,8 @@
 from wasabiturn.version.replica import Applied, Replica
 
 TICK_SECONDS = 0.25
+# Reports and writes within this time are planned together.
+PLAN_SECONDS = 0.02
 
 _log = create_part_log('placement')
 
@@ -67,6 +71,7 @@
         dispatch.handle(Method.heartbeat, Heartbeat, self._handle_heartbeat)
         dispatch.on_close.append(self._desk.forget_link)
         replica.on_applied.append(self._handle_applied)
+        replica.on_restored.append(self._handle_role_change)
         replica.on_role_change.append(self._handle_role_change)
 
     def start(self) -> None:
@@ -119,7 +124,10 @@
 
     def _wake_up(self) -> None:
         if self._wake is None and self._ticker.running:
-            self._wake = self._context.reactor.callLater(0, self._run_wake)
+            self._wake = self._context.reactor.callLater(
+                PLAN_SECONDS,
+                self._run_wake,
+            )
 
     def _run_wake(self) -> None:
         self._wake = None
@@ -136,9 +144,10 @@
             raise CallError(FailureCode.invalid, registered.error)
         worker = registered.ok
         self._desk.remember_link(worker, link)
+        learn_from_heartbeat(table, worker, heartbeat, now)
         changed = judge_reports(table, worker, heartbeat.attempts, now)
         self._reported_by_task.update(changed)
-        if changed or table.waiting_tasks:
+        if changed or len(table.queue):
             self._wake_up()
         return self._desk.answer(table, worker, now)
 
@@ -147,14 +156,24 @@
             return
         self._desk.push(table, self._now())
         planned = plan(table, self._reported_by_task, self._now())
-        self._reported_by_task.clear()
-        if not planned.transitions_by_task:
-            return
+        for decision in planned.decisions:
+            _log.decision(
+                decision.sentence,
+                chosen=decision.chosen,
+                **decision.inputs,
+            )
+        if not planned.is_empty():
+            self._propose(planned)
+
+    def _propose(self, planned: Plan) -> None:
         self._is_proposing = True
-        transitions = list(planned.transitions_by_task.values())
-        command = Command(update_tasks=UpdateTasks(transitions=transitions))
-        submitted = self._replica.submit(command)
+        update = UpdateTasks(
+            transitions=list(planned.transitions_by_task.values()),
+            surplus_services=planned.surplus_services,
+        )
+        submitted = self._replica.submit(Command(update_tasks=update))
         submitted.addCallbacks(self._finish, self._abandon, (planned,))
+        submitted.addErrback(self._log_failure)
 
     def _finish(self, outcome: Outcome, planned: Plan) -> None:
         self._is_proposing = False
--- a/wasabiturn/version/apply_tasks.py
+++ b/wasabiturn/version/apply_tasks.py
@@ -10,14 +10,15 @@
     UpdateTasks,
 )
 from wasabiturn.version.state import Effect, State, store
-from wasabiturn.version.tasks import settle_task
+from wasabiturn.version.tasks import add_surplus, settle_task
 
 
 def update_tasks(body: UpdateTasks, state: State) -> Effect:
     """Apply the transitions whose task is as they expect it.
 
     ``Outcome.codes`` has one code for each: ``ok``, ``not_found``, or
-    ``conflict`` when the attempt or the state is another.
+    ``conflict`` when the attempt or the state is another. Each of
+    ``surplus_services`` gets one more replica than it declares.
     """
     codes: list[int] = []
     changes: list[Change] = []
@@ -26,6 +27,8 @@
         codes.append(code)
         if code is OutcomeCode.ok:
             changes.extend(_apply_transition(state, transition))
+    for service in body.surplus_services or ():
+        changes.extend(add_surplus(state, service))
     outcome = Outcome(revision=state.revision, codes=codes)
     return Effect(outcome=outcome, changes=tuple(changes))
 
--- a/wasabiturn/version/placement/capacity.py
+++ b/wasabiturn/version/placement/capacity.py
@@ -2,6 +2,8 @@
 
 from wasabiturn.messages.state import Capacity
 
+NOTHING = Capacity()
+
 # Rounding errors of repeated sums of cores.
 CORES_TOLERANCE = 1e-6
 
--- a/wasabiturn/version/placement/choice.py
+++ b/wasabiturn/version/placement/choice.py
@@ -1,53 +1,238 @@
-"""Choice of a worker for one task."""
+"""Choice of a worker for one task: feasible candidates, least cost."""
+
+from typing import final
 
 import attrs
 
-from wasabiturn.messages.kinds import TaskState
-from wasabiturn.messages.state import TaskSpec
-from wasabiturn.version.placement.capacity import dominant_share, fits
-from wasabiturn.version.placement.table import PlacementTable, Worker
+from wasabiturn.messages.kinds import Kind, TaskState
+from wasabiturn.messages.state import Capacity, TaskSpec
+from wasabiturn.version.placement.capacity import (
+    CORES_TOLERANCE,
+    NOTHING,
+    add,
+    dominant_share,
+    enlarge,
+    fits,
+    subtract,
+)
+from wasabiturn.version.placement.estimates import expected_seconds
+from wasabiturn.version.placement.lifecycle import HOLDING
+from wasabiturn.version.placement.table import PlacementTable
+from wasabiturn.version.placement.workers import Worker
 
+MAX_CANDIDATES = 16
 
-def choose_worker(
-    table: PlacementTable,
-    spec: TaskSpec,
-    now: float,
-) -> Worker | None:
-    """Return the worker for the next attempt of a task, if one can hold it."""
-    eligible = [
+
+@final
+@attrs.frozen
+class Request:
+    """Task to place, with what it is charged and how long it may run."""
+
+    task: str
+    spec: TaskSpec
+    size: Capacity
+    ends_at: float
+
+
+@final
+@attrs.frozen
+class Choice:
+    """Chosen worker, its cost, and how many candidates came before it."""
+
+    worker: Worker
+    cost: float
+    candidates: int
+
+
+@final
+@attrs.define
+class Places:
+    """Workers that may take starts at one moment, walked in rotation."""
+
+    workers: list[Worker]
+    total: Capacity = NOTHING
+    largest_free: Capacity = NOTHING
+    offset: int = 0
+    reserved_by_worker: dict[str, list[str]] = attrs.field(factory=dict)
+
+
+def create_places(table: PlacementTable, now: float) -> Places:
+    """List the workers that may take starts at ``now``."""
+    quarantine = table.learned.quarantine
+    limit = table.settings.max_starting_per_worker
+    workers = [
         worker
         for worker in table.workers_by_name.values()
-        if _is_eligible(table, worker, spec, now)
+        if worker.accepts_starts(now)
+        and worker.data_centre not in table.out_data_centres
+        and worker.starting < limit
+        and quarantine.allows(worker.name, len(worker.charges_by_task), now)
     ]
-    if not eligible:
+    places = Places(workers=workers)
+    for worker in workers:
+        places.total = add(places.total, worker.capacity)
+        places.largest_free = enlarge(places.largest_free, worker.free)
+    for task, reservation in table.reservations_by_task.items():
+        tasks = places.reserved_by_worker.setdefault(reservation.worker, [])
+        tasks.append(task)
+    return places
+
+
+def create_request(
+    table: PlacementTable,
+    task: str,
+    spec: TaskSpec,
+    now: float,
+) -> Request:
+    """Create the request of a waiting task."""
+    size = spec.size
+    owner = table.owner_of(spec)
+    if owner is not None:
+        declared = owner.job_spec or owner.service_spec
+        size = declared.size if declared else size
+    observations = table.learned.observations
+    return Request(
+        task=task,
+        spec=spec,
+        size=observations.charged_size(spec.task_kind, size),
+        ends_at=now + expected_seconds(table, spec),
+    )
+
+
+def choose_worker(
+    table: PlacementTable,
+    request: Request,
+    places: Places,
+) -> Choice | None:
+    """Return the best of some workers that have room for the request."""
+    if not fits(request.size, places.largest_free):
         return None
-    return min(eligible, key=lambda worker: (_fill(worker), worker.name))
+    replicas = _count_replicas(table, request.spec)
+    best: Choice | None = None
+    candidates = _find_candidates(table, request, places)
+    for compared, worker in enumerate(candidates, start=1):
+        cost = _cost(table, request, worker, replicas)
+        if best is None or cost < best.cost:
+            best = Choice(worker=worker, cost=cost, candidates=compared)
+    return best
 
 
-def assign(spec: TaskSpec, worker: Worker) -> TaskSpec:
-    """Return ``spec`` with its next attempt assigned to ``worker``."""
+def assign(request: Request, worker: Worker) -> TaskSpec:
+    """Return the task with its next attempt assigned to ``worker``."""
     return attrs.evolve(
-        spec,
+        request.spec,
         state=TaskState.assigned,
-        attempt=spec.attempt + 1,
+        attempt=request.spec.attempt + 1,
         worker=worker.name,
         incarnation=worker.incarnation,
+        size=request.size,
         reason='',
     )
 
 
-def _is_eligible(
+def _find_candidates(
     table: PlacementTable,
-    worker: Worker,
-    spec: TaskSpec,
-    now: float,
-) -> bool:
+    request: Request,
+    places: Places,
+) -> list[Worker]:
+    """Return the next workers in rotation that have room."""
+    limit = table.settings.max_starting_per_worker
+    count = len(places.workers)
+    found: list[Worker] = []
+    for step in range(count):
+        worker = places.workers[(places.offset + step) % count]
+        if worker.starting >= limit or not _has_room(worker, request.size):
+            continue
+        if _is_unreserved(table, request, worker, places):
+            found.append(worker)
+        if len(found) >= MAX_CANDIDATES:
+            places.offset += step + 1
+            break
+    return found
+
+
+def _has_room(worker: Worker, size: Capacity) -> bool:
+    free = worker.free
     return (
-        fits(spec.size, worker.free)
-        and worker.accepts_starts(now)
-        and worker.data_centre not in table.out_data_centres
+        size.cores <= free.cores + CORES_TOLERANCE
+        and size.memory_mb <= free.memory_mb
+        and size.accelerators <= free.accelerators
     )
 
 
-def _fill(worker: Worker) -> float:
-    return -dominant_share(worker.free, worker.capacity)
+def _is_unreserved(
+    table: PlacementTable,
+    request: Request,
+    worker: Worker,
+    places: Places,
+) -> bool:
+    """Tell whether the request delays no task that has a reservation."""
+    free = worker.free
+    for task in places.reserved_by_worker.get(worker.name, ()):
+        reservation = table.reservations_by_task.get(task)
+        if reservation is None or task == request.task:
+            continue
+        if request.ends_at > reservation.starts_at:
+            free = subtract(free, reservation.size)
+    return fits(request.size, free)
+
+
+def _cost(
+    table: PlacementTable,
+    request: Request,
+    worker: Worker,
+    replicas: dict[str, int],
+) -> float:
+    settings = table.settings
+    left = subtract(worker.free, request.size)
+    fill = dominant_share(left, worker.capacity)
+    cost = settings.fit_weight * fill
+    if settings.interference_weight:
+        harm = _interference(table, request.spec, worker)
+        cost += settings.interference_weight * harm
+    if replicas:
+        near = replicas.get(worker.data_centre, 0)
+        beside = replicas.get(_rack_key(worker), 0)
+        cost += settings.spread_weight * (near + beside)
+        cost += settings.spread_weight * replicas.get(worker.name, 0)
+    return cost
+
+
+def _interference(
+    table: PlacementTable,
+    spec: TaskSpec,
+    worker: Worker,
+) -> float:
+    """Return the expected slow-down of the task and its neighbours."""
+    model = table.learned.interference
+    own = table.settings.batch_weight
+    if spec.owner_kind is Kind.service:
+        own = table.settings.service_weight
+    harm = float(0)
+    for kind, count in worker.counts_by_kind.items():
+        weight = table.settings.batch_weight
+        if kind in worker.service_kinds:
+            weight = table.settings.service_weight
+        suffered = own * model.slowdown(spec.task_kind, kind)
+        caused = weight * model.slowdown(kind, spec.task_kind)
+        harm += count * (suffered + caused)
+    return harm
+
+
+def _count_replicas(table: PlacementTable, spec: TaskSpec) -> dict[str, int]:
+    """Count the held replicas of a service by data centre, rack, worker."""
+    counts: dict[str, int] = {}
+    if spec.owner_kind is not Kind.service:
+        return counts
+    for task in table.tasks_by_owner.get((spec.owner_kind, spec.owner), ()):
+        replica = table.specs_by_task[task]
+        if replica.state in HOLDING:
+            worker = table.worker(replica.worker)
+            keys = (worker.data_centre, _rack_key(worker), worker.name)
+            for key in keys:
+                counts[key] = counts.get(key, 0) + 1
+    return counts
+
+
+def _rack_key(worker: Worker) -> str:
+    return f'{worker.data_centre}/{worker.rack}'
--- a/wasabiturn/version/placement/heartbeats.py
+++ b/wasabiturn/version/placement/heartbeats.py
@@ -14,7 +14,8 @@
     PERMIT_SECONDS,
     over_after,
 )
-from wasabiturn.version.placement.table import PlacementTable, Worker
+from wasabiturn.version.placement.table import PlacementTable, Progress
+from wasabiturn.version.placement.workers import Worker
 
 
 def register_worker(
@@ -56,8 +57,7 @@
         spec = table.specs_by_task.get(report.task)
         if spec is None or not _is_about(spec, worker, report):
             continue
-        if report.checkpoint:
-            table.checkpoints_by_task[report.task] = report.checkpoint
+        _note_progress(table, report, now)
         changed = _judge(table, worker, spec, report)
         if changed is not None:
             next_by_task[report.task] = changed
@@ -78,6 +78,18 @@
     return now > over_after(granted, PERMIT_SECONDS)
 
 
+def _note_progress(
+    table: PlacementTable,
+    report: AttemptReport,
+    now: float,
+) -> None:
+    learned = table.learned
+    if report.checkpoint:
+        learned.checkpoints_by_task[report.task] = report.checkpoint
+    progress = Progress(run_seconds=report.run_seconds, reported_at=now)
+    learned.progress_by_task[report.task] = progress
+
+
 def _replace_incarnation(worker: Worker, incarnation: str) -> None:
     if worker.incarnation:
         worker.past_incarnations.add(worker.incarnation)
--- a/wasabiturn/version/placement/lifecycle.py
+++ b/wasabiturn/version/placement/lifecycle.py
@@ -26,9 +26,9 @@
         TaskState.finished,
         TaskState.failed,
         TaskState.cancelled,
-        TaskState.impossible,
     )
 )
+_SETTLED = TERMINAL | {TaskState.impossible}
 _MAX_REASON_CHARACTERS = 200
 
 
@@ -46,7 +46,7 @@
     rules: OwnerRules,
 ) -> TaskSpec | None:
     """Return ``spec`` after what an agent reported of its attempt."""
-    if report.attempt != spec.attempt or spec.state in TERMINAL:
+    if report.attempt != spec.attempt or spec.state in _SETTLED:
         return None
     rule = _rules_by_state.get(report.state)
     return rule(spec, report, rules) if rule else None
--- a/wasabiturn/version/placement/losses.py
+++ b/wasabiturn/version/placement/losses.py
@@ -8,7 +8,8 @@
     TASK_LEASE_SECONDS,
     over_after,
 )
-from wasabiturn.version.placement.table import PlacementTable, Worker
+from wasabiturn.version.placement.table import PlacementTable
+from wasabiturn.version.placement.workers import Worker
 
 
 def find_lost(table: PlacementTable, now: float) -> dict[str, TaskSpec]:
@@ -38,7 +39,8 @@
         return {}
     for task in worker.charges_by_task:
         spec = table.specs_by_task[task]
-        checkpoint = table.checkpoints_by_task.get(task, spec.checkpoint)
+        checkpoints = table.learned.checkpoints_by_task
+        checkpoint = checkpoints.get(task, spec.checkpoint)
         kept = attrs.evolve(spec, checkpoint=checkpoint)
         lost = after_loss(kept, f'lease ended on silent {worker.name}')
         if lost is not None:
--- a/wasabiturn/version/placement/orders.py
+++ b/wasabiturn/version/placement/orders.py
@@ -4,7 +4,8 @@
 from wasabiturn.messages.session import Order
 from wasabiturn.messages.state import TaskSpec
 from wasabiturn.version.placement.heartbeats import may_ask_for_loss
-from wasabiturn.version.placement.table import PlacementTable, Worker
+from wasabiturn.version.placement.table import PlacementTable
+from wasabiturn.version.placement.workers import Worker
 
 FULL_SPEED = 1.0
 
@@ -52,7 +53,7 @@
         attempt=spec.attempt,
         action=action,
         spec=spec if action is OrderAction.evict else None,
-        throttle=FULL_SPEED,
+        throttle=table.learned.throttles_by_task.get(task, FULL_SPEED),
     )
 
 
--- a/wasabiturn/version/placement/planner.py
+++ b/wasabiturn/version/placement/planner.py
@@ -4,40 +4,18 @@
 that a planned start takes is charged at once.
 """
 
-from typing import final
-
-import attrs
-
-from wasabiturn.messages.state import TaskSpec, TaskTransition
-from wasabiturn.version.placement.choice import assign, choose_worker
+from wasabiturn.messages.state import TaskSpec
+from wasabiturn.version.placement.choice import create_places
+from wasabiturn.version.placement.learning import learn_from_outcome
 from wasabiturn.version.placement.losses import find_lost
+from wasabiturn.version.placement.moves import plan_moves
+from wasabiturn.version.placement.overloads import plan_overloads
+from wasabiturn.version.placement.plan import MAX_REPORTED, Plan
+from wasabiturn.version.placement.relief import plan_relief
+from wasabiturn.version.placement.reservations import expire_reservations
+from wasabiturn.version.placement.starts import start_waiting
 from wasabiturn.version.placement.table import PlacementTable
-
-MAX_TRANSITIONS = 256
-
-
-@final
-@attrs.define
-class Plan:
-    """Transitions by task, in the order in which they were decided."""
-
-    transitions_by_task: dict[str, TaskTransition] = attrs.field(factory=dict)
-
-    def is_full(self) -> bool:
-        """Tell whether no more transitions fit into one command."""
-        return len(self.transitions_by_task) >= MAX_TRANSITIONS
-
-    def add(self, task: str, spec: TaskSpec, following: TaskSpec) -> None:
-        """Plan the change of ``task`` from ``spec`` to ``following``."""
-        self.transitions_by_task.setdefault(
-            task,
-            TaskTransition(
-                task=task,
-                expected_attempt=spec.attempt,
-                expected_state=spec.state,
-                task_spec=following,
-            ),
-        )
+from wasabiturn.version.placement.waiting import settle_impossible
 
 
 def plan(
@@ -45,29 +23,44 @@
     reported_by_task: dict[str, TaskSpec],
     now: float,
 ) -> Plan:
-    """Decide on reports, losses and starts."""
+    """Decide on reports, losses, moves and starts.
+
+    Reports that are taken in leave ``reported_by_task``; those that did not
+    fit into the plan stay for the next one.
+    """
     planned = Plan()
-    _add_all(table, planned, reported_by_task)
-    _add_all(table, planned, find_lost(table, now))
-    for task, spec in list(table.waiting_tasks.items()):
-        if planned.is_full():
-            break
-        if task in planned.transitions_by_task:
-            continue
-        worker = choose_worker(table, spec, now)
-        if worker is not None:
-            following = assign(spec, worker)
-            planned.add(task, spec, following)
-            table.put_task(task, following)
+    _take_reports(table, planned, reported_by_task, now)
+    _take_losses(table, planned, now)
+    plan_moves(table, planned)
+    plan_relief(table, planned, now)
+    plan_overloads(table, planned)
+    if len(table.queue) or table.impossible_tasks:
+        settle_impossible(table, planned, now)
+        expire_reservations(table, now)
+        start_waiting(table, planned, create_places(table, now), now)
     return planned
 
 
-def _add_all(
+def _take_reports(
     table: PlacementTable,
     planned: Plan,
-    next_by_task: dict[str, TaskSpec],
+    reported_by_task: dict[str, TaskSpec],
+    now: float,
 ) -> None:
-    for task, following in next_by_task.items():
+    for task in list(reported_by_task):
+        if planned.is_full(MAX_REPORTED):
+            return
+        following = reported_by_task.pop(task)
         spec = table.specs_by_task.get(task)
-        if spec is not None and not planned.is_full():
-            planned.add(task, spec, following)
+        if spec is None or spec.attempt != following.attempt:
+            continue
+        learn_from_outcome(table, planned, task, following, now)
+        planned.add(task, spec, following)
+
+
+def _take_losses(table: PlacementTable, planned: Plan, now: float) -> None:
+    for task, following in find_lost(table, now).items():
+        if planned.is_full(MAX_REPORTED):
+            return
+        if planned.add(task, table.specs_by_task[task], following):
+            planned.record('lose', chosen=task, reason=following.reason)
--- /dev/null
+++ b/wasabiturn/version/placement/quarantine.py
@@ -0,0 +1,63 @@
+"""Workers that fail what they start: rest, then one task on trial.
+
+A failure counts against the worker unless its job fails on other workers too.
+"""
+
+from typing import final
+
+import attrs
+
+FAILURES_TO_QUARANTINE = 3
+JOB_AT_FAULT_WORKERS = 3
+FIRST_REST_SECONDS = 30.0
+MAX_REST_SECONDS = 600.0
+
+
+@final
+@attrs.define
+class WorkerRecord:
+    """Failures in a row on one worker."""
+
+    failures: int = 0
+    rests: int = 0
+    resting_until: float = float('-inf')
+    on_trial: bool = False
+
+
+@final
+@attrs.define
+class Quarantine:
+    """Records of workers that failed, and where each job failed."""
+
+    records_by_worker: dict[str, WorkerRecord] = attrs.field(factory=dict)
+    failed_workers_by_job: dict[str, set[str]] = attrs.field(factory=dict)
+
+    def record_failure(self, worker: str, job: str, now: float) -> bool:
+        """Take a failure; tells whether the worker begins to rest."""
+        failed_workers = self.failed_workers_by_job.setdefault(job, set())
+        failed_workers.add(worker)
+        if len(failed_workers) >= JOB_AT_FAULT_WORKERS:
+            return False
+        record = self.records_by_worker.setdefault(worker, WorkerRecord())
+        record.failures += 1
+        if record.failures < FAILURES_TO_QUARANTINE and not record.on_trial:
+            return False
+        rest = min(FIRST_REST_SECONDS * 2**record.rests, MAX_REST_SECONDS)
+        record.resting_until = now + rest
+        record.rests += 1
+        record.on_trial = True
+        return True
+
+    def record_success(self, worker: str, job: str) -> None:
+        """Take a success, which ends a trial."""
+        self.records_by_worker.pop(worker, None)
+        self.failed_workers_by_job.pop(job, None)
+
+    def allows(self, worker: str, held: int, now: float) -> bool:
+        """Tell whether a worker that holds ``held`` tasks may take another."""
+        record = self.records_by_worker.get(worker)
+        if record is None:
+            return True
+        if now < record.resting_until:
+            return False
+        return held == 0 or not record.on_trial
--- /dev/null
+++ b/wasabiturn/version/placement/settings.py
@@ -0,0 +1,56 @@
+"""Weights and limits of placement, from the configuration ``placement``."""
+
+from typing import final
+
+import attrs
+from expression import Error, Ok, Result
+
+CONFIGURATION_NAME = 'placement'
+
+
+@final
+@attrs.frozen
+class PlacementSettings:
+    """Weights of the score and limits of eviction; each is a number >= 0.
+
+    A weight of 0 turns its part off. ``reservations`` is the number of
+    waiting tasks that backfill may not delay. Times are in seconds.
+    """
+
+    interference_weight: float = 4.0
+    service_weight: float = 4.0
+    batch_weight: float = 1.0
+    fit_weight: float = 1.0
+    spread_weight: float = 4.0
+    reservations: float = 2.0
+    run_time_correction: float = 1.0
+    throttle_floor: float = 0.25
+    suffering_seconds: float = 3.0
+    recovery_seconds: float = 10.0
+    max_evictions_at_once: float = 32.0
+    evictions_per_minute: float = 6.0
+    max_starting_per_worker: float = 8.0
+
+
+def parse_placement_settings(
+    settings: dict[str, str],
+) -> Result[PlacementSettings, str]:
+    """Parse the settings of the configuration; absent keys keep defaults."""
+    known = {field.name for field in attrs.fields(PlacementSettings)}
+    numbers = {}
+    for key, text in settings.items():
+        if key not in known:
+            return Error(f'{key}: not a setting of placement')
+        number = _parse_number(text)
+        if number is None:
+            return Error(f'{key}: {text!r} is not a number from 0 upwards')
+        numbers[key] = number
+    return Ok(PlacementSettings(**numbers))
+
+
+def _parse_number(text: str) -> float | None:
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return number if 0 <= number < float('inf') else None
--- a/wasabiturn/version/placement/table.py
+++ b/wasabiturn/version/placement/table.py
@@ -11,55 +11,64 @@
 
 from wasabiturn.messages.kinds import Kind, TaskState
 from wasabiturn.messages.state import Capacity, Resource, TaskSpec
-from wasabiturn.version.placement.capacity import add, subtract
+from wasabiturn.version.placement.capacity import NOTHING, add, subtract
+from wasabiturn.version.placement.interference import InterferenceModel
 from wasabiturn.version.placement.lifecycle import HOLDING, TERMINAL, OwnerRules
-from wasabiturn.version.placement.periods import AGENT_LEASE_SECONDS
+from wasabiturn.version.placement.observations import Observations
+from wasabiturn.version.placement.quarantine import Quarantine
+from wasabiturn.version.placement.queue import QueuedOwner, WaitingQueue
+from wasabiturn.version.placement.settings import (
+    CONFIGURATION_NAME,
+    PlacementSettings,
+    parse_placement_settings,
+)
+from wasabiturn.version.placement.workers import NEVER, Worker
 
-NEVER = float('-inf')
+
+@final
+@attrs.frozen
+class Progress:
+    """Run time of an attempt, in seconds, as reported at ``reported_at``."""
+
+    run_seconds: float
+    reported_at: float
+
+
+@final
+@attrs.frozen
+class Reservation:
+    """Room on a worker that is kept for one waiting task until ``until``.
+
+    ``starts_at`` is when the room is expected to be free.
+    """
+
+    worker: str
+    size: Capacity
+    starts_at: float
+    until: float
 
 
 @final
 @attrs.define
-class Worker:
-    """One worker, with the charges of the tasks that it holds."""
-
-    name: str
-    incarnation: str = ''
-    data_centre: str = ''
-    rack: str = ''
-    capacity: Capacity = attrs.field(factory=Capacity)
-    free: Capacity = attrs.field(factory=Capacity)
-    heard_at: float = NEVER
-    sequence: int = 0
-    reconciled: bool = False
-    leaving: bool = False
-    charges_by_task: dict[str, Capacity] = attrs.field(factory=dict)
-    past_incarnations: set[str] = attrs.field(factory=set)
-
-    def is_heard(self, now: float) -> bool:
-        """Tell whether a heartbeat came within the agent lease."""
-        return now - self.heard_at <= AGENT_LEASE_SECONDS
-
-    def accepts_starts(self, now: float) -> bool:
-        """Tell whether new attempts may be assigned to the worker."""
-        return self.reconciled and not self.leaving and self.is_heard(now)
-
-    def charge(self, task: str, size: Capacity) -> None:
-        """Charge ``size`` for ``task`` in place of its present charge."""
-        self.discharge(task)
-        self.charges_by_task[task] = size
-        self.free = subtract(self.free, size)
-
-    def discharge(self, task: str) -> None:
-        """Return the charge of ``task``, if it has one."""
-        size = self.charges_by_task.pop(task, None)
-        if size is not None:
-            self.free = add(self.free, size)
-
-    def resize(self, capacity: Capacity) -> None:
-        """Take the announced capacity into use."""
-        self.free = add(self.free, subtract(capacity, self.capacity))
-        self.capacity = capacity
+class Learned:
+    """What a leader learns from reports; a new leader learns it anew."""
+
+    interference: InterferenceModel = attrs.field(factory=InterferenceModel)
+    observations: Observations = attrs.field(factory=Observations)
+    quarantine: Quarantine = attrs.field(factory=Quarantine)
+    checkpoints_by_task: dict[str, str] = attrs.field(factory=dict)
+    progress_by_task: dict[str, Progress] = attrs.field(factory=dict)
+    throttles_by_task: dict[str, float] = attrs.field(factory=dict)
+    suffering_since: dict[str, float] = attrs.field(factory=dict)
+    calm_since: dict[str, float] = attrs.field(factory=dict)
+    recharged_workers: set[str] = attrs.field(factory=set)
+    eviction_times: list[float] = attrs.field(factory=list)
+
+    def forget(self, task: str) -> None:
+        """Drop what was learnt of a task that has ended."""
+        self.checkpoints_by_task.pop(task, None)
+        self.progress_by_task.pop(task, None)
+        self.throttles_by_task.pop(task, None)
 
 
 @final
@@ -69,18 +78,26 @@
 
     ``granted_by_agent`` holds when the leader last answered each incarnation
     of an agent, keyed by worker name and incarnation. ``touched_workers``
-    have orders that were not yet pushed.
+    have orders that were not yet pushed; ``freed`` counts releases.
     """
 
     leading_since: float
+    settings: PlacementSettings = attrs.field(factory=PlacementSettings)
     workers_by_name: dict[str, Worker] = attrs.field(factory=dict)
     specs_by_task: dict[str, TaskSpec] = attrs.field(factory=dict)
-    waiting_tasks: dict[str, TaskSpec] = attrs.field(factory=dict)
+    tasks_by_owner: dict[tuple[Kind, str], set[str]] = attrs.field(factory=dict)
+    queue: WaitingQueue = attrs.field(factory=WaitingQueue)
     owners_by_name: dict[tuple[Kind, str], Resource] = attrs.field(factory=dict)
+    usage_by_team: dict[str, Capacity] = attrs.field(factory=dict)
     out_data_centres: set[str] = attrs.field(factory=set)
     granted_by_agent: dict[tuple[str, str], float] = attrs.field(factory=dict)
-    checkpoints_by_task: dict[str, str] = attrs.field(factory=dict)
-    touched_workers: set[str] = attrs.field(factory=set)
+    touched_workers: dict[str, None] = attrs.field(factory=dict)
+    reservations_by_task: dict[str, Reservation] = attrs.field(factory=dict)
+    evicting_tasks: set[str] = attrs.field(factory=set)
+    impossible_tasks: set[str] = attrs.field(factory=set)
+    surplus_services: set[str] = attrs.field(factory=set)
+    freed: int = 0
+    learned: Learned = attrs.field(factory=Learned)
 
     def worker(self, name: str) -> Worker:
         """Return the worker ``name``, created unheard if it is new."""
@@ -94,25 +111,44 @@
         """Take the committed state of ``task`` into the table."""
         self.remove_task(task)
         if spec.state in TERMINAL:
-            self.checkpoints_by_task.pop(task, None)
+            self.learned.forget(task)
             return
         self.specs_by_task[task] = spec
+        owner_key = (spec.owner_kind, spec.owner)
+        self.tasks_by_owner.setdefault(owner_key, set()).add(task)
+        if self._is_surplus(spec):
+            self.surplus_services.add(spec.owner)
         if spec.state in HOLDING:
-            self.worker(spec.worker).charge(task, spec.size)
-            self.touched_workers.add(spec.worker)
+            self._hold(task, spec)
         elif spec.state is TaskState.waiting:
-            self.waiting_tasks[task] = spec
+            self._enqueue(task, spec)
+        elif spec.state is TaskState.impossible:
+            self.impossible_tasks.add(task)
 
     def remove_task(self, task: str) -> None:
         """Drop ``task`` and its charge."""
         present = self.specs_by_task.pop(task, None)
-        self.waiting_tasks.pop(task, None)
-        if present is not None and present.state in HOLDING:
-            self.worker(present.worker).discharge(task)
+        if present is None:
+            return
+        owner_key = (present.owner_kind, present.owner)
+        self.tasks_by_owner[owner_key].discard(task)
+        self.queue.remove(task)
+        self.impossible_tasks.discard(task)
+        if present.state in HOLDING:
+            self._release(task, present)
+
+    def owner_of(self, spec: TaskSpec) -> Resource | None:
+        """Return the service or job of a task, unless it was removed."""
+        return self.owners_by_name.get((spec.owner_kind, spec.owner))
+
+    def team_of(self, spec: TaskSpec) -> str:
+        """Return the team of a task."""
+        owner = self.owner_of(spec)
+        return owner.team if owner else ''
 
     def rules_of(self, spec: TaskSpec) -> OwnerRules:
         """Return what the owner of a task says about failures."""
-        owner = self.owners_by_name.get((spec.owner_kind, spec.owner))
+        owner = self.owner_of(spec)
         if owner is None or owner.job_spec is None:
             return OwnerRules()
         return OwnerRules(max_failures=owner.job_spec.max_failures)
@@ -126,6 +162,47 @@
         granted = self.granted_by_agent.get((worker, incarnation), NEVER)
         return max(granted, self.leading_since)
 
+    def _hold(self, task: str, spec: TaskSpec) -> None:
+        worker = self.worker(spec.worker)
+        observations = self.learned.observations
+        size = observations.charged_size(spec.task_kind, spec.size)
+        worker.charge(task, spec, size)
+        worker.starting += spec.state is TaskState.assigned
+        self.touched_workers[spec.worker] = None
+        self.reservations_by_task.pop(task, None)
+        team = self.team_of(spec)
+        used = self.usage_by_team.get(team, NOTHING)
+        self.usage_by_team[team] = add(used, spec.size)
+        if spec.state is TaskState.evicting:
+            self.evicting_tasks.add(task)
+
+    def _release(self, task: str, spec: TaskSpec) -> None:
+        worker = self.worker(spec.worker)
+        worker.discharge(task, spec)
+        worker.starting -= spec.state is TaskState.assigned
+        team = self.team_of(spec)
+        used = self.usage_by_team.get(team, NOTHING)
+        self.usage_by_team[team] = subtract(used, spec.size)
+        self.evicting_tasks.discard(task)
+        self.freed += 1
+
+    def _is_surplus(self, spec: TaskSpec) -> bool:
+        if spec.owner_kind is not Kind.service:
+            return False
+        owner = self.owner_of(spec)
+        if owner is None or owner.service_spec is None:
+            return True
+        return spec.number >= owner.service_spec.replicas
+
+    def _enqueue(self, task: str, spec: TaskSpec) -> None:
+        owner = self.owner_of(spec)
+        queued = QueuedOwner(
+            created=owner.created if owner else 0,
+            name=spec.owner,
+            kind=spec.owner_kind,
+        )
+        self.queue.put(task, spec, self.team_of(spec), queued)
+
 
 def create_table(
     leading_since: float,
@@ -133,8 +210,9 @@
 ) -> PlacementTable:
     """Create the table of a leader that began to lead at ``leading_since``."""
     table = PlacementTable(leading_since=leading_since)
-    for resources_by_name in resources_by_kind.values():
-        for resource in resources_by_name.values():
+    kinds = sorted(resources_by_kind, key=lambda kind: kind is Kind.task)
+    for kind in kinds:
+        for resource in resources_by_kind[kind].values():
             put_resource(table, resource)
     return table
 
@@ -145,21 +223,61 @@
         table.put_task(resource.name, resource.task_spec)
     elif resource.data_centre_spec is not None:
         _set_out(table, resource.name, resource.data_centre_spec.out)
+    elif resource.configuration_spec is not None:
+        if resource.name == CONFIGURATION_NAME:
+            _set_settings(table, resource.configuration_spec.settings)
     else:
-        table.owners_by_name[resource.kind, resource.name] = resource
+        _put_owner(table, resource)
 
 
 def remove_resource(table: PlacementTable, resource: Resource) -> None:
     """Drop a removed resource from the table."""
     if resource.kind is Kind.task:
         table.remove_task(resource.name)
+        table.learned.forget(resource.name)
     elif resource.kind is Kind.data_centre:
         _set_out(table, resource.name, is_out=False)
+    elif resource.kind is Kind.configuration:
+        if resource.name == CONFIGURATION_NAME:
+            table.settings = PlacementSettings()
     else:
-        table.owners_by_name.pop((resource.kind, resource.name), None)
+        _change_owner(table, resource, None)
+
+
+def _put_owner(table: PlacementTable, resource: Resource) -> None:
+    if resource.kind in {Kind.service, Kind.job}:
+        _change_owner(table, resource, resource)
+    else:
+        table.owners_by_name[resource.kind, resource.name] = resource
+
+
+def _change_owner(
+    table: PlacementTable,
+    resource: Resource,
+    following: Resource | None,
+) -> None:
+    """Replace an owner; its tasks are put anew under their new team."""
+    key = (resource.kind, resource.name)
+    tasks = list(table.tasks_by_owner.get(key, ()))
+    specs = {task: table.specs_by_task[task] for task in tasks}
+    for task in tasks:
+        table.remove_task(task)
+    if following is None:
+        table.owners_by_name.pop(key, None)
+    else:
+        table.owners_by_name[key] = following
+    for task, spec in specs.items():
+        table.put_task(task, spec)
+
+
+def _set_settings(table: PlacementTable, settings: dict[str, str]) -> None:
+    parsed = parse_placement_settings(settings)
+    if parsed.is_ok():
+        table.settings = parsed.ok
 
 
 def _set_out(table: PlacementTable, data_centre: str, is_out: bool) -> None:
+    table.freed += 1
     if is_out:
         table.out_data_centres.add(data_centre)
     else:
--- a/wasabiturn/version/tasks.py
+++ b/wasabiturn/version/tasks.py
@@ -64,6 +64,28 @@
         yield store(state, attrs.evolve(task, task_spec=renewed))
 
 
+def add_surplus(state: State, service: str) -> Iterator[Change]:
+    """Create one waiting replica beyond those that ``service`` declares.
+
+    It is removed once it is settled. There are at most as many of them as
+    declared replicas.
+    """
+    owner = state.resources_by_kind[Kind.service].get(service)
+    if owner is None:
+        return
+    plan = create_plan(owner)
+    for number in range(plan.declared, 2 * plan.declared):
+        name = task_name(service, number)
+        if name not in state.resources_by_kind[Kind.task]:
+            spec = attrs.evolve(
+                plan.task_spec,
+                number=number,
+                attempt=state.revision,
+            )
+            yield store(state, _create_task(owner, name, spec))
+            return
+
+
 def find_leftover(state: State, owner: Resource) -> Resource | None:
     """Return a task of an earlier owner of the same name, if one remains."""
     for number in range(create_plan(owner).declared):
