Announce the agent, and refuse new work when it leaves

Cause: entries could not learn of an agent, and a stop or a data centre taken out would have gone on taking requests. Ruled out: closing the links at once on SIGTERM, which cuts answers that are still in the buffers. After: each change of a backend server, of the data centre's state and of the agent is announced at once; what waits is refused as not run, what runs is finished, links are flushed and closed. The attempts of the worker join as a part of the program.

--- a/wasabiturn/connection/link.py
+++ b/wasabiturn/connection/link.py
@@ -110,6 +110,11 @@
         self.send_frame(FrameKind.open, exchange, method, pack(head))
         return stream
 
+    def close(self) -> None:
+        """Close once everything written so far has been sent."""
+        if self.transport is not None:
+            cast(Any, self.transport).loseConnection()
+
     def abort(self, reason: str) -> None:
         """Drop the connection now; everything open on it fails."""
         if self.transport is not None:
@@ -211,13 +216,13 @@
         message: Any = unpack(route.message_class, frame.body)
         handled = maybeDeferred(route.handler, self, message)
         if frame.kind is FrameKind.notice:
-            handled.addErrback(self._log_notice_failure, frame.method)
+            handled.addErrback(_log_failure, frame.method)
             return
         handled.addCallbacks(
             lambda reply: self._reply(frame, reply),
             lambda failure: self._reply_failure(frame, failure.value),
         )
-        handled.addErrback(self._log_notice_failure, frame.method)
+        handled.addErrback(_log_failure, frame.method)
 
     def _reply(self, frame: Frame, reply: Any) -> None:
         body = pack(reply)
@@ -237,18 +242,6 @@
         body = pack(failure)
         self.send_frame(FrameKind.failure, frame.exchange, frame.method, body)
 
-    def _log_notice_failure(
-        self,
-        failure: TwistedFailure,
-        method: Method,
-    ) -> None:
-        _log.warning(
-            'notice failed',
-            method=method.name,
-            error=repr(failure.value),
-            trace=failure.getTraceback(),
-        )
-
     def _handle_open(self, frame: Frame) -> None:
         route = self.dispatch.streams_by_method.get(frame.method)
         stream = Stream(
@@ -268,3 +261,12 @@
         if stream is None:
             return
         stream.handle_frame(frame)
+
+
+def _log_failure(failure: TwistedFailure, method: Method) -> None:
+    _log.warning(
+        'notice failed',
+        method=method.name,
+        error=repr(failure.value),
+        trace=failure.getTraceback(),
+    )
--- a/wasabiturn/process/agent/program.py
+++ b/wasabiturn/process/agent/program.py
@@ -1,11 +1,12 @@
 """Assembly of the agent program from its parts."""
 
 from contextlib import ExitStack
+from random import Random
 from typing import Any, cast, final
 from uuid import uuid4
 
 import attrs
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, gatherResults
 from twisted.internet.task import LoopingCall
 
 from wasabiturn.conf import Settings
@@ -14,37 +15,41 @@
 from wasabiturn.connection.dispatch import Dispatch
 from wasabiturn.connection.link import PROTOCOL_VERSION
 from wasabiturn.ids import IncarnationId
-from wasabiturn.messages.kinds import Role
+from wasabiturn.messages.kinds import Kind, Role
 from wasabiturn.messages.link import Hello
 from wasabiturn.process.agent.announcements import (
     EXPIRY_SECONDS,
     create_announcement_site,
 )
+from wasabiturn.process.agent.attempts import Attempts, create_attempts
 from wasabiturn.process.agent.backends import Backends
 from wasabiturn.process.agent.directory_record import RecordSource
+from wasabiturn.process.agent.leaving import Leaving
 from wasabiturn.process.agent.serving import Serving
-from wasabiturn.process.daemon import Context, listen
-from wasabiturn.utils.logs import create_part_log
+from wasabiturn.process.daemon import Context, Service, listen
+from wasabiturn.process.session import ControlSession, create_control_session
 
 REVIEW_SECONDS = 0.025
 
-_log = create_part_log('agent')
-
 
 @final
 @attrs.define
 class AgentProgram:
-    """The agent program of one process."""
+    """The agent program of one process.
+
+    ``parts`` are started after the ports are open, and drained and closed
+    with the program.
+    """
 
     context: Context
     section: AgentSection
     dispatch: Dispatch
+    session: ControlSession
     backends: Backends
     serving: Serving
-    record_source: RecordSource
+    leaving: Leaving
+    parts: list[Service]
     _stack: ExitStack = attrs.field(factory=ExitStack)
-    _drained: Deferred[None] = attrs.field(factory=Deferred)
-    _ticker: Any = None
 
     def start(self) -> None:
         """Open ports and begin to work."""
@@ -54,23 +59,20 @@
         site = create_announcement_site(self.backends.announce)
         self._listen(self.section.listen, links)
         self._listen(self.section.announce_listen, site)
-        self.backends.on_change.append(self._publish)
-        self._ticker = LoopingCall(self._review)
-        self._ticker.clock = reactor
-        self._ticker.start(REVIEW_SECONDS, now=False)
-        self._stack.callback(self._ticker.stop)
+        self.leaving.register(self.dispatch)
+        self._stack.callback(self.session.stop)
+        self.session.start()
+        self._start_review()
+        for part in self.parts:
+            self._stack.callback(part.close)
+            part.start()
 
     def drain(self) -> Deferred[None]:
         """Refuse new work; fires once no request is in flight."""
-        self.serving.closed_because = 'agent is leaving'
-        self.record_source.leaving = True
-        for backend in self.backends.all_backends():
-            backend.refuse_waiting('agent is leaving')
-        self._publish()
-        limit = self.section.drain_seconds
-        self.context.reactor.callLater(limit, self._finish_drain)
-        self._check_drained()
-        return self._drained
+        drained: list[Deferred[None]] = [part.drain() for part in self.parts]
+        drained.append(self.leaving.drain(self.section.drain_seconds))
+        settled = gatherResults(drained, consumeErrors=True)
+        return settled.addCallback(lambda _: None)
 
     def close(self) -> None:
         """Release ports and files."""
@@ -80,46 +82,68 @@
         port = listen(self.context.reactor, endpoint, factory)
         self._stack.callback(port.stopListening)
 
-    def _publish(self) -> None:
-        record = self.record_source.build()
-        _log.event(
-            'record changed',
-            backends=len(record.backends),
-            leaving=record.leaving,
-        )
+    def _start_review(self) -> None:
+        ticker = LoopingCall(self._review)
+        ticker.clock = self.context.reactor
+        ticker.start(REVIEW_SECONDS, now=False)
+        self._stack.callback(ticker.stop)
 
     def _review(self) -> None:
         now = self.context.reactor.seconds()
         for backend in self.backends.all_backends():
             backend.review(now)
         self.backends.expire(now, EXPIRY_SECONDS)
-        if self.record_source.leaving:
-            self._check_drained()
-
-    def _check_drained(self) -> None:
-        if not self.backends.in_flight():
-            self._finish_drain()
-
-    def _finish_drain(self) -> None:
-        if not self._drained.called:
-            self._drained.callback(None)
+        self.leaving.review()
 
 
 def create_agent(context: Context) -> AgentProgram:
     """Create the agent program from the settings of ``context``."""
     settings = context.settings
+    section = cast(AgentSection, settings.agent)
     incarnation = IncarnationId(uuid4().hex)
+    dispatch = Dispatch(hello=_create_hello(settings, incarnation))
+    session = create_control_session(
+        endpoints=section.control,
+        dispatch=dispatch,
+        reactor=context.reactor,
+        random=Random(incarnation),
+        kinds=(Kind.data_centre,),
+        directory=False,
+    )
     backends = Backends(reactor=context.reactor)
+    serving = Serving(backends, context.reactor, incarnation)
     return AgentProgram(
         context=context,
-        section=cast(AgentSection, settings.agent),
-        dispatch=Dispatch(hello=_create_hello(settings, incarnation)),
+        section=section,
+        dispatch=dispatch,
+        session=session,
         backends=backends,
-        serving=Serving(backends, context.reactor, incarnation),
-        record_source=RecordSource(settings, incarnation, backends),
+        serving=serving,
+        leaving=Leaving(
+            session=session,
+            backends=backends,
+            serving=serving,
+            source=RecordSource(settings, incarnation, backends),
+            reactor=context.reactor,
+        ),
+        parts=_create_parts(context, session, dispatch, backends),
     )
 
 
+def _create_parts(
+    context: Context,
+    session: ControlSession,
+    dispatch: Dispatch,
+    backends: Backends,
+) -> list[Service]:
+    section = context.settings.agent
+    if section is None or section.worker_url is None:
+        return []
+    attempts: Attempts = create_attempts(context, session, dispatch)
+    attempts.service_reports = backends.reports
+    return [attempts]
+
+
 def _create_hello(settings: Settings, incarnation: IncarnationId) -> Hello:
     return Hello(
         name=settings.instance.name,
