Add the commands that speak to the API

Cause: operators work from the terminal. get, apply, delete, watch, take-out, bring-back and cancel try several servers in turn.

Before: curl.

--- a/wasabiturn/management/cli.py
+++ b/wasabiturn/management/cli.py
@@ -2,7 +2,17 @@
 
 import typer
 
-from wasabiturn.management import check_settings, list_settings
+from wasabiturn.management import (
+    apply,
+    bring_back,
+    cancel,
+    check_settings,
+    delete,
+    get,
+    list_settings,
+    take_out,
+    watch,
+)
 from wasabiturn.management.daemons import agent, control, entry
 
 app = typer.Typer(
@@ -15,6 +25,13 @@
 app.command('agent')(agent)
 app.command('check-settings')(check_settings.check_settings)
 app.command('list-settings')(list_settings.list_settings)
+app.command('get')(get.get)
+app.command('apply')(apply.apply)
+app.command('delete')(delete.delete)
+app.command('watch')(watch.watch)
+app.command('take-out')(take_out.take_out)
+app.command('bring-back')(bring_back.bring_back)
+app.command('cancel')(cancel.cancel)
 
 
 def main() -> None:
--- /dev/null
+++ b/wasabiturn/management/get.py
@@ -0,0 +1,36 @@
+"""``wasabiturn get``: read resources."""
+
+from typing import Annotated, Any
+
+import typer
+from twisted.internet.defer import Deferred
+
+from wasabiturn.management.http_client import ApiClient
+from wasabiturn.management.options import (
+    DEFAULT_OUTPUT,
+    DEFAULT_SERVER,
+    DEFAULT_TIMEOUT,
+    OutputOption,
+    ServerOption,
+    TimeoutOption,
+)
+from wasabiturn.management.output import print_resources
+from wasabiturn.management.running import run_command
+
+
+def get(
+    kind: Annotated[str, typer.Argument(help='services, jobs, tasks, ...')],
+    name: Annotated[str, typer.Argument()] = '',
+    server: ServerOption = DEFAULT_SERVER,
+    timeout: TimeoutOption = DEFAULT_TIMEOUT,
+    output: OutputOption = DEFAULT_OUTPUT,
+) -> None:
+    """Print the resources of KIND, or the one named NAME."""
+    path = f'/v1/{kind}/{name}' if name else f'/v1/{kind}'
+
+    def read(client: ApiClient) -> Deferred[dict[str, Any]]:
+        return client.read(path)
+
+    found = run_command(server, timeout, read)
+    items = [found] if name else found['items']
+    print_resources(items, output)
--- /dev/null
+++ b/wasabiturn/management/take_out.py
@@ -0,0 +1,33 @@
+"""``wasabiturn take-out``: take a data centre out of service."""
+
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from wasabiturn.management.edits import Edit
+from wasabiturn.management.http_client import ApiClient
+from wasabiturn.management.options import (
+    DEFAULT_OUTPUT,
+    DEFAULT_SERVER,
+    DEFAULT_TIMEOUT,
+    OutputOption,
+    ServerOption,
+    TimeoutOption,
+)
+from wasabiturn.management.output import print_resources
+from wasabiturn.management.running import run_command
+
+
+def take_out(
+    data_centre: str,
+    server: ServerOption = DEFAULT_SERVER,
+    timeout: TimeoutOption = DEFAULT_TIMEOUT,
+    output: OutputOption = DEFAULT_OUTPUT,
+) -> None:
+    """Start nothing more in DATA_CENTRE, and move what runs there."""
+
+    def edit(client: ApiClient) -> Deferred[dict[str, Any]]:
+        path = f'/v1/data-centres/{data_centre}'
+        return Edit(client, path, {'out': True}, creates=True).run()
+
+    print_resources([run_command(server, timeout, edit)], output)
