--- a/tests/sessions/placement_fakes.py
+++ b/tests/sessions/placement_fakes.py
@@ -420,7 +420,7 @@
         put = PutResource(resource=resource, expected_revision=-1)
         return self.apply(Command(put=put))
 
-    def put_job(self, name: str, **fields: Any) -> None:
+    def put_job(self, name: str, team: str = 'default', **fields: Any) -> None:
         values = {
             'tasks': 1,
             'size': SIZE,
@@ -429,7 +429,7 @@
             'task_kind': 'render',
         }
         spec = JobSpec(**{**values, **fields})
-        self._put_owner(Kind.job, name, job_spec=spec)
+        self._put_owner(Kind.job, name, team=team, job_spec=spec)
 
     def put_service(self, name: str, **fields: Any) -> None:
         values = {'replicas': 1, 'size': SIZE, 'task_kind': 'web'}
@@ -444,8 +444,9 @@
             self.outs.pop(data_centre, None)
         self._put_owner(Kind.data_centre, data_centre, data_centre_spec=spec)
 
-    def _put_owner(self, kind: Kind, name: str, **spec: Any) -> None:
-        resource = Resource(kind=kind, name=name, team='default', **spec)
+    def _put_owner(self, kind: Kind, name: str, **fields: Any) -> None:
+        values = {'team': 'default', **fields}
+        resource = Resource(kind=kind, name=name, **values)
         assert self.put(resource).text == ''
 
     def apply(self, command: Command) -> Outcome:
--- a/wasabiturn/process/agent/attempt_actions.py
+++ b/wasabiturn/process/agent/attempt_actions.py
@@ -54,6 +54,14 @@
     may_lose_progress: bool
 
 
+@final
+@attrs.frozen
+class CheckpointRun:
+    """Save the progress of an attempt that goes on."""
+
+    name: RunName
+
+
 @final
 @attrs.frozen
 class ForgetRun:
@@ -62,4 +70,12 @@
     name: RunName
 
 
-Action = StartRun | RenewLeases | ThrottleRun | StopRun | EvictRun | ForgetRun
+Action = (
+    StartRun
+    | RenewLeases
+    | ThrottleRun
+    | StopRun
+    | EvictRun
+    | CheckpointRun
+    | ForgetRun
+)
--- a/wasabiturn/process/agent/attempt_orders.py
+++ b/wasabiturn/process/agent/attempt_orders.py
@@ -24,6 +24,9 @@
     OrdersKey,
 )
 
+# Leases of a worker that was not listed for this time run out.
+RENEWAL_SECONDS = 5.0
+
 _NO_PERMIT = float('-inf')
 
 
@@ -57,7 +60,8 @@
     actions: list[Action] = []
     for order in orders.orders:
         actions.extend(_take_order(table, order, grant, now))
-    actions.extend(_renew(table, orders.orders, grant))
+    if now - table.listed_at <= RENEWAL_SECONDS:
+        actions.extend(_renew(table, orders.orders, grant))
     actions.extend(_take_omissions(table, orders.orders, grant))
     return actions
 
@@ -154,6 +158,7 @@
             checkpoint=spec.checkpoint,
             throttle=order.throttle,
             start_until=grant.start_until,
+            lease_until=grant.lease_until,
         ),
     )
     return [StartRun(_run_request(order, grant))]
@@ -202,6 +207,7 @@
         if order.action is OrderAction.stop:
             continue
         if held.state is AttemptState.running:
+            held.lease_until = max(held.lease_until, grant.lease_until)
             names.append(held.name())
     if not names:
         return []
--- a/wasabiturn/process/agent/attempt_runner.py
+++ b/wasabiturn/process/agent/attempt_runner.py
@@ -15,6 +15,7 @@
 )
 from wasabiturn.process.agent.attempt_actions import (
     Action,
+    CheckpointRun,
     EvictRun,
     ForgetRun,
     RenewLeases,
@@ -104,6 +105,10 @@
     def _(self, action: StopRun) -> None:
         self._platform.stop(action.name).addErrback(log_failure)
 
+    @carry_out.register
+    def _(self, action: CheckpointRun) -> None:
+        self._platform.checkpoint(action.name).addErrback(log_failure)
+
     @carry_out.register
     def _(self, action: ForgetRun) -> None:
         self._platform.forget(action.name).addErrback(log_failure)
--- a/wasabiturn/process/agent/attempt_table.py
+++ b/wasabiturn/process/agent/attempt_table.py
@@ -12,16 +12,25 @@
 from wasabiturn.messages.kinds import AttemptState
 from wasabiturn.messages.session import AttemptReport
 from wasabiturn.messages.state import Capacity
-from wasabiturn.process.agent.attempt_actions import Action, StopRun
+from wasabiturn.process.agent.attempt_actions import (
+    Action,
+    CheckpointRun,
+    StopRun,
+)
 from wasabiturn.version.placement.capacity import add, fits
 from wasabiturn.version.placement.periods import (
     PERMIT_SECONDS,
+    TASK_LEASE_SECONDS,
     over_after,
 )
 
 REMEMBERED_HEARTBEATS = 64
 REMEMBERED_ATTEMPTS = 10_000
 FULL_SPEED = 1.0
+# A worker that was listed within this time takes starts.
+LISTING_SECONDS = 2.0
+CHECKPOINT_SECONDS = 4.0
+LEASE_MARGIN_SECONDS = 0.5
 
 ENDED = frozenset(
     (
@@ -48,6 +57,8 @@
     run_seconds: float = 0.0
     throttle: float = FULL_SPEED
     start_until: float = 0.0
+    lease_until: float = 0.0
+    checkpointed_until: float = 0.0
     known_since: float = 0.0
     reported_in: int = 0
 
@@ -92,6 +103,7 @@
 
     started_at: float
     capacity: Capacity = attrs.field(factory=Capacity)
+    listed_at: float = float('-inf')
     reconciled: bool = False
     sequence: int = 0
     newest_orders: OrdersKey = OrdersKey(0, 0, 0)
@@ -139,6 +151,33 @@
         held.known_since = now
 
 
+def review_leases(table: AttemptTable, now: float) -> list[Action]:
+    """Act on leases that end because the leader or the worker is silent.
+
+    A worker that was not listed for a while takes no starts. An attempt is
+    checkpointed shortly before its lease ends, and lost once it surely has.
+    """
+    if now - table.listed_at > LISTING_SECONDS:
+        table.reconciled = False
+    actions: list[Action] = []
+    for held in table.held_by_task.values():
+        if held.state in ENDED:
+            continue
+        left = held.lease_until - now
+        if left < -LEASE_MARGIN_SECONDS:
+            held.end(AttemptState.lost, 'its lease ended')
+        elif left < CHECKPOINT_SECONDS and _lacks_checkpoint(held):
+            held.checkpointed_until = held.lease_until
+            actions.append(CheckpointRun(held.name()))
+    return actions
+
+
+def _lacks_checkpoint(held: Held) -> bool:
+    """Tell whether none was asked for since the lease was last prolonged."""
+    is_running = held.state is AttemptState.running
+    return is_running and held.checkpointed_until < held.lease_until
+
+
 def create_attempt_table(now: float) -> AttemptTable:
     """Create the empty table of an agent that started at ``now``."""
     return AttemptTable(started_at=now)
@@ -151,6 +190,7 @@
 ) -> list[Action]:
     """Take the worker's listing, which was requested at ``requested_at``."""
     table.capacity = listing.capacity
+    table.listed_at = max(table.listed_at, requested_at)
     earlier_permits_end = over_after(table.started_at, PERMIT_SECONDS)
     if requested_at > earlier_permits_end:
         table.reconciled = True
@@ -181,9 +221,9 @@
             Held(
                 task=run.task,
                 attempt=run.attempt,
-                state=run.state,
+                state=AttemptState.unknown,
                 size=run.size,
-                known_since=requested_at,
+                lease_until=over_after(requested_at, TASK_LEASE_SECONDS),
             ),
         )
     _update(table.held_by_task[run.task], run, requested_at)
@@ -191,10 +231,12 @@
 
 
 def _update(held: Held, run: Run, requested_at: float) -> None:
-    if held.state in ENDED:
+    if held.state in ENDED and held.state is not AttemptState.lost:
         return
     if run.state in ENDED:
         held.end(run.state, run.reason)
+    elif held.state is AttemptState.lost:
+        return
     elif held.state is not run.state:
         held.state = run.state
         held.known_since = requested_at
--- a/wasabiturn/process/agent/attempts.py
+++ b/wasabiturn/process/agent/attempts.py
@@ -33,6 +33,7 @@
     AttemptTable,
     confirm_start,
     create_attempt_table,
+    review_leases,
     take_listing,
 )
 from wasabiturn.process.daemon import Context
@@ -117,6 +118,8 @@
         return loop
 
     def _beat(self) -> None:
+        for action in review_leases(self._table, self._now()):
+            self._runner.carry_out(action)
         call = self._session.call_leader(
             Method.heartbeat,
             self._create_heartbeat(),
--- a/wasabiturn/standins/worker_runs.py
+++ b/wasabiturn/standins/worker_runs.py
@@ -85,6 +85,7 @@
         """Create an empty table; ``record`` is called at each start and end."""
         self.runs_by_name: dict[tuple[str, int], StandInRun] = {}
         self.newest_attempt_by_task: dict[str, int] = {}
+        self.fails_everything = False
         self._clock = clock
         self._interference_by_pair = interference_by_pair
         self._record = record
@@ -118,6 +119,8 @@
         )
         self.runs_by_name[order.task, order.attempt] = run
         self._record('start', run)
+        if self.fails_everything:
+            self._end(run, AttemptState.failed, 'worker is broken')
         self._settle()
 
     def renew(self, name: tuple[str, int], until: float) -> None:
