--- a/tests/version/test_claims.py
+++ b/tests/version/test_claims.py
@@ -11,6 +11,7 @@
 )
 from wasabiturn.version import apply_claims
 from wasabiturn.version.apply import apply_command
+from wasabiturn.version.persistence import dump_state, load_state
 from wasabiturn.version.state import State, create_state
 
 
@@ -71,3 +72,22 @@
     expire = ExpireClaims(before_revision=state.claims_revision)
     apply_command(state, Command(expire=expire))
     assert list(state.claims_by_key) == ['desk/third']
+
+
+def test_oldest_bodies_are_omitted_over_the_limit(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(apply_claims, 'BODIES_LIMIT_BYTES', 100)
+    state = create_state()
+    for number in range(3):
+        run(state, claim(f'c-{number}', key=f'k{number}'))
+        recorded = answer(
+            f'c-{number}', outcome=ClaimState.answered, body=b'x' * 40
+        )
+        assert recorded.record is not None
+        recorded.record.answers[0].key = f'k{number}'
+        run(state, recorded)
+    omitted = [each.body_omitted for each in state.claims_by_key.values()]
+    assert omitted == [True, False, False]
+    assert state.claim_bytes == 80
+    assert load_state(dump_state(state)) == state
--- a/wasabiturn/process/control/claim_batches.py
+++ b/wasabiturn/process/control/claim_batches.py
@@ -102,7 +102,7 @@
 
 def _create_refusal(code: int) -> CallError:
     if code == OutcomeCode.quota:
-        return CallError(FailureCode.invalid, 'too many claims are open')
+        return CallError(FailureCode.unavailable, 'too many claims are open')
     if code == OutcomeCode.not_found:
         return CallError(FailureCode.invalid, 'there is no such claim')
     return CallError(FailureCode.invalid, 'the key names another request')
--- a/wasabiturn/process/control/sessions.py
+++ b/wasabiturn/process/control/sessions.py
@@ -43,6 +43,7 @@
     create_directory,
     snapshot_directory,
 )
+from wasabiturn.process.control.housekeeping import Housekeeping
 from wasabiturn.process.control.submission import read_barrier, submit
 from wasabiturn.process.control.subscribers import Subscribers
 from wasabiturn.process.control.tokens import read_tokens
@@ -64,6 +65,7 @@
         self.directory = directory
         self.subscribers = Subscribers()
         self.watches: Watches | None = None
+        self._housekeeping = Housekeeping(replica, clock)
         self._replica = replica
         self._clock = clock
         self._claims = create_claim_batches(replica)
@@ -88,6 +90,7 @@
     def start(self) -> None:
         """Begin to expire silent agents."""
         self._ticker.start(EXPIRE_PERIOD_SECONDS, now=False)
+        self._housekeeping.start()
         if self.watches is not None:
             self.watches.start()
 
@@ -99,6 +102,7 @@
         """Stop expiring agents."""
         if self._ticker.running:
             self._ticker.stop()
+        self._housekeeping.stop()
         if self.watches is not None:
             self.watches.stop()
 
--- a/wasabiturn/version/apply_claims.py
+++ b/wasabiturn/version/apply_claims.py
@@ -15,6 +15,8 @@
 from wasabiturn.version.state import Effect, State
 
 CLAIM_LIMIT = 100_000
+BODIES_LIMIT_BYTES = 67_108_864
+_BODIES_KEPT_SHARE = 0.9
 
 
 def claim_key(service_name: str, key: str) -> str:
@@ -58,6 +60,8 @@
         for key, record in state.claims_by_key.items()
         if record.revision >= body.before_revision
     }
+    kept = state.claims_by_key.values()
+    state.claim_bytes = sum(len(record.body) for record in kept)
     return Effect(outcome=Outcome(revision=state.revision))
 
 
@@ -133,15 +137,37 @@
     """Keep ``record`` as the newest; the table is in order of change."""
     state.claims_revision += 1
     kept = attrs.evolve(record, revision=state.claims_revision)
-    state.claims_by_key.pop(key, None)
+    replaced = state.claims_by_key.pop(key, None)
     state.claims_by_key[key] = kept
+    state.claim_bytes += len(kept.body) - _count_bytes(replaced)
+    if state.claim_bytes > BODIES_LIMIT_BYTES:
+        _omit_oldest_bodies(state)
     return kept
 
 
+def _omit_oldest_bodies(state: State) -> None:
+    target = BODIES_LIMIT_BYTES * _BODIES_KEPT_SHARE
+    for key, record in state.claims_by_key.items():
+        if state.claim_bytes <= target:
+            return
+        if record.body:
+            state.claim_bytes -= len(record.body)
+            state.claims_by_key[key] = attrs.evolve(
+                record,
+                body=b'',
+                body_omitted=True,
+            )
+
+
+def _count_bytes(record: ClaimRecord | None) -> int:
+    return len(record.body) if record else 0
+
+
 def _forget_oldest(state: State) -> bool:
     for key, record in state.claims_by_key.items():
         if record.state is not ClaimState.claimed:
             state.claims_by_key.pop(key)
+            state.claim_bytes -= len(record.body)
             return True
     return False
 
--- a/wasabiturn/version/persistence.py
+++ b/wasabiturn/version/persistence.py
@@ -53,6 +53,7 @@
         claim = record.claim
         key = claim_key(claim.service_name, claim.key)
         state.claims_by_key[key] = record
+        state.claim_bytes += len(record.body)
     for remembered in dump.outcomes:
         state.outcomes_by_request_id[remembered.request_id] = remembered
     state.history.extend(dump.history)
--- a/wasabiturn/version/state.py
+++ b/wasabiturn/version/state.py
@@ -25,7 +25,8 @@
 
     Each change of a resource takes one revision, so ``history``, which holds
     the newest changes for watches that resume, has no gaps. Claims are counted
-    by ``claims_revision``: no watch sees them. Stored resources and records
+    by ``claims_revision``: no watch sees them; ``claim_bytes`` is the size of
+    their recorded bodies. Stored resources and records
     are never altered in place.
     """
 
@@ -35,6 +36,7 @@
         factory=lambda: {kind: {} for kind in Kind},
     )
     claims_by_key: dict[str, ClaimRecord] = attrs.field(factory=dict)
+    claim_bytes: int = 0
     outcomes_by_request_id: dict[str, RememberedOutcome] = attrs.field(
         factory=dict,
     )
