--- a/tests/process/test_session.py
+++ b/tests/process/test_session.py
@@ -91,6 +91,22 @@
     assert not session.is_fresh(group.network.seconds())
 
 
+def test_restarted_process_shows_no_view_of_a_lagging_member() -> None:
+    group = Group(Network())
+    group.commit(put(configuration('old')))
+    group.replicas[2].cut_off = True
+    group.commit(put(configuration('new')))
+    group.network.cut_ports.update((1, 2))
+    restarted = create_session(group)
+    group.network.run(5)
+    configurations = restarted.view.resources_by_kind[Kind.configuration]
+    assert not configurations
+    group.network.cut_ports.clear()
+    group.network.run(3)
+    assert in_force(restarted) == 'new'
+    assert restarted.is_fresh(group.network.seconds())
+
+
 def test_process_without_control_is_not_fresh_after_three_seconds() -> None:
     group = Group(Network())
     session = create_session(group)
--- a/wasabiturn/process/session.py
+++ b/wasabiturn/process/session.py
@@ -63,7 +63,10 @@
         self._random = random
         self._interest = interest
         self._current: Link | None = None
-        self._feed = _create_feed(self.view, interest)
+        # Until a quorum has confirmed it, what members send is not shown: a
+        # member that lags would take a restarted process back.
+        self._staged = View(agents_by_name=self.view.agents_by_name)
+        self._feed = _create_feed(self._staged, interest)
         self._freshness = Freshness()
         self._record: AgentRecord | None = None
         self._ticks = 0
@@ -150,17 +153,22 @@
             self._subscribe(link)
 
     def _confirm(self, fresh: Fresh, asked_at: float) -> None:
-        if not self.view.is_loaded:
+        if not self._staged.is_loaded:
             return
-        self.view.raise_revision(fresh.revision)
+        self._staged.raise_revision(fresh.revision)
         self._freshness.confirm(asked_at)
+        if self._staged is not self.view:
+            self.view.adopt(self._staged)
+            self._staged = self.view
+            self._feed.view = self.view
+            self._notify()
 
     def _subscribe(self, link: Link) -> None:
         previous = self._current
         self._current = link
         self._freshness.chosen_at = self._clock.seconds()
-        self._feed = _create_feed(self.view, self._interest)
-        since = self.view.revision if self.view.is_loaded else NO_REVISION
+        self._feed = _create_feed(self._staged, self._interest)
+        since = self._staged.revision if self._staged.is_loaded else NO_REVISION
         _log.event('subscribed', control=link.peer.name, since=since)
         asked = self._request(link, attrs.evolve(self._interest, since=since))
         asked.addCallback(lambda _: self._ask_current(link))
--- a/wasabiturn/version/view.py
+++ b/wasabiturn/version/view.py
@@ -29,6 +29,12 @@
     )
     agents_by_name: dict[str, AgentRecord] = attrs.field(factory=dict)
 
+    def adopt(self, other: 'View') -> None:
+        """Take over the resources of ``other``."""
+        self.revision = other.revision
+        self.is_loaded = other.is_loaded
+        self.resources_by_kind = other.resources_by_kind
+
     def raise_revision(self, revision: int) -> None:
         """Note that nothing else changed up to ``revision``."""
         self.revision = max(self.revision, revision)
