--- a/wasabiturn/standins/worker.py
+++ b/wasabiturn/standins/worker.py
@@ -26,6 +26,7 @@
     RunTable,
     StandInRun,
 )
+from wasabiturn.utils.clock import use_boot_clock
 
 USAGE_PERIOD_SECONDS = 2.0
 _CONFLICT = 409
@@ -196,6 +197,7 @@
     from twisted.internet import reactor
 
     clock: Any = reactor
+    use_boot_clock(clock)
     with ExitStack() as stack:
         worker = StandInWorker(
             clock=clock,
