--- a/wasabiturn/management/status_view.py
+++ b/wasabiturn/management/status_view.py
@@ -7,24 +7,53 @@
 
 from wasabiturn.management.tables import render_table
 
-Item = dict[str, Any]
-
 _PLACED_STATES = frozenset(('assigned', 'running'))
 _QUEUED_STATES = frozenset(('waiting', 'evicting'))
-_NOTED_STATES = ('outcome_unknown', 'impossible', 'failed')
+_NOTED_STATES = frozenset(('outcome_unknown', 'impossible', 'failed'))
+
+
+@final
+@attrs.frozen
+class Listed:
+    """One resource of a list, as the API gives it."""
+
+    name: str
+    team: str
+    spec: dict[str, Any]
+
+
+@final
+@attrs.frozen
+class MemberLine:
+    """One control instance as the answering member sees it."""
+
+    name: str
+    role: str
+    lag: str
+
+
+@final
+@attrs.frozen
+class ControlLine:
+    """The control group as the answering member sees it."""
+
+    member: str
+    leader: str
+    revision: int
+    members: list[MemberLine]
 
 
 @final
 @attrs.frozen
 class StatusInput:
-    """What the command has read, each list as the API gives it."""
+    """What the command has read."""
 
-    control: Item
-    data_centres: list[Item]
-    workers: list[Item]
-    services: list[Item]
-    tasks: list[Item]
-    backend_servers: list[Item]
+    control: ControlLine
+    data_centres: list[Listed]
+    workers: list[Listed]
+    services: list[Listed]
+    tasks: list[Listed]
+    backend_servers: list[Listed]
 
 
 def render_status(status: StatusInput) -> str:
@@ -39,35 +68,27 @@
     return '\n\n'.join(section for section in sections if section)
 
 
-def _render_control(control: Item) -> str:
+def _render_control(control: ControlLine) -> str:
     head = (
-        f'leader {control.get("leader") or "none"}, '
-        f'revision {control.get("revision")}, '
-        f'answered by {control.get("member")}'
+        f'leader {control.leader or "none"}, '
+        f'revision {control.revision}, answered by {control.member}'
     )
-    members = control.get('members') or []
-    if not members:
+    if not control.members:
         return head
-    rows = [
-        (
-            member.get('name', ''),
-            member.get('role', ''),
-            member.get('lag', ''),
-        )
-        for member in members
-    ]
-    return f'{head}\n\n{render_table("Control", ("name", "role", "lag"), rows)}'
+    rows = [(each.name, each.role, each.lag) for each in control.members]
+    table = render_table('Control', ('member', 'role', 'lag'), rows)
+    return f'{head}\n\n{table}'
 
 
 def _render_data_centres(status: StatusInput) -> str:
     workers_by_name: dict[str, int] = Counter(
-        worker['spec']['data_centre'] for worker in status.workers
+        worker.spec['data_centre'] for worker in status.workers
     )
     servers_by_name: dict[str, int] = Counter(
-        server['spec']['data_centre'] for server in status.backend_servers
+        server.spec['data_centre'] for server in status.backend_servers
     )
     out_by_name = {
-        item['name']: item['spec'].get('out', False)
+        item.name: item.spec.get('out', False)
         for item in status.data_centres
     }
     names = sorted({*workers_by_name, *servers_by_name, *out_by_name})
@@ -86,24 +107,24 @@
 
 def _render_services(status: StatusInput) -> str:
     placed_by_name: dict[str, int] = Counter(
-        task['spec']['owner']
+        task.spec['owner']
         for task in status.tasks
-        if task['spec']['owner_kind'] == 'services'
-        and task['spec']['state'] in _PLACED_STATES
+        if task.spec['owner_kind'] == 'services'
+        and task.spec['state'] in _PLACED_STATES
     )
     servers_by_name: dict[str, int] = Counter(
-        server['spec']['service']
+        server.spec['service']
         for server in status.backend_servers
-        if not server['spec']['leaving']
+        if not server.spec['leaving']
     )
     rows = [
         (
-            service['name'],
-            service['team'],
-            f'{placed_by_name.get(service["name"], 0)}'
-            f'/{service["spec"]["replicas"]}',
-            servers_by_name.get(service['name'], 0),
-            service['spec'].get('target_p99_ms', ''),
+            service.name,
+            service.team,
+            f'{placed_by_name.get(service.name, 0)}'
+            f'/{service.spec["replicas"]}',
+            servers_by_name.get(service.name, 0),
+            service.spec.get('target_p99_ms', ''),
         )
         for service in status.services
     ]
@@ -111,13 +132,13 @@
     return render_table('Services', columns, rows)
 
 
-def _render_queue(tasks: list[Item]) -> str:
+def _render_queue(tasks: list[Listed]) -> str:
     counts_by_team: dict[str, Counter[str]] = defaultdict(Counter)
     evictions_by_team: Counter[str] = Counter()
     for task in tasks:
-        team = task['team']
-        counts_by_team[team][_summarize(task['spec']['state'])] += 1
-        evictions_by_team[team] += task['spec']['evictions']
+        team = task.team
+        counts_by_team[team][_summarize(task.spec['state'])] += 1
+        evictions_by_team[team] += task.spec['evictions']
     rows = [
         (
             team,
@@ -133,11 +154,11 @@
     return render_table('Tasks', columns, rows)
 
 
-def _render_noted(tasks: list[Item]) -> str:
+def _render_noted(tasks: list[Listed]) -> str:
     rows = [
-        (task['name'], task['spec']['state'], task['spec']['reason'])
+        (task.name, task.spec['state'], task.spec['reason'])
         for task in tasks
-        if task['spec']['state'] in _NOTED_STATES
+        if task.spec['state'] in _NOTED_STATES
     ]
     if not rows:
         return ''
