--- a/wasabiturn/management/cli.py
+++ b/wasabiturn/management/cli.py
@@ -8,8 +8,11 @@
     cancel,
     check_settings,
     delete,
+    explain,
     get,
     list_settings,
+    local,
+    status,
     take_out,
     watch,
 )
@@ -32,6 +35,9 @@
 app.command('take-out')(take_out.take_out)
 app.command('bring-back')(bring_back.bring_back)
 app.command('cancel')(cancel.cancel)
+app.command('status')(status.status)
+app.command('explain')(explain.explain)
+app.command('local')(local.local)
 
 
 def main() -> None:
--- a/wasabiturn/management/local.py
+++ b/wasabiturn/management/local.py
@@ -5,9 +5,9 @@
 
 import typer
 
+from wasabiturn.management.local_demonstration import create_demonstration
 from wasabiturn.process.daemon import run_daemon
 from wasabiturn.process.local import LocalPorts, create_programs
-from wasabiturn.management.local_demonstration import create_demonstration
 from wasabiturn.process.local.programs import create_settings
 
 DEFAULT_FOLDER = Path('data/local')
--- a/wasabiturn/management/local_demonstration.py
+++ b/wasabiturn/management/local_demonstration.py
@@ -58,9 +58,7 @@
             clock=reactor,
         )
         _say('waiting for control to elect its leader')
-        yield client.write(
-            'PUT', f'/v1/services/{SERVICE}', _create_service()
-        )
+        yield client.write('PUT', f'/v1/services/{SERVICE}', _create_service())
         yield client.write('PUT', f'/v1/jobs/{JOB}', _create_job())
         answer = yield self._call_service(client)
         _say(f'the backend server answered: {json.dumps(answer.content)}')
--- a/wasabiturn/management/status_view.py
+++ b/wasabiturn/management/status_view.py
@@ -88,8 +88,7 @@
         server.spec['data_centre'] for server in status.backend_servers
     )
     out_by_name = {
-        item.name: item.spec.get('out', False)
-        for item in status.data_centres
+        item.name: item.spec.get('out', False) for item in status.data_centres
     }
     names = sorted({*workers_by_name, *servers_by_name, *out_by_name})
     rows = [
@@ -121,8 +120,7 @@
         (
             service.name,
             service.team,
-            f'{placed_by_name.get(service.name, 0)}'
-            f'/{service.spec["replicas"]}',
+            f'{placed_by_name.get(service.name, 0)}/{service.spec["replicas"]}',
             servers_by_name.get(service.name, 0),
             service.spec.get('target_p99_ms', ''),
         )
