Route by wait and excess of service time, and hedge only with slots to spare

Cause: in a model around the pure functions, two sampled agents with noisy service times gave a worse median than the fewest outstanding by each entry alone, and hedges made a noisy wave worse. Ruled out: service times as they are, whose noise sends requests to queues; the fewest outstanding, which is blind to a slow worker; hedging by the chosen agent's own load, which is believed too low in a wave. Conclusion: up to 16 agents are compared; a service time counts from 1.5 times the median on; hedges stop when the service is more than 85% in use.

--- /dev/null
+++ b/benchmarks/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Routing and admission under load, on a virtual clock."""
--- a/wasabiturn/process/entry/attempts.py
+++ b/wasabiturn/process/entry/attempts.py
@@ -17,8 +17,8 @@
     refuse_not_run,
     refuse_unknown,
 )
-from wasabiturn.request.retry import Attempted, may_retry
-from wasabiturn.request.routing import Candidate
+from wasabiturn.request.retry import Attempted, may_hedge, may_retry
+from wasabiturn.request.routing import Candidate, may_take_hedge
 
 _MS_PER_SECOND = 1000
 
@@ -54,7 +54,16 @@
     def send_to_chosen(self) -> bool:
         """Send to an agent that the router chooses; false if there is none."""
         chosen = self.router.choose(self.request, self._tried)
-        return chosen is not None and self.send(chosen)
+        return chosen is not None and self.send(chosen.candidate)
+
+    def hedge(self) -> None:
+        """Send to a second agent that has a slot to spare, and pay for it."""
+        chosen = self.router.choose(self.request, self._tried)
+        if chosen is None or not may_take_hedge(chosen):
+            return
+        budget = self.router.find_budget(self.request.service_name)
+        if may_hedge(self.made, budget):
+            self.send(chosen.candidate)
 
     def send(self, candidate: Candidate) -> bool:
         """Send to one agent; false if its link is closed."""
--- a/wasabiturn/process/entry/exchange.py
+++ b/wasabiturn/process/entry/exchange.py
@@ -20,7 +20,6 @@
     refuse_not_run,
     refuse_unknown,
 )
-from wasabiturn.request.retry import may_hedge
 from wasabiturn.request.routing import Candidate
 
 ANSWER_IDLE_SECONDS = 30.0
@@ -174,11 +173,8 @@
         self._refuse(self._attempts.refuse(reason, retry_after))
 
     def _hedge(self) -> None:
-        if not self._body.complete or not self._body.repeatable:
-            return
-        budget = self._router.find_budget(self._request.service_name)
-        if may_hedge(self._attempts.made, budget):
-            self._attempts.send_to_chosen()
+        if self._body.complete and self._body.repeatable:
+            self._attempts.hedge()
 
     def _give_up(self, status: HTTPStatus, reason: str) -> None:
         if self._answering:
--- a/wasabiturn/process/entry/keyed.py
+++ b/wasabiturn/process/entry/keyed.py
@@ -111,11 +111,12 @@
             self._attempt.resume_answer()
 
     def _claim_key(self) -> None:
-        chosen = self._router.choose(self._request, self._tried)
-        link = chosen and self._router.find_link(chosen, '')
-        if chosen is None or link is None:
+        choice = self._router.choose(self._request, self._tried)
+        link = choice and self._router.find_link(choice.candidate, '')
+        if choice is None or link is None:
             self._inquiry.look_up()
             return
+        chosen = choice.candidate
         self._candidate = chosen
         self._tried.add(chosen.name)
         self._claim = self._calls.create_claim(
--- a/wasabiturn/process/entry/router.py
+++ b/wasabiturn/process/entry/router.py
@@ -9,7 +9,7 @@
 from wasabiturn.process.entry.agents import AgentPool
 from wasabiturn.request.inbound import InboundRequest
 from wasabiturn.request.retry import LatencyWindow, RetryBudget
-from wasabiturn.request.routing import Candidate, choose_agent
+from wasabiturn.request.routing import Candidate, Choice, choose_agent
 from wasabiturn.utils.logs import create_part_log
 
 _log = create_part_log('entry')
@@ -46,7 +46,7 @@
         self,
         request: InboundRequest,
         tried: set[InstanceName],
-    ) -> Candidate | None:
+    ) -> Choice | None:
         """Choose an agent, one not yet tried where there is one."""
         candidates = self.pool.find_candidates(request.service_name)
         fresh = [each for each in candidates if each.name not in tried]
@@ -75,7 +75,7 @@
             },
             chosen=chosen.ok.candidate.name,
         )
-        return chosen.ok.candidate
+        return chosen.ok
 
     def has_candidate(self, service_name: ServiceName) -> bool:
         """Tell whether an agent can take a request of a service now."""
--- a/wasabiturn/request/load.py
+++ b/wasabiturn/request/load.py
@@ -15,16 +15,15 @@
 @final
 @attrs.define
 class AgentLoad:
-    """Newest report of one agent, and the requests sent by this entry.
+    """Requests of this entry at one agent, and those that it reported.
 
-    Times are loop seconds; ``sent_since_report`` counts requests that the
-    report cannot hold yet.
+    ``others`` counts the requests of other entries in the newest report,
+    taken at ``reported_at`` in loop seconds.
     """
 
     slots: int
     in_flight: int = 0
-    sent_since_report: int = 0
-    reported_in_use: int = 0
+    others: int = 0
     reported_at: float = 0
     service_seconds: float = DEFAULT_SERVICE_SECONDS
 
@@ -32,7 +31,6 @@
 def record_sent(load: AgentLoad) -> None:
     """Count a request that was sent to the agent."""
     load.in_flight += 1
-    load.sent_since_report += 1
 
 
 def record_done(load: AgentLoad) -> None:
@@ -41,10 +39,13 @@
 
 
 def record_report(load: AgentLoad, report: LoadReport, now: float) -> None:
-    """Take the report that came with an answer at ``now``."""
-    load.reported_in_use = report.running + report.waiting
+    """Take the report that came with an answer at ``now``.
+
+    The answered request is still in flight here, but not at the agent.
+    """
+    own = load.in_flight - 1
+    load.others = max(report.running + report.waiting - own, 0)
     load.reported_at = now
-    load.sent_since_report = 0
     if report.slots > 0:
         load.slots = report.slots
     if report.mean_service_ms > 0:
@@ -54,16 +55,19 @@
 def estimate_in_use(load: AgentLoad, now: float) -> float:
     """Return the requests that the agent holds, as believed at ``now``.
 
-    The weight of a report halves with each half-life; what this entry has in
-    flight itself is certain and is the floor.
+    The weight of what others were reported to have there halves with each
+    half-life; what this entry has in flight itself is certain.
     """
     age = max(now - load.reported_at, 0)
     weight = 0.5 ** (age / REPORT_HALF_LIFE_SECONDS)
-    reported = load.reported_in_use * weight + load.sent_since_report
-    return max(reported, load.in_flight)
+    return load.in_flight + load.others * weight
 
 
-def estimate_wait(load: AgentLoad, now: float) -> float:
-    """Return the seconds that a new request would wait for a slot."""
-    ahead = estimate_in_use(load, now) + 1 - load.slots
-    return max(ahead, 0) * load.service_seconds / max(load.slots, 1)
+def estimate_wait(load: AgentLoad, share: float, now: float) -> float:
+    """Return the seconds that a new request would wait for a slot.
+
+    ``share`` is the share of the agent's slots that may be used.
+    """
+    slots = max(load.slots * share, 1)
+    ahead = estimate_in_use(load, now) + 1 - slots
+    return max(ahead, 0) * load.service_seconds / slots
--- a/wasabiturn/request/routing.py
+++ b/wasabiturn/request/routing.py
@@ -16,7 +16,12 @@
 from wasabiturn.request.load import AgentLoad, estimate_in_use, estimate_wait
 
 CROSSING_SECONDS = 0.001
-SAMPLE_SIZE = 2
+# Agents that are compared for one request.
+SAMPLE_SIZE = 16
+# A service time is counted from this many times the median on.
+SLOW_RATIO = 1.5
+# Mean share of slots in use up to which a service is hedged.
+MAX_HEDGE_UTILIZATION = 0.85
 
 
 @final
@@ -34,17 +39,27 @@
 @final
 @attrs.frozen
 class Score:
-    """Estimated seconds until an answer, and the share of slots in use."""
+    """Estimated cost of one agent.
+
+    ``wait_seconds`` until a slot is free; ``extra_seconds`` by which its
+    service and its distance exceed the usual; the share of slots in use.
+    """
 
     name: InstanceName
-    seconds: float
+    wait_seconds: float
+    extra_seconds: float
     utilization: float
 
+    @property
+    def seconds(self) -> float:
+        """Return what this agent costs beyond the usual service time."""
+        return self.wait_seconds + self.extra_seconds
+
 
 @final
 @attrs.frozen
 class Choice:
-    """Chosen agent and the scores that it was chosen by."""
+    """Chosen agent, and the scores that it was chosen by."""
 
     candidate: Candidate
     scores: tuple[Score, ...]
@@ -64,52 +79,59 @@
     random: Random,
     now: float,
 ) -> Result[Choice, NoCandidate]:
-    """Choose among two sampled agents of each side of the data centre.
+    """Choose the agent with the least estimated cost at ``now``.
 
-    The one with the least estimated time to an answer at ``now`` wins; an
-    agent in another data centre must be better by the latency of crossing.
-    Ejected agents are used only when nothing else is left.
+    Of more than ``SAMPLE_SIZE`` agents, so many are sampled. An agent in
+    another data centre must be better by the latency of crossing. Ejected
+    agents are used only when nothing else is left.
     """
     reachable = [each for each in candidates if each.reachable]
     if not reachable:
         return Error(NoCandidate('no backend server is reachable'))
     healthy = [each for each in reachable if not is_ejected(each.health, now)]
-    sampled = _sample(healthy or reachable, data_centre, random)
-    scores = tuple(_score(each, data_centre, now) for each in sampled)
+    sampled = _sample(healthy or reachable, random)
+    usual_seconds = SLOW_RATIO * _median_service(sampled)
+    scores = [_score(each, data_centre, now, usual_seconds) for each in sampled]
     best = min(
         range(len(scores)),
         key=lambda index: (scores[index].seconds, scores[index].utilization),
     )
-    return Ok(Choice(candidate=sampled[best], scores=scores))
+    return Ok(
+        Choice(
+            candidate=sampled[best],
+            scores=tuple(scores),
+        ),
+    )
 
 
-def _sample(
-    candidates: list[Candidate],
-    data_centre: DataCentre,
-    random: Random,
-) -> list[Candidate]:
-    local = [each for each in candidates if each.data_centre == data_centre]
-    remote = [each for each in candidates if each.data_centre != data_centre]
-    return [*_pick(local, random), *_pick(remote, random)]
+def may_take_hedge(choice: Choice) -> bool:
+    """Tell whether the compared agents have slots to spare for a hedge."""
+    total = sum(score.utilization for score in choice.scores)
+    return total <= MAX_HEDGE_UTILIZATION * len(choice.scores)
+
+
+def _sample(candidates: list[Candidate], random: Random) -> list[Candidate]:
+    """Return candidates in a random order, so that ties are spread."""
+    return random.sample(candidates, min(SAMPLE_SIZE, len(candidates)))
 
 
-def _pick(candidates: list[Candidate], random: Random) -> list[Candidate]:
-    if len(candidates) <= SAMPLE_SIZE:
-        return candidates
-    return random.sample(candidates, SAMPLE_SIZE)
+def _median_service(candidates: list[Candidate]) -> float:
+    ordered = sorted(each.load.service_seconds for each in candidates)
+    return ordered[len(ordered) // 2]
 
 
 def _score(
     candidate: Candidate,
     data_centre: DataCentre,
     now: float,
+    usual_seconds: float,
 ) -> Score:
     load = candidate.load
     share = slow_start_share(candidate.health, now)
-    utilization = estimate_in_use(load, now) / max(load.slots * share, 1)
     crossing = 0 if candidate.data_centre == data_centre else CROSSING_SECONDS
     return Score(
         name=candidate.name,
-        seconds=estimate_wait(load, now) + load.service_seconds + crossing,
-        utilization=utilization,
+        wait_seconds=estimate_wait(load, share, now),
+        extra_seconds=max(load.service_seconds - usual_seconds, 0) + crossing,
+        utilization=estimate_in_use(load, now) / max(load.slots * share, 1),
     )
