--- a/wasabiturn/process/entry/program.py
+++ b/wasabiturn/process/entry/program.py
@@ -14,8 +14,9 @@
 from wasabiturn.ids import DataCentre, InstanceName
 from wasabiturn.messages.kinds import Kind, Role
 from wasabiturn.messages.link import Hello
-from wasabiturn.process.daemon import Context, listen
+from wasabiturn.process.daemon import Context, Service, listen
 from wasabiturn.process.entry.agents import AgentPool
+from wasabiturn.process.entry.api_relay import create_api_relay
 from wasabiturn.process.entry.claim_calls import ClaimCalls
 from wasabiturn.process.entry.draining import Draining
 from wasabiturn.process.entry.front import CallerFactory
@@ -38,9 +39,11 @@
         section: EntrySection,
         session: EntrySession,
         dispatch: Dispatch,
+        relay: Service,
     ) -> None:
         """Create the program; ``start`` opens its ports."""
         self._context = context
+        self._relay = relay
         self._section = section
         self._session = session
         reactor = context.reactor
@@ -83,10 +86,13 @@
             self._callers,
         )
         self._stack.callback(self._port.stopListening)
+        self._stack.callback(self._relay.close)
+        self._relay.start()
 
     def drain(self) -> Deferred[None]:
         """Stop gracefully: not ready first, then finish what is in flight."""
         self._readiness.draining = True
+        self._relay.drain()
         return Draining(
             reactor=self._context.reactor,
             callers=self._callers,
@@ -113,7 +119,7 @@
     if section is None:
         raise ProcessError(f'{context.settings.source}: [entry] is missing')
     dispatch = Dispatch(hello=_create_hello(context))
-    session: Any = create_control_session(
+    session = create_control_session(
         section.control,
         dispatch,
         context.reactor,
@@ -121,7 +127,8 @@
         KINDS,
         directory=True,
     )
-    return EntryProgram(context, section, session, dispatch)
+    relay = create_api_relay(context, session)
+    return EntryProgram(context, section, session, dispatch, relay)
 
 
 def _create_hello(context: Context) -> Hello:
