Transfer leadership on a planned stop; let members follow the settings

A planned stop of the leader left the group without one for over a second. An instance that the settings name anew joins as learner and gets a vote; one that they name no longer is removed once it is silent.

--- a/tests/sessions/test_control_group.py
+++ b/tests/sessions/test_control_group.py
@@ -34,6 +34,28 @@
     assert net.journal == snapshot
 
 
+def test_leader_stops_gracefully(
+    net: Net,
+    snapshot: SnapshotAssertion,
+) -> None:
+    """What was submitted is settled; another member leads at once."""
+    leader = net.leader()
+    settled = net.put(leader, 'a')
+    drained: list[float] = []
+    leader.drain().addCallback(
+        lambda _: drained.append(net.clock.seconds()),
+    )
+    refused = net.put(leader, 'b')
+    net.run(0.4)
+    assert settled == ['ok']
+    assert refused == ['NotLeaderError']
+    assert drained
+    net.crash(leader.name)
+    assert net.put(net.leader(), 'c') == []
+    net.run(0.1)
+    assert net.journal == snapshot
+
+
 def test_all_are_killed_and_return(
     net: Net,
     snapshot: SnapshotAssertion,
--- a/tests/version/raft/cluster.py
+++ b/tests/version/raft/cluster.py
@@ -29,6 +29,7 @@
     FRESHNESS_PERIOD_SECONDS,
     MAX_CLOCK_DRIFT,
 )
+from wasabiturn.version.raft.transfer import transfer_leadership
 from wasabiturn.version.storage.replay import Replay
 
 STEP_SECONDS = 0.05
@@ -108,6 +109,24 @@
         self.start(machine)
         return machine
 
+    def add_machine(self, name: str) -> None:
+        """Name a new instance in the settings of all, and start it."""
+        self._name((*self.names, name))
+        self.machines.append(self._create_machine(name))
+
+    def remove_machine(self, name: str) -> Machine:
+        """Name an instance no longer, and stop it."""
+        self._name(tuple(each for each in self.names if each != name))
+        departed = next(each for each in self.machines if each.name == name)
+        self.machines.remove(departed)
+        return departed
+
+    def _name(self, names: tuple[str, ...]) -> None:
+        self.names = names
+        for machine in self.machines:
+            if machine.raft is not None:
+                machine.raft.names = names
+
     # Faults
 
     def start(self, machine: Machine) -> None:
@@ -180,6 +199,10 @@
         machine.disk.snapshot = snapshot
         snapshots.adopt_snapshot(raft, snapshot, KEPT_ENTRIES)
 
+    def transfer(self, machine: Machine) -> None:
+        if machine.raft is not None and not machine.frozen:
+            transfer_leadership(machine.raft, machine.now(self.time))
+
     def flush(self, machine: Machine) -> None:
         raft = machine.raft
         if raft is None:
@@ -393,6 +416,10 @@
     cluster.loss = cluster.random.choice((0.0, 0.1, 0.3))
 
 
+def _transfer(cluster: Cluster, machine: Machine) -> None:
+    cluster.transfer(machine)
+
+
 def _take_snapshot(cluster: Cluster, machine: Machine) -> None:
     cluster.take_snapshot(machine)
 
@@ -409,4 +436,5 @@
     _reconnect,
     _lose_messages,
     _take_snapshot,
+    _transfer,
 )
--- a/tests/version/raft/test_invariants.py
+++ b/tests/version/raft/test_invariants.py
@@ -87,6 +87,10 @@
     def take_snapshot(self, number: int) -> None:
         self.cluster.take_snapshot(self.pick(number))
 
+    @rule(number=numbers)
+    def transfer(self, number: int) -> None:
+        self.cluster.transfer(self.pick(number))
+
     @rule()
     def heal(self) -> None:
         self.cluster.heal()
--- a/tests/version/raft/test_mechanisms.py
+++ b/tests/version/raft/test_mechanisms.py
@@ -327,3 +327,34 @@
 
 def envelope(raft: Any, **content: Any) -> Envelope:
     return Envelope('a/1', 'b/1', 'a/1', raft.ballot.term, **content)
+
+
+def test_members_follow_the_settings(cluster: Cluster) -> None:
+    """A new instance gets a vote; one that departed is removed."""
+    cluster.add_machine('c4')
+    cluster.run(4)
+    assert cluster.may_lose_disk()
+    departed = cluster.remove_machine('c1')
+    cluster.run(8)
+    assert cluster.may_lose_disk()
+    assert departed not in cluster.machines
+    cluster.check_recovery()
+
+
+def test_late_request_to_lead_is_void(cluster: Cluster) -> None:
+    """A copy of a transfer that arrives in a later term starts nothing."""
+    leader, *_ = ranked(cluster)
+    cluster.transfer(leader)
+    assert leader.raft is not None
+    transfers = [
+        each for each in leader.raft.outbox if each.transfer_leadership
+    ]
+    cluster.run(3)
+    successor = ranked(cluster)[0]
+    assert successor is not leader
+    assert successor.raft is not None
+    term = successor.raft.ballot.term
+    cluster.flight.extend((cluster.time, each) for each in transfers)
+    cluster.run(3)
+    assert ranked(cluster)[0] is successor
+    assert successor.raft.ballot.term == term
--- a/wasabiturn/messages/raft.py
+++ b/wasabiturn/messages/raft.py
@@ -65,6 +65,14 @@
     proposed_term: int = 0
     last_index: int = 0
     last_term: int = 0
+    transfer: bool = False
+
+
+@bind(_idl)
+@final
+@attrs.define
+class TransferLeadership:
+    """Ask the receiver to lead: the sender has given up its lease."""
 
 
 @bind(_idl)
@@ -169,6 +177,7 @@
     snapshot_reply: SnapshotReply | None = None
     introduce: Introduce | None = None
     introduced: Introduced | None = None
+    transfer_leadership: TransferLeadership | None = None
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/raft.thrift
+++ b/wasabiturn/messages/wire/raft.thrift
@@ -28,6 +28,11 @@
   2: i64 proposed_term,
   3: i64 last_index,
   4: i64 last_term,
+  5: bool transfer,         // the leader gave up its lease for the sender
+}
+
+// Of a leader that stops, to the member that shall lead.
+struct TransferLeadership {
 }
 
 struct VoteReply {
@@ -95,6 +100,7 @@
   10: optional SnapshotReply snapshot_reply,
   11: optional Introduce introduce,
   12: optional Introduced introduced,
+  13: optional TransferLeadership transfer_leadership,
 }
 
 // One record of the durable log: what one batch saved.
--- a/wasabiturn/process/control/consensus.py
+++ b/wasabiturn/process/control/consensus.py
@@ -18,10 +18,10 @@
 from wasabiturn.exceptions import StateError, StorageError
 from wasabiturn.ids import InstanceName
 from wasabiturn.messages.kinds import Method
-from wasabiturn.messages.link import Nothing
 from wasabiturn.messages.raft import Envelope, Membership
 from wasabiturn.messages.state import Command, Outcome
 from wasabiturn.process.control.applier import Applier
+from wasabiturn.process.control.handover import Handover
 from wasabiturn.process.control.member import (
     ActiveMember,
     open_member,
@@ -71,6 +71,7 @@
         self._flush_call: Any = None
         self._stack = ExitStack()
         self._member: ActiveMember | None = None
+        self._handover: Handover | None = None
 
     @property
     def state(self) -> State:
@@ -101,8 +102,13 @@
         ticker.start(TICK_SECONDS)
 
     def drain(self) -> Deferred[None]:
-        """Stop gracefully; what was submitted is settled or left open."""
-        return succeed(None)
+        """Settle what was submitted and let another member lead."""
+        if self._member is None:
+            return succeed(None)
+        self._handover = Handover(started_at=self._now())
+        self._handover.advance(self._member, self._now())
+        self._schedule_flush()
+        return self._handover.done
 
     def close(self) -> None:
         """Stop, and close data folder and links."""
@@ -114,8 +120,8 @@
 
     def submit(self, command: Command) -> Deferred[Outcome]:
         """Commit and apply ``command``; see ``Replica.submit``."""
-        if self._member is None:
-            return fail(NotLeaderError(None))
+        if self._member is None or self._handover is not None:
+            return fail(NotLeaderError(self.leader()))
         settled = self._member.submit(command, self._now())
         self._schedule_flush()
         return settled
@@ -154,16 +160,17 @@
         member = self._member
         return member is not None and lease.is_fresh(member.raft, now)
 
-    def receive(self, link: Any, envelope: Envelope) -> Nothing:
+    def receive(self, link: Any, envelope: Envelope) -> None:
         """Step the core with a message of another member."""
         self._step(envelope)
-        return Nothing()
 
     def _now(self) -> float:
         return cast(float, self._context.reactor.seconds())
 
     def _tick(self) -> None:
         self._step(Tick())
+        if self._handover is not None and self._member is not None:
+            self._handover.advance(self._member, self._now())
 
     def _step(self, message: object) -> None:
         if self._member is None:
--- a/wasabiturn/process/control/member.py
+++ b/wasabiturn/process/control/member.py
@@ -95,6 +95,10 @@
             return None
         return InstanceName(name_of(self.raft.leader_id)) or None
 
+    def is_idle(self) -> bool:
+        """Tell whether no submit waits for its outcome."""
+        return not self.submits and not self.applier.waiting_by_index
+
     def leads(self) -> bool:
         """Tell whether this member leads and holds all that is committed."""
         leadership = self.raft.leadership
--- a/wasabiturn/version/raft/election.py
+++ b/wasabiturn/version/raft/election.py
@@ -47,7 +47,23 @@
     state.leader_id = ''
     state.votes = {state.member_id}
     delay_election(state, now)
-    _ask(state, pre_vote=True, proposed_term=state.ballot.term + 1)
+    request = VoteRequest(
+        pre_vote=True,
+        proposed_term=state.ballot.term + 1,
+    )
+    _ask(state, request)
+    _count(state, now)
+
+
+def start_vote(state: RaftState, now: float, transfer: bool) -> None:
+    """Enter the next term as candidate."""
+    state.role = RaftRole.candidate
+    state.leader_id = ''
+    set_term(state, state.ballot.term + 1, state.member_id)
+    state.votes = {state.member_id}
+    delay_election(state, now)
+    request = VoteRequest(proposed_term=state.ballot.term, transfer=transfer)
+    _ask(state, request)
     _count(state, now)
 
 
@@ -57,8 +73,11 @@
     envelope: Envelope,
     now: float,
 ) -> None:
-    """Grant or refuse a vote; a member that hears a leader stays silent."""
-    if is_protected(state, now):
+    """Grant or refuse a vote; a member that hears a leader stays silent.
+
+    Not so for a transfer: the leader gave up its lease before it asked.
+    """
+    if is_protected(state, now) and not request.transfer:
         return
     if not request.pre_vote and request.proposed_term > state.ballot.term:
         follow(state, request.proposed_term, '', now)
@@ -108,15 +127,11 @@
     return state.ballot.voted_for in {'', candidate}
 
 
-def _ask(state: RaftState, pre_vote: bool, proposed_term: int) -> None:
+def _ask(state: RaftState, request: VoteRequest) -> None:
+    request.last_index = state.log.last_index
+    request.last_term = state.log.last_term
     for voter in membership.voters(state):
         if voter != state.member_id:
-            request = VoteRequest(
-                pre_vote=pre_vote,
-                proposed_term=proposed_term,
-                last_index=state.log.last_index,
-                last_term=state.log.last_term,
-            )
             send(state, Envelope(receiver=voter, vote_request=request))
 
 
@@ -124,20 +139,11 @@
     if not membership.is_quorum(state, state.votes):
         return
     if state.role is RaftRole.pre_candidate:
-        _start_vote(state, now)
+        start_vote(state, now, transfer=False)
     else:
         _lead(state, now)
 
 
-def _start_vote(state: RaftState, now: float) -> None:
-    state.role = RaftRole.candidate
-    set_term(state, state.ballot.term + 1, state.member_id)
-    state.votes = {state.member_id}
-    delay_election(state, now)
-    _ask(state, pre_vote=False, proposed_term=state.ballot.term)
-    _count(state, now)
-
-
 def _lead(state: RaftState, now: float) -> None:
     state.role = RaftRole.leader
     state.leader_id = state.member_id
--- a/wasabiturn/version/raft/receipt.py
+++ b/wasabiturn/version/raft/receipt.py
@@ -10,45 +10,22 @@
     introduction,
     replication,
     snapshots,
+    transfer,
 )
+from wasabiturn.version.raft.contents import Content, content_of
 from wasabiturn.version.raft.membership import is_addressed
 from wasabiturn.version.raft.state import RaftState
 
-Content = (
-    messages.VoteRequest
-    | messages.VoteReply
-    | messages.AppendRequest
-    | messages.AppendReply
-    | messages.SnapshotChunk
-    | messages.SnapshotReply
-    | messages.Introduce
-    | messages.Introduced
-)
-
 
 def receive(envelope: Envelope, state: RaftState, now: float) -> None:
     """Handle the content of ``envelope`` if it is meant for this member."""
-    content = _content_of(envelope)
+    content = content_of(envelope)
     if content is None or not is_addressed(state, envelope):
         return
     if _check_term(state, envelope, content, now):
         _handle(content, state, envelope, now)
 
 
-def _content_of(envelope: Envelope) -> Content | None:
-    contents = (
-        envelope.append_request,
-        envelope.append_reply,
-        envelope.vote_request,
-        envelope.vote_reply,
-        envelope.snapshot_chunk,
-        envelope.snapshot_reply,
-        envelope.introduce,
-        envelope.introduced,
-    )
-    return next((each for each in contents if each is not None), None)
-
-
 def _check_term(
     state: RaftState,
     envelope: Envelope,
@@ -175,3 +152,13 @@
     now: float,
 ) -> None:
     introduction.handle_introduced(state, content, envelope, now)
+
+
+@_handle.register
+def _(
+    content: messages.TransferLeadership,
+    state: RaftState,
+    envelope: Envelope,
+    now: float,
+) -> None:
+    transfer.handle_transfer(state, now)
--- a/wasabiturn/version/raft/reconfiguration.py
+++ b/wasabiturn/version/raft/reconfiguration.py
@@ -2,7 +2,8 @@
 
 A new incarnation of an instance joins as a learner. Once it has caught up, and
 the old incarnation is silent, the leader commits the removal of the old voter
-and then the vote of the new one.
+and then the vote of the new one. An instance that the settings name anew joins
+in the same way; one that they name no longer is removed once it is silent.
 """
 
 from wasabiturn.messages.codec import pack
@@ -45,6 +46,21 @@
         if member.voter or not _has_caught_up(state, leadership, member, now):
             continue
         return _exchange(leadership, members, member, now)
+    return _remove_departed(state, leadership, members, now)
+
+
+def _remove_departed(
+    state: RaftState,
+    leadership: Leadership,
+    members: list[Member],
+    now: float,
+) -> list[Member] | None:
+    """Remove a silent member whose instance the settings no longer name."""
+    for member in members:
+        if name_of(member.member_id) in state.names:
+            continue
+        if _is_silent(leadership, member, now):
+            return [other for other in members if other is not member]
     return None
 
 
