--- /dev/null
+++ b/benchmarks/failover.py
@@ -0,0 +1,39 @@
+"""Time without a leader after ``kill -9`` of the leader, over many kills.
+
+Counted from the kill to the first write that another member commits, as a
+client that asks the others all the time sees it.
+"""
+
+import sys
+import time
+
+from benchmarks.control_group import ControlGroup, run_benchmark, sleep
+
+KILLS = 40
+SETTLE_SECONDS = 2.5
+
+
+async def measure(group: ControlGroup) -> None:
+    """Print the gap of each kill, and their distribution."""
+    kills = int(sys.argv[1]) if len(sys.argv) > 1 else KILLS
+    gaps = []
+    leader = await group.find_leader()
+    for _ in range(kills):
+        await sleep(group.reactor, SETTLE_SECONDS)
+        program = group.programs_by_name[leader]
+        killed_at = time.perf_counter()
+        program.kill()
+        leader = await group.find_leader(but_not=leader)
+        gaps.append(time.perf_counter() - killed_at)
+        print(f'{gaps[-1]:.3f} s', flush=True)
+        program.start()
+    gaps.sort()
+    print(
+        f'{kills} kills: min {gaps[0]:.3f} s, '
+        f'median {gaps[len(gaps) // 2]:.3f} s, '
+        f'p90 {gaps[int(len(gaps) * 0.9)]:.3f} s, max {gaps[-1]:.3f} s',
+    )
+
+
+if __name__ == '__main__':
+    run_benchmark(measure)
--- /dev/null
+++ b/benchmarks/raft_search.py
@@ -0,0 +1,43 @@
+"""Seeded search for a broken invariant of consensus, longer than CI's.
+
+``python -m benchmarks.raft_search FIRST_SEED COUNT`` prints the seeds that
+break an invariant; run one again with a count of 1.
+"""
+
+import sys
+import time
+from collections import Counter
+
+from tests.version.raft.cluster import search
+
+EPISODES = 20
+SMALL, LARGE = 3, 5
+
+
+def main() -> None:
+    """Search, and print what the sessions went through."""
+    first, count = int(sys.argv[1]), int(sys.argv[2])
+    started = time.perf_counter()
+    seen: Counter[str] = Counter()
+    broken = 0
+    for seed in range(first, first + count):
+        try:
+            cluster = search(seed, SMALL if seed % 2 else LARGE, EPISODES)
+        except Exception as error:
+            broken += 1
+            print(f'seed {seed}: {type(error).__name__}: {error}', flush=True)
+            continue
+        seen['commits'] += len(cluster.entry_by_index)
+        seen['terms with a leader'] += len(cluster.leader_by_term)
+        seen['lost disks'] += sum(
+            machine.disk.incarnation - 1 for machine in cluster.machines
+        )
+        seen['virtual seconds'] += round(cluster.time)
+    print(f'seeds {first} to {first + count - 1}: {broken} broken')
+    for what, number in seen.items():
+        print(f'{number} {what}')
+    print(f'{time.perf_counter() - started:.0f} s')
+
+
+if __name__ == '__main__':
+    main()
