Decode messages without the hooks of attrs

Cause: attrs runs a chain of Python hooks for each field that is set, also for fields without a converter; each frame of each link pays for it.

Ruled out: fewer fields in a frame; the compact protocol. The setter keeps the converters, so enumerations are as strict as before.

--- /dev/null
+++ b/benchmarks/state_slopes.py
@@ -0,0 +1,306 @@
+"""Slopes of sessions and watches on three control processes.
+
+Run as ``python -m benchmarks.state_slopes``: members with fsync, sessions and
+watches over loopback TCP. Processor time and memory of the members are read
+from /proc; the sessions' side is this process.
+"""
+
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from contextlib import ExitStack
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import typer
+from twisted.internet import reactor as default_reactor
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.task import deferLater
+
+from benchmarks.figures import show
+from benchmarks.state_commands import put_configuration
+from wasabiturn.connection import link as link_module
+from wasabiturn.connection.dialer import Endpoint
+from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.messages.kinds import Kind, Method, Role
+from wasabiturn.messages.link import Hello
+from wasabiturn.messages.session import AgentRecord, Submit, WatchRequest
+from wasabiturn.messages.state import Outcome
+from wasabiturn.process.session import ControlSession, create_control_session
+
+HOST = '127.0.0.1'
+FIRST_PORT = 17501
+FIRST_API_PORT = 17511
+MEMBERS = 3
+SETTLE_SECONDS = 4.0
+IDLE_SECONDS = 10.0
+COMMITS = 100
+TICKS_PER_SECOND = os.sysconf('SC_CLK_TCK')
+
+reactor: Any = default_reactor
+
+
+class Counter:
+    """Bytes that the sessions of this process sent and received."""
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.received = 0
+
+    def install(self) -> None:
+        """Count from now on."""
+        encode = link_module.encode_frame
+        feed = link_module.FrameBuffer.feed
+
+        def counting_encode(payload: bytes) -> bytes:
+            frame = encode(payload)
+            self.sent += len(frame)
+            return frame
+
+        def counting_feed(buffer: Any, data: bytes) -> Any:
+            self.received += len(data)
+            return feed(buffer, data)
+
+        link_module.encode_frame = counting_encode
+        link_module.FrameBuffer.feed = counting_feed
+
+
+class Members:
+    """Control processes, started and ended by id."""
+
+    def __init__(self, folder: Path, stack: ExitStack) -> None:
+        names = ', '.join(
+            f'control-{number}@{HOST}:{FIRST_PORT + number}'
+            for number in range(MEMBERS)
+        )
+        self.processes = []
+        for number in range(MEMBERS):
+            settings = folder / f'control-{number}.ini'
+            settings.write_text(
+                f'[instance]\nname = control-{number}\ndata_centre = dc-a\n'
+                f'[control]\nlisten = {HOST}:{FIRST_PORT + number}\n'
+                f'api_listen = {HOST}:{FIRST_API_PORT + number}\n'
+                f'members = {names}\n'
+                f'data_folder = {folder}/data-{number}\n'
+                f'[logging]\nfile = {folder}/log-{number}\n',
+            )
+            process = subprocess.Popen(
+                [sys.executable, '-m', 'wasabiturn', 'control', settings],
+            )
+            stack.callback(process.wait)
+            stack.callback(process.terminate)
+            self.processes.append(process)
+
+    def cpu_seconds(self) -> list[float]:
+        """Return the processor seconds of each member."""
+        return [read_cpu(process.pid) for process in self.processes]
+
+    def memory_kb(self) -> list[int]:
+        """Return the resident memory of each member."""
+        return [read_memory(process.pid) for process in self.processes]
+
+
+def read_cpu(pid: int) -> float:
+    """Return the processor seconds of a process."""
+    fields = Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+
+
+def read_memory(pid: int) -> int:
+    """Return the resident memory of a process in KB."""
+    for line in Path(f'/proc/{pid}/status').read_text().splitlines():
+        if line.startswith('VmRSS'):
+            return int(line.split()[1])
+    return 0
+
+
+def pause(seconds: float) -> Deferred[None]:
+    """Fire after ``seconds``."""
+    return deferLater(reactor, seconds, lambda: None)
+
+
+def create_session(number: int, directory: bool) -> ControlSession:
+    """Start a session as an entry or an agent has it."""
+    name = f'session-{number}'
+    hello = Hello(name=name, role=Role.agent, protocol_version=1)
+    session = create_control_session(
+        endpoints=[
+            Endpoint(HOST, FIRST_PORT + member) for member in range(MEMBERS)
+        ],
+        dispatch=Dispatch(hello=hello),
+        reactor=reactor,
+        random=Random(number),
+        kinds=(Kind.service, Kind.data_centre, Kind.configuration),
+        directory=directory,
+    )
+    session.start()
+    if not directory:
+        session.announce(AgentRecord(name=name, incarnation='i', sequence=1))
+    return session
+
+
+class Load:
+    """Commits one command after the other, and waits for each."""
+
+    def __init__(self, session: ControlSession) -> None:
+        self.session = session
+        self.number = 0
+
+    def commit(self) -> Deferred[Outcome]:
+        """Commit the next write."""
+        self.number += 1
+        message = Submit(command=put_configuration(self.number))
+        return self.session.call_leader(Method.submit, message, Outcome, 5)
+
+
+class Sample:
+    """Spent by members and by this process since the sample was taken."""
+
+    def __init__(self, members: Members, counter: Counter) -> None:
+        self.members = members
+        self.counter = counter
+        self.started = time.monotonic()
+        self.cpu = members.cpu_seconds()
+        self.own_cpu = time.process_time()
+        self.sent = counter.sent
+        self.received = counter.received
+
+    def figures(self) -> dict[str, Any]:
+        """Return what was spent."""
+        seconds = time.monotonic() - self.started
+        spent = [
+            round(now - before, 2)
+            for now, before in zip(
+                self.members.cpu_seconds(),
+                self.cpu,
+                strict=True,
+            )
+        ]
+        return {
+            'seconds': round(seconds, 2),
+            'member_cpu_seconds': spent,
+            'member_memory_kb': self.members.memory_kb(),
+            'session_side_cpu_seconds': round(
+                time.process_time() - self.own_cpu,
+                3,
+            ),
+            'bytes_to_members': self.counter.sent - self.sent,
+            'bytes_from_members': self.counter.received - self.received,
+        }
+
+
+@inlineCallbacks
+def measure_sessions(members: Members, directory: bool) -> Any:
+    """Print what idle sessions and commits cost by number of sessions."""
+    counter = Counter()
+    counter.install()
+    load = Load(create_session(0, directory=True))
+    sessions: list[ControlSession] = [load.session]
+    title = 'entry-like' if directory else 'agent-like'
+    for count in (1, 50, 100, 150):
+        while len(sessions) < count:
+            sessions.append(create_session(len(sessions), directory))
+        yield pause(SETTLE_SECONDS)
+        idle = Sample(members, counter)
+        yield pause(IDLE_SECONDS)
+        show(f'idle, {title} sessions', sessions=count, **idle.figures())
+        busy = Sample(members, counter)
+        for _ in range(COMMITS):
+            yield load.commit()
+        show(
+            f'commits one by one, {title} sessions',
+            sessions=count,
+            commits=COMMITS,
+            **busy.figures(),
+        )
+    for session in sessions:
+        session.stop()
+    yield pause(1)
+
+
+class Drain:
+    """Receiver that reads a watch as fast as it comes."""
+
+    def __init__(self) -> None:
+        self.stream: Any = None
+        self.received = 0
+
+    def data_received(self, chunk: bytes) -> None:
+        """Read and grant credit."""
+        self.received += len(chunk)
+        self.stream.consumed(len(chunk))
+
+    def end_received(self) -> None:
+        """Nothing follows."""
+
+    def reset_received(self, reason: str) -> None:
+        """Say that the watch broke off."""
+        print('watch reset', reason)
+
+    def writable(self) -> None:
+        """Nothing is sent."""
+
+
+@inlineCallbacks
+def measure_watches(members: Members) -> Any:
+    """Print what idle watches and commits cost by number of watches."""
+    counter = Counter()
+    load = Load(create_session(0, directory=True))
+    yield pause(SETTLE_SECONDS)
+    drains: list[Drain] = []
+    link = load.session.open_links()[0]
+    for count in (0, 20, 60, 120):
+        while len(drains) < count:
+            drain = Drain()
+            head = WatchRequest(kind=int(Kind.configuration), since=-1)
+            drain.stream = link.open_stream(Method.watch, head, drain)
+            drains.append(drain)
+        yield pause(2)
+        idle = Sample(members, counter)
+        yield pause(IDLE_SECONDS)
+        show('idle, watches', watches=count, **idle.figures())
+        before = sum(drain.received for drain in drains)
+        busy = Sample(members, counter)
+        for _ in range(COMMITS):
+            yield load.commit()
+        show(
+            'commits one by one, watches at one member',
+            watches=count,
+            commits=COMMITS,
+            watched_bytes=sum(drain.received for drain in drains) - before,
+            **busy.figures(),
+        )
+    load.session.stop()
+    yield pause(1)
+
+
+@inlineCallbacks
+def measure_processes(members: Members) -> Any:
+    """Run the measurements one after the other."""
+    yield pause(SETTLE_SECONDS)
+    yield measure_watches(members)
+    yield measure_sessions(members, directory=False)
+    yield measure_sessions(members, directory=True)
+
+
+def main() -> None:
+    """Print one JSON line for each measurement."""
+    show('machine', cpus=os.cpu_count(), python=sys.version.split()[0])
+    with ExitStack() as stack:
+        folder = stack.enter_context(tempfile.TemporaryDirectory())
+        members = Members(Path(folder), stack)
+
+        def begin() -> None:
+            done = measure_processes(members)
+            done.addErrback(lambda failure: failure.printTraceback())
+            done.addBoth(lambda _: reactor.stop())
+
+        reactor.callWhenRunning(begin)
+        reactor.run()
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- /dev/null
+++ b/tests/messages/test_codec.py
@@ -0,0 +1,30 @@
+"""Messages on the wire: enumerations, unknown numbers, damage."""
+
+import pytest
+
+from wasabiturn.messages.codec import CodecError, pack, unpack
+from wasabiturn.messages.kinds import FrameKind, Kind, TaskState
+from wasabiturn.messages.link import Failure, Frame
+from wasabiturn.messages.state import Resource, TaskSpec
+
+
+def test_enumerations_are_decoded_at_every_depth() -> None:
+    spec = TaskSpec(owner_kind=Kind.job, state=TaskState.evicting)
+    sent = Resource(kind=Kind.task, name='plots.0', task_spec=spec)
+    received = unpack(Resource, pack(sent))
+    assert received == sent
+    assert received.task_spec is not None
+    assert received.task_spec.state is TaskState.evicting
+
+
+def test_enumeration_is_converted_when_it_is_set() -> None:
+    frame = Frame()
+    frame.kind = 6  # type: ignore[assignment]
+    assert frame.kind is FrameKind.notice
+
+
+def test_unknown_number_is_an_error() -> None:
+    packed = pack(Failure())
+    damaged = packed[:3] + b'\x00\x00\x00\x7f' + packed[7:]
+    with pytest.raises(CodecError, match='Failure'):
+        unpack(Failure, damaged)
--- a/wasabiturn/messages/codec.py
+++ b/wasabiturn/messages/codec.py
@@ -51,6 +51,7 @@
             for number, entry in struct.thrift_spec.items()
         }
         message_class.thrift_spec = spec  # type: ignore[attr-defined]
+        _install_setter(message_class)
         _classes_by_name[message_class.__name__] = message_class
         return message_class
 
@@ -94,6 +95,26 @@
         )
 
 
+def _install_setter(message_class: type) -> None:
+    """Set fields without the hooks of attrs, which cost most of decoding."""
+    converters_by_field: dict[str, Any] = {
+        field.name: field.converter
+        for field in attrs.fields(message_class)
+        if field.converter is not None
+    }
+    if not converters_by_field:
+        return
+    set_field = object.__setattr__
+
+    def set_converted(message: Any, name: str, content: Any) -> None:
+        convert = converters_by_field.get(name)
+        if convert is not None:
+            content = convert(content)
+        set_field(message, name, content)
+
+    message_class.__setattr__ = set_converted  # type: ignore[assignment]
+
+
 def _rebind(part: Any) -> Any:
     """Replace each struct that the IDL loader made by its bound class."""
     if isinstance(part, tuple):
