--- a/tests/process/group.py
+++ b/tests/process/group.py
@@ -9,6 +9,7 @@
 from wasabiturn.ids import InstanceName, LogIndex
 from wasabiturn.messages.kinds import Role
 from wasabiturn.messages.link import Hello
+from wasabiturn.messages.raft import Member
 from wasabiturn.messages.state import Command, Outcome
 from wasabiturn.process.control.api_core import ApiCore, register_api
 from wasabiturn.process.control.directory import create_directory
@@ -21,6 +22,7 @@
     Applied,
     NotLeaderError,
     OutcomeUnknownError,
+    Standing,
 )
 from wasabiturn.version.state import create_state
 
@@ -32,6 +34,7 @@
         self.name = InstanceName(name)
         self.state = create_state()
         self.on_applied: list[Callable[[Applied], None]] = []
+        self.on_restored: list[Callable[[], None]] = []
         self.on_role_change: list[Callable[[], None]] = []
         self.cut_off = False
         self.applied = 0
@@ -60,6 +63,14 @@
     def is_fresh(self, now: float) -> bool:
         return not self.cut_off and self._group.leader is not None
 
+    def standing(self) -> Standing:
+        role = 'leader' if self._group.leader is self else 'follower'
+        members = tuple(
+            Member(member_id=replica.name, voter=True)
+            for replica in self._group.replicas
+        )
+        return Standing(role=role, term=1, members=members)
+
     def catch_up(self) -> None:
         if self.cut_off:
             return
@@ -81,6 +92,8 @@
         assert leader is not None
         self.state = load_state(dump_state(leader.state))
         self.applied = leader.applied
+        for callback in self.on_restored:
+            callback()
 
 
 class Group:
--- a/tests/process/test_api.py
+++ b/tests/process/test_api.py
@@ -111,6 +111,16 @@
     assert refused.status == 400
 
 
+def test_status_shows_the_member_and_the_group() -> None:
+    operators = create_operators(Group(Network()))
+    operators.send('PUT', POLICY, settings('a'))
+    shown = operators.send('GET', '/v1/status').content
+    assert shown['leader'] == 'control-1'
+    assert shown['revision'] == 1
+    assert len(shown['members']) == 3
+    assert operators.send('PUT', '/v1/status').status == 405
+
+
 def test_operator_settles_an_unknown_outcome() -> None:
     group = Group(Network())
     operators = create_operators(group)
--- a/wasabiturn/process/control/api_core.py
+++ b/wasabiturn/process/control/api_core.py
@@ -219,15 +219,18 @@
 
 def describe_member(replica: Replica) -> dict[str, Any]:
     """Return what ``GET /v1/status`` says of this member."""
-    described = {
+    standing = replica.standing()
+    return {
         'member': replica.name,
+        'role': standing.role,
+        'term': standing.term,
         'leader': replica.leader(),
         'revision': replica.state.revision,
+        'members': [
+            {'member': each.member_id, 'voter': each.voter}
+            for each in standing.members
+        ],
     }
-    describe = getattr(replica, 'describe', None)
-    if describe is not None:
-        described.update(describe())
-    return described
 
 
 def _answer_refusal(failure: TwistedFailure) -> ApiResponse:
--- a/wasabiturn/process/control/consensus.py
+++ b/wasabiturn/process/control/consensus.py
@@ -31,7 +31,7 @@
 from wasabiturn.utils.logs import create_part_log
 from wasabiturn.version.raft import lease, membership
 from wasabiturn.version.raft.core import Tick, step
-from wasabiturn.version.replica import NotLeaderError
+from wasabiturn.version.replica import NotLeaderError, Standing
 from wasabiturn.version.state import State
 
 TICK_SECONDS = 0.05
@@ -148,6 +148,17 @@
             return Membership()
         return membership.current(self._member.raft)
 
+    def standing(self) -> Standing:
+        """Return role, term and members; see ``Replica.standing``."""
+        member = self._member
+        if member is None:
+            return Standing(role='stopped', term=0, members=())
+        return Standing(
+            role=member.raft.role.value,
+            term=member.raft.ballot.term,
+            members=tuple(self.members().members),
+        )
+
     def holds_lease(self, now: float) -> bool:
         """Tell whether this member leads and no other can at ``now``."""
         member = self._member
--- a/wasabiturn/process/control/sessions.py
+++ b/wasabiturn/process/control/sessions.py
@@ -86,6 +86,7 @@
         dispatch.handle(Method.record_answer, RecordAnswer, self._record)
         dispatch.handle(Method.look_up_claim, LookUpClaim, self._look_up)
         self._replica.on_applied.append(self._publish)
+        self._replica.on_restored.append(self._publish_restored)
 
     def start(self) -> None:
         """Begin to expire silent agents."""
@@ -110,6 +111,9 @@
         if applied.changes:
             self.subscribers.publish(self._replica.state)
 
+    def _publish_restored(self) -> None:
+        self.subscribers.publish(self._replica.state)
+
     def _subscribe(self, link: Link, message: Subscribe) -> Subscribed:
         state = self._replica.state
         self.subscribers.add(link, message, state)
@@ -129,8 +133,6 @@
         if not self._replica.is_fresh(relied_until):
             text = 'no quorum has confirmed the state lately'
             raise CallError(FailureCode.unavailable, text)
-        # A snapshot that this member installed brought changes of its own.
-        self.subscribers.catch_up(link, self._replica.state)
         return Fresh(revision=self._replica.state.revision)
 
     def _submit(self, link: Link, message: Submit) -> Deferred[Outcome]:
--- a/wasabiturn/process/control/watches.py
+++ b/wasabiturn/process/control/watches.py
@@ -117,8 +117,12 @@
     def publish(self, applied: Applied) -> None:
         """Send the newest changes to each watcher."""
         if applied.changes:
-            for watch in self.open_watches:
-                watch.send_missed(self.replica.state)
+            self.publish_restored()
+
+    def publish_restored(self) -> None:
+        """Send what a snapshot brought to each watcher."""
+        for watch in self.open_watches:
+            watch.send_missed(self.replica.state)
 
     def resume(self, watch: Watch) -> None:
         """Go on with a watch that lacked credit."""
@@ -134,7 +138,6 @@
         if not self.replica.is_fresh(self.clock.seconds()):
             self._end_all(NOT_FRESH)
         for watch in self.open_watches:
-            watch.send_missed(self.replica.state)
             watch.send_heartbeat()
 
     def _find_refusal(self, head: WatchRequest) -> str:
@@ -164,6 +167,7 @@
     """Create the watches of a member and register them on ``dispatch``."""
     watches = Watches(replica=replica, tokens=tokens, clock=clock)
     replica.on_applied.append(watches.publish)
+    replica.on_restored.append(watches.publish_restored)
     dispatch.handle_stream(Method.watch, WatchRequest, watches.open)
     return watches
 
--- a/wasabiturn/version/replica.py
+++ b/wasabiturn/version/replica.py
@@ -8,6 +8,7 @@
 
 from wasabiturn.exceptions import StateError
 from wasabiturn.ids import InstanceName, LogIndex
+from wasabiturn.messages.raft import Member
 from wasabiturn.messages.state import Change, Command, Outcome
 from wasabiturn.version.state import State
 
@@ -36,6 +37,16 @@
     changes: tuple[Change, ...]
 
 
+@final
+@attrs.frozen
+class Standing:
+    """What a member knows of the group; for operators only."""
+
+    role: str
+    term: int
+    members: tuple[Member, ...]
+
+
 class Replica(Protocol):
     """One member of the control group.
 
@@ -73,3 +84,6 @@
 
     def is_fresh(self, now: float) -> bool:
         """Tell whether ``state`` was current within the freshness period."""
+
+    def standing(self) -> Standing:
+        """Return the role, the term and the members of this member."""
