--- a/wasabiturn/process/control/member.py
+++ b/wasabiturn/process/control/member.py
@@ -34,6 +34,7 @@
 
 KEPT_ENTRIES = 1000
 MAX_COMMAND_BYTES = 4 * 1024 * 1024
+STAGGER_SHARE = 4
 _INCARNATION_BITS = 64
 
 _log = create_part_log('consensus')
@@ -179,5 +180,13 @@
         store=store,
         peers=peers,
         applier=applier,
-        snapshot_entries=section.snapshot_entries,
+        snapshot_entries=_snapshot_period(section, name),
     )
+
+
+def _snapshot_period(section: ControlSection, name: InstanceName) -> int:
+    """Give each member a period of its own, so that not all block at once."""
+    names = [member.name for member in section.members]
+    position = names.index(name) if name in names else 0
+    entries = section.snapshot_entries
+    return entries + entries * position // (STAGGER_SHARE * len(names))
