--- a/wasabiturn/messages/kinds.py
+++ b/wasabiturn/messages/kinds.py
@@ -51,12 +51,7 @@
     serve = 12
     refuse_claim = 13
     read_barrier = 14
-    pre_vote = 20
-    vote = 21
-    append = 22
-    install_snapshot = 23
-    join = 24
-    consensus = 25
+    consensus = 20
     status = 30
     api = 40
     watch = 41
