--- a/tests/sessions/test_control_group.py
+++ b/tests/sessions/test_control_group.py
@@ -8,6 +8,7 @@
 from syrupy.assertion import SnapshotAssertion
 
 from tests.sessions.control_fakes import NAMES, Net
+from wasabiturn.process.control.member import MAX_COMMAND_BYTES
 
 
 @pytest.fixture
@@ -178,3 +179,12 @@
         raise OSError(code, os.strerror(code))
 
     return refuse
+
+
+def test_command_over_the_limit_is_refused(net: Net) -> None:
+    """A frame could not carry it, so no entry may hold it."""
+    answers = net.put(net.leader(), 'x' * MAX_COMMAND_BYTES)
+    assert answers == ['CommandTooLargeError']
+    net.put(net.leader(), 'after')
+    net.run(0.2)
+    assert net.configurations(net.leader().name) == ['after']
--- a/wasabiturn/process/control/consensus.py
+++ b/wasabiturn/process/control/consensus.py
@@ -121,7 +121,7 @@
     def submit(self, command: Command) -> Deferred[Outcome]:
         """Commit and apply ``command``; see ``Replica.submit``."""
         if self._member is None or self._handover is not None:
-            return fail(NotLeaderError(self.leader()))
+            return fail(NotLeaderError(None))
         settled = self._member.submit(command, self._now())
         self._schedule_flush()
         return settled
--- a/wasabiturn/process/control/member.py
+++ b/wasabiturn/process/control/member.py
@@ -11,7 +11,6 @@
 from twisted.internet.defer import Deferred, fail
 
 from wasabiturn.conf.sections import ControlSection
-from wasabiturn.exceptions import StateError
 from wasabiturn.ids import InstanceName
 from wasabiturn.messages.codec import pack
 from wasabiturn.messages.state import Command, Outcome
@@ -29,7 +28,7 @@
 )
 from wasabiturn.version.raft.membership import name_of
 from wasabiturn.version.raft.state import RaftState
-from wasabiturn.version.replica import NotLeaderError
+from wasabiturn.version.replica import CommandTooLargeError, NotLeaderError
 from wasabiturn.version.storage import Store, open_store
 
 KEPT_ENTRIES = 1000
@@ -66,9 +65,8 @@
             return fail(NotLeaderError(self.leader(now)))
         payload = pack(command)
         if len(payload) > MAX_COMMAND_BYTES:
-            return fail(
-                StateError(f'command of {len(payload)} bytes is too large'),
-            )
+            text = f'{len(payload)} bytes are over {MAX_COMMAND_BYTES}'
+            return fail(CommandTooLargeError(text))
         settled: Deferred[Outcome] = Deferred()
         self.submits.append(_Submit(payload=payload, settled=settled))
         return settled
--- a/wasabiturn/process/control/submission.py
+++ b/wasabiturn/process/control/submission.py
@@ -1,5 +1,7 @@
 """Calls on the replica, with its errors turned into those of calls."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any, NoReturn
 
 from twisted.internet.defer import Deferred
@@ -9,11 +11,19 @@
 from wasabiturn.messages.kinds import FailureCode
 from wasabiturn.messages.state import Command, Outcome
 from wasabiturn.version.replica import (
+    CommandTooLargeError,
     NotLeaderError,
     OutcomeUnknownError,
     Replica,
 )
 
+_CODES_BY_ERROR: Mapping[type, FailureCode] = MappingProxyType(
+    {
+        OutcomeUnknownError: FailureCode.outcome_unknown,
+        CommandTooLargeError: FailureCode.invalid,
+    }
+)
+
 
 def submit(replica: Replica, command: Command) -> Deferred[Outcome]:
     """Commit ``command``; fails with ``CallError``.
@@ -39,6 +49,7 @@
             str(error),
             leader=error.leader or '',
         ) from error
-    if isinstance(error, OutcomeUnknownError):
-        raise CallError(FailureCode.outcome_unknown, str(error)) from error
-    raise error
+    code = _CODES_BY_ERROR.get(type(error))
+    if code is None:
+        raise error
+    raise CallError(code, str(error)) from error
--- a/wasabiturn/version/replica.py
+++ b/wasabiturn/version/replica.py
@@ -22,6 +22,10 @@
         self.leader = leader
 
 
+class CommandTooLargeError(StateError):
+    """The command was not run: it is over the size that the log takes."""
+
+
 class OutcomeUnknownError(StateError):
     """Leadership was lost before the command was known to be committed."""
 
@@ -66,14 +70,15 @@
     def submit(self, command: Command) -> Deferred[Outcome]:
         """Commit and apply ``command`` here; only the leader accepts it.
 
-        Fails with ``NotLeaderError`` (certainly not run) or
-        ``OutcomeUnknownError``.
+        Fails with ``NotLeaderError`` or ``CommandTooLargeError`` (certainly
+        not run), or with ``OutcomeUnknownError``.
         """
 
     def read_barrier(self) -> Deferred[None]:
         """Fire once ``state`` holds all that was committed before the call.
 
-        Fails with ``NotLeaderError`` on a member without leader lease.
+        At once under the leader lease, else after the next round that a quorum
+        answers. Fails with ``NotLeaderError`` on a member that does not lead.
         """
 
     def leader(self) -> InstanceName | None:
