--- a/benchmarks/state_slopes.py
+++ b/benchmarks/state_slopes.py
@@ -5,40 +5,34 @@
 from /proc; the sessions' side is this process.
 """
 
+import itertools
 import os
-import subprocess
 import sys
 import tempfile
 import time
 from contextlib import ExitStack
 from pathlib import Path
-from random import Random
 from typing import Any
 
 import typer
 from twisted.internet import reactor as default_reactor
 from twisted.internet.defer import Deferred, inlineCallbacks
-from twisted.internet.task import deferLater
 
+from benchmarks.control_members import Members, create_session, pause
 from benchmarks.figures import show
 from benchmarks.state_commands import put_configuration
 from wasabiturn.connection import link as link_module
-from wasabiturn.connection.dialer import Endpoint
-from wasabiturn.connection.dispatch import Dispatch
-from wasabiturn.messages.kinds import Kind, Method, Role
-from wasabiturn.messages.link import Hello
-from wasabiturn.messages.session import AgentRecord, Submit, WatchRequest
+from wasabiturn.messages.kinds import Kind, Method
+from wasabiturn.messages.session import Submit, WatchRequest
 from wasabiturn.messages.state import Outcome
-from wasabiturn.process.session import ControlSession, create_control_session
+from wasabiturn.process.session import ControlSession
 
-HOST = '127.0.0.1'
-FIRST_PORT = 17501
-FIRST_API_PORT = 17511
-MEMBERS = 3
 SETTLE_SECONDS = 4.0
 IDLE_SECONDS = 10.0
 COMMITS = 100
-TICKS_PER_SECOND = os.sysconf('SC_CLK_TCK')
+
+# A number that came twice would be a resend, which changes nothing.
+_numbers = itertools.count(1)
 
 reactor: Any = default_reactor
 
@@ -68,91 +62,15 @@
         link_module.FrameBuffer.feed = counting_feed
 
 
-class Members:
-    """Control processes, started and ended by id."""
-
-    def __init__(self, folder: Path, stack: ExitStack) -> None:
-        names = ', '.join(
-            f'control-{number}@{HOST}:{FIRST_PORT + number}'
-            for number in range(MEMBERS)
-        )
-        self.processes = []
-        for number in range(MEMBERS):
-            settings = folder / f'control-{number}.ini'
-            settings.write_text(
-                f'[instance]\nname = control-{number}\ndata_centre = dc-a\n'
-                f'[control]\nlisten = {HOST}:{FIRST_PORT + number}\n'
-                f'api_listen = {HOST}:{FIRST_API_PORT + number}\n'
-                f'members = {names}\n'
-                f'data_folder = {folder}/data-{number}\n'
-                f'[logging]\nfile = {folder}/log-{number}\n',
-            )
-            process = subprocess.Popen(
-                [sys.executable, '-m', 'wasabiturn', 'control', settings],
-            )
-            stack.callback(process.wait)
-            stack.callback(process.terminate)
-            self.processes.append(process)
-
-    def cpu_seconds(self) -> list[float]:
-        """Return the processor seconds of each member."""
-        return [read_cpu(process.pid) for process in self.processes]
-
-    def memory_kb(self) -> list[int]:
-        """Return the resident memory of each member."""
-        return [read_memory(process.pid) for process in self.processes]
-
-
-def read_cpu(pid: int) -> float:
-    """Return the processor seconds of a process."""
-    fields = Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
-
-
-def read_memory(pid: int) -> int:
-    """Return the resident memory of a process in KB."""
-    for line in Path(f'/proc/{pid}/status').read_text().splitlines():
-        if line.startswith('VmRSS'):
-            return int(line.split()[1])
-    return 0
-
-
-def pause(seconds: float) -> Deferred[None]:
-    """Fire after ``seconds``."""
-    return deferLater(reactor, seconds, lambda: None)
-
-
-def create_session(number: int, directory: bool) -> ControlSession:
-    """Start a session as an entry or an agent has it."""
-    name = f'session-{number}'
-    hello = Hello(name=name, role=Role.agent, protocol_version=1)
-    session = create_control_session(
-        endpoints=[
-            Endpoint(HOST, FIRST_PORT + member) for member in range(MEMBERS)
-        ],
-        dispatch=Dispatch(hello=hello),
-        reactor=reactor,
-        random=Random(number),
-        kinds=(Kind.service, Kind.data_centre, Kind.configuration),
-        directory=directory,
-    )
-    session.start()
-    if not directory:
-        session.announce(AgentRecord(name=name, incarnation='i', sequence=1))
-    return session
-
-
 class Load:
     """Commits one command after the other, and waits for each."""
 
     def __init__(self, session: ControlSession) -> None:
         self.session = session
-        self.number = 0
 
     def commit(self) -> Deferred[Outcome]:
         """Commit the next write."""
-        self.number += 1
-        message = Submit(command=put_configuration(self.number))
+        message = Submit(command=put_configuration(next(_numbers)))
         return self.session.call_leader(Method.submit, message, Outcome, 5)
 
 
@@ -237,8 +155,7 @@
         """Nothing follows."""
 
     def reset_received(self, reason: str) -> None:
-        """Say that the watch broke off."""
-        print('watch reset', reason)
+        """Nothing follows."""
 
     def writable(self) -> None:
         """Nothing is sent."""
--- a/tests/management/test_http_client.py
+++ b/tests/management/test_http_client.py
@@ -16,6 +16,7 @@
     HttpRequest,
 )
 from wasabiturn.management.http_sender import LostAnswerError
+from wasabiturn.management.pages import read_pages
 
 DONE = HttpAnswer(200, '', {'name': 'a', 'revision': 3})
 BUSY = HttpAnswer(503, 'not-run', {'error': {'message': 'no leader'}})
@@ -128,3 +129,15 @@
     assert len(parse_resources(listed)) == 1
     with pytest.raises(ValueError, match='resource 1'):
         parse_resources('[{"kind":"jobs"}]')
+
+
+def test_pages_are_read_to_the_end() -> None:
+    clock = Clock()
+    sender = ScriptedSender(
+        HttpAnswer(200, '', {'items': [1, 2], 'next': 'b'}),
+        HttpAnswer(200, '', {'items': [3], 'next': ''}),
+    )
+    client = create_client(sender, clock)
+    assert settle(clock, read_pages(client, '/v1/jobs')) == [1, 2, 3]
+    paths = [request.path for _, request in sender.sent]
+    assert paths == ['/v1/jobs', '/v1/jobs?after=b']
--- a/tests/management/test_watch.py
+++ b/tests/management/test_watch.py
@@ -115,6 +115,16 @@
     assert session.shown == [('snapshot', 8), ('put', 9)]
 
 
+def test_snapshot_that_broke_off_is_asked_for_again() -> None:
+    session = Session()
+    part = json.loads(line('snapshot', 8))
+    part.update(part=0, complete=False)
+    session.deliver(json.dumps(part).encode() + b'\n')
+    session.sender.responses[-1].abortConnection()
+    session.clock.advance(1)
+    assert session.sender.paths[-1].endswith('since=-1')
+
+
 def test_unavailable_servers_are_tried_again() -> None:
     session = Session(0, 503, 200)
     session.clock.pump([0.5] * 4)
--- a/tests/process/test_api.py
+++ b/tests/process/test_api.py
@@ -9,7 +9,7 @@
 from tests.process.network import Network
 from tests.process.operators import Operators
 from tests.process.test_session import create_session
-from tests.version.resources import move
+from tests.version.resources import configuration, move, put
 from wasabiturn.exceptions import SettingsError
 from wasabiturn.messages.kinds import TaskState
 from wasabiturn.process.control.tokens import read_tokens
@@ -31,7 +31,11 @@
     assert (written.status, written.headers['etag']) == (200, '"1"')
     assert operators.send('GET', POLICY).content == written.content
     listed = operators.send('GET', '/v1/configurations').content
-    assert listed == {'revision': 1, 'items': [written.content]}
+    assert listed == {
+        'revision': 1,
+        'items': [written.content],
+        'next': '',
+    }
     assert operators.send('DELETE', POLICY).status == 200
     assert operators.send('GET', POLICY).status == 404
 
@@ -111,6 +115,33 @@
     assert refused.status == 400
 
 
+def test_long_list_comes_in_pages() -> None:
+    group = Group(Network())
+    operators = create_operators(group)
+    for number in range(1500):
+        group.commit(put(configuration('a', name=f'c{number:04}')))
+    first = operators.send('GET', '/v1/configurations').content
+    assert (len(first['items']), first['next']) == (1000, 'c0999')
+    path = f'/v1/configurations?after={first["next"]}'
+    second = operators.send('GET', path).content
+    assert (len(second['items']), second['next']) == (500, '')
+
+
+def test_member_writes_for_its_own_team(tmp_path: Path) -> None:
+    token_file = tmp_path / 'tokens.ini'
+    token_file.write_text(TOKENS)
+    group = Group(Network(), tokens=read_tokens(token_file))
+    operators = create_operators(group)
+    boss = 'Bearer t-boss'
+    team = {'spec': {'quota': {'cores': 1}}}
+    operators.send('PUT', '/v1/teams/other', team, Authorization=boss)
+    omar = 'Bearer t-omar'
+    written = operators.send(
+        'PUT', '/v1/jobs/plots', {'spec': {}}, Authorization=omar
+    )
+    assert written.content['team'] == 'other'
+
+
 def test_status_shows_the_member_and_the_group() -> None:
     operators = create_operators(Group(Network()))
     operators.send('PUT', POLICY, settings('a'))
--- a/tests/process/test_watches.py
+++ b/tests/process/test_watches.py
@@ -101,3 +101,27 @@
     group.network.run(1)
     _, revisions = follow(parse_answer(transport).lines)
     assert revisions == list(range(101))
+
+
+def test_large_snapshot_comes_in_parts_as_the_watcher_reads() -> None:
+    group = Group(Network())
+    operators = create_operators(group)
+    filler = 'x' * 1000
+    for number in range(1200):
+        declared = configuration(filler, name=f'c{number:04}')
+        group.commit(put(declared))
+    transport = operators.open('GET', WATCH)
+    producer: Any = transport.producer
+    producer.pauseProducing()
+    group.commit(put(configuration('late', name='c0000')))
+    group.network.run(0.2)
+    producer.resumeProducing()
+    group.network.run(1)
+    lines = parse_answer(transport).lines
+    parts = [line for line in lines if line['type'] == 'snapshot']
+    assert [part['complete'] for part in parts] == [False, False, True]
+    assert [part['part'] for part in parts] == [0, 1, 2]
+    items = [item['name'] for part in parts for item in part['items']]
+    assert items == [f'c{number:04}' for number in range(1200)]
+    changes = [line for line in lines if line['type'] == 'put']
+    assert [change['revision'] for change in changes] == [1201]
--- a/wasabiturn/management/get.py
+++ b/wasabiturn/management/get.py
@@ -15,6 +15,7 @@
     TimeoutOption,
 )
 from wasabiturn.management.output import print_resources
+from wasabiturn.management.pages import read_pages
 from wasabiturn.management.running import run_command
 
 
@@ -28,9 +29,9 @@
     """Print the resources of KIND, or the one named NAME."""
     path = f'/v1/{kind}/{name}' if name else f'/v1/{kind}'
 
-    def read(client: ApiClient) -> Deferred[dict[str, Any]]:
-        return client.read(path)
+    def read(client: ApiClient) -> Deferred[Any]:
+        if name:
+            return client.read(path).addCallback(lambda found: [found])
+        return read_pages(client, path)
 
-    found = run_command(server, timeout, read)
-    items = [found] if name else found['items']
-    print_resources(items, output)
+    print_resources(run_command(server, timeout, read), output)
--- a/wasabiturn/management/watch_reader.py
+++ b/wasabiturn/management/watch_reader.py
@@ -41,8 +41,10 @@
     def _take(self, event: dict[str, Any]) -> dict[str, Any] | None:
         revision = int(event['revision'])
         is_new = revision > self.revision
-        # A snapshot of an older state is that of a member that lags.
-        self.revision = max(self.revision, revision)
+        # A snapshot of an older state is that of a member that lags; one that
+        # breaks off before its last part is asked for again.
+        if event.get('complete', True):
+            self.revision = max(self.revision, revision)
         if not is_new or event['type'] == 'heartbeat':
             return None
         return event
--- a/wasabiturn/messages/session.py
+++ b/wasabiturn/messages/session.py
@@ -317,6 +317,7 @@
     if_match: str = ''
     authorization: str = attrs.field(default='', repr=False)
     body: bytes = b''
+    after: str = ''
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/session.thrift
+++ b/wasabiturn/messages/wire/session.thrift
@@ -182,6 +182,7 @@
   4: string if_match,
   5: string authorization,
   6: binary body,
+  7: string after,          // name that a page of a list begins after
 }
 
 struct ApiResponse {
--- a/wasabiturn/process/api_front.py
+++ b/wasabiturn/process/api_front.py
@@ -211,6 +211,7 @@
         if_match=_header(request, 'If-Match'),
         authorization=_header(request, 'Authorization'),
         body=request.content.read(),
+        after=_argument(request, 'after'),
     )
 
 
--- a/wasabiturn/process/control/api_core.py
+++ b/wasabiturn/process/control/api_core.py
@@ -30,6 +30,7 @@
     parse_if_match,
 )
 from wasabiturn.process.control.directory import Directory
+from wasabiturn.process.control.pages import create_page
 from wasabiturn.process.control.settlement import (
     create_settlement,
     find_task,
@@ -41,6 +42,7 @@
 )
 from wasabiturn.process.control.submission import read_barrier, submit
 from wasabiturn.process.control.tokens import Operator, Tokens
+from wasabiturn.version.plans import OWNER_KINDS
 from wasabiturn.version.replica import Replica
 from wasabiturn.version.resources import (
     FieldError,
@@ -112,7 +114,7 @@
         operator: Operator,
     ) -> Deferred[ApiResponse]:
         return read_barrier(self._replica).addCallback(
-            lambda _: self._render(route),
+            lambda _: self._render(route, request.after),
         )
 
     def _put(
@@ -122,6 +124,8 @@
         operator: Operator,
     ) -> Deferred[ApiResponse]:
         written = parse_json(request.body)
+        if route.kind in OWNER_KINDS and not written.get('team'):
+            written['team'] = operator.team
         body = PutResource(
             resource=parse_resource(route.kind, route.name, written),
             expected_revision=parse_if_match(request.if_match),
@@ -177,18 +181,14 @@
             )
         return _answer_resource(tasks.get(task.name, task))
 
-    def _render(self, route: Route) -> ApiResponse:
+    def _render(self, route: Route, after: str) -> ApiResponse:
         if route.kind in SOFT_KINDS:
             return self._render_soft(route)
         state = self._replica.state
         resources = state.resources_by_kind[route.kind]
         if not route.name:
-            ordered = [each for _, each in sorted(resources.items())]
-            items = [render_resource(each) for each in ordered]
-            return create_answer(
-                HTTPStatus.OK,
-                {'revision': state.revision, 'items': items},
-            )
+            page = create_page(state.revision, resources.values(), after)
+            return create_answer(HTTPStatus.OK, page)
         found = resources.get(route.name)
         if found is None:
             return _answer_missing(route)
@@ -200,7 +200,7 @@
             revision = self._replica.state.revision
             return create_answer(
                 HTTPStatus.OK,
-                {'revision': revision, 'items': rendered},
+                {'revision': revision, 'items': rendered, 'next': ''},
             )
         for each in rendered:
             if each['name'] == route.name:
--- a/wasabiturn/process/control/watches.py
+++ b/wasabiturn/process/control/watches.py
@@ -1,12 +1,14 @@
 """Watches of operators: streams of newline-delimited JSON.
 
-Lines: ``snapshot`` replaces all that the watcher holds, ``put`` and ``delete``
-follow without gap or repeat, ``heartbeat`` says that nothing else happened up
+Lines: ``snapshot`` replaces all that the watcher holds; it comes in parts,
+counted from 0, of which the last is ``complete``. ``put`` and ``delete`` follow
+without gap or repeat; ``heartbeat`` says that nothing else happened up
 to its revision. A member that is not fresh ends its watches; the watcher
 resumes at another one with the last revision that it read.
 """
 
 import json
+from collections import deque
 from collections.abc import Iterator
 from typing import Any, final
 
@@ -27,6 +29,7 @@
 from wasabiturn.version.state import State, changes_since
 
 HEARTBEAT_SECONDS = 1.0
+SNAPSHOT_PART = 500
 NOT_FRESH = 'not fresh'
 UNAUTHORIZED = 'unauthorized'
 NOT_WATCHED = 'not watched'
@@ -44,12 +47,16 @@
     revision: int
     watches: 'Watches'
     is_writable: bool = True
+    unsent_parts: deque[dict[str, Any]] = attrs.field(factory=deque)
 
     def send_missed(self, state: State) -> None:
         """Send what happened after the watcher's revision."""
-        if self.is_writable:
-            for line in _create_lines(self, state):
-                self._write(line)
+        self._send_parts()
+        if not self.is_writable:
+            return
+        for line in _create_lines(self, state):
+            self._write(line)
+        self._send_parts()
 
     def send_heartbeat(self) -> None:
         """Tell the watcher that the stream is alive."""
@@ -74,6 +81,12 @@
         self.is_writable = True
         self.watches.resume(self)
 
+    def _send_parts(self) -> None:
+        while self.unsent_parts and self.is_writable:
+            part = self.unsent_parts.popleft()
+            rendered = [render_resource(each) for each in part['items']]
+            self._write({**part, 'items': rendered})
+
     def _write(self, content: dict[str, Any]) -> None:
         line = json.dumps(content, separators=(',', ':'))
         self.is_writable = self.stream.write(f'{line}\n'.encode())
@@ -177,7 +190,7 @@
     missed = changes_since(state, watch.revision)
     if watch.revision < 0 or missed is None:
         watch.revision = state.revision
-        yield _create_snapshot(watch.kind, state)
+        watch.unsent_parts.extend(_create_parts(watch.kind, state))
         return
     for change in missed:
         if not watch.is_writable:
@@ -187,13 +200,20 @@
             yield _create_line(change)
 
 
-def _create_snapshot(kind: Kind, state: State) -> dict[str, Any]:
-    ordered = sorted(state.resources_by_kind[kind].items())
-    return {
-        'type': 'snapshot',
-        'revision': state.revision,
-        'items': [render_resource(resource) for _, resource in ordered],
-    }
+def _create_parts(kind: Kind, state: State) -> Iterator[dict[str, Any]]:
+    """Yield the parts of a snapshot; they are rendered when they are sent."""
+    resources_by_name = state.resources_by_kind[kind]
+    ordered = [resources_by_name[name] for name in sorted(resources_by_name)]
+    last = max(len(ordered) - 1, 0) // SNAPSHOT_PART
+    for part in range(last + 1):
+        start = part * SNAPSHOT_PART
+        yield {
+            'type': 'snapshot',
+            'revision': state.revision,
+            'part': part,
+            'complete': part == last,
+            'items': ordered[start : start + SNAPSHOT_PART],
+        }
 
 
 def _create_line(change: Change) -> dict[str, Any]:
