--- a/wasabiturn/management/status.py
+++ b/wasabiturn/management/status.py
@@ -17,6 +17,7 @@
     ServerOption,
     TimeoutOption,
 )
+from wasabiturn.management.pages import read_pages
 from wasabiturn.management.running import run_command
 from wasabiturn.management.status_view import (
     ControlLine,
@@ -52,8 +53,8 @@
         'tasks',
         'backend-servers',
     ):
-        listed = yield client.read(f'/v1/{kind}')
-        lists.append([_create_listed(item) for item in listed['items']])
+        items = yield read_pages(client, f'/v1/{kind}')
+        lists.append([_create_listed(item) for item in items])
     return StatusInput(_create_control(control), *lists)
 
 
