--- /dev/null
+++ b/tests/process/test_programs.py
@@ -0,0 +1,100 @@
+"""Starts and stops of the programs as processes of their own."""
+
+import configparser
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from benchmarks.soak.fleet import Fleet, Shape, create_fleet
+
+START_LIMIT_SECONDS = 30
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[Fleet]:
+    created = create_fleet(tmp_path, Shape())
+    yield created
+    created.kill()
+
+
+def run_program(command: str, settings: Path) -> subprocess.CompletedProcess:
+    return subprocess.run(
+        [sys.executable, '-m', 'wasabiturn', command, str(settings)],
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=START_LIMIT_SECONDS,
+    )
+
+
+@pytest.mark.parametrize('command', ['control', 'entry', 'agent'])
+def test_wrong_settings_exit_with_status_2(
+    tmp_path: Path,
+    command: str,
+) -> None:
+    settings = tmp_path / 'wrong.ini'
+    settings.write_text('[instance]\nname = a\n')
+    ended = run_program(command, settings)
+    assert ended.returncode == 2
+    assert f'{settings}: [instance] data_centre: missing' in ended.stderr
+
+
+@pytest.mark.parametrize('command', ['control', 'entry', 'agent'])
+def test_occupied_port_is_one_clear_line(fleet: Fleet, command: str) -> None:
+    endpoint = fleet.endpoint(f'{command}-1')
+    with socket.socket() as occupier:
+        occupier.bind((endpoint.host, endpoint.port))
+        occupier.listen()
+        ended = run_program(command, fleet.folder / f'{command}-1.ini')
+    assert ended.returncode == 1
+    lines = ended.stderr.strip().splitlines()
+    assert len(lines) == 1
+    assert f'cannot listen on {endpoint}' in lines[0]
+
+
+def test_data_folder_that_cannot_be_written_is_one_clear_line(
+    fleet: Fleet,
+) -> None:
+    (fleet.folder / 'data').write_text('a file where the folder should be')
+    ended = run_program('control', fleet.folder / 'control-1.ini')
+    assert ended.returncode == 1
+    lines = ended.stderr.strip().splitlines()
+    assert len(lines) == 1
+    assert str(fleet.folder / 'data') in lines[0]
+
+
+@pytest.mark.parametrize('command', ['control', 'entry', 'agent'])
+def test_sigterm_stops_with_status_0_without_peers(
+    fleet: Fleet,
+    command: str,
+) -> None:
+    name = f'{command}-1'
+    add_unreachable_statsd(fleet.folder / f'{name}.ini')
+    program = fleet.programs_by_name[name]
+    program.start()
+    wait_for_text(fleet.folder / f'{name}.log', 'process: started')
+    program.terminate()
+    assert program.wait() == 0
+
+
+def add_unreachable_statsd(settings: Path) -> None:
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.read(settings)
+    parser['metrics'] = {'statsd': '127.0.0.1:9'}
+    with settings.open('w') as stream:
+        parser.write(stream)
+
+
+def wait_for_text(log: Path, text: str) -> None:
+    import time
+
+    limit = time.monotonic() + START_LIMIT_SECONDS
+    while time.monotonic() < limit:
+        if log.exists() and text in log.read_text():
+            return
+        time.sleep(0.05)
+    raise AssertionError(f'{text!r} is not in {log}')
