--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -25,6 +25,7 @@
 JOB_PAUSE_SECONDS = 1.0
 CONFIGURATION_PAUSE_SECONDS = 0.7
 OUTAGE_PAUSE_SECONDS = 15.0
+CANCEL_PAUSE_SECONDS = 7.0
 DEFAULT_FOLDER = Path('data/soak')
 
 
@@ -73,16 +74,13 @@
         return self._check(jobs, unclean)
 
     def _start_load(self) -> list[Any]:
-        data_centres = [
-            f'dc-{number}'
-            for number in range(1, self.plan.shape.data_centres + 1)
-        ]
         return [
             *self.callers.start(self.plan.callers, CALLER_PAUSE_SECONDS),
             self.operators.apply_jobs(JOB_PAUSE_SECONDS),
+            self.operators.cancel_jobs(CANCEL_PAUSE_SECONDS),
             self.operators.change_configuration(CONFIGURATION_PAUSE_SECONDS),
             self.operators.take_out_and_bring_back(
-                data_centres,
+                self.fleet.data_centres(),
                 OUTAGE_PAUSE_SECONDS,
             ),
         ]
@@ -93,7 +91,7 @@
             f'/v1/services/{SERVICE}',
             {
                 'spec': {
-                    'replicas': 0,
+                    'replicas': 2,
                     'size': {'cores': 1, 'memory_mb': 256, 'accelerators': 0},
                     'slots': 8,
                     'connections': 64,
@@ -126,8 +124,8 @@
         data_centre_by_worker: dict[str, str] = {}
         for number in range(1, self.plan.shape.agents + 1):
             worker = f'worker-{number}'
-            data_centre = (number - 1) % self.plan.shape.data_centres + 1
-            data_centre_by_worker[worker] = f'dc-{data_centre}'
+            data_centre = self.fleet.data_centre_of(worker)
+            data_centre_by_worker[worker] = data_centre
             records = self.fleet.folder / f'{worker}.records'
             runs += checker.read_task_runs(
                 worker,
@@ -165,7 +163,8 @@
             servers=[
                 fleet.endpoint(f'control-{number}-api')
                 for number in range(1, plan.shape.controls + 1)
-            ],
+            ]
+            + [fleet.endpoint(f'entry-{number}-api') for number in numbers],
             random=Random(plan.seed + 1),
         ),
         faults=Faults(
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -14,6 +14,7 @@
 
 SHORTEST_SECONDS = 0.5
 LONGEST_SECONDS = 6.0
+REPAIR_SECONDS = 30.0
 
 
 @final
@@ -27,6 +28,7 @@
     silence = 'silence'
     lost_disk = 'lost-disk'
     graceful_restart = 'graceful-restart'
+    lost_data_centre = 'lost-data-centre'
 
 
 @final
@@ -51,6 +53,7 @@
     pause_seconds: float
     records: list[FaultRecord] = attrs.field(factory=list)
     busy: set[str] = attrs.field(factory=set)
+    repaired_at: float = float('-inf')
     stopped: bool = False
 
     def start(self) -> None:
@@ -64,10 +67,12 @@
 
     def kills_of(self, name: str) -> list[float]:
         """Return when the program ``name`` was killed."""
+        data_centre = self.fleet.data_centre_of(name)
         return [
             record.started
             for record in self.records
-            if record.target == name and record.kind is FaultKind.kill
+            if (record.kind is FaultKind.kill and record.target == name)
+            or record.target == data_centre
         ]
 
     def _cause_next(self) -> None:
@@ -83,6 +88,8 @@
     def _choose_target(self, kind: FaultKind) -> str:
         if kind in {FaultKind.cut, FaultKind.cut_one_way, FaultKind.silence}:
             return self.random.choice(sorted(self.fleet.paths_by_name))
+        if kind is FaultKind.lost_data_centre:
+            return self.random.choice(self.fleet.data_centres())
         names = sorted(self.fleet.programs_by_name)
         if kind is FaultKind.lost_disk:
             names = [name for name in names if name.startswith('control')]
@@ -91,7 +98,7 @@
         return self.random.choice(names)
 
     def _cause(self, kind: FaultKind, target: str, seconds: float) -> None:
-        if kind is FaultKind.lost_disk and self._has_sick_control():
+        if kind is FaultKind.lost_disk and not self._may_lose_disk(seconds):
             return
         self.busy.add(target)
         self.records.append(
@@ -113,6 +120,8 @@
         path = self.fleet.paths_by_name.get(target)
         if path is not None:
             return _disturb_path(kind, path, self.random)
+        if kind is FaultKind.lost_data_centre:
+            return self._lose_data_centre(target)
         program = self.fleet.programs_by_name[target]
         if kind is FaultKind.freeze:
             program.freeze()
@@ -125,8 +134,30 @@
             shutil.rmtree(self.fleet.folder / 'data' / target)
         return program.start
 
-    def _has_sick_control(self) -> bool:
-        return any('control' in name for name in self.busy)
+    def _may_lose_disk(self, seconds: float) -> bool:
+        """Tell whether the disk lost before has been repaired."""
+        now = self.reactor.seconds()
+        if now < self.repaired_at + REPAIR_SECONDS:
+            return False
+        self.repaired_at = now + seconds
+        return True
+
+    def _lose_data_centre(self, name: str) -> Callable[[], None]:
+        lost = [
+            program
+            for program in self.fleet.programs_in(name)
+            if program.name not in self.busy and program.is_running()
+        ]
+        self.busy.update(program.name for program in lost)
+        for program in lost:
+            program.kill()
+
+        def undo() -> None:
+            for program in lost:
+                program.start()
+                self.busy.discard(program.name)
+
+        return undo
 
 
 def _restart(program: Program) -> None:
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -59,6 +59,24 @@
         for program in self.programs_by_name.values():
             program.kill()
 
+    def data_centres(self) -> list[str]:
+        """Return the names of the data centres."""
+        count = self.shape.data_centres
+        return [f'dc-{number}' for number in range(1, count + 1)]
+
+    def data_centre_of(self, name: str) -> str:
+        """Return the data centre of the program ``name``."""
+        number = int(name.rpartition('-')[2])
+        return f'dc-{(number - 1) % self.shape.data_centres + 1}'
+
+    def programs_in(self, data_centre: str) -> list[Program]:
+        """Return the programs of one data centre."""
+        return [
+            program
+            for name, program in self.programs_by_name.items()
+            if self.data_centre_of(name) == data_centre
+        ]
+
     def endpoint(self, name: str) -> Endpoint:
         """Return the endpoint of ``name``, taking a free port at first use."""
         if name not in self.endpoints_by_name:
@@ -170,11 +188,10 @@
     section: dict[str, Any],
 ) -> None:
     name = f'{command}-{number}'
-    data_centre = (number - 1) % fleet.shape.data_centres + 1
     parser = configparser.ConfigParser(interpolation=None)
     parser['instance'] = {
         'name': name,
-        'data_centre': f'dc-{data_centre}',
+        'data_centre': fleet.data_centre_of(name),
         'rack': f'rack-{number}',
     }
     parser[command] = {key: str(value) for key, value in section.items()}
--- a/benchmarks/soak/operators.py
+++ b/benchmarks/soak/operators.py
@@ -68,6 +68,13 @@
             )
             yield deferLater(self.reactor, pause_seconds, _nothing)
 
+    @inlineCallbacks
+    def cancel_jobs(self, pause_seconds: float) -> Any:
+        """Cancel the newest job after each pause."""
+        while not self.stopped:
+            yield deferLater(self.reactor, pause_seconds, _nothing)
+            yield self.write('DELETE', f'/v1/jobs/convert-{self._jobs}', None)
+
     @inlineCallbacks
     def change_configuration(self, pause_seconds: float) -> Any:
         """Change one configuration after each pause."""
@@ -90,14 +97,23 @@
             brought_back = yield self.put(path, {'spec': {'out': False}})
             self.outages.append(brought_back)
 
-    @inlineCallbacks
-    def put(self, path: str, resource: dict[str, Any]) -> Any:
+    def put(self, path: str, resource: dict[str, Any]) -> Deferred[Any]:
         """Write a resource; resend with the same id until it is settled."""
+        return self.write('PUT', path, resource)
+
+    @inlineCallbacks
+    def write(
+        self,
+        method: str,
+        path: str,
+        resource: dict[str, Any] | None,
+    ) -> Any:
+        """Send one write until it is settled; return its record."""
         request_id = f'write-{len(self.writes)}'
         record = WriteRecord(request_id=request_id, path=path)
         self.writes.append(record)
         for _ in range(RESEND_LIMIT):
-            yield self._attempt(record, resource)
+            yield self._attempt(record, method, resource)
             if record.status and record.status != UNAVAILABLE_STATUS:
                 return record
             record.resends += 1
@@ -119,12 +135,17 @@
         return None
 
     @inlineCallbacks
-    def _attempt(self, record: WriteRecord, resource: dict[str, Any]) -> Any:
+    def _attempt(
+        self,
+        record: WriteRecord,
+        method: str,
+        resource: dict[str, Any] | None,
+    ) -> Any:
         server = self.random.choice(self.servers)
-        body = json.dumps(resource).encode()
+        body = json.dumps(resource).encode() if resource else None
         try:
             answer = yield self._exchange(
-                b'PUT',
+                method.encode(),
                 server,
                 record.path,
                 body,
@@ -174,8 +195,13 @@
     return {
         'spec': {
             'tasks': random.randint(1, 3),
-            'size': {'cores': 1, 'memory_mb': 256, 'accelerators': 0},
-            'run_seconds': random.uniform(1, 4),
+            'size': {
+                'cores': random.choice((1, 4, 8)),
+                'memory_mb': 256,
+                'accelerators': 0,
+            },
+            'run_seconds': random.uniform(1, 12),
+            'urgent': random.choice((True, False, False)),
             'idempotent': random.choice((True, True, False)),
             'max_failures': 5,
             'task_kind': random.choice(['plotter', 'render']),
--- a/benchmarks/soak/relay.py
+++ b/benchmarks/soak/relay.py
@@ -15,10 +15,12 @@
 
     ``cut_forward`` and ``cut_backward`` drop bytes in one direction and, like
     a network partition, keep connections open; new ones are not answered.
+    ``carried_bytes`` counts payload in both directions, without headers of TCP.
     """
 
     cut_forward: bool = False
     cut_backward: bool = False
+    carried_bytes: int = 0
     sides: set['RelaySide'] = attrs.field(factory=set)
 
     def cut(self) -> None:
@@ -69,6 +71,7 @@
         """Pass bytes to the other side unless the path drops them."""
         if self.silent or self._is_cut():
             return
+        self.path.carried_bytes += len(data)
         other = self.other
         if other is None:
             return
