--- /dev/null
+++ b/wasabiturn/process/agent/meters.py
@@ -0,0 +1,22 @@
+"""Metrics of an agent."""
+
+from wasabiturn.process.agent.backends import Backends
+from wasabiturn.process.daemon import Context
+from wasabiturn.process.sampler import Sampler
+from wasabiturn.utils.metrics import Metrics
+
+
+def create_agent_meters(context: Context, backends: Backends) -> Sampler:
+    """Send gauges of each local backend server."""
+
+    def sample(sink: Metrics) -> None:
+        for backend in backends.all_backends():
+            report = backend.load_report()
+            prefix = f'service.{report.service_name}'
+            sink.gauge(f'{prefix}.running', report.running)
+            sink.gauge(f'{prefix}.waiting', report.waiting)
+            sink.gauge(f'{prefix}.slots', report.slots)
+            sink.gauge(f'{prefix}.answered', backend.answered)
+            sink.gauge(f'{prefix}.p95_ms', report.p95_ms)
+
+    return Sampler(context, sample)
--- a/wasabiturn/process/agent/program.py
+++ b/wasabiturn/process/agent/program.py
@@ -25,6 +25,7 @@
 from wasabiturn.process.agent.backends import Backends
 from wasabiturn.process.agent.directory_record import RecordSource
 from wasabiturn.process.agent.leaving import Leaving
+from wasabiturn.process.agent.meters import create_agent_meters
 from wasabiturn.process.agent.serving import Serving
 from wasabiturn.process.daemon import Context, Service, listen
 from wasabiturn.process.session import ControlSession, create_control_session
@@ -137,11 +138,12 @@
     backends: Backends,
 ) -> list[Service]:
     section = context.settings.agent
+    meters = create_agent_meters(context, backends)
     if section is None or section.worker_url is None:
-        return []
+        return [meters]
     attempts: Attempts = create_attempts(context, session, dispatch)
     attempts.service_reports = backends.reports
-    return [attempts]
+    return [attempts, meters]
 
 
 def _create_hello(settings: Settings, incarnation: IncarnationId) -> Hello:
--- a/wasabiturn/process/entry/caller.py
+++ b/wasabiturn/process/entry/caller.py
@@ -36,6 +36,7 @@
         self.body_length: int | None = 0
         self.body_complete = False
         self.opened = False
+        self.opened_at = 0.0
         self.peer = ''
         self.on_done: list[Callable[[], None]] = []
         self._caller_channel = channel
@@ -66,6 +67,7 @@
     def open(self) -> None:
         """Begin to serve the request."""
         self.opened = True
+        self.opened_at = self._caller_channel.reactor.seconds()
         self._source = self._caller_channel.opener(self)
         if self._expects_continue and not self._answered:
             self._expects_continue = False
--- a/wasabiturn/process/entry/front.py
+++ b/wasabiturn/process/entry/front.py
@@ -9,6 +9,7 @@
 from twisted.web.http import HTTPChannel, Request
 
 from wasabiturn.process.entry.caller import CallerRequest, RequestOpener
+from wasabiturn.process.entry.meters import EntryMeters
 from wasabiturn.request.refusal import RefusalOutcome
 
 IDLE_TIMEOUT_SECONDS = 30
@@ -113,12 +114,18 @@
 
     noisy = False
 
-    def __init__(self, reactor: Any, opener: RequestOpener) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        opener: RequestOpener,
+        meters: EntryMeters | None = None,
+    ) -> None:
         """Create a factory whose requests ``opener`` takes."""
         self.draining = False
         self.channels: set[CallerChannel] = set()
         self._reactor = reactor
         self._opener = opener
+        self._meters = meters
 
     def buildProtocol(self, addr: IAddress | None) -> CallerChannel:
         """Build the channel of one connection."""
@@ -140,4 +147,7 @@
         return self.draining
 
     def log(self, request: Request) -> None:
-        """Write no access log: each decision is logged."""
+        """Count a finished request; no access log, as decisions are logged."""
+        if self._meters is not None:
+            now = self._reactor.seconds()
+            self._meters.record(cast(CallerRequest, request), now)
--- a/wasabiturn/process/entry/program.py
+++ b/wasabiturn/process/entry/program.py
@@ -20,6 +20,7 @@
 from wasabiturn.process.entry.claim_calls import ClaimCalls
 from wasabiturn.process.entry.draining import Draining
 from wasabiturn.process.entry.front import CallerFactory
+from wasabiturn.process.entry.meters import EntryMeters
 from wasabiturn.process.entry.readiness import Readiness
 from wasabiturn.process.entry.requests import RequestOpening
 from wasabiturn.process.entry.router import Router
@@ -69,7 +70,11 @@
             router,
             self._claims,
         )
-        self._callers = CallerFactory(reactor, self._opening.open)
+        self._callers = CallerFactory(
+            reactor,
+            self._opening.open,
+            EntryMeters(context.metrics),
+        )
         self._port: Any = None
         self._stack = ExitStack()
 
--- /dev/null
+++ b/wasabiturn/process/sampler.py
@@ -0,0 +1,43 @@
+"""Periodic gauges of one process."""
+
+from collections.abc import Callable
+from typing import Any, final
+
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.task import LoopingCall
+
+from wasabiturn.process.daemon import Context
+from wasabiturn.utils.metrics import Metrics
+
+SAMPLE_SECONDS = 5.0
+
+Sample = Callable[[Metrics], None]
+
+
+@final
+class Sampler:
+    """Sends the gauges of one part every ``SAMPLE_SECONDS``."""
+
+    def __init__(self, context: Context, sample: Sample) -> None:
+        """Create a sampler that calls ``sample`` with the sink."""
+        self._metrics = context.metrics
+        self._sample = sample
+        self._loop: Any = LoopingCall(self._send)
+        self._loop.clock = context.reactor
+
+    def start(self) -> None:
+        """Send the first gauges after one period."""
+        self._loop.start(SAMPLE_SECONDS, now=False)
+
+    def drain(self) -> Deferred[None]:
+        """Send the last gauges."""
+        self._send()
+        return succeed(None)
+
+    def close(self) -> None:
+        """Stop sending."""
+        if self._loop.running:
+            self._loop.stop()
+
+    def _send(self) -> None:
+        self._sample(self._metrics)
