Show the members' lag in the status; let the soak check that work ends

Cause: the status read names that the API does not give, so it failed with a KeyError on a member list; and the soak reported waiting tasks without judging them. Before: 'wasabiturn status' failed once members were listed. After: it shows each member, voter or learner, and its lag where the leader answers. Conclusion: the soak brings all data centres back and gives 60 s; a batch task that has not ended by then is a violation.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -20,12 +20,16 @@
 from wasabiturn.utils.clock import use_boot_clock
 
 WARM_UP_SECONDS = 12.0
-SETTLE_SECONDS = 40.0
+SETTLE_SECONDS = 60.0
 CALLER_PAUSE_SECONDS = 0.05
 JOB_PAUSE_SECONDS = 1.0
 CONFIGURATION_PAUSE_SECONDS = 0.7
 OUTAGE_PAUSE_SECONDS = 15.0
 CANCEL_PAUSE_SECONDS = 7.0
+JOB_KIND = 'job'
+ENDED_STATES = frozenset(
+    ('finished', 'cancelled', 'failed', 'outcome_unknown'),
+)
 DEFAULT_FOLDER = Path('data/soak')
 
 
@@ -68,6 +72,11 @@
         self.callers.stop()
         self.operators.stop()
         yield DeferredList(loops, consumeErrors=True)
+        for name in self.fleet.data_centres():
+            yield self.operators.put(
+                f'/v1/data-centres/{name}',
+                {'spec': {'out': False}},
+            )
         yield self._pause(SETTLE_SECONDS)
         jobs = yield self.operators.get('/v1/tasks')
         unclean = self.fleet.stop()
@@ -194,7 +203,14 @@
         report.check('state can be read', holds=False, detail='no answer')
         return
     for task in tasks['items']:
-        report.counts_by_name[f'task {task["spec"]["state"]}'] += 1
+        spec = task['spec']
+        report.counts_by_name[f'task {spec["state"]}'] += 1
+        if spec['owner_kind'] == JOB_KIND:
+            report.check(
+                'batch task has ended',
+                spec['state'] in ENDED_STATES,
+                json.dumps(task),
+            )
 
 
 def _nothing() -> None:
--- a/wasabiturn/management/status.py
+++ b/wasabiturn/management/status.py
@@ -67,17 +67,19 @@
 
 
 def _create_control(control: dict[str, Any]) -> ControlLine:
-    members = [
-        MemberLine(
-            name=str(member['name']),
-            role=str(member['role']),
-            lag=str(member['lag']),
-        )
-        for member in control.get('members', [])
-    ]
+    members = [_create_member(member) for member in control['members']]
     return ControlLine(
         member=control['member'],
         leader=control['leader'] or '',
         revision=control['revision'],
         members=members,
     )
+
+
+def _create_member(member: dict[str, Any]) -> MemberLine:
+    lag = member['lag']
+    return MemberLine(
+        name=member['member'],
+        role='voter' if member['voter'] else 'learner',
+        lag='not known here' if lag is None else f'{lag} entries',
+    )
--- a/wasabiturn/management/status_view.py
+++ b/wasabiturn/management/status_view.py
@@ -108,7 +108,7 @@
     placed_by_name: dict[str, int] = Counter(
         task.spec['owner']
         for task in status.tasks
-        if task.spec['owner_kind'] == 'services'
+        if task.spec['owner_kind'] == 'service'
         and task.spec['state'] in _PLACED_STATES
     )
     servers_by_name: dict[str, int] = Counter(
--- a/wasabiturn/process/control/api_core.py
+++ b/wasabiturn/process/control/api_core.py
@@ -227,7 +227,11 @@
         'leader': replica.leader(),
         'revision': replica.state.revision,
         'members': [
-            {'member': each.member_id, 'voter': each.voter}
+            {
+                'member': each.member_id,
+                'voter': each.voter,
+                'lag': standing.lag_by_id.get(each.member_id),
+            }
             for each in standing.members
         ],
     }
--- a/wasabiturn/process/control/consensus.py
+++ b/wasabiturn/process/control/consensus.py
@@ -29,7 +29,7 @@
 from wasabiturn.process.control.peers import Peers, create_peers
 from wasabiturn.process.daemon import Context
 from wasabiturn.utils.logs import create_part_log
-from wasabiturn.version.raft import lease, membership
+from wasabiturn.version.raft import lease, membership, replication
 from wasabiturn.version.raft.core import Tick, step
 from wasabiturn.version.replica import NotLeaderError, Standing
 from wasabiturn.version.state import State
@@ -157,6 +157,7 @@
             role=member.raft.role.value,
             term=member.raft.ballot.term,
             members=tuple(self.members().members),
+            lag_by_id=replication.replication_lag(member.raft),
         )
 
     def holds_lease(self, now: float) -> bool:
--- a/wasabiturn/version/raft/replication.py
+++ b/wasabiturn/version/raft/replication.py
@@ -101,6 +101,19 @@
         replicate(state, leadership, envelope.sender, now)
 
 
+def replication_lag(state: RaftState) -> dict[str, int]:
+    """Return how many entries each member lacks; empty unless this leads."""
+    leadership = state.leadership
+    if leadership is None:
+        return {}
+    lag_by_id = {
+        member_id: state.log.last_index - progress.match_index
+        for member_id, progress in leadership.progress_by_id.items()
+    }
+    lag_by_id[state.member_id] = 0
+    return lag_by_id
+
+
 def advance_commit(state: RaftState) -> None:
     """Commit the entries of this term that a quorum holds."""
     leadership = state.leadership
--- a/wasabiturn/version/replica.py
+++ b/wasabiturn/version/replica.py
@@ -49,6 +49,7 @@
     role: str
     term: int
     members: tuple[Member, ...]
+    lag_by_id: dict[str, int] = attrs.field(factory=dict)
 
 
 class Replica(Protocol):
