Hold harmful work back from services, and relieve only sustained suffering

Ruled out: throttling every task beside a suffering service; a linear cost for services, which does not share slow-down out. Conclusion: sizes are ratios; batch work starts beside a service only within its target; throttles take as much as the excess needs.

--- /dev/null
+++ b/benchmarks/placement.py
@@ -0,0 +1,312 @@
+"""Placement against simple baselines, and each of its parts left out.
+
+Run ``python -m benchmarks.placement`` (deployments and ablations) or
+``python -m benchmarks.placement cpu`` (time of decisions at three sizes).
+"""
+
+import json
+import statistics
+import sys
+import time
+from concurrent.futures import ProcessPoolExecutor
+from itertools import product
+from pathlib import Path
+from random import Random
+from types import MappingProxyType
+from typing import Any, final
+
+import attrs
+
+from benchmarks.placement_fake import SERVICE, FakeCluster, percentile
+from wasabiturn.messages.state import Capacity, JobSpec
+from wasabiturn.version.placement import choice, starts
+from wasabiturn.version.placement.capacity import dominant_share, subtract
+from wasabiturn.version.placement.settings import (
+    PlacementSettings,
+    parse_placement_settings,
+)
+
+SEEDS = (1, 2, 3, 4, 5)
+SESSION_SECONDS = 2400
+OUT_FROM = 900
+OUT_UNTIL = 1500
+PARALLEL = 6
+_EXAMPLES = Path(__file__).parent.parent / 'examples'
+KINDS = ('convert', 'render', 'plot', 'index')
+
+
+@final
+@attrs.frozen
+class Shape:
+    """Size of one deployment."""
+
+    name: str
+    data_centres: int
+    workers: int
+    capacity: Capacity
+    replica: Capacity
+    arrivals_per_second: float
+    large_cores: float
+
+
+SHAPES = (
+    Shape(
+        'letreria',
+        3,
+        11,
+        Capacity(32, 125_000, 0),
+        Capacity(8, 16_000, 0),
+        0.5,
+        24,
+    ),
+    Shape(
+        'neba',
+        4,
+        11,
+        Capacity(16, 62_500, 0),
+        Capacity(4, 8_000, 0),
+        0.25,
+        12,
+    ),
+)
+TARGET = Shape(
+    'target',
+    12,
+    800,
+    Capacity(16, 64_000, 2),
+    Capacity(2, 4_000, 0),
+    30,
+    12,
+)
+
+
+def first_fit(table: Any, request: Any, places: Any) -> Any:
+    """Choose the first worker with room."""
+    return _first(table, request, places, places.workers)
+
+
+def best_fit(table: Any, request: Any, places: Any) -> Any:
+    """Choose the fullest worker with room."""
+    ordered = sorted(
+        places.workers,
+        key=lambda worker: dominant_share(
+            subtract(worker.free, request.size), worker.capacity
+        ),
+    )
+    return _first(table, request, places, ordered)
+
+
+def choose_at_random(table: Any, request: Any, places: Any) -> Any:
+    """Choose any worker with room."""
+    ordered = list(places.workers)
+    _random.shuffle(ordered)
+    return _first(table, request, places, ordered)
+
+
+def _first(table: Any, request: Any, places: Any, ordered: Any) -> Any:
+    for worker in ordered:
+        if choice.has_room(worker, request.size):
+            return choice.Choice(worker=worker, cost=0, candidates=1)
+    return None
+
+
+def _read_profile(name: str) -> dict[str, str]:
+    text = (_EXAMPLES / f'placement-{name}.json').read_text()
+    settings: dict[str, str] = json.loads(text)['spec']['settings']
+    return settings
+
+
+_random = Random(0)
+LETRERIA = _read_profile('letreria')
+NEBA = _read_profile('neba')
+_NO_RELIEF = MappingProxyType({'suffering_seconds': '1000000'})
+_PLAIN = MappingProxyType(
+    {**_NO_RELIEF, 'reservations': '0', 'run_time_correction': '0'},
+)
+POLICIES = MappingProxyType(
+    {
+        'full': (choice.choose_worker, {}),
+        'first fit': (first_fit, _PLAIN),
+        'best fit': (best_fit, _PLAIN),
+        'random': (choose_at_random, _PLAIN),
+        'blind': (choice.choose_worker, {'interference_weight': '0'}),
+        'blind, no relief': (
+            choice.choose_worker,
+            {'interference_weight': '0', 'suffering_seconds': '1000000'},
+        ),
+        'letreria profile': (choice.choose_worker, LETRERIA),
+        'neba profile': (choice.choose_worker, NEBA),
+        'no relief': (choice.choose_worker, _NO_RELIEF),
+        'evict, no throttle': (choice.choose_worker, {'throttle_floor': '1'}),
+        'no reservations': (choice.choose_worker, {'reservations': '0'}),
+        'no correction': (choice.choose_worker, {'run_time_correction': '0'}),
+    }
+)
+
+
+def run_session(
+    shape: Shape,
+    policy: str,
+    seed: int,
+    seconds: int = SESSION_SECONDS,
+) -> dict[str, float]:
+    """Run one session and return its measures."""
+    chooser, settings = POLICIES[policy]
+    starts.choose_worker = chooser  # type: ignore[assignment]
+    _random.seed(seed)
+    random = Random(seed)
+    cluster = _create_cluster(shape, random)
+    cluster.table.settings = parse_placement_settings(dict(settings)).ok
+    arrivals = _Arrivals(shape, random)
+    for second in range(seconds):
+        if second == OUT_FROM:
+            cluster.set_out('dc-0', is_out=True)
+        elif second == OUT_UNTIL:
+            cluster.set_out('dc-0', is_out=False)
+        arrivals.arrive(cluster)
+        cluster.step(time.process_time)
+    return _summarize(cluster)
+
+
+def _create_cluster(shape: Shape, random: Random) -> FakeCluster:
+    workers = {
+        f'w{number}': f'dc-{number % shape.data_centres}'
+        for number in range(shape.workers)
+    }
+    pairs = {
+        (slowed, slowing): random.choice((0.0, 0.02, 0.1))
+        for slowed in KINDS
+        for slowing in KINDS
+    }
+    harms = [0.0, 0.03, 0.15, 0.35]
+    random.shuffle(harms)
+    for kind, harm in zip(KINDS, harms, strict=True):
+        pairs[SERVICE, kind] = harm
+        pairs[kind, SERVICE] = 0.1
+    cluster = FakeCluster(workers, shape.capacity, pairs, random)
+    cluster.size_ratios = {kind: random.choice((0.6, 1, 1.2)) for kind in KINDS}
+    cluster.put_service(shape.workers, shape.replica)
+    return cluster
+
+
+@final
+class _Arrivals:
+    """Jobs that arrive by chance, with false declarations of run time."""
+
+    def __init__(self, shape: Shape, random: Random) -> None:
+        self._shape = shape
+        self._random = random
+        self._count = 0
+        self._ratios = {
+            known: random.choice((0.2, 0.5, 1, 3)) for known in KINDS
+        }
+
+    def arrive(self, cluster: FakeCluster) -> None:
+        """Declare the jobs of one second."""
+        expected = self._shape.arrivals_per_second
+        while self._random.random() < expected / (1 + expected):
+            self._put(cluster, 'batch', self._random.choice((1, 2, 4)))
+        if self._random.random() < 1 / 150:
+            self._put(cluster, 'large', self._shape.large_cores)
+        if self._random.random() < 1 / 100:
+            self._put(cluster, 'urgent', 4)
+
+    def _put(self, cluster: FakeCluster, label: str, cores: float) -> None:
+        self._count += 1
+        chosen = self._random.choice(KINDS)
+        needed = self._random.lognormvariate(4.6, 0.7)
+        spec = JobSpec(
+            tasks=1,
+            size=Capacity(cores, int(cores * 2000), 0),
+            run_seconds=needed / self._ratios[chosen],
+            urgent=label == 'urgent',
+            idempotent=True,
+            task_kind=chosen,
+        )
+        cluster.put_job(f'job-{self._count}', spec, needed, label)
+
+
+def _summarize(cluster: FakeCluster) -> dict[str, float]:
+    measures = cluster.measures
+    return {
+        'slowdown_p50': percentile(measures.slowdowns, 0.5),
+        'slowdown_p99': percentile(measures.slowdowns, 0.99),
+        'work': measures.finished_work / 3600,
+        'work_while_out': measures.work_while_out / 3600,
+        'evictions': measures.evictions,
+        'urgent_max': max(measures.urgent_delays, default=0),
+        'large_mean': statistics.fmean(measures.large_delays or [0]),
+        'wait_mean': statistics.fmean(measures.delays or [0]),
+        'waiting': len(cluster.table.queue),
+    }
+
+
+def _run(arguments: tuple[Shape, str, int]) -> dict[str, float]:
+    return run_session(*arguments)
+
+
+def compare() -> None:
+    """Print the mean and the spread of each measure over the seeds."""
+    cases = list(product(SHAPES, POLICIES, SEEDS))
+    with ProcessPoolExecutor(max_workers=PARALLEL) as pool:
+        results = list(pool.map(_run, cases))
+    for shape in SHAPES:
+        for policy in POLICIES:
+            found = [
+                result
+                for case, result in zip(cases, results, strict=True)
+                if case[:2] == (shape, policy)
+            ]
+            print(f'{shape.name:9} {policy:19}', _describe(found))
+    for (shape, policy, seed), result in zip(cases, results, strict=True):
+        raw = {'shape': shape.name, 'policy': policy, 'seed': seed, **result}
+        print(json.dumps(raw))
+
+
+def _describe(found: list[dict[str, float]]) -> str:
+    parts = []
+    for key in found[0]:
+        values = [result[key] for result in found]
+        mean = statistics.fmean(values)
+        spread = statistics.stdev(values)
+        parts.append(f'{key} {mean:.3g}±{spread:.2g}')
+    return '  '.join(parts)
+
+
+def measure_cpu() -> None:
+    """Print the processor time of planning at three sizes."""
+    for count, seconds in ((11, 300), (100, 300), (800, 120)):
+        shape = attrs.evolve(
+            TARGET,
+            workers=count,
+            arrivals_per_second=61 * count / 800,
+        )
+        began = time.process_time()
+        cluster = _measure_one(shape, seconds)
+        steps = cluster.measures.plan_seconds[30:]
+        share = sum(steps) / len(steps)
+        print(
+            f'{count} workers: {cluster.measures.starts} starts, '
+            f'{len(cluster.table.specs_by_task)} live tasks, '
+            f'plan CPU {share * 1000:.2f} ms a second of the loop, '
+            f'p99 {percentile(steps, 0.99) * 1000:.2f} ms, '
+            f'{sum(steps) / max(cluster.measures.starts, 1) * 1e6:.0f} '
+            'us a start; '
+            f'fake and planning together {time.process_time() - began:.1f} s',
+        )
+
+
+def _measure_one(shape: Shape, seconds: int) -> FakeCluster:
+    starts.choose_worker = choice.choose_worker
+    random = Random(1)
+    cluster = _create_cluster(shape, random)
+    cluster.table.settings = PlacementSettings()
+    arrivals = _Arrivals(shape, random)
+    for _ in range(seconds):
+        arrivals.arrive(cluster)
+        cluster.step(time.process_time)
+    return cluster
+
+
+if __name__ == '__main__':
+    measure_cpu() if sys.argv[1:] == ['cpu'] else compare()
--- a/wasabiturn/version/placement/choice.py
+++ b/wasabiturn/version/placement/choice.py
@@ -16,6 +16,7 @@
     subtract,
 )
 from wasabiturn.version.placement.estimates import expected_seconds
+from wasabiturn.version.placement.harm import expected_harm, may_slow
 from wasabiturn.version.placement.lifecycle import HOLDING
 from wasabiturn.version.placement.table import PlacementTable
 from wasabiturn.version.placement.workers import Worker
@@ -85,16 +86,12 @@
     now: float,
 ) -> Request:
     """Create the request of a waiting task."""
-    size = spec.size
-    owner = table.owner_of(spec)
-    if owner is not None:
-        declared = owner.job_spec or owner.service_spec
-        size = declared.size if declared else size
     observations = table.learned.observations
+    declared = table.declared_size(spec)
     return Request(
         task=task,
         spec=spec,
-        size=observations.charged_size(spec.task_kind, size),
+        size=observations.charged_size(spec.task_kind, declared),
         ends_at=now + expected_seconds(table, spec),
     )
 
@@ -136,14 +133,11 @@
     places: Places,
 ) -> list[Worker]:
     """Return the next workers in rotation that have room."""
-    limit = table.settings.max_starting_per_worker
     count = len(places.workers)
     found: list[Worker] = []
     for step in range(count):
         worker = places.workers[(places.offset + step) % count]
-        if worker.starting >= limit or not _has_room(worker, request.size):
-            continue
-        if _is_unreserved(table, request, worker, places):
+        if _is_candidate(table, request, worker, places):
             found.append(worker)
         if len(found) >= MAX_CANDIDATES:
             places.offset += step + 1
@@ -151,7 +145,22 @@
     return found
 
 
-def _has_room(worker: Worker, size: Capacity) -> bool:
+def _is_candidate(
+    table: PlacementTable,
+    request: Request,
+    worker: Worker,
+    places: Places,
+) -> bool:
+    return (
+        has_room(worker, request.size)
+        and worker.starting < table.settings.max_starting_per_worker
+        and may_slow(table, request.spec, worker)
+        and _is_unreserved(table, request, worker, places)
+    )
+
+
+def has_room(worker: Worker, size: Capacity) -> bool:
+    """Tell whether ``size`` fits into what is free on ``worker``."""
     free = worker.free
     return (
         size.cores <= free.cores + CORES_TOLERANCE
@@ -188,7 +197,7 @@
     fill = dominant_share(left, worker.capacity)
     cost = settings.fit_weight * fill
     if settings.interference_weight:
-        harm = _interference(table, request.spec, worker)
+        harm = expected_harm(table, request.spec, worker)
         cost += settings.interference_weight * harm
     if replicas:
         near = replicas.get(worker.data_centre, 0)
@@ -198,27 +207,6 @@
     return cost
 
 
-def _interference(
-    table: PlacementTable,
-    spec: TaskSpec,
-    worker: Worker,
-) -> float:
-    """Return the expected slow-down of the task and its neighbours."""
-    model = table.learned.interference
-    own = table.settings.batch_weight
-    if spec.owner_kind is Kind.service:
-        own = table.settings.service_weight
-    harm = float(0)
-    for kind, count in worker.counts_by_kind.items():
-        weight = table.settings.batch_weight
-        if kind in worker.service_kinds:
-            weight = table.settings.service_weight
-        suffered = own * model.slowdown(spec.task_kind, kind)
-        caused = weight * model.slowdown(kind, spec.task_kind)
-        harm += count * (suffered + caused)
-    return harm
-
-
 def _count_replicas(table: PlacementTable, spec: TaskSpec) -> dict[str, int]:
     """Count the held replicas of a service by data centre, rack, worker."""
     counts: dict[str, int] = {}
--- a/wasabiturn/version/placement/learning.py
+++ b/wasabiturn/version/placement/learning.py
@@ -2,9 +2,10 @@
 
 from collections import deque
 
-from wasabiturn.messages.kinds import Kind, TaskState
+from wasabiturn.messages.kinds import TaskState
 from wasabiturn.messages.session import Heartbeat, UsageReport
 from wasabiturn.messages.state import TaskSpec
+from wasabiturn.version.placement.capacity import fits
 from wasabiturn.version.placement.plan import Plan
 from wasabiturn.version.placement.relief import observe_service
 from wasabiturn.version.placement.table import PlacementTable
@@ -81,23 +82,32 @@
     now: float,
 ) -> None:
     learned = table.learned
-    learned.observations.observe_size(spec.task_kind, report.used)
-    charged = worker.charges_by_task.get(report.task)
-    if charged is not None:
-        size = learned.observations.charged_size(spec.task_kind, charged)
-        if size != charged:
-            worker.recharge(report.task, size)
-            learned.recharged_workers.add(worker.name)
+    _learn_size(table, worker, spec, report)
     sampled_at = now - report.lag_seconds
     counts = _find_counts(worker.neighbourhoods, sampled_at)
-    loads = _loads(table, worker, spec, counts)
+    loads = _loads(worker, spec, counts)
     throttle = learned.throttles_by_task.get(report.task, FULL_SPEED)
     progress = report.progress / max(throttle, MIN_THROTTLE)
     learned.interference.learn(spec.task_kind, progress, loads, now)
 
 
-def _loads(
+def _learn_size(
     table: PlacementTable,
+    worker: Worker,
+    spec: TaskSpec,
+    report: UsageReport,
+) -> None:
+    declared = table.declared_size(spec)
+    observations = table.learned.observations
+    observations.observe_size(spec.task_kind, declared, report.used)
+    charged = worker.charges_by_task.get(report.task)
+    size = table.charged_size(spec)
+    if charged is not None and not fits(size, charged):
+        worker.recharge(report.task, size)
+        table.learned.recharged_workers.add(worker.name)
+
+
+def _loads(
     worker: Worker,
     spec: TaskSpec,
     counts: dict[str, int],
@@ -105,22 +115,9 @@
     """Return the load of the neighbours of a task by kind."""
     loads = {kind: float(count) for kind, count in counts.items()}
     loads[spec.task_kind] = loads.get(spec.task_kind, 1) - 1
-    for service, share in worker.loads_by_service.items():
-        _scale_service(table, service, share, loads)
-    return {kind: load for kind, load in loads.items() if load > 0}
-
-
-def _scale_service(
-    table: PlacementTable,
-    service: str,
-    load: float,
-    loads: dict[str, float],
-) -> None:
-    owner = table.owners_by_name.get((Kind.service, service))
-    if owner is None or owner.service_spec is None:
-        return
-    kind = owner.service_spec.task_kind
-    loads[kind] = loads.get(kind, 0) * load
+    for kind, share in worker.loads_by_kind.items():
+        loads[kind] = loads.get(kind, 0) * share
+    return {name: load for name, load in loads.items() if load > 0}
 
 
 def _note_neighbourhood(
--- a/wasabiturn/version/placement/observations.py
+++ b/wasabiturn/version/placement/observations.py
@@ -1,29 +1,63 @@
-"""Observed sizes and run times of each kind of task, against declared ones."""
+"""Observed sizes and run times of each kind of task, against declared ones.
+
+Sizes are kept as ratios to the declared size, since tasks of one kind may be
+declared in different sizes.
+"""
 
 from typing import final
 
 import attrs
 
 from wasabiturn.messages.state import Capacity
-from wasabiturn.version.placement.capacity import enlarge
 
 RUN_TIME_SHARE = 0.2
+# A ratio that falls is followed slowly, one that grows at once.
+SIZE_DECAY = 0.02
 MIN_RATIO = 0.01
 MAX_RATIO = 100.0
+# Reports within this share of the declared size do not enlarge the charge.
+SIZE_TOLERANCE = 0.05
+
+
+@final
+@attrs.define
+class SizeRatios:
+    """Observed over declared size of one kind of task; at least 1."""
+
+    cores: float = 1.0
+    memory: float = 1.0
+
+    def observe(self, declared: Capacity, used: Capacity) -> None:
+        """Take one usage report of a task of the ``declared`` size."""
+        self.cores = _follow(self.cores, used.cores, declared.cores)
+        self.memory = _follow(self.memory, used.memory_mb, declared.memory_mb)
+
+    def apply(self, declared: Capacity) -> Capacity:
+        """Return the size to charge for a task of the ``declared`` size."""
+        return Capacity(
+            cores=declared.cores * self.cores,
+            memory_mb=round(declared.memory_mb * self.memory),
+            accelerators=declared.accelerators,
+        )
 
 
 @final
 @attrs.define
 class Observations:
-    """Largest observed size and mean run-time ratio by kind of task."""
+    """Ratios of observed to declared sizes and run times by kind of task."""
 
-    sizes_by_kind: dict[str, Capacity] = attrs.field(factory=dict)
+    sizes_by_kind: dict[str, SizeRatios] = attrs.field(factory=dict)
     ratios_by_kind: dict[str, float] = attrs.field(factory=dict)
 
-    def observe_size(self, kind: str, used: Capacity) -> None:
+    def observe_size(
+        self,
+        kind: str,
+        declared: Capacity,
+        used: Capacity,
+    ) -> None:
         """Take one usage report."""
-        known = self.sizes_by_kind.get(kind)
-        self.sizes_by_kind[kind] = enlarge(known, used) if known else used
+        ratios = self.sizes_by_kind.setdefault(kind, SizeRatios())
+        ratios.observe(declared, used)
 
     def observe_run(self, kind: str, declared: float, actual: float) -> None:
         """Take the run time of one finished task, in seconds."""
@@ -39,9 +73,18 @@
 
     def charged_size(self, kind: str, declared: Capacity) -> Capacity:
         """Return the larger of the declared and the observed size."""
-        observed = self.sizes_by_kind.get(kind)
-        return enlarge(declared, observed) if observed else declared
+        ratios = self.sizes_by_kind.get(kind)
+        return ratios.apply(declared) if ratios else declared
 
     def expected_seconds(self, kind: str, declared: float) -> float:
         """Return the declared run time, corrected by the observed ratio."""
         return declared * self.ratios_by_kind.get(kind, 1)
+
+
+def _follow(known: float, used: float, declared: float) -> float:
+    if declared <= 0:
+        return known
+    ratio = min(used / declared, MAX_RATIO)
+    if ratio > known * (1 + SIZE_TOLERANCE):
+        return ratio
+    return max(known + SIZE_DECAY * (ratio - known), 1)
--- a/wasabiturn/version/placement/relief.py
+++ b/wasabiturn/version/placement/relief.py
@@ -1,28 +1,45 @@
 """Relief of services that batch work slows: throttle first, then evict.
 
-A service suffers while its p99 is over target. Tasks beside it that are known
-to slow it are throttled by half after each period of suffering; when all are
-at the floor, the cheapest is evicted, within a budget for each minute. They
-speed up again after a period of calm.
+A service suffers while its p99 is over target. After each period of suffering
+the tasks beside it that slow it most for each core are throttled by as much
+as the excess needs; when all are at the floor, the cheapest is evicted, within
+a budget for each minute. After a period of calm they speed up again, by as
+much as the target allows.
 """
 
+from typing import final
+
+import attrs
+
 from wasabiturn.messages.kinds import Kind, TaskState
 from wasabiturn.messages.session import ServiceReport
 from wasabiturn.version.placement.estimates import eviction_cost
+from wasabiturn.version.placement.harm import present_slowdown
 from wasabiturn.version.placement.plan import Plan
 from wasabiturn.version.placement.table import PlacementTable
 from wasabiturn.version.placement.victims import evict, is_evictable
 from wasabiturn.version.placement.workers import Worker
 
-# Between this share of the target and the target, nothing changes.
+# Between this share of what is aimed at and all of it, nothing changes.
 CALM_SHARE = 0.8
-THROTTLE_STEP = 0.5
+MIN_CORES = 0.1
+MIN_P99_MS = 0.1
 FULL_SPEED = 1.0
 # Pairs below this coefficient are no cause of suffering.
 MIN_CULPRIT_SLOWDOWN = 0.02
 BUDGET_SECONDS = 60.0
 
 
+@final
+@attrs.frozen(order=True)
+class Culprit:
+    """Task that slows a service, ordered by slow-down per core."""
+
+    slowdown_per_core: float
+    task: str
+    slowdown: float
+
+
 def observe_service(
     table: PlacementTable,
     worker: Worker,
@@ -31,17 +48,25 @@
 ) -> None:
     """Take one report of answer times beside ``worker``."""
     learned = table.learned
-    worker.loads_by_service[report.service_name] = report.load
     owner = table.owners_by_name.get((Kind.service, report.service_name))
-    if owner is None or owner.service_spec is None or not report.answered:
+    if owner is None or owner.service_spec is None:
+        return
+    worker.loads_by_kind[owner.service_spec.task_kind] = report.load
+    if not report.answered:
         return
     target = owner.service_spec.target_p99_ms
     if target <= 0:
         return
-    if report.p99_ms > target:
+    aim = target * table.settings.target_share
+    excess = (report.p99_ms - aim) / max(report.p99_ms, aim)
+    learned.excess_by_worker[worker.name] = excess
+    present = present_slowdown(table, worker, owner.service_spec.task_kind)
+    allowed = (1 + present) * aim / max(report.p99_ms, MIN_P99_MS) - 1
+    worker.slowdown_limit = max(allowed, 0)
+    if report.p99_ms > aim:
         learned.suffering_since.setdefault(worker.name, now)
         learned.calm_since.pop(worker.name, None)
-    elif report.p99_ms < target * CALM_SHARE:
+    elif report.p99_ms < aim * CALM_SHARE:
         learned.calm_since.setdefault(worker.name, now)
         learned.suffering_since.pop(worker.name, None)
 
@@ -66,20 +91,26 @@
     worker: Worker,
     now: float,
 ) -> None:
-    culprits = _find_culprits(table, worker)
-    throttles = table.learned.throttles_by_task
+    """Throttle as many culprits as the excess needs; evict if none is left."""
+    learned = table.learned
+    excess = learned.excess_by_worker.get(worker.name, 0)
     floor = table.settings.throttle_floor
-    slowed = False
-    for task in culprits:
-        present = throttles.get(task, FULL_SPEED)
-        if present > floor:
-            throttles[task] = max(present * THROTTLE_STEP, floor)
-            table.touched_workers[worker.name] = None
-            slowed = True
+    culprits = find_culprits(table, worker)
+    slowed = []
+    for culprit in culprits:
+        present = learned.throttles_by_task.get(culprit.task, FULL_SPEED)
+        if excess <= 0 or present <= floor:
+            continue
+        throttle = max(present - excess / culprit.slowdown, floor)
+        excess -= (present - throttle) * culprit.slowdown
+        learned.throttles_by_task[culprit.task] = throttle
+        slowed.append(culprit.task)
     if slowed:
-        planned.record('throttle', chosen=worker.name, culprits=culprits)
+        table.touched_workers[worker.name] = None
+        planned.record('throttle', chosen=worker.name, culprits=slowed)
     elif culprits and _take_budget(table, now):
-        _evict_cheapest(table, planned, worker, culprits)
+        tasks = [candidate.task for candidate in culprits]
+        _evict_cheapest(table, planned, worker, tasks)
 
 
 def _evict_cheapest(
@@ -97,8 +128,11 @@
     planned.record('relieve', chosen=task, worker=worker.name)
 
 
-def _find_culprits(table: PlacementTable, worker: Worker) -> list[str]:
-    """Return the batch tasks known to slow a service of ``worker``."""
+def find_culprits(
+    table: PlacementTable,
+    worker: Worker,
+) -> list[Culprit]:
+    """Return the batch tasks known to slow a service, worst per core first."""
     model = table.learned.interference
     culprits = []
     for task in worker.charges_by_task:
@@ -113,8 +147,9 @@
             default=0,
         )
         if slowdown >= MIN_CULPRIT_SLOWDOWN:
-            culprits.append(task)
-    return sorted(culprits)
+            cores = max(spec.size.cores, MIN_CORES)
+            culprits.append(Culprit(slowdown / cores, task, slowdown))
+    return sorted(culprits, reverse=True)
 
 
 def _take_budget(table: PlacementTable, now: float) -> bool:
@@ -129,15 +164,16 @@
 
 
 def _speed_up(table: PlacementTable, planned: Plan, worker: Worker) -> None:
-    throttles = table.learned.throttles_by_task
-    for task in worker.charges_by_task:
-        present = throttles.get(task)
-        if present is None:
+    """Speed up the least harmful throttled task, if the target allows it."""
+    learned = table.learned
+    throttles = learned.throttles_by_task
+    room = -learned.excess_by_worker.get(worker.name, 0)
+    for slowest in reversed(find_culprits(table, worker)):
+        present = throttles.get(slowest.task, FULL_SPEED)
+        if present >= FULL_SPEED or room <= 0:
             continue
-        faster = present / THROTTLE_STEP
-        if faster >= FULL_SPEED:
-            throttles.pop(task)
-        else:
-            throttles[task] = faster
+        faster = min(present + room / slowest.slowdown, FULL_SPEED)
+        room -= (faster - present) * slowest.slowdown
+        throttles[slowest.task] = faster
         table.touched_workers[worker.name] = None
-        planned.record('speed up', chosen=task, worker=worker.name)
+        planned.record('speed up', chosen=slowest.task, worker=worker.name)
--- a/wasabiturn/version/placement/settings.py
+++ b/wasabiturn/version/placement/settings.py
@@ -14,7 +14,8 @@
     """Weights of the score and limits of eviction; each is a number >= 0.
 
     A weight of 0 turns its part off. ``reservations`` is the number of
-    waiting tasks that backfill may not delay. Times are in seconds.
+    waiting tasks that backfill may not delay. ``target_share`` of a service's
+    target p99 is what placement aims at. Times are in seconds.
     """
 
     interference_weight: float = 4.0
@@ -24,11 +25,12 @@
     spread_weight: float = 4.0
     reservations: float = 2.0
     run_time_correction: float = 1.0
-    throttle_floor: float = 0.25
-    suffering_seconds: float = 3.0
+    target_share: float = 1.0
+    throttle_floor: float = 0.5
+    suffering_seconds: float = 15.0
     recovery_seconds: float = 10.0
     max_evictions_at_once: float = 32.0
-    evictions_per_minute: float = 6.0
+    evictions_per_minute: float = 1.0
     max_starting_per_worker: float = 8.0
 
 
--- a/wasabiturn/version/placement/table.py
+++ b/wasabiturn/version/placement/table.py
@@ -11,7 +11,12 @@
 
 from wasabiturn.messages.kinds import Kind, TaskState
 from wasabiturn.messages.state import Capacity, Resource, TaskSpec
-from wasabiturn.version.placement.capacity import NOTHING, add, subtract
+from wasabiturn.version.placement.capacity import (
+    NOTHING,
+    add,
+    enlarge,
+    subtract,
+)
 from wasabiturn.version.placement.interference import InterferenceModel
 from wasabiturn.version.placement.lifecycle import HOLDING, TERMINAL, OwnerRules
 from wasabiturn.version.placement.observations import Observations
@@ -61,6 +66,7 @@
     throttles_by_task: dict[str, float] = attrs.field(factory=dict)
     suffering_since: dict[str, float] = attrs.field(factory=dict)
     calm_since: dict[str, float] = attrs.field(factory=dict)
+    excess_by_worker: dict[str, float] = attrs.field(factory=dict)
     recharged_workers: set[str] = attrs.field(factory=set)
     eviction_times: list[float] = attrs.field(factory=list)
 
@@ -146,6 +152,19 @@
         owner = self.owner_of(spec)
         return owner.team if owner else ''
 
+    def charged_size(self, spec: TaskSpec) -> Capacity:
+        """Return the larger of committed, declared and observed size."""
+        observations = self.learned.observations
+        declared = self.declared_size(spec)
+        observed = observations.charged_size(spec.task_kind, declared)
+        return enlarge(spec.size, observed)
+
+    def declared_size(self, spec: TaskSpec) -> Capacity:
+        """Return the size that the owner of a task declares."""
+        owner = self.owner_of(spec)
+        declared = owner and (owner.job_spec or owner.service_spec)
+        return declared.size if declared else spec.size
+
     def rules_of(self, spec: TaskSpec) -> OwnerRules:
         """Return what the owner of a task says about failures."""
         owner = self.owner_of(spec)
@@ -164,9 +183,7 @@
 
     def _hold(self, task: str, spec: TaskSpec) -> None:
         worker = self.worker(spec.worker)
-        observations = self.learned.observations
-        size = observations.charged_size(spec.task_kind, spec.size)
-        worker.charge(task, spec, size)
+        worker.charge(task, spec, self.charged_size(spec))
         worker.starting += spec.state is TaskState.assigned
         self.touched_workers[spec.worker] = None
         self.reservations_by_task.pop(task, None)
--- a/wasabiturn/version/placement/workers.py
+++ b/wasabiturn/version/placement/workers.py
@@ -28,7 +28,8 @@
     """One worker, with the charges of the tasks that it holds.
 
     ``free`` is the capacity that is not charged; ``starting`` counts the
-    attempts that were assigned and are not known to run.
+    attempts that were assigned and are not known to run. Batch tasks may slow
+    the services of the worker by up to ``slowdown_limit``.
     """
 
     name: str
@@ -45,7 +46,8 @@
     charges_by_task: dict[str, Capacity] = attrs.field(factory=dict)
     counts_by_kind: dict[str, int] = attrs.field(factory=dict)
     service_kinds: dict[str, int] = attrs.field(factory=dict)
-    loads_by_service: dict[str, float] = attrs.field(factory=dict)
+    loads_by_kind: dict[str, float] = attrs.field(factory=dict)
+    slowdown_limit: float = float('inf')
     neighbourhoods: deque[Neighbourhood] = attrs.field(factory=deque)
     past_incarnations: set[str] = attrs.field(factory=set)
 
