--- a/wasabiturn/version/placement/estimates.py
+++ b/wasabiturn/version/placement/estimates.py
@@ -15,17 +15,13 @@
 
 
 def expected_seconds(table: PlacementTable, spec: TaskSpec) -> float:
-    """Return the expected run time of a task, in seconds."""
+    """Return the declared run time of a task, in seconds."""
     owner = table.owner_of(spec)
     if spec.owner_kind is Kind.service:
         return NEVER_ENDS
     if owner is None or owner.job_spec is None:
         return MIN_LEFT_SECONDS
-    declared = owner.job_spec.run_seconds
-    if not table.settings.run_time_correction:
-        return declared
-    observations = table.learned.observations
-    return observations.expected_seconds(spec.task_kind, declared)
+    return owner.job_spec.run_seconds
 
 
 def expected_end(
--- a/wasabiturn/version/placement/learning.py
+++ b/wasabiturn/version/placement/learning.py
@@ -1,4 +1,4 @@
-"""What heartbeats and outcomes teach: sizes, run times, pairs, bad workers."""
+"""What heartbeats and outcomes teach: sizes, pairs, bad workers."""
 
 from collections import deque
 
@@ -44,7 +44,6 @@
     quarantine = table.learned.quarantine
     if following.state is TaskState.finished:
         quarantine.record_success(spec.worker, spec.owner)
-        _learn_run_time(table, task, spec)
     elif _is_failure(spec, following):
         rests = quarantine.record_failure(spec.worker, spec.owner, now)
         if rests:
@@ -60,20 +59,6 @@
     )
 
 
-def _learn_run_time(table: PlacementTable, task: str, spec: TaskSpec) -> None:
-    owner = table.owner_of(spec)
-    progress = table.learned.progress_by_task.get(task)
-    if owner is None or owner.job_spec is None or progress is None:
-        return
-    if spec.checkpoint:
-        return
-    table.learned.observations.observe_run(
-        spec.task_kind,
-        owner.job_spec.run_seconds,
-        progress.run_seconds,
-    )
-
-
 def _learn_usage(
     table: PlacementTable,
     worker: Worker,
--- a/wasabiturn/version/placement/observations.py
+++ b/wasabiturn/version/placement/observations.py
@@ -1,4 +1,4 @@
-"""Observed sizes and run times of each kind of task, against declared ones.
+"""Observed sizes of each kind of task, against declared ones.
 
 Sizes are kept as ratios to the declared size, since tasks of one kind may be
 declared in different sizes.
@@ -10,10 +10,8 @@
 
 from wasabiturn.messages.state import Capacity
 
-RUN_TIME_SHARE = 0.2
 # A ratio that falls is followed slowly, one that grows at once.
 SIZE_DECAY = 0.02
-MIN_RATIO = 0.01
 MAX_RATIO = 100.0
 # Reports within this share of the declared size do not enlarge the charge.
 SIZE_TOLERANCE = 0.05
@@ -44,10 +42,9 @@
 @final
 @attrs.define
 class Observations:
-    """Ratios of observed to declared sizes and run times by kind of task."""
+    """Ratios of observed to declared sizes by kind of task."""
 
     sizes_by_kind: dict[str, SizeRatios] = attrs.field(factory=dict)
-    ratios_by_kind: dict[str, float] = attrs.field(factory=dict)
 
     def observe_size(
         self,
@@ -59,27 +56,11 @@
         ratios = self.sizes_by_kind.setdefault(kind, SizeRatios())
         ratios.observe(declared, used)
 
-    def observe_run(self, kind: str, declared: float, actual: float) -> None:
-        """Take the run time of one finished task, in seconds."""
-        if declared <= 0:
-            return
-        ratio = min(max(actual / declared, MIN_RATIO), MAX_RATIO)
-        known = self.ratios_by_kind.get(kind)
-        if known is None:
-            self.ratios_by_kind[kind] = ratio
-        else:
-            change = RUN_TIME_SHARE * (ratio - known)
-            self.ratios_by_kind[kind] = known + change
-
     def charged_size(self, kind: str, declared: Capacity) -> Capacity:
         """Return the larger of the declared and the observed size."""
         ratios = self.sizes_by_kind.get(kind)
         return ratios.apply(declared) if ratios else declared
 
-    def expected_seconds(self, kind: str, declared: float) -> float:
-        """Return the declared run time, corrected by the observed ratio."""
-        return declared * self.ratios_by_kind.get(kind, 1)
-
 
 def _follow(known: float, used: float, declared: float) -> float:
     if declared <= 0:
--- a/wasabiturn/version/placement/settings.py
+++ b/wasabiturn/version/placement/settings.py
@@ -24,7 +24,6 @@
     fit_weight: float = 1.0
     spread_weight: float = 4.0
     reservations: float = 2.0
-    run_time_correction: float = 1.0
     target_share: float = 1.0
     throttle_floor: float = 0.5
     suffering_seconds: float = 15.0
