--- a/tests/process/entry/test_exchange.py
+++ b/tests/process/entry/test_exchange.py
@@ -139,6 +139,36 @@
     assert unanswered[1].reset_reason == 'another attempt was answered'
 
 
+def test_second_answer_of_a_hedge_is_dropped(bench: Bench) -> None:
+    for _ in range(64):
+        bench.router.record_latency(SERVICE, 0.01)
+    caller = bench.call(GET)
+    bench.advance(0.1)
+    first, second = bench.requests()
+    second.answer(b'22', 200, LENGTH_2)
+    first.answer(b'11', 200, LENGTH_2)
+    bench.pump()
+    body = caller.received.rpartition('\r\n')[2]
+    assert body in {'11', '22'}
+    assert caller.received.count('HTTP/1.1 200') == 1
+    next_caller = bench.call(GET)
+    bench.requests()[-1].answer(b'33', 200, LENGTH_2)
+    for request in bench.requests():
+        request.answer(b'33', 200, LENGTH_2)
+    bench.pump()
+    assert next_caller.received.endswith('33')
+
+
+def test_answer_after_the_deadline_is_dropped(bench: Bench) -> None:
+    caller = bench.call(GET)
+    (request,) = bench.requests()
+    bench.clock.advance(10.5)
+    request.answer(b'ok', 200, LENGTH_2)
+    bench.pump()
+    assert caller.received.startswith('HTTP/1.1 504')
+    assert caller.received.count('HTTP/1.1') == 1
+
+
 def test_non_idempotent_is_never_hedged(bench: Bench) -> None:
     for _ in range(40):
         bench.router.record_latency(SERVICE, 0.01)
