Estimate the requests in use of an agent once for each choice

Cause: the wait and the share of slots in use each worked the estimate out anew, with its power of the report's age. Before: two estimates for each compared agent.

--- a/tests/request/test_routing.py
+++ b/tests/request/test_routing.py
@@ -71,8 +71,8 @@
     record_done(load)
     assert estimate_in_use(load, 0) == 16
     assert estimate_in_use(load, 0.25) == 8
-    assert estimate_wait(load, 1, 0) == 9 * 0.01 / 8
-    assert estimate_wait(load, 1, 5) == 0
+    assert estimate_wait(load, 16, 1) == 9 * 0.01 / 8
+    assert estimate_wait(load, 7, 1) == 0
 
 
 def test_own_requests_are_not_counted_twice() -> None:
--- a/wasabiturn/request/load.py
+++ b/wasabiturn/request/load.py
@@ -63,11 +63,12 @@
     return load.in_flight + load.others * weight
 
 
-def estimate_wait(load: AgentLoad, share: float, now: float) -> float:
+def estimate_wait(load: AgentLoad, in_use: float, share: float) -> float:
     """Return the seconds that a new request would wait for a slot.
 
-    ``share`` is the share of the agent's slots that may be used.
+    ``in_use`` is the estimate of the requests that the agent holds;
+    ``share`` is the share of its slots that may be used.
     """
     slots = max(load.slots * share, 1)
-    ahead = estimate_in_use(load, now) + 1 - slots
+    ahead = in_use + 1 - slots
     return max(ahead, 0) * load.service_seconds / slots
--- a/wasabiturn/request/routing.py
+++ b/wasabiturn/request/routing.py
@@ -55,6 +55,11 @@
         """Return what this agent costs beyond the usual service time."""
         return self.wait_seconds + self.extra_seconds
 
+    @property
+    def order(self) -> tuple[float, float]:
+        """Return the key of the order in which agents are preferred."""
+        return self.wait_seconds + self.extra_seconds, self.utilization
+
 
 @final
 @attrs.frozen
@@ -92,10 +97,7 @@
     sampled = _sample(healthy or reachable, random)
     usual_seconds = SLOW_RATIO * _median_service(sampled)
     scores = [_score(each, data_centre, now, usual_seconds) for each in sampled]
-    best = min(
-        range(len(scores)),
-        key=lambda index: (scores[index].seconds, scores[index].utilization),
-    )
+    best = min(range(len(scores)), key=lambda index: scores[index].order)
     return Ok(
         Choice(
             candidate=sampled[best],
@@ -127,11 +129,12 @@
     usual_seconds: float,
 ) -> Score:
     load = candidate.load
+    in_use = estimate_in_use(load, now)
     share = slow_start_share(candidate.health, now)
     crossing = 0 if candidate.data_centre == data_centre else CROSSING_SECONDS
     return Score(
         name=candidate.name,
-        wait_seconds=estimate_wait(load, share, now),
+        wait_seconds=estimate_wait(load, in_use, share),
         extra_seconds=max(load.service_seconds - usual_seconds, 0) + crossing,
-        utilization=estimate_in_use(load, now) / max(load.slots * share, 1),
+        utilization=in_use / max(load.slots * share, 1),
     )
