Spread sessions over the members, again after a restart

Cause: in the measurement of slopes all 150 sessions subscribed to the first member in the settings, whose link opened first; its processor time for 100 commits was 0.44 s against 0.12 s of the others. After a restart of a member nothing brought sessions back.

Members are dialled in random order, and a session moves now and then to a fresh member drawn at random.

Before: sessions at one of three members.

--- a/wasabiturn/process/control_links.py
+++ b/wasabiturn/process/control_links.py
@@ -40,10 +40,13 @@
     reactor: Any,
     random: Random,
 ) -> ControlLinks:
-    """Create the links; ``start`` begins to dial."""
-    return ControlLinks(
-        dialers=[
-            Dialer(endpoint, dispatch, reactor, random)
-            for endpoint in endpoints
-        ],
-    )
+    """Create the links; ``start`` begins to dial.
+
+    They are dialled in random order, so that the first to open is another one
+    in each process.
+    """
+    dialers = [
+        Dialer(endpoint, dispatch, reactor, random) for endpoint in endpoints
+    ]
+    random.shuffle(dialers)
+    return ControlLinks(dialers=dialers)
--- a/wasabiturn/process/freshness.py
+++ b/wasabiturn/process/freshness.py
@@ -1,5 +1,6 @@
 """How lately a quorum confirmed a process's view."""
 
+from random import Random
 from typing import final
 
 import attrs
@@ -7,6 +8,7 @@
 # A member answers only if its state stays within 3 s for this long.
 FRESH_SECONDS = 2.0
 SWITCH_SECONDS = 1.0
+BALANCE_SECONDS = 150.0
 
 
 @final
@@ -16,6 +18,7 @@
 
     asked_at: float | None = None
     chosen_at: float = 0.0
+    balance_at: float = 0.0
 
     def confirm(self, asked_at: float) -> None:
         """Note that a member confirmed the view; counts from the question."""
@@ -38,6 +41,13 @@
         """
         return asked_at > self.chosen_at and not self.is_settled(now)
 
+    def choose(self, now: float, random: Random) -> None:
+        """Note a switch, and when to try another member for balance."""
+        self.chosen_at = now
+        self.balance_at = (
+            now + BALANCE_SECONDS + BALANCE_SECONDS * random.random()
+        )
+
     def _is_within(self, now: float, limit_seconds: float) -> bool:
         if self.asked_at is None:
             return False
--- a/wasabiturn/process/session.py
+++ b/wasabiturn/process/session.py
@@ -137,12 +137,26 @@
         if self._current is None and links:
             self._subscribe(self._random.choice(links))
         if self._freshness.is_settled(now):
+            if now >= self._freshness.balance_at:
+                self._balance(self._random.choice(links), now)
             links = [link for link in links if link is self._current]
         for link in links:
             self._ask_fresh(link, now)
 
+    def _balance(self, link: Link, now: float) -> None:
+        """Move to ``link`` if its member is fresh.
+
+        Without it all processes would gather at the members that have run for
+        longest.
+        """
+        self._freshness.choose(now, self._random)
+        if link is not self._current:
+            call = _call_fresh(link)
+            call.addCallback(lambda _: self._subscribe(link))
+            call.addErrback(lambda _: None)
+
     def _ask_fresh(self, link: Link, asked_at: float) -> None:
-        call = link.call(Method.fresh, Nothing(), Fresh, CALL_TIMEOUT_SECONDS)
+        call = _call_fresh(link)
         call.addCallback(self._on_fresh, link, asked_at)
         call.addErrback(lambda _: None)
 
@@ -161,12 +175,12 @@
             self.view.adopt(self._staged)
             self._staged = self.view
             self._feed.view = self.view
-            self._notify()
+            _run_all(self.on_change)
 
     def _subscribe(self, link: Link) -> None:
         previous = self._current
         self._current = link
-        self._freshness.chosen_at = self._clock.seconds()
+        self._freshness.choose(self._clock.seconds(), self._random)
         self._feed = _create_feed(self._staged, self._interest)
         since = self._staged.revision if self._staged.is_loaded else NO_REVISION
         _log.event('subscribed', control=link.peer.name, since=since)
@@ -191,15 +205,11 @@
 
     def _handle_changes(self, link: Link, message: Changes) -> None:
         if link is self._current and self._feed.take_changes(message):
-            self._notify()
+            _run_all(self.on_change)
 
     def _handle_directory(self, link: Link, message: DirectoryChanges) -> None:
         if link is self._current and self._feed.take_directory(message):
-            self._notify()
-
-    def _notify(self) -> None:
-        for callback in self.on_change:
-            callback()
+            _run_all(self.on_change)
 
     def _send_record(self, links: Iterable[Link]) -> None:
         if self._record is None:
@@ -208,6 +218,15 @@
             link.notify(Method.announce, Announce(record=self._record))
 
 
+def _run_all(callbacks: list[Callable[[], None]]) -> None:
+    for callback in callbacks:
+        callback()
+
+
+def _call_fresh(link: Link) -> Deferred[Fresh]:
+    return link.call(Method.fresh, Nothing(), Fresh, CALL_TIMEOUT_SECONDS)
+
+
 def _create_feed(view: View, interest: Subscribe) -> Feed:
     return Feed(view=view, kinds=tuple(Kind(kind) for kind in interest.kinds))
 
