Prefer agents that do not owe an answer

Cause: a vanished worker kept getting requests until its link was found quiet; the fewest outstanding, a simple baseline, noticed earlier. Ruled out: a shorter silence limit of links, which would drop slow ones. Conclusion: the time by which an answer is overdue counts as cost.

--- a/benchmarks/requests/model.py
+++ b/benchmarks/requests/model.py
@@ -255,7 +255,7 @@
         request.tried.add(chosen.name)
         request.active.append(attempt)
         self._active.add(attempt)
-        record_sent(chosen.load)
+        record_sent(chosen.load, self.now)
         if request.arrived >= WARM_UP_SECONDS:
             self.counts.attempts += 1
         self._after(self._crossing(attempt), lambda: self._reach(attempt))
--- a/tests/process/entry/test_agents.py
+++ b/tests/process/entry/test_agents.py
@@ -147,7 +147,7 @@
     connector = bed.reactor.connectors[-1]
     connector.disconnect = lambda: closed.append('closed')
     (candidate,) = bed.pool.find_candidates(SERVICE)
-    record_sent(candidate.load)
+    record_sent(candidate.load, 0)
     bed.show()
     assert not bed.pool.find_candidates(SERVICE)
     assert bed.pool.count_in_flight() == 1
--- a/tests/request/test_routing.py
+++ b/tests/request/test_routing.py
@@ -66,7 +66,7 @@
 
 def test_report_loses_weight_with_age() -> None:
     load = AgentLoad(slots=8)
-    record_sent(load)
+    record_sent(load, 0)
     record_report(load, report(waiting=8), now=0)
     record_done(load)
     assert estimate_in_use(load, 0) == 16
@@ -78,7 +78,7 @@
 def test_own_requests_are_not_counted_twice() -> None:
     load = AgentLoad(slots=8)
     for _ in range(5):
-        record_sent(load)
+        record_sent(load, 0)
     record_report(load, report(waiting=0), now=0)
     record_done(load)
     assert load.others == 4
@@ -98,15 +98,30 @@
     others = [candidate('fast'), candidate('other')]
     for each in others:
         each.load.in_flight = 5
+        each.load.quiet_since = 9
     assert choose([slow, *others], now=9) in {'fast', 'other'}
 
 
+def test_agent_that_owes_an_answer_gets_less() -> None:
+    owing = candidate('owing')
+    record_sent(owing.load, 0)
+    others = [candidate('busy'), candidate('other')]
+    for each in others:
+        each.load.in_flight = 5
+        each.load.quiet_since = 0.3
+    assert choose([owing, *others], now=0.02) == 'owing'
+    assert choose([owing, *others], now=0.3) != 'owing'
+    record_report(owing.load, report(waiting=-8), now=0.3)
+    assert choose([owing, *others], now=0.3) == 'owing'
+
+
 def test_small_differences_of_service_do_not_count() -> None:
     slower = candidate('slower')
     record_report(slower.load, report(waiting=0, service_ms=14), now=0)
     others = [candidate('fast'), candidate('other')]
     for each in others:
         each.load.in_flight = 5
+        each.load.quiet_since = 9
     assert choose([slower, *others], now=9) == 'slower'
 
 
@@ -142,6 +157,6 @@
     new.health.first_seen = 0
     old = candidate('old')
     for each in (new, old):
-        record_sent(each.load)
-        record_sent(each.load)
+        record_sent(each.load, 0)
+        record_sent(each.load, 0)
     assert choose([new, old], now=0.1) == 'old'
--- a/wasabiturn/process/entry/attempts.py
+++ b/wasabiturn/process/entry/attempts.py
@@ -74,7 +74,7 @@
         self.made += 1
         attempt = Attempt(self.made, candidate, self.owner, self.router.now())
         self.active.append(attempt)
-        record_sent(candidate.load)
+        record_sent(candidate.load, attempt.started)
         attempt.open(link, self._create_head(attempt))
         for chunk in self.body.chunks:
             attempt.write(chunk)
--- a/wasabiturn/request/load.py
+++ b/wasabiturn/request/load.py
@@ -8,6 +8,8 @@
 
 REPORT_HALF_LIFE_SECONDS = 0.25
 DEFAULT_SERVICE_SECONDS = 0.01
+# An answer is overdue after this many service times without any.
+OVERDUE_RATIO = 4
 
 _MS_PER_SECOND = 1000
 
@@ -18,18 +20,22 @@
     """Requests of this entry at one agent, and those that it reported.
 
     ``others`` counts the requests of other entries in the newest report,
-    taken at ``reported_at`` in loop seconds.
+    taken at ``reported_at`` in loop seconds. ``quiet_since`` is when the agent
+    last answered, or began to owe an answer.
     """
 
     slots: int
     in_flight: int = 0
     others: int = 0
     reported_at: float = 0
+    quiet_since: float = 0
     service_seconds: float = DEFAULT_SERVICE_SECONDS
 
 
-def record_sent(load: AgentLoad) -> None:
-    """Count a request that was sent to the agent."""
+def record_sent(load: AgentLoad, now: float) -> None:
+    """Count a request that was sent to the agent at ``now``."""
+    if load.in_flight == 0:
+        load.quiet_since = now
     load.in_flight += 1
 
 
@@ -46,6 +52,7 @@
     own = load.in_flight - 1
     load.others = max(report.running + report.waiting - own, 0)
     load.reported_at = now
+    load.quiet_since = now
     if report.slots > 0:
         load.slots = report.slots
     if report.mean_service_ms > 0:
@@ -72,3 +79,11 @@
     slots = max(load.slots * share, 1)
     ahead = in_use + 1 - slots
     return max(ahead, 0) * load.service_seconds / slots
+
+
+def estimate_overdue(load: AgentLoad, now: float) -> float:
+    """Return the seconds by which the agent owes an answer at ``now``."""
+    if load.in_flight <= 0:
+        return 0
+    quiet_seconds = now - load.quiet_since
+    return max(quiet_seconds - OVERDUE_RATIO * load.service_seconds, 0)
--- a/wasabiturn/request/routing.py
+++ b/wasabiturn/request/routing.py
@@ -13,7 +13,12 @@
     is_ejected,
     slow_start_share,
 )
-from wasabiturn.request.load import AgentLoad, estimate_in_use, estimate_wait
+from wasabiturn.request.load import (
+    AgentLoad,
+    estimate_in_use,
+    estimate_overdue,
+    estimate_wait,
+)
 
 CROSSING_SECONDS = 0.001
 # Agents that are compared for one request.
@@ -42,7 +47,8 @@
     """Estimated cost of one agent.
 
     ``wait_seconds`` until a slot is free; ``extra_seconds`` by which its
-    service and its distance exceed the usual; the share of slots in use.
+    service, its distance and the answer that it owes exceed the usual; the
+    share of slots in use.
     """
 
     name: InstanceName
@@ -131,10 +137,11 @@
     load = candidate.load
     in_use = estimate_in_use(load, now)
     share = slow_start_share(candidate.health, now)
+    slow_seconds = max(load.service_seconds - usual_seconds, 0)
     crossing = 0 if candidate.data_centre == data_centre else CROSSING_SECONDS
     return Score(
         name=candidate.name,
         wait_seconds=estimate_wait(load, in_use, share),
-        extra_seconds=max(load.service_seconds - usual_seconds, 0) + crossing,
+        extra_seconds=slow_seconds + crossing + estimate_overdue(load, now),
         utilization=in_use / max(load.slots * share, 1),
     )
