--- a/benchmarks/commits.py
+++ b/benchmarks/commits.py
@@ -53,6 +53,7 @@
     latencies: list[float] = []
     records = _count_records(group, leader)
     cpu = group.cpu_seconds()
+    resident = group.resident_mb()[leader]
     started = time.perf_counter()
     end = started + SECONDS
     await gatherResults(
@@ -63,6 +64,7 @@
     )
     elapsed = time.perf_counter() - started
     used = group.cpu_seconds()
+    grown = group.resident_mb()[leader] - resident
     saves = _count_records(group, leader) - records
     latencies.sort()
     count = len(latencies)
@@ -75,7 +77,8 @@
         f'max {latencies[-1] * 1000:6.1f} ms, '
         f'{count / saves:5.1f} commits/fsync, CPU per commit: '
         f'leader {(used[leader] - cpu[leader]) / count * 1e6:4.0f} us, '
-        f'follower {follower / count * 1e6:4.0f} us',
+        f'follower {follower / count * 1e6:4.0f} us, '
+        f'leader memory {grown * 2**20 / count:5.0f} bytes per commit',
         flush=True,
     )
 
