Keep kind and method of a frame plain numbers

Cause: a profile of the agent at 16 callers showed the enum converters of Frame (34 of 427 s of profiled time), and a method that only a newer peer knows dropped the whole link as malformed. Ruled out: unknown members made up at run time, which every handler would meet. Conclusion: an unknown method is answered unknown_method and the link stays.

--- a/tests/connection/test_link.py
+++ b/tests/connection/test_link.py
@@ -116,3 +116,15 @@
     pipe.right.dataReceived(b'\x00\x00\x00\x04\x00\x00\x00\x00abcd')
     pipe.pump()
     assert not pipe.right.is_open
+
+
+def test_unknown_method_and_kind_of_a_newer_peer_keep_the_link() -> None:
+    pipe = Pipe(Clock(), create_dispatch('left'), create_dispatch('right'))
+    errors: list[CallError] = []
+    newer: Any = 98
+    call = pipe.left.call(newer, LookUpClaim(), Subscribed, timeout_seconds=1)
+    call.addErrback(lambda failure: errors.append(failure.value))
+    pipe.left.send_frame(newer, 0, newer, b'')
+    pipe.pump()
+    assert [error.code for error in errors] == [FailureCode.unknown_method]
+    assert pipe.right.is_open
--- a/wasabiturn/connection/calls.py
+++ b/wasabiturn/connection/calls.py
@@ -73,7 +73,7 @@
         if pending is None:
             return
         pending.timer.cancel()
-        if frame.kind is FrameKind.reply:
+        if frame.kind == FrameKind.reply:
             pending.settled.callback(unpack(pending.reply_class, frame.body))
             return
         failure = unpack(Failure, frame.body)
--- a/wasabiturn/connection/dispatch.py
+++ b/wasabiturn/connection/dispatch.py
@@ -41,8 +41,8 @@
 
     hello: Hello
     revision: Callable[[], int] = int
-    calls_by_method: dict[Method, CallRoute] = attrs.field(factory=dict)
-    streams_by_method: dict[Method, StreamRoute] = attrs.field(factory=dict)
+    calls_by_method: dict[int, CallRoute] = attrs.field(factory=dict)
+    streams_by_method: dict[int, StreamRoute] = attrs.field(factory=dict)
     on_open: list[Callable[['Link'], None]] = attrs.field(factory=list)
     on_close: list[Callable[['Link'], None]] = attrs.field(factory=list)
 
--- a/wasabiturn/connection/link.py
+++ b/wasabiturn/connection/link.py
@@ -58,7 +58,7 @@
         self._streams_by_exchange: dict[int, Stream] = {}
         self.last_received = 0.0
         self._last_sent = 0.0
-        self._handlers_by_kind: dict[FrameKind, Callable[[Frame], None]] = {
+        self._handlers_by_kind: dict[int, Callable[[Frame], None]] = {
             FrameKind.hello: self._handle_hello,
             FrameKind.call: self._handle_call,
             FrameKind.notice: self._handle_call,
@@ -125,7 +125,7 @@
         self,
         kind: FrameKind,
         exchange: int,
-        method: Method,
+        method: int,
         body: bytes,
     ) -> None:
         """Send one frame."""
@@ -210,12 +210,12 @@
         if route is None:
             self._reply_failure(
                 frame,
-                CallError(FailureCode.unknown_method, frame.method.name),
+                CallError(FailureCode.unknown_method, str(frame.method)),
             )
             return
         message: Any = unpack(route.message_class, frame.body)
         handled = maybeDeferred(route.handler, self, message)
-        if frame.kind is FrameKind.notice:
+        if frame.kind == FrameKind.notice:
             handled.addErrback(_log_failure, frame.method)
             return
         handled.addCallbacks(
@@ -232,7 +232,7 @@
         if not isinstance(error, CallError):
             _log.warning('handler failed', error=repr(error))
             error = CallError(FailureCode.internal, repr(error))
-        if frame.kind is FrameKind.notice:
+        if frame.kind == FrameKind.notice:
             return
         failure = Failure(
             code=error.code,
@@ -263,10 +263,10 @@
         stream.handle_frame(frame)
 
 
-def _log_failure(failure: TwistedFailure, method: Method) -> None:
+def _log_failure(failure: TwistedFailure, method: int) -> None:
     _log.warning(
-        'notice failed',
-        method=method.name,
+        'handler failed',
+        method=method,
         error=repr(failure.value),
         trace=failure.getTraceback(),
     )
--- a/wasabiturn/connection/streams.py
+++ b/wasabiturn/connection/streams.py
@@ -6,7 +6,7 @@
 import attrs
 
 from wasabiturn.messages.codec import pack, unpack
-from wasabiturn.messages.kinds import FrameKind, Method
+from wasabiturn.messages.kinds import FrameKind
 from wasabiturn.messages.link import Credit, Frame
 
 STREAM_WINDOW_BYTES = 262144
@@ -38,7 +38,7 @@
         self,
         kind: FrameKind,
         exchange: int,
-        method: Method,
+        method: int,
         body: bytes,
     ) -> None:
         """Send one frame."""
@@ -54,7 +54,7 @@
 
     link: FrameSender
     exchange: int
-    method: Method
+    method: int
     receiver: StreamReceiver | None = None
     credit: int = STREAM_WINDOW_BYTES
     sent_end: bool = False
@@ -112,12 +112,11 @@
 
     def handle_frame(self, frame: Frame) -> None:
         """Take a frame that the peer sent on this stream."""
-        if frame.kind is FrameKind.data:
-            chunk = frame.body
-            self._deliver(lambda receiver: receiver.data_received(chunk))
-        elif frame.kind is FrameKind.end:
+        if frame.kind == FrameKind.data:
+            self._handle_data(frame.body)
+        elif frame.kind == FrameKind.end:
             self._handle_end()
-        elif frame.kind is FrameKind.credit:
+        elif frame.kind == FrameKind.credit:
             self._handle_credit(unpack(Credit, frame.body).amount)
         else:
             self.handle_reset(frame.body.decode(errors='replace'))
@@ -140,6 +139,12 @@
             self._starved = False
             self._deliver(lambda receiver: receiver.writable())
 
+    def _handle_data(self, chunk: bytes) -> None:
+        if self.receiver is None:
+            self._early.append(lambda receiver: receiver.data_received(chunk))
+        else:
+            self.receiver.data_received(chunk)
+
     def _deliver(self, deliver: Callable[[StreamReceiver], Any]) -> None:
         if self.receiver is None:
             self._early.append(deliver)
--- a/wasabiturn/messages/link.py
+++ b/wasabiturn/messages/link.py
@@ -17,13 +17,15 @@
 @final
 @attrs.define
 class Frame:
-    """One frame; the revision is the newest that the sender has in force."""
+    """One frame; the revision is the newest that the sender has in force.
 
-    kind: FrameKind = attrs.field(
-        default=FrameKind.heartbeat, converter=FrameKind
-    )
+    Kind and method stay plain numbers: a peer of a newer version may send
+    some that this version does not know.
+    """
+
+    kind: int = FrameKind.heartbeat
     exchange: int = 0
-    method: Method = attrs.field(default=Method.none, converter=Method)
+    method: int = Method.none
     body: bytes = b''
     revision: int = 0
 
--- a/wasabiturn/request/hop_by_hop.py
+++ b/wasabiturn/request/hop_by_hop.py
@@ -27,12 +27,19 @@
     Besides the names that HTTP/1.1 fixes, those that ``Connection`` lists
     are dropped.
     """
-    kept = list(headers)
-    dropped = HOP_BY_HOP_NAMES.union(*map(_listed_names, kept)) - _KEPT_NAMES
-    return [header for header in kept if header.name.lower() not in dropped]
-
-
-def _listed_names(header: Header) -> set[str]:
-    if header.name.lower() != 'connection':
-        return set()
-    return {name.strip() for name in header.value.lower().split(',')}
+    kept = []
+    listed: set[str] = set()
+    for header in headers:
+        name = header.name.lower()
+        if name == 'connection':
+            listed.update(_split_names(header.value))
+        elif name not in HOP_BY_HOP_NAMES:
+            kept.append(header)
+    if not listed:
+        return kept
+    return [each for each in kept if each.name.lower() not in listed]
+
+
+def _split_names(value: str) -> set[str]:
+    names = {name.strip() for name in value.lower().split(',')}
+    return names - _KEPT_NAMES
