Give no work to a backend server that refuses connections

Cause: in trials with two agents, a killed backend server refused every request at once as not run until its announcement expired, and its empty slots drew more; entries ran out of their retry budget. Ruled out: the same for a connection that times out, which a full backlog may cause. Conclusion: the directory is told at the first refused connection; the next announcement brings the backend server back.

--- a/tests/process/agent/fakes.py
+++ b/tests/process/agent/fakes.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from twisted.internet import error as tcp_errors
 from twisted.internet.error import ConnectError, ConnectionLost
 from twisted.internet.task import Clock, LoopingCall
 from twisted.internet.testing import StringTransport
@@ -107,7 +108,9 @@
 
     def refuse(self) -> None:
         for factory in list(self.connecting):
-            self._time_out(factory)
+            self.connecting.remove(factory)
+            error = tcp_errors.ConnectionRefusedError(string='refused')
+            factory.clientConnectionFailed(None, Failure(error))
 
     def open_connections(self) -> int:
         return sum(not each.is_lost for each in self.connections)
@@ -115,7 +118,7 @@
     def _time_out(self, factory: Any) -> None:
         if factory in self.connecting:
             self.connecting.remove(factory)
-            error = ConnectError(string='refused')
+            error = ConnectError(string='timed out')
             factory.clientConnectionFailed(None, Failure(error))
 
 
--- a/tests/request/test_served.py
+++ b/tests/request/test_served.py
@@ -280,3 +280,23 @@
     harness.backends.announce(harness.record)
     harness.request(**PREVIEW)
     assert harness.runs() == 2
+
+
+def test_a_backend_server_that_refuses_connections_gets_no_new_work() -> None:
+    harness = AgentHarness()
+    changes: list[int] = []
+    harness.backends.on_change.append(lambda: changes.append(1))
+    harness.reactor.accepts = False
+    first = harness.request(**PREVIEW)
+    queued = harness.request(**PREVIEW)
+    harness.reactor.refuse()
+    harness.settle()
+    later = harness.request(**PREVIEW)
+    refused = ['not_run 0', 'end after 0 bytes']
+    assert [first.events, queued.events, later.events] == [refused] * 3
+    assert changes
+    assert not harness.backends.records()
+    harness.reactor.accepts = True
+    harness.backends.announce(harness.record)
+    harness.request(**PREVIEW)
+    assert harness.runs() == 1
--- a/wasabiturn/connection/backend.py
+++ b/wasabiturn/connection/backend.py
@@ -6,6 +6,7 @@
 from typing import Any, final
 
 import attrs
+from twisted.internet import error as tcp_errors
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import ClientFactory
@@ -28,6 +29,11 @@
     """No connection could be opened, so no byte of the request was sent."""
 
 
+@final
+class BackendRefusedError(BackendConnectError):
+    """Nothing listens at the address of the backend server."""
+
+
 @final
 class BackendConnection(HTTP11ClientProtocol):
     """One connection to a backend server; carries one request at a time."""
@@ -190,6 +196,9 @@
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
         """Report that nothing was sent."""
-        error = BackendConnectError(reason.getErrorMessage())
+        kind = BackendConnectError
+        if reason.check(tcp_errors.ConnectionRefusedError):
+            kind = BackendRefusedError
+        error = kind(reason.getErrorMessage())
         self._opened.errback(error)
         self._pool.handle_failed()
--- a/wasabiturn/process/agent/backends.py
+++ b/wasabiturn/process/agent/backends.py
@@ -60,7 +60,7 @@
     answered: int = 0
     newest_answered: float = 0.0
     expired: bool = False
-    on_empty: list[Callable[[], None]] = attrs.field(factory=list)
+    on_change: list[Callable[[], None]] = attrs.field(factory=list)
     requests_by_ticket: dict[Ticket, ServedRequest] = attrs.field(factory=dict)
 
     @property
@@ -86,9 +86,16 @@
             self._apply(Finished(request.ticket))
         else:
             self._apply(Withdrawn(request.ticket))
-        if not self.requests_by_ticket:
-            for callback in self.on_empty:
-                callback()
+
+    def mark_unreachable(self) -> None:
+        """Give the backend server no work until it announces itself."""
+        if self.expired:
+            return
+        _log.event('nothing listens', address=self.record.address)
+        self.expired = True
+        self.refuse_waiting('backend server is unreachable')
+        for callback in self.on_change:
+            callback()
 
     def observe_answer(self, seconds: float) -> None:
         """Record the time from sending a request to its answer's head."""
@@ -279,6 +286,7 @@
             claims=self.claims,
             clock=self.reactor,
             renewed_at=now,
+            on_change=self.on_change,
         )
 
     def _changed(self) -> None:
--- a/wasabiturn/request/served.py
+++ b/wasabiturn/request/served.py
@@ -8,7 +8,11 @@
 from twisted.python.failure import Failure
 from twisted.web.client import Response, ResponseDone
 
-from wasabiturn.connection.backend import BackendConnection, BackendPool
+from wasabiturn.connection.backend import (
+    BackendConnection,
+    BackendPool,
+    BackendRefusedError,
+)
 from wasabiturn.connection.streams import Stream
 from wasabiturn.ids import Ticket
 from wasabiturn.messages.session import LoadReport, RequestHead
@@ -55,6 +59,9 @@
     def leave(self, request: 'ServedRequest', ran: bool) -> None:
         """Give back the slot, or the place in the queue."""
 
+    def mark_unreachable(self) -> None:
+        """Give the backend server no work until it announces itself."""
+
     def observe_answer(self, seconds: float) -> None:
         """Record the time from sending a request to its answer's head."""
 
@@ -184,6 +191,8 @@
         answered.addErrback(self._failed)
 
     def _connect_failed(self, failure: Failure) -> None:
+        if failure.check(BackendRefusedError):
+            self.slots.mark_unreachable()
         if self.phase is Phase.connecting:
             self.refuse(failure.getErrorMessage())
 
