--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -1,7 +1,8 @@
 """Placement against simple baselines, and each of its parts left out.
 
-Run ``python -m benchmarks.placement`` (deployments and ablations) or
-``python -m benchmarks.placement cpu`` (time of decisions at three sizes).
+Run ``python -m benchmarks.placement`` (deployments and ablations),
+``python -m benchmarks.placement cpu`` (time of decisions at three sizes), or
+``python -m benchmarks.placement target`` (800 workers, 61 arrivals a second).
 """
 
 import json
@@ -250,7 +251,7 @@
     }
 
 
-def _run(arguments: tuple[Shape, str, int]) -> dict[str, float]:
+def _run(arguments: tuple[Any, ...]) -> dict[str, float]:
     return run_session(*arguments)
 
 
@@ -272,6 +273,17 @@
         print(json.dumps(raw))
 
 
+def compare_target(seconds: int = 180) -> None:
+    """Print the same at the size of the target, from an empty start."""
+    policies = ('full', 'letreria profile', 'first fit', 'random')
+    shape = attrs.evolve(TARGET, arrivals_per_second=61)
+    for policy in policies:
+        runs = [(shape, policy, seed, seconds) for seed in SEEDS]
+        with ProcessPoolExecutor(max_workers=len(SEEDS)) as pool:
+            found = list(pool.map(_run, runs))
+        print(f'{shape.name:9} {policy:19}', _describe(found))
+
+
 def _describe(found: list[dict[str, float]]) -> str:
     parts = []
     for key in found[0]:
@@ -353,5 +365,7 @@
     if sys.argv[1:] == ['cpu']:
         measure_heartbeats()
         measure_cpu()
+    elif sys.argv[1:] == ['target']:
+        compare_target()
     else:
         compare()
