--- a/benchmarks/idle_costs.py
+++ b/benchmarks/idle_costs.py
@@ -24,10 +24,17 @@
 
 
 @inlineCallbacks
-def measure(reactor: Any, fleet: Fleet, seconds: float) -> Any:
-    """Return the costs by process name over ``seconds``."""
+def measure(reactor: Any, fleet: Fleet, seconds: float, lost: str) -> Any:
+    """Return the costs by process name over ``seconds``.
+
+    The program named ``lost``, if any, is killed before.
+    """
     fleet.start()
     yield deferLater(reactor, WARM_UP_SECONDS, _nothing)
+    fleet.check_running()
+    if lost:
+        fleet.programs_by_name[lost].kill()
+        yield deferLater(reactor, WARM_UP_SECONDS, _nothing)
     before = _read_all(fleet)
     bytes_before = _read_bytes(fleet)
     yield deferLater(reactor, seconds, _nothing)
@@ -75,6 +82,7 @@
     controls: int = 3,
     entries: int = 2,
     seconds: float = 20,
+    lost: str = '',
 ) -> None:
     """Measure a deployment of the given size."""
     use_boot_clock(default_reactor)
@@ -83,7 +91,7 @@
 
     def run(reactor: Any, folder: Path) -> Any:
         fleet = create_fleet(folder, shape, reactor)
-        done = measure(reactor, fleet, seconds)
+        done = measure(reactor, fleet, seconds, lost)
         done.addCallback(results.append)
 
         def end(outcome: Any) -> Any:
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -2,7 +2,9 @@
 
 import configparser
 import socket
+from collections.abc import Collection
 from pathlib import Path
+from random import SystemRandom
 from typing import Any, final
 
 import attrs
@@ -14,6 +16,8 @@
 
 LOOPBACK = '127.0.0.1'
 SERVICE = 'taller-app'
+PORT_RANGE = (10000, 32000)
+_PORTS = SystemRandom()
 
 
 @final
@@ -77,10 +81,18 @@
             if self.data_centre_of(name) == data_centre
         ]
 
+    def check_running(self) -> None:
+        """Raise ``RuntimeError`` with the output of a program that ended."""
+        for program in self.programs_by_name.values():
+            if not program.is_running():
+                output = program.output.read_text(encoding='utf-8')
+                raise RuntimeError(f'{program.name} has ended: {output}')
+
     def endpoint(self, name: str) -> Endpoint:
         """Return the endpoint of ``name``, taking a free port at first use."""
         if name not in self.endpoints_by_name:
-            self.endpoints_by_name[name] = _take_endpoint()
+            taken = self.endpoints_by_name.values()
+            self.endpoints_by_name[name] = _take_endpoint(taken)
         return self.endpoints_by_name[name]
 
     def relayed(self, source: str, target: str) -> Endpoint:
@@ -220,7 +232,15 @@
     )
 
 
-def _take_endpoint() -> Endpoint:
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return Endpoint(host=LOOPBACK, port=probe.getsockname()[1])
+def _take_endpoint(taken: Collection[Endpoint]) -> Endpoint:
+    """Return a free port below those that outgoing connections take."""
+    while True:
+        endpoint = Endpoint(host=LOOPBACK, port=_PORTS.randrange(*PORT_RANGE))
+        if endpoint in taken:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((endpoint.host, endpoint.port))
+            except OSError:
+                continue
+            return endpoint
