Pace calls to the leader while none is known

Ruled out: dialling, which waits up to 1 s, and a storm of logs; neither grew. Conclusion: the wait doubles to 0.4 s and falls back once a call succeeds.

--- a/benchmarks/idle_costs.py
+++ b/benchmarks/idle_costs.py
@@ -27,13 +27,14 @@
 def measure(reactor: Any, fleet: Fleet, seconds: float, lost: str) -> Any:
     """Return the costs by process name over ``seconds``.
 
-    The program named ``lost``, if any, is killed before.
+    The programs named in ``lost``, by commas, are killed before.
     """
     fleet.start()
     yield deferLater(reactor, WARM_UP_SECONDS, _nothing)
     fleet.check_running()
     if lost:
-        fleet.programs_by_name[lost].kill()
+        for name in lost.split(','):
+            fleet.programs_by_name[name].kill()
         yield deferLater(reactor, WARM_UP_SECONDS, _nothing)
     before = _read_all(fleet)
     bytes_before = _read_bytes(fleet)
--- a/wasabiturn/process/leader_calls.py
+++ b/wasabiturn/process/leader_calls.py
@@ -13,7 +13,8 @@
 from wasabiturn.messages.kinds import FailureCode, Method
 
 ATTEMPT_SECONDS = 1.0
-RETRY_SECONDS = 0.05
+FIRST_RETRY_SECONDS = 0.05
+MAX_RETRY_SECONDS = 0.4
 _CERTAINLY_NOT_RUN = frozenset(
     (FailureCode.not_leader, FailureCode.unavailable),
 )
@@ -38,6 +39,7 @@
     clock: Any
     random: Random
     leader: str = ''
+    retry_seconds: float = FIRST_RETRY_SECONDS
 
     def call(
         self,
@@ -70,6 +72,16 @@
                 return link
         return self.random.choice(links) if links else None
 
+    def take_wait(self) -> float:
+        """Return the wait before a retry, which grows until a call succeeds.
+
+        All calls share it, so that a process whose calls overlap does not ask
+        more often for want of a leader.
+        """
+        wait = self.retry_seconds * self.random.uniform(0.5, 1.0)
+        self.retry_seconds = min(self.retry_seconds * 2, MAX_RETRY_SECONDS)
+        return wait
+
 
 @final
 @attrs.define
@@ -97,7 +109,11 @@
             self.reply_class,
             timeout_seconds=min(remaining, ATTEMPT_SECONDS),
         )
-        sent.addCallbacks(self.settled.callback, self._on_failure)
+        sent.addCallbacks(self._on_reply, self._on_failure)
+
+    def _on_reply(self, reply: Any) -> None:
+        self.calls.retry_seconds = FIRST_RETRY_SECONDS
+        self.settled.callback(reply)
 
     def _on_failure(self, failure: TwistedFailure) -> None:
         error = failure.value
@@ -111,7 +127,7 @@
         self._retry_later(self.deadline - self.calls.clock.seconds())
 
     def _retry_later(self, remaining: float) -> None:
-        wait = RETRY_SECONDS * self.calls.random.uniform(0.5, 1.0)
+        wait = self.calls.take_wait()
         self.calls.clock.callLater(
             max(min(wait, remaining), 0),
             self.attempt,
