--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -79,7 +79,7 @@
                 {'spec': {'out': False}},
             )
         yield self._pause(SETTLE_SECONDS)
-        jobs = yield self.operators.get('/v1/tasks')
+        jobs = yield self.operators.get_all('/v1/tasks')
         unclean = self.fleet.stop()
         return self._check(jobs, unclean)
 
@@ -203,7 +203,7 @@
     if tasks is None:
         report.check('state can be read', holds=False, detail='no answer')
         return
-    for task in tasks['items']:
+    for task in tasks:
         spec = task['spec']
         report.counts_by_name[f'task {spec["state"]}'] += 1
         if spec['owner_kind'] == JOB_KIND:
--- a/benchmarks/soak/operators.py
+++ b/benchmarks/soak/operators.py
@@ -120,6 +120,21 @@
             yield deferLater(self.reactor, RESEND_PAUSE_SECONDS, _nothing)
         return record
 
+    @inlineCallbacks
+    def get_all(self, path: str) -> Any:
+        """Read every page of a list; ``None`` when no server answers."""
+        items: list[Any] = []
+        following = ''
+        while True:
+            query = f'?after={following}' if following else ''
+            page = yield self.get(f'{path}{query}')
+            if page is None:
+                return None
+            items += page['items']
+            following = page.get('next', '')
+            if not following:
+                return items
+
     @inlineCallbacks
     def get(self, path: str) -> Any:
         """Read ``path`` from any server; ``None`` when none answers."""
