--- a/benchmarks/idle_costs.py
+++ b/benchmarks/idle_costs.py
@@ -33,8 +33,8 @@
     yield deferLater(reactor, WARM_UP_SECONDS, _nothing)
     fleet.check_running()
     if lost:
-        for name in lost.split(','):
-            fleet.programs_by_name[name].kill()
+        for program_name in lost.split(','):
+            fleet.programs_by_name[program_name].kill()
         yield deferLater(reactor, WARM_UP_SECONDS, _nothing)
     before = _read_all(fleet)
     bytes_before = _read_bytes(fleet)
