Await the answer of a claimed booking past its caller's deadline

Cause: once its deadline had passed, an entry dropped the answer of a keyed booking that had run, and every resend was told unknown: the confirmation was lost to its caller. Ruled out: holding the caller's answer back, which the users refuse; a longer deadline at the agent's queue, which would start a booking after its caller was told. Before: '504 unknown, runs 1; resent: 502 unknown'. After: the caller is told 504 unknown at once, as before; the attempt goes on for up to 30 s, its answer is recorded, and '504 unknown, runs 1; resent: 200 whole, runs 1'. Conclusion: entry and agent share one period for late answers.

--- a/tests/process/entry/test_keyed.py
+++ b/tests/process/entry/test_keyed.py
@@ -192,3 +192,19 @@
     caller.send(b'x' * 1_100_000)
     assert caller.received.startswith('HTTP/1.1 413')
     assert 'Wasabiturn-Outcome: not-run' in caller.received
+
+
+def test_answer_after_the_deadline_is_recorded_for_a_resend(
+    bench: Bench,
+    other: Bench,
+) -> None:
+    caller = bench.call(KEYED)
+    bench.advance(10.5)
+    assert caller.received.startswith('HTTP/1.1 504')
+    assert 'Wasabiturn-Outcome: unknown' in caller.received
+    told = caller.received
+    bench.requests()[0].answer(b'ok', 200, LENGTH_2)
+    bench.pump()
+    assert caller.received == told
+    assert other.call(KEYED).received == OK
+    assert len(bench.requests()) == 1
--- a/wasabiturn/process/entry/exchange.py
+++ b/wasabiturn/process/entry/exchange.py
@@ -11,6 +11,7 @@
 from wasabiturn.process.entry.caller_side import CallerSide
 from wasabiturn.process.entry.router import Router
 from wasabiturn.process.entry.timers import Timers
+from wasabiturn.request.claims import LATE_ANSWER_SECONDS
 from wasabiturn.request.health import record_failure, record_success
 from wasabiturn.request.held_body import HeldBody
 from wasabiturn.request.inbound import InboundRequest
@@ -63,8 +64,11 @@
             self._timers.start(hedge_seconds, self._hedge)
 
     def start_claimed(self, candidate: Candidate, claim: ClaimIdentity) -> None:
-        """Send the request once, to the agent that the claim names."""
-        self._arm_deadline()
+        """Send the request once, to the agent that the claim names.
+
+        Its answer is awaited past the caller's deadline.
+        """
+        self._arm_deadline(LATE_ANSWER_SECONDS)
         self._attempts.claim = claim
         if not self._attempts.send(candidate):
             self._settle('the claimed agent is not reachable', None)
@@ -194,10 +198,10 @@
         self._timers.cancel()
         self._attempts.cancel_others(None, reason)
 
-    def _arm_deadline(self) -> None:
+    def _arm_deadline(self, late_seconds: float = 0) -> None:
         left = self._request.deadline - self._router.now()
         self._timers.start(
-            left,
+            left + late_seconds,
             partial(
                 self._give_up,
                 HTTPStatus.GATEWAY_TIMEOUT,
--- a/wasabiturn/process/entry/keyed.py
+++ b/wasabiturn/process/entry/keyed.py
@@ -71,6 +71,7 @@
         )
         self._candidate: Candidate | None = None
         self._attempt: Exchange | None = None
+        self._recorder: AnswerRecorder | None = None
         self._tried: set[InstanceName] = set()
         self._finished = False
         self._timers = Timers(router.reactor)
@@ -182,7 +183,8 @@
         )
         recorder.on_refused = self._take_refusal
         recorder.on_resumed = self.resume_answer
-        self._timers.cancel()
+        recorder.on_answered = self._timers.cancel
+        self._recorder = recorder
         self._attempt = Exchange(
             self._request,
             recorder,
@@ -238,9 +240,7 @@
             deadline=self._request.deadline,
         )
         budget = self._router.find_budget(self._request.service_name)
-        if may_retry(attempted, budget, now):
-            self._timers.start(self._request.deadline - now, self._expire)
-        else:
+        if not may_retry(attempted, budget, now):
             self._refuse(refusal)
         self._inquiry.settle(self._claim, ClaimState.not_run)
 
@@ -252,7 +252,11 @@
             self._refuse(refuse_not_run(status, 'deadline passed'))
 
     def _refuse(self, refusal: Refusal) -> None:
+        if self._finished:
+            return
         self._finish()
+        if self._recorder is not None:
+            self._recorder.detach()
         self._caller.refuse(refusal)
 
     def _finish(self) -> None:
--- a/wasabiturn/process/entry/recorder.py
+++ b/wasabiturn/process/entry/recorder.py
@@ -8,6 +8,7 @@
 from wasabiturn.messages.state import ClaimRequest, Header, RecordAnswer
 from wasabiturn.process.entry.caller_side import CallerSide
 from wasabiturn.process.entry.claim_calls import ClaimCalls
+from wasabiturn.process.entry.discard import Discard
 from wasabiturn.process.entry.router import Router
 from wasabiturn.process.entry.timers import Timers
 from wasabiturn.request.refusal import Refusal, refuse_unknown
@@ -38,6 +39,7 @@
         """Create the recorder of the answer to the request of ``claim``."""
         self.on_refused: Callable[[Refusal], None] = caller.refuse
         self.on_resumed: Callable[[], None] = _do_nothing
+        self.on_answered: Callable[[], None] = _do_nothing
         self._claim = claim
         self._caller = caller
         self._calls = calls
@@ -50,8 +52,13 @@
         self._delivering = False
         self._timers = Timers(router.reactor)
 
+    def detach(self) -> None:
+        """Record the answer when it comes, and deliver it to nobody."""
+        self._caller = Discard()
+
     def send_head(self, status: int, headers: list[Header]) -> None:
         """Keep status and headers."""
+        self.on_answered()
         self._status = status
         self._headers = headers
 
--- a/wasabiturn/request/claims.py
+++ b/wasabiturn/request/claims.py
@@ -23,6 +23,10 @@
 # Time for the agent named in a claim to be reached again.
 SILENT_AGENT_SECONDS = 3.0
 
+# The answer of a claimed request is awaited so long past the caller's deadline,
+# so that a resend finds it recorded.
+LATE_ANSWER_SECONDS = 30.0
+
 
 @final
 @attrs.frozen
--- a/wasabiturn/request/served.py
+++ b/wasabiturn/request/served.py
@@ -21,6 +21,7 @@
     build_request,
     build_response_head,
 )
+from wasabiturn.request.claims import LATE_ANSWER_SECONDS
 from wasabiturn.request.reply import Reply
 from wasabiturn.request.silence import Quiet
 from wasabiturn.request.upload import RequestBody
@@ -279,9 +280,12 @@
     """Return whether a request shall be given up at ``now``.
 
     The deadline is that of the answer's head; its body may take longer while
-    bytes flow, or while the caller is slow to take them.
+    bytes flow, or while the caller is slow to take them. The answer of a
+    claimed request that was sent is awaited longer, for its resends.
     """
-    if now < request.deadline:
+    awaits_record = request.phase is Phase.sent and request.head.claim_id
+    late_seconds = LATE_ANSWER_SECONDS if awaits_record else 0
+    if now < request.deadline + late_seconds:
         return False
     if request.phase is not Phase.answering:
         return True
