--- a/tests/version/test_resources.py
+++ b/tests/version/test_resources.py
@@ -68,3 +68,23 @@
 def test_malformed_text_names_its_place(body: bytes, text: str) -> None:
     with pytest.raises(MalformedError, match=text):
         parse_json(body)
+
+
+@pytest.mark.parametrize(
+    ('name', 'settings'),
+    [
+        ('placement', {'target_share': 'much'}),
+        ('placement', {'speed': '1'}),
+        ('requests', {'service_limit.desk': '-1'}),
+        ('requests', {'limit': '1'}),
+    ],
+)
+def test_settings_that_a_program_reads_are_checked(
+    name: str,
+    settings: dict[str, str],
+) -> None:
+    written = {'spec': {'settings': settings}}
+    with pytest.raises(FieldError) as caught:
+        parse_resource(Kind.configuration, name, written)
+    assert next(iter(settings)) in caught.value.text
+    parse_resource(Kind.configuration, 'other', written)
--- a/wasabiturn/management/take_out.py
+++ b/wasabiturn/management/take_out.py
@@ -1,11 +1,6 @@
 """``wasabiturn take-out``: take a data centre out of service."""
 
-from typing import Any
-
-from twisted.internet.defer import Deferred
-
-from wasabiturn.management.edits import Edit
-from wasabiturn.management.http_client import ApiClient
+from wasabiturn.management.editing import FieldChange, change_and_print
 from wasabiturn.management.options import (
     DEFAULT_OUTPUT,
     DEFAULT_SERVER,
@@ -14,8 +9,6 @@
     ServerOption,
     TimeoutOption,
 )
-from wasabiturn.management.output import print_resources
-from wasabiturn.management.running import run_command
 
 
 def take_out(
@@ -25,9 +18,9 @@
     output: OutputOption = DEFAULT_OUTPUT,
 ) -> None:
     """Start nothing more in DATA_CENTRE, and move what runs there."""
-
-    def edit(client: ApiClient) -> Deferred[dict[str, Any]]:
-        path = f'/v1/data-centres/{data_centre}'
-        return Edit(client, path, {'out': True}, creates=True).run()
-
-    print_resources([run_command(server, timeout, edit)], output)
+    change = FieldChange(
+        path=f'/v1/data-centres/{data_centre}',
+        changed={'out': True},
+        creates=True,
+    )
+    change_and_print(change, server, timeout, output)
--- a/wasabiturn/request/limits.py
+++ b/wasabiturn/request/limits.py
@@ -52,6 +52,19 @@
     )
 
 
+def check_limits(settings: Mapping[str, str]) -> Result[None, str]:
+    """Check the limits of a configuration that an operator writes."""
+    for setting, text in settings.items():
+        if setting.partition('.')[0] not in {
+            SERVICE_LIMIT_KEY,
+            CALLER_LIMIT_KEY,
+        }:
+            return Error(f'{setting}: not a setting of requests')
+        if not text.isascii() or not text.isdigit():
+            return Error(f'{setting}: {text!r} is not a whole number')
+    return Ok(None)
+
+
 def admit(
     in_flight: InFlight,
     limits: Limits,
--- a/wasabiturn/version/resources.py
+++ b/wasabiturn/version/resources.py
@@ -28,6 +28,7 @@
     TaskSpec,
     TeamSpec,
 )
+from wasabiturn.version.configurations import check_configuration
 from wasabiturn.version.quotas import DEFAULT_TEAM
 
 KINDS_BY_ROUTE = MappingProxyType(
@@ -152,11 +153,19 @@
     spec_class = _SPECS_BY_KIND[kind]
     spec = _structure({**defaults, **outer.spec}, spec_class, 'spec')
     _check_ranges(spec, 'spec')
+    if isinstance(spec, ConfigurationSpec):
+        _check_settings(name, spec)
     resource = Resource(kind=kind, name=name, team=_team_of(kind, outer))
     setattr(resource, f'{kind.name}_spec', spec)
     return resource
 
 
+def _check_settings(name: str, spec: ConfigurationSpec) -> None:
+    checked = check_configuration(name, spec.settings)
+    if checked.is_error():
+        raise FieldError('spec.settings', checked.error)
+
+
 def render_resource(resource: Resource) -> dict[str, Any]:
     """Return what operators read of ``resource``."""
     spec = getattr(resource, f'{resource.kind.name}_spec')
