Forget answer times that no answer renews; an idle service holds nothing back

Cause: an agent reported the p99 of its last 512 answers however old, and a worker kept its limit until the next answer. After a bad evening a service without callers held batch work back all night. Before: after one slow report and then no answers the test's task waits for good. After: it starts with the next report; answers count for 30 s. Conclusion: the limit is drawn anew from each heartbeat.

--- a/tests/request/test_admission.py
+++ b/tests/request/test_admission.py
@@ -17,6 +17,7 @@
     Reviewed,
     Withdrawn,
 )
+from wasabiturn.request.estimates import RecentTimes
 
 
 def create_busy_table(slots: int = 2, mean_seconds: float = 0.125) -> SlotTable:
@@ -78,6 +79,13 @@
     assert len(table.started_by_ticket) == 3
 
 
+def test_answer_times_are_forgotten_when_no_answers_come() -> None:
+    times = RecentTimes()
+    times.observe(6.0, now=100.0)
+    assert (times.count(101.0), times.percentile(0.99, 101.0)) == (1, 6.0)
+    assert (times.count(131.0), times.percentile(0.99, 131.0)) == (0, 0.0)
+
+
 events = st.one_of(
     st.tuples(
         st.just(Arrived),
--- a/tests/version/placement/test_decisions.py
+++ b/tests/version/placement/test_decisions.py
@@ -182,6 +182,23 @@
     setting.plan(1, usage=usage, services=[near])
     setting.put('more', SMALL, task_kind='noisy')
     setting.put('rush', SMALL, task_kind='noisy', urgent=True)
-    setting.plan(1)
+    setting.plan(1, services=[near])
     assert setting.state('more') is TaskState.waiting
     assert setting.state('rush') is TaskState.assigned
+
+
+def test_idle_service_holds_nothing_back() -> None:
+    setting = Setting('w1')
+    setting.put_service('web')
+    setting.put('noisy', SMALL)
+    setting.plan()
+    setting.run_all()
+    usage = [UsageReport(task='web.0', used=SMALL, progress=0.6)]
+    slow = ServiceReport(service_name='web', p99_ms=900, load=1.0, answered=9)
+    setting.plan(1, usage=usage, services=[slow])
+    setting.put('more', SMALL, task_kind='noisy')
+    setting.plan(1, services=[slow])
+    assert setting.state('more') is TaskState.waiting
+    idle = ServiceReport(service_name='web', p99_ms=900, load=0, answered=0)
+    setting.plan(1, services=[idle])
+    assert setting.state('more') is TaskState.assigned
--- a/wasabiturn/messages/wire/session.thrift
+++ b/wasabiturn/messages/wire/session.thrift
@@ -91,7 +91,7 @@
   1: string service_name,
   2: double p99_ms,
   3: double load,           // share of slots in use
-  4: i64 answered,
+  4: i64 answered,         // in the last 30 s
 }
 
 // Agent heartbeat to the control leader.
--- a/wasabiturn/process/agent/backends.py
+++ b/wasabiturn/process/agent/backends.py
@@ -28,7 +28,7 @@
     Withdrawn,
 )
 from wasabiturn.request.agent_claims import AgentClaims
-from wasabiturn.request.estimates import ServiceTimes
+from wasabiturn.request.estimates import RecentTimes, ServiceTimes
 from wasabiturn.request.served import (
     Phase,
     ServedRequest,
@@ -57,6 +57,7 @@
     clock: Any
     renewed_at: float
     answer_times: ServiceTimes = attrs.field(factory=ServiceTimes)
+    recent_times: RecentTimes = attrs.field(factory=RecentTimes)
     answered: int = 0
     newest_answered: float = 0.0
     expired: bool = False
@@ -100,7 +101,9 @@
     def observe_answer(self, seconds: float) -> None:
         """Record the time from sending a request to its answer's head."""
         self.answered += 1
-        sent_at = self.clock.seconds() - seconds
+        now = self.clock.seconds()
+        sent_at = now - seconds
+        self.recent_times.observe(seconds, now)
         self.newest_answered = max(self.newest_answered, sent_at)
         self.answer_times.observe(seconds)
 
@@ -116,13 +119,14 @@
         )
 
     def service_report(self) -> ServiceReport:
-        """Return answer times and load for the agent's heartbeat."""
+        """Return recent answer times and load for the agent's heartbeat."""
+        now = self.clock.seconds()
         running = len(self.table.started_by_ticket)
         return ServiceReport(
             service_name=self.record.service_name,
-            p99_ms=self.answer_times.percentile(P99) * MILLISECONDS,
+            p99_ms=self.recent_times.percentile(P99, now) * MILLISECONDS,
             load=running / max(self.table.capacity, 1),
-            answered=self.answered,
+            answered=self.recent_times.count(now),
         )
 
     def renew(self, record: BackendRecord, now: float) -> None:
--- a/wasabiturn/request/estimates.py
+++ b/wasabiturn/request/estimates.py
@@ -10,6 +10,7 @@
 SMOOTHING = 0.05
 WINDOW_SAMPLES = 512
 REFRESH_SAMPLES = 32
+RECENT_SECONDS = 30.0
 
 
 @final
@@ -47,3 +48,38 @@
             self._sorted_at = self.observed
         position = int(share * len(self._sorted))
         return self._sorted[min(position, len(self._sorted) - 1)]
+
+
+@final
+@attrs.frozen
+class _Answer:
+    at: float
+    seconds: float
+
+
+@final
+@attrs.define
+class RecentTimes:
+    """Answer times of the last ``RECENT_SECONDS``, the newest of them."""
+
+    _answers: deque[_Answer] = attrs.field(
+        factory=lambda: deque(maxlen=WINDOW_SAMPLES),
+    )
+
+    def observe(self, seconds: float, now: float) -> None:
+        """Add an answer that came at ``now``."""
+        self._answers.append(_Answer(at=now, seconds=seconds))
+
+    def count(self, now: float) -> int:
+        """Return how many answers are recent at ``now``."""
+        while self._answers and self._answers[0].at < now - RECENT_SECONDS:
+            self._answers.popleft()
+        return len(self._answers)
+
+    def percentile(self, share: float, now: float) -> float:
+        """Return what ``share`` of the recent answers stay within, or zero."""
+        recent = self.count(now)
+        if not recent:
+            return 0.0
+        ordered = sorted(answer.seconds for answer in self._answers)
+        return ordered[min(int(share * recent), recent - 1)]
--- a/wasabiturn/version/placement/learning.py
+++ b/wasabiturn/version/placement/learning.py
@@ -14,6 +14,7 @@
 HISTORY_SECONDS = 60.0
 FULL_SPEED = 1.0
 MIN_THROTTLE = 0.01
+NO_LIMIT = float('inf')
 
 
 def learn_from_heartbeat(
@@ -24,6 +25,7 @@
 ) -> None:
     """Take usage and service reports of one heartbeat."""
     _note_neighbourhood(worker.neighbourhoods, worker, now)
+    worker.slowdown_limit = NO_LIMIT
     for service in heartbeat.services:
         observe_service(table, worker, service, now)
     for report in heartbeat.usage:
--- a/wasabiturn/version/placement/relief.py
+++ b/wasabiturn/version/placement/relief.py
@@ -53,6 +53,7 @@
         return
     worker.loads_by_kind[owner.service_spec.task_kind] = report.load
     if not report.answered:
+        _note_idle(table, worker, now)
         return
     target = owner.service_spec.target_p99_ms
     if target <= 0:
@@ -62,7 +63,7 @@
     learned.excess_by_worker[worker.name] = excess
     present = present_slowdown(table, worker, owner.service_spec.task_kind)
     allowed = (1 + present) * aim / max(report.p99_ms, MIN_P99_MS) - 1
-    worker.slowdown_limit = max(allowed, 0)
+    worker.slowdown_limit = min(worker.slowdown_limit, max(allowed, 0))
     if report.p99_ms > aim:
         learned.suffering_since.setdefault(worker.name, now)
         learned.calm_since.pop(worker.name, None)
@@ -71,6 +72,13 @@
         learned.suffering_since.pop(worker.name, None)
 
 
+def _note_idle(table: PlacementTable, worker: Worker, now: float) -> None:
+    """Take it that a service without recent answers suffers from nothing."""
+    table.learned.excess_by_worker[worker.name] = 0
+    table.learned.suffering_since.pop(worker.name, None)
+    table.learned.calm_since.setdefault(worker.name, now)
+
+
 def plan_relief(table: PlacementTable, planned: Plan, now: float) -> None:
     """Throttle or evict beside suffering services; undo when it is calm."""
     learned = table.learned
