--- a/wasabiturn/version/placement/starts.py
+++ b/wasabiturn/version/placement/starts.py
@@ -21,6 +21,7 @@
     choose_worker,
     create_request,
 )
+from wasabiturn.version.placement.explaining import explain_wait
 from wasabiturn.version.placement.plan import Plan
 from wasabiturn.version.placement.queue import Lane, QueuedOwner
 from wasabiturn.version.placement.reservations import keep_room, reserve
@@ -130,7 +131,8 @@
     table = walk.table
     if len(table.reservations_by_task) < table.settings.reservations:
         reserve(table, request, walk.places, walk.now)
-    note_waiting(walk.planned, request, 'no worker has room')
+    reason = explain_wait(table, request, walk.places)
+    note_waiting(walk.planned, request, reason)
 
 
 def _make_room_for(walk: Walk, owner: QueuedOwner) -> None:
