Take a report only from the state that it was judged in

Cause: the scheduler kept the next state that a report led to and proposed it from whatever state the task had by then. A job deleted between the two made 'evicting, stopped: waiting' out of 'stopping': its tasks came back without an owner, had no run time, and ran for ever. Ruled out: the delete itself, which stops or removes each task, and the check of attempt and state when a transition is applied, which compared the newer state. Before: the test's plan proposes 'waiting' for a task that is stopping. After: the report is dropped, and the next heartbeat's is judged as 'cancelled'.

--- a/tests/version/placement/test_decisions.py
+++ b/tests/version/placement/test_decisions.py
@@ -4,8 +4,9 @@
 
 import attrs
 
-from wasabiturn.messages.kinds import Kind, TaskState
+from wasabiturn.messages.kinds import AttemptState, Kind, TaskState
 from wasabiturn.messages.session import (
+    AttemptReport,
     Heartbeat,
     ServiceReport,
     UsageReport,
@@ -17,7 +18,10 @@
     ServiceSpec,
     TaskSpec,
 )
-from wasabiturn.version.placement.heartbeats import register_worker
+from wasabiturn.version.placement.heartbeats import (
+    judge_reports,
+    register_worker,
+)
 from wasabiturn.version.placement.learning import learn_from_heartbeat
 from wasabiturn.version.placement.plan import Plan
 from wasabiturn.version.placement.planner import plan
@@ -202,3 +206,31 @@
     idle = ServiceReport(service_name='web', p99_ms=900, load=0, answered=0)
     setting.plan(1, services=[idle])
     assert setting.state('more') is TaskState.assigned
+
+
+def test_report_from_before_a_cancellation_revives_nothing() -> None:
+    setting = Setting('w1')
+    setting.put('noisy', SMALL)
+    setting.plan()
+    setting.run_all()
+    table = setting.table
+    evicting = attrs.evolve(
+        table.specs_by_task['noisy.0'],
+        state=TaskState.evicting,
+    )
+    table.put_task('noisy.0', evicting)
+    report = AttemptReport(
+        task='noisy.0',
+        attempt=evicting.attempt,
+        state=AttemptState.stopped,
+    )
+    worker = table.workers_by_name['w1']
+    reported = judge_reports(table, worker, [report], setting.now)
+    assert 'noisy.0' in reported
+    stopping = attrs.evolve(evicting, state=TaskState.stopping)
+    table.put_task('noisy.0', stopping)
+    assert plan(table, reported, setting.now).is_empty()
+    again = judge_reports(table, worker, [report], setting.now)
+    planned = plan(table, again, setting.now)
+    (transition,) = planned.transitions_by_task.values()
+    assert transition.task_spec.state is TaskState.cancelled
--- a/wasabiturn/process/control/scheduler.py
+++ b/wasabiturn/process/control/scheduler.py
@@ -20,13 +20,13 @@
     Command,
     Outcome,
     Resource,
-    TaskSpec,
     UpdateTasks,
 )
 from wasabiturn.process.control.order_desk import OrderDesk
 from wasabiturn.process.daemon import Context
 from wasabiturn.utils.logs import create_part_log
 from wasabiturn.version.placement.heartbeats import (
+    Judged,
     judge_reports,
     register_worker,
 )
@@ -63,7 +63,7 @@
         self._replica = replica
         self._table: PlacementTable | None = None
         self._desk = OrderDesk(replica)
-        self._reported_by_task: dict[str, TaskSpec] = {}
+        self._reported_by_task: dict[str, Judged] = {}
         self._is_proposing = False
         self._wake: Any = None
         self._ticker = LoopingCall(self._tick)
--- a/wasabiturn/version/placement/heartbeats.py
+++ b/wasabiturn/version/placement/heartbeats.py
@@ -1,9 +1,11 @@
 """What a heartbeat of an agent changes, and what may be concluded from it."""
 
+from typing import final
+
 import attrs
 from expression import Error, Ok, Result
 
-from wasabiturn.messages.kinds import AttemptState
+from wasabiturn.messages.kinds import AttemptState, TaskState
 from wasabiturn.messages.session import AttemptReport, Heartbeat
 from wasabiturn.messages.state import TaskSpec
 from wasabiturn.version.placement.lifecycle import (
@@ -45,12 +47,21 @@
     return Ok(worker)
 
 
+@final
+@attrs.frozen
+class Judged:
+    """Next state of a task, valid only from the state that was judged."""
+
+    judged_state: TaskState
+    following: TaskSpec
+
+
 def judge_reports(
     table: PlacementTable,
     worker: Worker,
     reports: list[AttemptReport],
     now: float,
-) -> dict[str, TaskSpec]:
+) -> dict[str, Judged]:
     """Return the next state of each task that ``reports`` change."""
     next_by_task = {}
     for report in reports:
@@ -60,7 +71,7 @@
         _note_progress(table, report, now)
         changed = _judge(table, worker, spec, report)
         if changed is not None:
-            next_by_task[report.task] = changed
+            next_by_task[report.task] = Judged(spec.state, changed)
     return next_by_task
 
 
--- a/wasabiturn/version/placement/learning.py
+++ b/wasabiturn/version/placement/learning.py
@@ -25,7 +25,8 @@
 ) -> None:
     """Take usage and service reports of one heartbeat."""
     _note_neighbourhood(worker.neighbourhoods, worker, now)
-    worker.slowdown_limit = NO_LIMIT
+    if heartbeat.services:
+        worker.slowdown_limit = NO_LIMIT
     for service in heartbeat.services:
         observe_service(table, worker, service, now)
     for report in heartbeat.usage:
--- a/wasabiturn/version/placement/planner.py
+++ b/wasabiturn/version/placement/planner.py
@@ -4,8 +4,8 @@
 that a planned start takes is charged at once.
 """
 
-from wasabiturn.messages.state import TaskSpec
 from wasabiturn.version.placement.choice import create_places
+from wasabiturn.version.placement.heartbeats import Judged
 from wasabiturn.version.placement.learning import learn_from_outcome
 from wasabiturn.version.placement.losses import find_lost
 from wasabiturn.version.placement.moves import plan_moves
@@ -20,7 +20,7 @@
 
 def plan(
     table: PlacementTable,
-    reported_by_task: dict[str, TaskSpec],
+    reported_by_task: dict[str, Judged],
     now: float,
 ) -> Plan:
     """Decide on reports, losses, moves and starts.
@@ -44,16 +44,20 @@
 def _take_reports(
     table: PlacementTable,
     planned: Plan,
-    reported_by_task: dict[str, TaskSpec],
+    reported_by_task: dict[str, Judged],
     now: float,
 ) -> None:
     for task in list(reported_by_task):
         if planned.is_full(MAX_REPORTED):
             return
-        following = reported_by_task.pop(task)
+        judged = reported_by_task.pop(task)
+        following = judged.following
         spec = table.specs_by_task.get(task)
         if spec is None or spec.attempt != following.attempt:
             continue
+        # A write may have come between; the agent reports again.
+        if spec.state is not judged.judged_state:
+            continue
         learn_from_outcome(table, planned, task, following, now)
         planned.add(task, spec, following)
 
