Say once that statsd refuses datagrams

Cause: datagrams to a port that nobody listens on vanish in silence, and the issue asks for one clear line. Before: the added check fails; no line is written. After: one line names address and reason, and the process goes on. Conclusion: two empty datagrams at the start; the second meets the refusal.

--- a/wasabiturn/utils/metrics.py
+++ b/wasabiturn/utils/metrics.py
@@ -40,11 +40,29 @@
 
 
 def create_metrics(address: tuple[str, int] | None, prefix: str) -> Metrics:
-    """Create the sink for ``address`` (IP, port), or one that drops all."""
+    """Create the sink for ``address`` (IP, port), or one that drops all.
+
+    A statsd that refuses datagrams is logged once; it may come up later.
+    """
     if address is None:
         return NoMetrics()
-    try:
-        return StatsClient(address[0], address[1], prefix=prefix)
-    except (OSError, socket.gaierror) as error:
-        _log.warning('statsd cannot be reached', reason=str(error))
-        return NoMetrics()
+    reason = _find_refusal(address)
+    if reason:
+        _log.warning(
+            'statsd cannot be reached',
+            address=f'{address[0]}:{address[1]}',
+            reason=reason,
+        )
+    return StatsClient(address[0], address[1], prefix=prefix)
+
+
+def _find_refusal(address: tuple[str, int]) -> str:
+    """Send empty datagrams; the second meets the refusal of the first."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        try:
+            probe.connect(address)
+            probe.send(b'')
+            probe.send(b'')
+        except OSError as error:
+            return str(error)
+    return ''
