Name the order publisher and the quarantine by the field's terms

Cause: 'desk' and 'rest' were pictures of the author's own. Conclusion: names only; the tests of placement pass unchanged but for the name of one constant.

--- a/tests/version/placement/test_parts.py
+++ b/tests/version/placement/test_parts.py
@@ -6,7 +6,7 @@
 from wasabiturn.messages.state import Capacity, TaskSpec
 from wasabiturn.version.placement.observations import Observations
 from wasabiturn.version.placement.quarantine import (
-    FIRST_REST_SECONDS,
+    FIRST_QUARANTINE_SECONDS,
     Quarantine,
 )
 from wasabiturn.version.placement.queue import (
@@ -43,11 +43,11 @@
         for number in range(3)
     ]
     assert rests == [False, False, True]
-    assert not quarantine.allows('w1', 0, FIRST_REST_SECONDS - 1)
-    assert quarantine.allows('w1', 0, FIRST_REST_SECONDS)
-    assert not quarantine.allows('w1', 1, FIRST_REST_SECONDS)
+    assert not quarantine.allows('w1', 0, FIRST_QUARANTINE_SECONDS - 1)
+    assert quarantine.allows('w1', 0, FIRST_QUARANTINE_SECONDS)
+    assert not quarantine.allows('w1', 1, FIRST_QUARANTINE_SECONDS)
     quarantine.record_success('w1', 'job-0')
-    assert quarantine.allows('w1', 5, FIRST_REST_SECONDS)
+    assert quarantine.allows('w1', 5, FIRST_QUARANTINE_SECONDS)
 
 
 def test_failed_trial_rests_longer() -> None:
@@ -55,8 +55,8 @@
     for number in range(3):
         quarantine.record_failure('w1', f'job-{number}', 0.0)
     assert quarantine.record_failure('w1', 'job-9', 40.0)
-    assert not quarantine.allows('w1', 0, 40.0 + FIRST_REST_SECONDS)
-    assert quarantine.allows('w1', 0, 40.0 + 2 * FIRST_REST_SECONDS)
+    assert not quarantine.allows('w1', 0, 40.0 + FIRST_QUARANTINE_SECONDS)
+    assert quarantine.allows('w1', 0, 40.0 + 2 * FIRST_QUARANTINE_SECONDS)
 
 
 def test_job_that_fails_everywhere_rests_no_worker() -> None:
--- a/wasabiturn/process/control/order_desk.py
+++ b/wasabiturn/process/control/order_publisher.py
@@ -16,11 +16,11 @@
 
 
 @final
-class OrderDesk:
+class OrderPublisher:
     """Numbers orders and remembers over which link each agent is reached."""
 
     def __init__(self, replica: Replica) -> None:
-        """Create a desk that has heard no agent."""
+        """Create a publisher that no agent has reached yet."""
         self._replica = replica
         self._serial = 0
         self._links_by_worker: dict[str, Link] = {}
--- a/wasabiturn/process/control/scheduler.py
+++ b/wasabiturn/process/control/scheduler.py
@@ -22,7 +22,7 @@
     Resource,
     UpdateTasks,
 )
-from wasabiturn.process.control.order_desk import OrderDesk
+from wasabiturn.process.control.order_publisher import OrderPublisher
 from wasabiturn.process.daemon import Context
 from wasabiturn.utils.logs import create_part_log
 from wasabiturn.version.placement.heartbeats import (
@@ -62,14 +62,14 @@
         self._context = context
         self._replica = replica
         self._table: PlacementTable | None = None
-        self._desk = OrderDesk(replica)
+        self._publisher = OrderPublisher(replica)
         self._reported_by_task: dict[str, Judged] = {}
         self._is_proposing = False
         self._wake: Any = None
         self._ticker = LoopingCall(self._tick)
         self._ticker.clock = context.reactor
         dispatch.handle(Method.heartbeat, Heartbeat, self._handle_heartbeat)
-        dispatch.on_close.append(self._desk.forget_link)
+        dispatch.on_close.append(self._publisher.forget_link)
         replica.on_applied.append(self._handle_applied)
         replica.on_restored.append(self._handle_role_change)
         replica.on_role_change.append(self._handle_role_change)
@@ -143,18 +143,18 @@
         if registered.is_error():
             raise CallError(FailureCode.invalid, registered.error)
         worker = registered.ok
-        self._desk.remember_link(worker, link)
+        self._publisher.remember_link(worker, link)
         learn_from_heartbeat(table, worker, heartbeat, now)
         changed = judge_reports(table, worker, heartbeat.attempts, now)
         self._reported_by_task.update(changed)
         if changed or len(table.queue):
             self._wake_up()
-        return self._desk.answer(table, worker, now)
+        return self._publisher.answer(table, worker, now)
 
     def _plan(self, table: PlacementTable) -> None:
         if self._is_proposing:
             return
-        self._desk.push(table, self._now())
+        self._publisher.push(table, self._now())
         planned = plan(table, self._reported_by_task, self._now())
         for decision in planned.decisions:
             _log.decision(
--- a/wasabiturn/version/placement/learning.py
+++ b/wasabiturn/version/placement/learning.py
@@ -48,8 +48,8 @@
     if following.state is TaskState.finished:
         quarantine.record_success(spec.worker, spec.owner)
     elif _is_failure(spec, following):
-        rests = quarantine.record_failure(spec.worker, spec.owner, now)
-        if rests:
+        quarantined = quarantine.record_failure(spec.worker, spec.owner, now)
+        if quarantined:
             planned.record('quarantine', chosen=spec.worker, task=task)
 
 
--- a/wasabiturn/version/placement/quarantine.py
+++ b/wasabiturn/version/placement/quarantine.py
@@ -1,4 +1,4 @@
-"""Workers that fail what they start: rest, then one task on trial.
+"""Workers that fail what they start: a pause, then one task on trial.
 
 A failure counts against the worker unless its job fails on other workers too.
 """
@@ -9,8 +9,8 @@
 
 FAILURES_TO_QUARANTINE = 3
 JOB_AT_FAULT_WORKERS = 3
-FIRST_REST_SECONDS = 30.0
-MAX_REST_SECONDS = 600.0
+FIRST_QUARANTINE_SECONDS = 30.0
+MAX_QUARANTINE_SECONDS = 600.0
 
 
 @final
@@ -19,8 +19,8 @@
     """Failures in a row on one worker."""
 
     failures: int = 0
-    rests: int = 0
-    resting_until: float = float('-inf')
+    quarantines: int = 0
+    quarantined_until: float = float('-inf')
     on_trial: bool = False
 
 
@@ -33,7 +33,7 @@
     failed_workers_by_job: dict[str, set[str]] = attrs.field(factory=dict)
 
     def record_failure(self, worker: str, job: str, now: float) -> bool:
-        """Take a failure; tells whether the worker begins to rest."""
+        """Take a failure; tells whether the worker is quarantined."""
         failed_workers = self.failed_workers_by_job.setdefault(job, set())
         failed_workers.add(worker)
         if len(failed_workers) >= JOB_AT_FAULT_WORKERS:
@@ -42,9 +42,12 @@
         record.failures += 1
         if record.failures < FAILURES_TO_QUARANTINE and not record.on_trial:
             return False
-        rest = min(FIRST_REST_SECONDS * 2**record.rests, MAX_REST_SECONDS)
-        record.resting_until = now + rest
-        record.rests += 1
+        seconds = min(
+            FIRST_QUARANTINE_SECONDS * 2**record.quarantines,
+            MAX_QUARANTINE_SECONDS,
+        )
+        record.quarantined_until = now + seconds
+        record.quarantines += 1
         record.on_trial = True
         return True
 
@@ -58,6 +61,6 @@
         record = self.records_by_worker.get(worker)
         if record is None:
             return True
-        if now < record.resting_until:
+        if now < record.quarantined_until:
             return False
         return held == 0 or not record.on_trial
