--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -253,6 +253,9 @@
         settle_seconds=settle,
         shape=Shape(),
     )
+    if plan.folder.exists():
+        typer.echo(f'{plan.folder}: exists; records of two runs do not mix')
+        raise typer.Exit(2)
     use_boot_clock(default_reactor)
     reports: list[checker.Report] = []
 
