Remove what nothing calls, and name each configuration once

Ruled out: typing the entry's view by the unused protocol, which the session's own view does not meet; calling the unused method, which would change behaviour. Before: two constants for each name. After: one, beside its settings.

--- a/wasabiturn/connection/backend.py
+++ b/wasabiturn/connection/backend.py
@@ -22,7 +22,6 @@
 FRESH_IDLE_LIMIT_SECONDS = 1.0
 KEEPALIVE_SECONDS = 1
 UNACKNOWLEDGED_LIMIT_MS = 1500
-UPLOAD_UNACKNOWLEDGED_LIMIT_MS = 30_000
 
 
 class BackendConnectError(ConnectionLayerError):
@@ -54,11 +53,6 @@
             self._set_tcp_option(option, KEEPALIVE_SECONDS)
         self._set_tcp_option(socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS)
 
-    def allow_slow_reader(self) -> None:
-        """Let the server stop reading a large request for some time."""
-        limit = UPLOAD_UNACKNOWLEDGED_LIMIT_MS
-        self._set_tcp_option(socket.TCP_USER_TIMEOUT, limit)
-
     def connectionLost(self, reason: Failure | None = None) -> None:
         """Settle the request under way, then tell the pool."""
         super().connectionLost(reason)
--- a/wasabiturn/connection/link.py
+++ b/wasabiturn/connection/link.py
@@ -47,7 +47,6 @@
         """Create the side that ``dialled``, or the side that accepted."""
         self.dispatch = dispatch
         self.peer = Hello()
-        self.peer_revision = 0
         self.is_open = False
         self.on_open: list[Callable[[Link], None]] = []
         self.on_close: list[Callable[[Link], None]] = []
@@ -190,7 +189,6 @@
             self.send_frame(FrameKind.heartbeat, 0, Method.none, b'')
 
     def _handle_frame(self, frame: Frame) -> None:
-        self.peer_revision = max(self.peer_revision, frame.revision)
         handler = self._handlers_by_kind.get(frame.kind)
         if handler is not None:
             handler(frame)
--- a/wasabiturn/process/entry/requests.py
+++ b/wasabiturn/process/entry/requests.py
@@ -27,6 +27,7 @@
     read_inbound,
 )
 from wasabiturn.request.limits import (
+    CONFIGURATION_NAME,
     InFlight,
     Limits,
     admit,
@@ -36,9 +37,6 @@
 from wasabiturn.request.refusal import Refusal, refuse_not_run
 from wasabiturn.request.retry import earn_retry
 
-# Configuration resource that holds the limits on requests.
-LIMITS_RESOURCE = 'requests'
-
 _HEALTH_TARGET = '/-/health'
 _READY_TARGET = '/-/ready'
 _ENCODING = 'latin-1'
@@ -74,7 +72,7 @@
         """Follow the limits of the configuration."""
         view = self._readiness.session.view
         resource = view.resources_by_kind[Kind.configuration].get(
-            LIMITS_RESOURCE,
+            CONFIGURATION_NAME,
         )
         spec = resource and resource.configuration_spec
         self._limits = read_limits(spec.settings if spec else {})
--- a/wasabiturn/process/entry/session.py
+++ b/wasabiturn/process/entry/session.py
@@ -5,16 +5,7 @@
 
 from twisted.internet.defer import Deferred
 
-from wasabiturn.messages.kinds import Kind, Method
-from wasabiturn.messages.session import AgentRecord
-from wasabiturn.messages.state import Resource
-
-
-class EntryView(Protocol):
-    """Resources and agents that are in force."""
-
-    resources_by_kind: dict[Kind, dict[str, Resource]]
-    agents_by_name: dict[str, AgentRecord]
+from wasabiturn.messages.kinds import Method
 
 
 class EntrySession(Protocol):
--- a/wasabiturn/request/limits.py
+++ b/wasabiturn/request/limits.py
@@ -12,6 +12,7 @@
 from wasabiturn.ids import ServiceName
 from wasabiturn.request.refusal import Refusal, refuse_not_run
 
+CONFIGURATION_NAME = 'requests'
 SERVICE_LIMIT_KEY = 'service_limit'
 CALLER_LIMIT_KEY = 'caller_limit'
 # A caller may hold this many times what is left of its service's limit.
