--- /dev/null
+++ b/wasabiturn/batch/apply.py
@@ -0,0 +1,148 @@
+"""Application of batch changes to the book.
+
+Pure: the same changes give the same book on each replica. Each part of a
+change is conditional on the run that it names, so what comes twice changes
+nothing.
+"""
+
+from wasabiturn.batch.book import BatchBook
+from wasabiturn.batch.jobs import Job, Task, create_job
+from wasabiturn.messages.batch import (
+    AcceptJob,
+    BatchChange,
+    DataCentreMark,
+    EndRun,
+    Routing,
+    StartRun,
+)
+from wasabiturn.messages.kinds import BatchTaskState, JobState, RunEnding
+
+
+def apply_batch_change(book: BatchBook, change: BatchChange) -> None:
+    """Apply one change, in the order of its fields."""
+    if change.routing is not None:
+        _put_routing(book, change.routing)
+    for mark in change.marks:
+        _mark_data_centre(book, mark)
+    for accepted in change.accepts:
+        _accept(book, accepted)
+    for job_id in change.cancels:
+        _cancel(book, job_id)
+    for end in change.ends:
+        _end(book, end)
+    for start in change.starts:
+        _start(book, start)
+    for job_id in change.forgets:
+        _forget(book, job_id)
+
+
+def _put_routing(book: BatchBook, routing: Routing) -> None:
+    if book.routing is None or routing.version > book.routing.version:
+        book.routing = routing
+
+
+def _mark_data_centre(book: BatchBook, mark: DataCentreMark) -> None:
+    if mark.out:
+        book.out_data_centres.add(mark.data_centre)
+    else:
+        book.out_data_centres.discard(mark.data_centre)
+
+
+def _accept(book: BatchBook, accepted: AcceptJob) -> None:
+    if accepted.declaration.job_id not in book.jobs_by_id:
+        book.add_job(create_job(accepted))
+
+
+def _cancel(book: BatchBook, job_id: str) -> None:
+    job = book.open_jobs_by_id.get(job_id)
+    if job is not None:
+        book.close_job(job, JobState.cancelled)
+
+
+def _forget(book: BatchBook, job_id: str) -> None:
+    job = book.jobs_by_id.get(job_id)
+    if job is not None and job.is_final and not job.tasks_by_name:
+        book.jobs_by_id.pop(job_id)
+
+
+def _start(book: BatchBook, start: StartRun) -> None:
+    task = book.tasks_by_name.get(start.task)
+    if task is None or start.run <= task.run:
+        return
+    if task.state is not BatchTaskState.waiting:
+        return
+    task.run = start.run
+    task.worker = start.worker
+    task.born_ms = start.born_ms
+    if task.job.state is JobState.queued:
+        task.job.state = JobState.running
+    book.begin_run(task)
+
+
+def _end(book: BatchBook, end: EndRun) -> None:
+    task = book.tasks_by_name.get(end.task)
+    if task is None or task.run != end.run:
+        return
+    if task.state is BatchTaskState.active:
+        book.end_run(task)
+    elif not _ended_before_it_was_lost(task, end):
+        return
+    else:
+        task.job.waiting_tasks -= 1
+    if end.checkpoint:
+        task.checkpoint = end.checkpoint
+    if task.job.is_final:
+        book.drop_task(task)
+    else:
+        _follow_up(book, task, end)
+
+
+def _ended_before_it_was_lost(task: Task, end: EndRun) -> bool:
+    """Tell whether a run that was given up turns out to be done."""
+    waits = task.state is BatchTaskState.waiting
+    return waits and end.ending is RunEnding.done and not task.step.lasting
+
+
+def _follow_up(book: BatchBook, task: Task, end: EndRun) -> None:
+    if end.ending is RunEnding.done and not task.step.lasting:
+        _finish(book, task)
+        return
+    if end.ending is RunEnding.failed and not task.step.lasting:
+        task.failures += 1
+        if task.failures >= task.job.accepted.terms.attempts:
+            _fail(book, task)
+            return
+    task.state = BatchTaskState.waiting
+    task.part.waiting_by_name[task.name] = task
+    task.job.waiting_tasks += 1
+
+
+def _finish(book: BatchBook, task: Task) -> None:
+    _mark_done(task)
+    if task.step.gang:
+        _finish_gang(book, task)
+    job = task.job
+    if not any(part.left for part in job.parts_by_key.values()):
+        book.close_job(job, JobState.done)
+
+
+def _finish_gang(book: BatchBook, task: Task) -> None:
+    """Finish the other members: one end stands for all of them."""
+    for other in list(task.job.tasks_by_name.values()):
+        if other.part is not task.part or other.run != task.run:
+            continue
+        if other.state is BatchTaskState.active:
+            book.end_run(other)
+            _mark_done(other)
+
+
+def _mark_done(task: Task) -> None:
+    task.state = BatchTaskState.done
+    task.part.waiting_by_name.pop(task.name, None)
+    task.part.left -= 1
+
+
+def _fail(book: BatchBook, task: Task) -> None:
+    job: Job = task.job
+    task.state = BatchTaskState.dropped
+    book.close_job(job, JobState.failed)
--- /dev/null
+++ b/wasabiturn/batch/book.py
@@ -0,0 +1,83 @@
+"""The book: all that the control group agrees on about queues and jobs."""
+
+from collections.abc import Callable
+from typing import final
+
+import attrs
+
+from wasabiturn.batch.jobs import Job, Task
+from wasabiturn.messages.batch import Queue, Routing
+from wasabiturn.messages.kinds import BatchTaskState, JobState
+
+
+@final
+@attrs.define
+class BatchBook:
+    """Jobs, queues and data centres that are out.
+
+    ``on_start`` is called with a task once it has a run, ``on_end`` with the
+    task and its worker once that run has ended; only a leader sets them.
+    """
+
+    routing: Routing | None = None
+    out_data_centres: set[str] = attrs.field(factory=set)
+    jobs_by_id: dict[str, Job] = attrs.field(factory=dict)
+    open_jobs_by_id: dict[str, Job] = attrs.field(factory=dict)
+    tasks_by_name: dict[str, Task] = attrs.field(factory=dict)
+    active_by_name: dict[str, Task] = attrs.field(factory=dict)
+    on_start: Callable[[Task], None] | None = None
+    on_end: Callable[[Task], None] | None = None
+
+    def find_queue(self, host: str, path: str) -> Queue | None:
+        """Return the queue with the longest prefix of ``path``."""
+        found: Queue | None = None
+        for queue in self.routing.queues if self.routing else ():
+            if queue.host != host or not path.startswith(queue.prefix):
+                continue
+            if found is None or len(queue.prefix) > len(found.prefix):
+                found = queue
+        return found
+
+    def count_queued(self, queue: str) -> int:
+        """Count the jobs of ``queue`` that have not begun."""
+        return sum(
+            job.state is JobState.queued
+            and job.accepted.declaration.queue == queue
+            for job in self.open_jobs_by_id.values()
+        )
+
+    def add_job(self, job: Job) -> None:
+        """Take a job into the book."""
+        self.jobs_by_id[job.job_id] = job
+        self.open_jobs_by_id[job.job_id] = job
+        self.tasks_by_name.update(job.tasks_by_name)
+
+    def begin_run(self, task: Task) -> None:
+        """Note that ``task`` has a run that may go on."""
+        task.state = BatchTaskState.active
+        task.part.waiting_by_name.pop(task.name, None)
+        task.job.waiting_tasks -= 1
+        self.active_by_name[task.name] = task
+        if self.on_start is not None:
+            self.on_start(task)
+
+    def end_run(self, task: Task) -> None:
+        """Note that the newest run of ``task`` has ended."""
+        self.active_by_name.pop(task.name, None)
+        if self.on_end is not None:
+            self.on_end(task)
+
+    def close_job(self, job: Job, state: JobState) -> None:
+        """End a job; its tasks are forgotten, but for those that run."""
+        job.state = state
+        self.open_jobs_by_id.pop(job.job_id, None)
+        for task in list(job.tasks_by_name.values()):
+            if task.state is not BatchTaskState.active:
+                self.drop_task(task)
+
+    def drop_task(self, task: Task) -> None:
+        """Forget a task that never runs again."""
+        task.state = BatchTaskState.dropped
+        task.job.tasks_by_name.pop(task.name, None)
+        task.part.waiting_by_name.pop(task.name, None)
+        self.tasks_by_name.pop(task.name, None)
--- /dev/null
+++ b/wasabiturn/batch/fleet.py
@@ -0,0 +1,132 @@
+"""What the leader believes of the workers, and from when.
+
+A worker is known once it has listed its runs under this leader's fence: from
+then on no order of an earlier leader can take effect there. Until then its
+runs are charged as the book has them.
+"""
+
+from collections import deque
+from typing import final
+
+import attrs
+
+from wasabiturn.batch.jobs import Task
+from wasabiturn.messages.batch import (
+    BatchChange,
+    RunningRow,
+    WorkerReport,
+)
+
+NEVER = float('-inf')
+UNKNOWN_LIFE = 0
+
+
+@final
+@attrs.define(eq=False)
+class Charge:
+    """Room that a run takes on its worker.
+
+    ``is_confirmed`` tells that the worker has said that it has the run.
+    """
+
+    task: Task
+    run: int
+    started_at: float
+    is_confirmed: bool = False
+    row: RunningRow | None = None
+    percent_at: float = NEVER
+    paced_percent: int = 100
+
+
+@final
+@attrs.define(eq=False)
+class Worker:
+    """One life of a worker; times are seconds of the leader's loop.
+
+    ``lease_ends_at`` is when all that the worker ran under leases of this
+    leader or an earlier one has ended for certain.
+    """
+
+    name: str
+    born_ms: int
+    report: WorkerReport = attrs.field(factory=WorkerReport)
+    agent: str = ''
+    heard_at: float = NEVER
+    is_known: bool = False
+    is_gone: bool = False
+    lease_ends_at: float = NEVER
+    charges_by_task: dict[str, Charge] = attrs.field(factory=dict)
+    millicores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    fill_millicores: int = 0
+    seen_end: int = 0
+    stored_end: int = 0
+    pending_ends: deque[tuple[int, BatchChange]] = attrs.field(factory=deque)
+    strays_by_task: dict[str, int] = attrs.field(factory=dict)
+    fill_percent: int = 100
+    failures_in_row: int = 0
+    avoided_until: float = NEVER
+
+    def charge(self, task: Task, now: float) -> None:
+        """Take room for the newest run of ``task``."""
+        charge = Charge(task=task, run=task.run, started_at=now)
+        self.charges_by_task[task.name] = charge
+        self._add(task, 1)
+
+    def release(self, task: Task) -> None:
+        """Give the room of ``task`` back."""
+        if self.charges_by_task.pop(task.name, None) is not None:
+            self._add(task, -1)
+
+    def has_room(self, millicores: int, memory_mb: int, others: int) -> bool:
+        """Tell whether a task of this size fits beside what is charged."""
+        report = self.report
+        return (
+            self.millicores + millicores <= report.millicores
+            and self.memory_mb + memory_mb <= report.memory_mb
+            and self.accelerators + others <= report.accelerators
+        )
+
+    def _add(self, task: Task, sign: int) -> None:
+        step = task.step
+        if step.fills:
+            self.fill_millicores += sign * step.millicores
+        else:
+            self.millicores += sign * step.millicores
+        self.memory_mb += sign * step.memory_mb
+        self.accelerators += sign * step.accelerators
+
+
+@final
+@attrs.define
+class Fleet:
+    """Lives of workers that matter to the leader, by name and birth."""
+
+    leading_since: float
+    fence: int
+    workers_by_life: dict[tuple[str, int], Worker] = attrs.field(factory=dict)
+
+    def worker_of(self, task: Task) -> Worker | None:
+        """Return the life of the worker that has the newest run of a task."""
+        return self.workers_by_life.get((task.worker, task.born_ms))
+
+    def find(self, name: str, born_ms: int) -> Worker | None:
+        """Return one life of a worker."""
+        return self.workers_by_life.get((name, born_ms))
+
+    def open(self, name: str, born_ms: int, lease_ends_at: float) -> Worker:
+        """Return one life of a worker, created unheard if it is new."""
+        worker = self.find(name, born_ms)
+        if worker is None:
+            worker = Worker(
+                name=name,
+                born_ms=born_ms,
+                lease_ends_at=lease_ends_at,
+            )
+            self.workers_by_life[name, born_ms] = worker
+        return worker
+
+    def forget(self, worker: Worker) -> None:
+        """Drop a life that has nothing charged."""
+        self.workers_by_life.pop((worker.name, worker.born_ms), None)
--- /dev/null
+++ b/wasabiturn/batch/jobs.py
@@ -0,0 +1,137 @@
+"""Jobs, their parts and their tasks, as the control group agrees on them."""
+
+from typing import final
+
+import attrs
+
+from wasabiturn.messages.batch import AcceptJob, Step
+from wasabiturn.messages.kinds import BatchTaskState, JobState
+
+FINAL_STATES = frozenset((JobState.done, JobState.failed, JobState.cancelled))
+_MS_PER_SECOND = 1000
+
+
+@final
+@attrs.define(eq=False)
+class Task:
+    """One task; ``run`` numbers its newest start, 0 before the first.
+
+    ``worker`` and ``born_ms`` name the life of the worker of that run.
+    """
+
+    name: str
+    part: 'Part'
+    state: BatchTaskState = BatchTaskState.waiting
+    run: int = 0
+    worker: str = ''
+    born_ms: int = 0
+    failures: int = 0
+    checkpoint: str = ''
+
+    @property
+    def job(self) -> 'Job':
+        """Return the job that the task belongs to."""
+        return self.part.job
+
+    @property
+    def step(self) -> Step:
+        """Return what the job declares of the task."""
+        return self.part.step
+
+
+@final
+@attrs.define(eq=False)
+class Part:
+    """The tasks of one step in one occurrence of a job.
+
+    ``left`` counts those that are not done; ``due_ms`` is wall clock.
+    """
+
+    job: 'Job'
+    occurrence: int
+    number: int
+    step: Step
+    due_ms: int
+    left: int
+    waiting_by_name: dict[str, Task] = attrs.field(factory=dict)
+
+    @property
+    def name(self) -> str:
+        """Return the name that the tasks of the part begin with."""
+        return f'{self.job.job_id}.{self.occurrence}.{self.number}'
+
+    def is_ready(self) -> bool:
+        """Tell whether all steps before this one are done."""
+        parts_by_key = self.job.parts_by_key
+        return all(
+            parts_by_key[self.occurrence, earlier].left == 0
+            for earlier in self.step.after
+        )
+
+
+@final
+@attrs.define(eq=False)
+class Job:
+    """A job that was accepted; tasks of an ended one are dropped."""
+
+    accepted: AcceptJob
+    state: JobState = JobState.queued
+    parts_by_key: dict[tuple[int, int], Part] = attrs.field(factory=dict)
+    tasks_by_name: dict[str, Task] = attrs.field(factory=dict)
+    waiting_tasks: int = 0
+
+    @property
+    def job_id(self) -> str:
+        """Return the id that the caller chose."""
+        return self.accepted.declaration.job_id
+
+    @property
+    def is_final(self) -> bool:
+        """Tell whether nothing of the job may start any more."""
+        return self.state in FINAL_STATES
+
+    def objective_ms(self) -> float:
+        """Return how long the job may take, by what its caller estimated."""
+        terms = self.accepted.terms
+        chain_ms = longest_chain_ms(self.accepted.declaration.steps)
+        return terms.stretch * chain_ms + terms.slack_ms
+
+
+def longest_chain_ms(steps: list[Step]) -> int:
+    """Return the estimate of the longest chain of dependent steps."""
+    ends_ms: list[int] = []
+    for step in steps:
+        begun_ms = max((ends_ms[each] for each in step.after), default=0)
+        ends_ms.append(begun_ms + step.estimate_ms)
+    return max(ends_ms, default=0)
+
+
+def create_job(accepted: AcceptJob) -> Job:
+    """Create a job whose tasks all wait."""
+    job = Job(accepted=accepted)
+    declaration = accepted.declaration
+    for occurrence in range(max(declaration.occurrences, 1)):
+        for number, step in enumerate(declaration.steps):
+            _add_part(job, occurrence, number, step)
+    return job
+
+
+def _add_part(job: Job, occurrence: int, number: int, step: Step) -> None:
+    declaration = job.accepted.declaration
+    due_ms = 0
+    if declaration.occurrences:
+        due_ms = declaration.first_ms + occurrence * declaration.interval_ms
+    part = Part(
+        job=job,
+        occurrence=occurrence,
+        number=number,
+        step=step,
+        due_ms=due_ms,
+        left=step.tasks,
+    )
+    job.parts_by_key[occurrence, number] = part
+    for index in range(step.tasks):
+        task = Task(name=f'{part.name}.{index}', part=part)
+        job.tasks_by_name[task.name] = task
+        part.waiting_by_name[task.name] = task
+    job.waiting_tasks += step.tasks
--- /dev/null
+++ b/wasabiturn/batch/reports.py
@@ -0,0 +1,136 @@
+"""Judgement of what agents report: ends to store, and what was lost.
+
+Nothing here changes the book; the leader stores what is returned. A run is
+given up only when it cannot go on: its end is listed, its worker has another
+life, nothing listens at its worker's address, its lease has ended, or it is
+missing from the first list under this leader's fence.
+"""
+
+from collections.abc import Iterator
+
+from wasabiturn.batch.fleet import Charge, Fleet, Worker
+from wasabiturn.messages.batch import EndedRow, EndRun, WorkerReport
+from wasabiturn.messages.kinds import RunEnding, StartOutcome
+
+# How long a worker stays without new tasks after runs of it failed in a row.
+FAILURES_TO_AVOID = 2
+FIRST_AVOIDANCE_SECONDS = 2.0
+MAX_AVOIDANCE_SECONDS = 16.0
+
+
+def take_report(
+    fleet: Fleet,
+    worker: Worker,
+    report: WorkerReport,
+    now: float,
+) -> list[EndRun]:
+    """Take a report of one life of a worker; return the ends to store."""
+    worker.report = report
+    worker.heard_at = now
+    if not report.listed or report.fence != fleet.fence:
+        return []
+    _take_rows(worker, report, now)
+    ends = [_to_end(row) for row in _new_ends(worker, report)]
+    if not worker.is_known:
+        worker.is_known = True
+        ends.extend(_settle_missing(worker, report))
+    ends.extend(_take_refusals(worker, report))
+    for end in ends:
+        _note_health(worker, end, now)
+    return ends
+
+
+def lose_worker(worker: Worker) -> list[EndRun]:
+    """Return the ends of all that a worker ran: its life or lease is over."""
+    worker.is_gone = True
+    return [
+        EndRun(
+            task=charge.task.name,
+            run=charge.run,
+            ending=RunEnding.lost,
+            checkpoint=_checkpoint_of(charge),
+        )
+        for charge in worker.charges_by_task.values()
+    ]
+
+
+def find_lapsed(fleet: Fleet, now: float) -> list[Worker]:
+    """Return the workers with runs whose leases have all ended."""
+    return [
+        worker
+        for worker in fleet.workers_by_life.values()
+        if worker.charges_by_task and now >= worker.lease_ends_at
+    ]
+
+
+def _take_rows(worker: Worker, report: WorkerReport, now: float) -> None:
+    worker.strays_by_task = {}
+    for row in report.running:
+        charge = worker.charges_by_task.get(row.task)
+        if charge is None or charge.run != row.run:
+            worker.strays_by_task[row.task] = row.run
+            continue
+        if charge.row is None or charge.row.percent != row.percent:
+            charge.percent_at = now
+        charge.is_confirmed = True
+        charge.row = row
+
+
+def _new_ends(worker: Worker, report: WorkerReport) -> Iterator[EndedRow]:
+    for row in sorted(report.ended, key=lambda each: each.number):
+        if row.number > worker.seen_end:
+            worker.seen_end = row.number
+            yield row
+
+
+def _to_end(row: EndedRow) -> EndRun:
+    return EndRun(
+        task=row.task,
+        run=row.run,
+        ending=row.ending,
+        checkpoint=row.checkpoint,
+    )
+
+
+def _settle_missing(worker: Worker, report: WorkerReport) -> Iterator[EndRun]:
+    listed = {(row.task, row.run) for row in report.running}
+    listed.update((row.task, row.run) for row in report.ended)
+    for charge in worker.charges_by_task.values():
+        if (charge.task.name, charge.run) not in listed:
+            yield _not_started(charge)
+
+
+def _take_refusals(worker: Worker, report: WorkerReport) -> Iterator[EndRun]:
+    for result in report.results:
+        charge = worker.charges_by_task.get(result.task)
+        if charge is None or charge.run != result.run:
+            continue
+        if result.result is StartOutcome.refused:
+            yield _not_started(charge)
+        elif result.result is StartOutcome.started:
+            charge.is_confirmed = True
+
+
+def _not_started(charge: Charge) -> EndRun:
+    return EndRun(
+        task=charge.task.name,
+        run=charge.run,
+        ending=RunEnding.not_started,
+    )
+
+
+def _checkpoint_of(charge: Charge) -> str:
+    if charge.row is None or not charge.task.step.checkpoints:
+        return ''
+    return charge.row.checkpoint
+
+
+def _note_health(worker: Worker, end: EndRun, now: float) -> None:
+    if end.ending is RunEnding.done:
+        worker.failures_in_row = 0
+    elif end.ending is RunEnding.failed:
+        worker.failures_in_row += 1
+        surplus = worker.failures_in_row - FAILURES_TO_AVOID
+        if surplus >= 0:
+            seconds = FIRST_AVOIDANCE_SECONDS * 2**surplus
+            worker.avoided_until = now + min(seconds, MAX_AVOIDANCE_SECONDS)
--- a/wasabiturn/conf/sections.py
+++ b/wasabiturn/conf/sections.py
@@ -24,7 +24,12 @@
 @final
 @attrs.frozen(kw_only=True)
 class ControlSection:
-    """``[control]``: a member of the replicated state."""
+    """``[control]``: a member of the replicated state.
+
+    ``voters`` is 0 for a closed group, which has ``members`` and no others. In
+    an open one, ``members`` are those to ask first, all instances listen at
+    the same port, and each is named by its address.
+    """
 
     listen: Endpoint = setting(values.endpoint())
     api_listen: Endpoint = setting(values.endpoint())
@@ -35,6 +40,8 @@
         values.integer(100, 10_000_000),
         default=10_000,
     )
+    voters: int = setting(values.integer(0, 9), default=0)
+    may_found: bool = setting(values.flag(), default=True)
 
 
 @final
--- a/wasabiturn/conf/values.py
+++ b/wasabiturn/conf/values.py
@@ -92,6 +92,14 @@
     )
 
 
+def flag() -> Accepted:
+    """Accept ``yes`` or ``no``."""
+    return Accepted(
+        parse=lambda raw: _one_of(raw.strip(), ('yes', 'no')) == 'yes',
+        description='yes or no',
+    )
+
+
 def choice(*names: str) -> Accepted:
     """Accept one of ``names``."""
     return Accepted(
--- a/wasabiturn/connection/worker.py
+++ b/wasabiturn/connection/worker.py
@@ -14,9 +14,8 @@
 from twisted.internet.defer import Deferred
 from twisted.web.client import Agent, HTTPConnectionPool, readBody
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IBodyProducer
-from zope.interface import implementer
 
+from wasabiturn.connection.short_body import ShortBody
 from wasabiturn.connection.worker_messages import (
     Listing,
     RefusedByPlatformError,
@@ -160,33 +159,10 @@
         return self.worker_now + left * (1 - CLOCK_DRIFT_SHARE)
 
 
-@implementer(IBodyProducer)
-@final
-class _Body:
-    def __init__(self, body: bytes) -> None:
-        self.length = len(body)
-        self._body = body
-
-    def startProducing(self, consumer: Any) -> Deferred[None]:
-        consumer.write(self._body)
-        done: Deferred[None] = Deferred()
-        done.callback(None)
-        return done
-
-    def pauseProducing(self) -> None:
-        """Do nothing: the body is written at once."""
-
-    def resumeProducing(self) -> None:
-        """Do nothing: the body is written at once."""
-
-    def stopProducing(self) -> None:
-        """Do nothing: the body is written at once."""
-
-
 def _create_body(body: dict[str, Any] | None) -> Any:
     if body is None:
         return None
-    return _Body(json.dumps(body).encode())
+    return ShortBody(json.dumps(body).encode())
 
 
 _converter = cattrs.Converter()
--- /dev/null
+++ b/wasabiturn/messages/batch.py
@@ -0,0 +1,384 @@
+"""Messages of queues, their jobs, and the workers that run these.
+
+Field numbers and units are in ``wire/batch.thrift``.
+"""
+
+from typing import final
+
+import attrs
+
+from wasabiturn.messages.codec import bind, load_idl
+from wasabiturn.messages.kinds import (
+    BatchTaskState,
+    JobAction,
+    JobOutcome,
+    JobState,
+    RunEnding,
+    StartOutcome,
+)
+
+_idl = load_idl('batch.thrift')
+
+
+@bind(_idl)
+@final
+@attrs.define
+class Step:
+    """Tasks of one kind within a job."""
+
+    tasks: int = 0
+    millicores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    estimate_ms: int = 0
+    after: list[int] = attrs.field(factory=list)
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ''
+    preferred_rack: str = ''
+    max_per_worker: int = 0
+    speculative: bool = False
+    lasting: bool = False
+    image: str = ''
+    tail_goal_ms: int = 0
+    fills: bool = False
+    max_unavailable: int = 0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class Terms:
+    """What a queue promised when it took a job."""
+
+    service_name: str = ''
+    priority: int = 0
+    attempts: int = 0
+    stretch: float = 0.0
+    slack_ms: int = 0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class JobDeclaration:
+    """Job as its caller declares it."""
+
+    job_id: str = ''
+    queue: str = ''
+    payload: str = ''
+    steps: list[Step] = attrs.field(factory=list)
+    occurrences: int = 0
+    first_ms: int = 0
+    interval_ms: int = 0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class AcceptJob:
+    """Take a job; the time is that of the leader, in Unix milliseconds."""
+
+    declaration: JobDeclaration = attrs.field(factory=JobDeclaration)
+    terms: Terms = attrs.field(factory=Terms)
+    accepted_ms: int = 0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class StartRun:
+    """Give a task a run on one life of a worker."""
+
+    task: str = ''
+    run: int = 0
+    worker: str = ''
+    born_ms: int = 0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class EndRun:
+    """Take note of how a run ended."""
+
+    task: str = ''
+    run: int = 0
+    ending: RunEnding = attrs.field(
+        default=RunEnding.lost, converter=RunEnding
+    )
+    checkpoint: str = ''
+
+
+@bind(_idl)
+@final
+@attrs.define
+class Queue:
+    """Where callers hand jobs in, and the service whose workers run them."""
+
+    name: str = ''
+    host: str = ''
+    prefix: str = ''
+    timeout_ms: int = 0
+    terms: Terms = attrs.field(factory=Terms)
+
+
+@bind(_idl)
+@final
+@attrs.define
+class Routing:
+    """Queues by version, with the document that declared them."""
+
+    version: int = 0
+    queues: list[Queue] = attrs.field(factory=list)
+    document: bytes = b''
+
+
+@bind(_idl)
+@final
+@attrs.define
+class DataCentreMark:
+    """Take a data centre out, or bring it back."""
+
+    data_centre: str = ''
+    out: bool = False
+
+
+@bind(_idl)
+@final
+@attrs.define
+class BatchChange:
+    """Changes that are stored together, applied in this order."""
+
+    routing: Routing | None = None
+    marks: list[DataCentreMark] = attrs.field(factory=list)
+    accepts: list[AcceptJob] = attrs.field(factory=list)
+    cancels: list[str] = attrs.field(factory=list)
+    ends: list[EndRun] = attrs.field(factory=list)
+    starts: list[StartRun] = attrs.field(factory=list)
+    forgets: list[str] = attrs.field(factory=list)
+
+
+@bind(_idl)
+@final
+@attrs.define
+class TaskRecord:
+    """Task that is not as its job created it."""
+
+    name: str = ''
+    state: BatchTaskState = attrs.field(
+        default=BatchTaskState.waiting, converter=BatchTaskState
+    )
+    run: int = 0
+    worker: str = ''
+    born_ms: int = 0
+    failures: int = 0
+    checkpoint: str = ''
+
+
+@bind(_idl)
+@final
+@attrs.define
+class JobRecord:
+    """Job in a snapshot."""
+
+    accepted: AcceptJob = attrs.field(factory=AcceptJob)
+    state: JobState = attrs.field(
+        default=JobState.queued, converter=JobState
+    )
+    tasks: list[TaskRecord] = attrs.field(factory=list)
+
+
+@bind(_idl)
+@final
+@attrs.define
+class BatchDump:
+    """Jobs, queues and data centres in a snapshot."""
+
+    routing: Routing | None = None
+    out_data_centres: list[str] = attrs.field(factory=list)
+    jobs: list[JobRecord] = attrs.field(factory=list)
+
+
+@bind(_idl)
+@final
+@attrs.define
+class JobCall:
+    """What a caller asks of a queue."""
+
+    action: JobAction = attrs.field(
+        default=JobAction.read, converter=JobAction
+    )
+    host: str = ''
+    path: str = ''
+    request_id: str = ''
+    declaration: JobDeclaration | None = None
+
+
+@bind(_idl)
+@final
+@attrs.define
+class JobAnswer:
+    """Answer of the leader to a caller."""
+
+    outcome: JobOutcome = attrs.field(
+        default=JobOutcome.ok, converter=JobOutcome
+    )
+    state: JobState = attrs.field(
+        default=JobState.queued, converter=JobState
+    )
+    pending: int = 0
+    retry_after_ms: int = 0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class PutRouting:
+    """Put the queues of one version in force."""
+
+    routing: Routing = attrs.field(factory=Routing)
+
+
+@bind(_idl)
+@final
+@attrs.define
+class RoutingAnswer:
+    """Newest routing, if there is one."""
+
+    routing: Routing | None = None
+
+
+@bind(_idl)
+@final
+@attrs.define
+class MemberList:
+    """Names of the members of the control group."""
+
+    names: list[str] = attrs.field(factory=list)
+
+
+@bind(_idl)
+@final
+@attrs.define
+class LeaderStatus:
+    """What an entry asks before it calls itself ready."""
+
+    is_configured: bool = False
+
+
+@bind(_idl)
+@final
+@attrs.define
+class RunningRow:
+    """Run that a worker lists as running."""
+
+    task: str = ''
+    run: int = 0
+    checkpoint: str = ''
+    percent: int = 0
+    figure: float = 0.0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class EndedRow:
+    """Run that a worker lists as ended."""
+
+    number: int = 0
+    task: str = ''
+    run: int = 0
+    ending: RunEnding = attrs.field(
+        default=RunEnding.lost, converter=RunEnding
+    )
+    checkpoint: str = ''
+
+
+@bind(_idl)
+@final
+@attrs.define
+class StartResult:
+    """What became of a start that the leader ordered."""
+
+    task: str = ''
+    run: int = 0
+    result: StartOutcome = attrs.field(
+        default=StartOutcome.pending, converter=StartOutcome
+    )
+    reason: str = ''
+
+
+@bind(_idl)
+@final
+@attrs.define
+class WorkerReport:
+    """What an agent knows of its worker."""
+
+    worker: str = ''
+    born_ms: int = 0
+    service_name: str = ''
+    data_centre: str = ''
+    rack: str = ''
+    labels: list[str] = attrs.field(factory=list)
+    millicores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    leaving: bool = False
+    fence: int = 0
+    listed: bool = False
+    refuses: bool = False
+    running: list[RunningRow] = attrs.field(factory=list)
+    ended: list[EndedRow] = attrs.field(factory=list)
+    results: list[StartResult] = attrs.field(factory=list)
+
+
+@bind(_idl)
+@final
+@attrs.define
+class StartOrder:
+    """Start a run."""
+
+    task: str = ''
+    run: int = 0
+    payload: str = ''
+    checkpoint: str = ''
+
+
+@bind(_idl)
+@final
+@attrs.define
+class StopOrder:
+    """Stop a run."""
+
+    task: str = ''
+    run: int = 0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class PaceOrder:
+    """Let a run work at a share of its speed, in per cent."""
+
+    task: str = ''
+    run: int = 0
+    percent: int = 0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class WorkerOrders:
+    """What the leader wants of one worker."""
+
+    fence: int = 0
+    acknowledged: int = 0
+    lease_ms: int = 0
+    starts: list[StartOrder] = attrs.field(factory=list)
+    stops: list[StopOrder] = attrs.field(factory=list)
+    paces: list[PaceOrder] = attrs.field(factory=list)
+    complete: bool = False
+    worker: str = ''
+    born_ms: int = 0
--- a/wasabiturn/messages/kinds.py
+++ b/wasabiturn/messages/kinds.py
@@ -55,6 +55,14 @@
     status = 30
     api = 40
     watch = 41
+    job = 50
+    put_routing = 51
+    read_routing = 52
+    mark_data_centre = 53
+    worker_report = 54
+    worker_orders = 55
+    members = 56
+    leader_status = 57
 
 
 @final
@@ -176,3 +184,69 @@
     noop = 0
     command = 1
     membership = 2
+
+
+@final
+class JobState(enum.IntEnum):
+    """What a caller is told of a job; those from ``done`` on are final."""
+
+    queued = 0
+    running = 1
+    done = 2
+    failed = 3
+    cancelled = 4
+
+
+@final
+class BatchTaskState(enum.IntEnum):
+    """Life of a task of a queue's job; ``active`` has a run that may go on."""
+
+    waiting = 0
+    active = 1
+    done = 2
+    dropped = 3
+
+
+@final
+class RunEnding(enum.IntEnum):
+    """How a run ended; ``lost`` means that its worker's life or lease did."""
+
+    lost = 0
+    done = 1
+    failed = 2
+    stopped = 3
+    lapsed = 4
+    broken = 5
+    alone = 6
+    not_started = 7
+
+
+@final
+class JobAction(enum.IntEnum):
+    """What a caller asks of a queue."""
+
+    read = 0
+    submit = 1
+    cancel = 2
+    count = 3
+
+
+@final
+class JobOutcome(enum.IntEnum):
+    """How the leader answers a caller."""
+
+    ok = 0
+    no_queue = 1
+    no_job = 2
+    busy = 3
+    not_configured = 4
+    invalid = 5
+
+
+@final
+class StartOutcome(enum.IntEnum):
+    """What an agent knows of a start that it was told to make."""
+
+    pending = 0
+    started = 1
+    refused = 2
--- a/wasabiturn/messages/state.py
+++ b/wasabiturn/messages/state.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from wasabiturn.messages.batch import BatchChange, BatchDump
 from wasabiturn.messages.codec import bind, load_idl
 from wasabiturn.messages.kinds import ClaimState, Kind, OutcomeCode, TaskState
 
@@ -274,6 +275,7 @@
     claim: ClaimRequests | None = None
     record: RecordAnswers | None = None
     expire: ExpireClaims | None = None
+    batch: BatchChange | None = None
 
 
 @bind(_idl)
@@ -328,3 +330,4 @@
     claims: list[ClaimRecord] = attrs.field(factory=list)
     outcomes: list[RememberedOutcome] = attrs.field(factory=list)
     history: list[Change] = attrs.field(factory=list)
+    batch: BatchDump | None = None
--- a/wasabiturn/messages/wire/state.thrift
+++ b/wasabiturn/messages/wire/state.thrift
@@ -1,5 +1,7 @@
 // Resources, commands of the replicated state machine, and their outcomes.
 
+include "batch.thrift"
+
 struct Capacity {
   1: double cores,
   2: i64 memory_mb,
@@ -157,6 +159,7 @@
   5: optional ClaimRequests claim,
   6: optional RecordAnswers record,
   7: optional ExpireClaims expire,
+  8: optional batch.BatchChange batch,
 }
 
 struct Outcome {
@@ -192,4 +195,5 @@
   5: list<ClaimRecord> claims,
   6: list<RememberedOutcome> outcomes,
   7: list<Change> history,
+  8: optional batch.BatchDump batch,
 }
--- /dev/null
+++ b/wasabiturn/process/agent/runs/starts.py
@@ -0,0 +1,107 @@
+"""Starts and stops that the leader ordered, and what became of them."""
+
+from collections.abc import Iterable
+from typing import final
+
+import attrs
+
+from wasabiturn.messages.batch import StartOrder, StartResult
+from wasabiturn.messages.kinds import StartOutcome
+from wasabiturn.process.agent.runs.port import Listing
+
+RunKey = tuple[str, int]
+
+
+@final
+@attrs.define
+class Start:
+    """One ordered start; ``fence`` is the term of the leader that ordered it."""
+
+    order: StartOrder
+    fence: int
+    outcome: StartOutcome = StartOutcome.pending
+    is_sent: bool = False
+    reason: str = ''
+
+
+@final
+@attrs.define
+class StartTable:
+    """Starts by task and run, and stops that the worker has confirmed.
+
+    ``confirmed_stops`` holds how many holds had been sent by then.
+    """
+
+    starts_by_run: dict[RunKey, Start] = attrs.field(factory=dict)
+    confirmed_stops: dict[RunKey, int] = attrs.field(factory=dict)
+
+    def add(self, orders: Iterable[StartOrder], fence: int) -> None:
+        """Take orders to start; those known already change nothing."""
+        for order in orders:
+            key = (order.task, order.run)
+            if key not in self.starts_by_run:
+                self.starts_by_run[key] = Start(order=order, fence=fence)
+
+    def list_unsent(self) -> list[Start]:
+        """Return the starts that are to be sent to the worker."""
+        return [
+            start
+            for start in self.starts_by_run.values()
+            if start.outcome is StartOutcome.pending and not start.is_sent
+        ]
+
+    def list_results(self) -> list[StartResult]:
+        """Return what is known of the starts."""
+        return [
+            StartResult(
+                task=task,
+                run=run,
+                result=start.outcome,
+                reason=start.reason,
+            )
+            for (task, run), start in self.starts_by_run.items()
+            if start.outcome is not StartOutcome.pending
+        ]
+
+    def forget_settled(self, still_ordered: set[RunKey]) -> None:
+        """Drop the settled starts that the leader no longer orders."""
+        self.starts_by_run = {
+            key: start
+            for key, start in self.starts_by_run.items()
+            if start.outcome is StartOutcome.pending or key in still_ordered
+        }
+
+    def drop_unsent(self, fence: int) -> None:
+        """Drop what leaders before ``fence`` ordered and was not settled.
+
+        A listing under ``fence`` shows what became of those that were sent.
+        """
+        self.starts_by_run = {
+            key: start
+            for key, start in self.starts_by_run.items()
+            if start.fence >= fence
+        }
+
+    def settle_stops(self, listing: Listing, sent_holds: int) -> None:
+        """Refuse what was stopped before it came.
+
+        A run that the worker agreed to stop, and that a hold sent later does
+        not list, never comes.
+        """
+        listed = {(row.task, row.run) for row in listing.running}
+        listed.update((row.task, row.run) for row in listing.ended)
+        for key, sent_before in list(self.confirmed_stops.items()):
+            if sent_holds <= sent_before:
+                continue
+            self.confirmed_stops.pop(key)
+            if key not in listed:
+                self._refuse(key)
+
+    def _refuse(self, key: RunKey) -> None:
+        task, run = key
+        self.starts_by_run[key] = Start(
+            order=StartOrder(task=task, run=run),
+            fence=0,
+            outcome=StartOutcome.refused,
+            reason='stopped before it came',
+        )
--- /dev/null
+++ b/wasabiturn/process/control/batch/answers.py
@@ -0,0 +1,123 @@
+"""Answers of the leader to callers of queues and to operators."""
+
+from collections.abc import Callable
+from typing import final
+
+import attrs
+from twisted.internet.defer import Deferred, succeed
+
+from wasabiturn.batch import BatchBook
+from wasabiturn.batch.jobs import Job
+from wasabiturn.messages.batch import (
+    AcceptJob,
+    BatchChange,
+    JobAnswer,
+    JobCall,
+    JobDeclaration,
+    Queue,
+)
+from wasabiturn.messages.kinds import JobAction, JobOutcome
+from wasabiturn.process.control.batch.pipeline import Pipeline
+from wasabiturn.utils.logs import create_part_log
+
+_log = create_part_log('queues')
+
+
+@final
+@attrs.define
+class QueueDesk:
+    """Answers calls on jobs; ``stored`` returns the committed book."""
+
+    pipeline: Pipeline
+    stored: Callable[[], BatchBook]
+
+    def answer(self, call: JobCall, wall_ms: int) -> Deferred[JobAnswer]:
+        """Answer one call; fails with ``CallError``."""
+        book = self.pipeline.book
+        if book.routing is None:
+            return succeed(JobAnswer(outcome=JobOutcome.not_configured))
+        queue = book.find_queue(call.host, call.path)
+        if queue is None:
+            return succeed(JobAnswer(outcome=JobOutcome.no_queue))
+        job_id = call.path.removeprefix(queue.prefix)
+        if call.action is JobAction.submit:
+            return self._submit(call, queue, job_id, wall_ms)
+        if call.action is JobAction.cancel:
+            return self._cancel(call, queue, job_id)
+        if call.action is JobAction.read and job_id:
+            return succeed(self._read(queue, job_id))
+        return succeed(self._count(queue))
+
+    def _submit(
+        self,
+        call: JobCall,
+        queue: Queue,
+        job_id: str,
+        wall_ms: int,
+    ) -> Deferred[JobAnswer]:
+        declaration = call.declaration
+        if declaration is None or not job_id:
+            return succeed(JobAnswer(outcome=JobOutcome.invalid))
+        accepted_answer = JobAnswer(outcome=JobOutcome.ok)
+        if job_id in self.stored().jobs_by_id:
+            return succeed(accepted_answer)
+        accepted = AcceptJob(
+            declaration=attrs.evolve(
+                declaration,
+                job_id=job_id,
+                queue=queue_key(queue),
+            ),
+            terms=queue.terms,
+            accepted_ms=wall_ms,
+        )
+        _log_accept(call, accepted.declaration)
+        recorded = self.pipeline.record(BatchChange(accepts=[accepted]))
+        return recorded.addCallback(lambda _: accepted_answer)
+
+    def _cancel(
+        self,
+        call: JobCall,
+        queue: Queue,
+        job_id: str,
+    ) -> Deferred[JobAnswer]:
+        job = self._find(self.pipeline.book, queue, job_id)
+        if job is None:
+            return succeed(JobAnswer(outcome=JobOutcome.no_job))
+        _log.decision('cancels', job=job_id, request=call.request_id)
+        recorded = self.pipeline.record(BatchChange(cancels=[job_id]))
+        return recorded.addCallback(
+            lambda _: JobAnswer(outcome=JobOutcome.ok),
+        )
+
+    def _read(self, queue: Queue, job_id: str) -> JobAnswer:
+        job = self._find(self.stored(), queue, job_id)
+        if job is None:
+            return JobAnswer(outcome=JobOutcome.no_job)
+        return JobAnswer(outcome=JobOutcome.ok, state=job.state)
+
+    def _count(self, queue: Queue) -> JobAnswer:
+        pending = self.stored().count_queued(queue_key(queue))
+        return JobAnswer(outcome=JobOutcome.ok, pending=pending)
+
+    def _find(self, book: BatchBook, queue: Queue, job_id: str) -> Job | None:
+        job = book.jobs_by_id.get(job_id)
+        if job is None:
+            return None
+        same = job.accepted.declaration.queue == queue_key(queue)
+        return job if same else None
+
+
+def queue_key(queue: Queue) -> str:
+    """Return what tells a queue from others in every version."""
+    return f'{queue.host}{queue.prefix}'
+
+
+def _log_accept(call: JobCall, declaration: JobDeclaration) -> None:
+    _log.decision(
+        'accepts',
+        job=declaration.job_id,
+        request=call.request_id,
+        queue=declaration.queue,
+        steps=len(declaration.steps),
+        tasks=sum(step.tasks for step in declaration.steps),
+    )
--- /dev/null
+++ b/wasabiturn/process/control/batch/orders.py
@@ -0,0 +1,83 @@
+"""Orders for one worker, from what the leader has committed."""
+
+from wasabiturn.batch.fleet import Charge, Fleet, Worker
+from wasabiturn.batch.sharing import list_paces
+from wasabiturn.messages.batch import (
+    PaceOrder,
+    StartOrder,
+    StopOrder,
+    WorkerOrders,
+)
+
+
+def create_orders(
+    fleet: Fleet,
+    worker: Worker,
+    committed: set[tuple[str, int]],
+    lease_ms: int,
+) -> WorkerOrders:
+    """Return all that the worker shall do now.
+
+    ``committed`` holds the starts, by task and run, that are stored.
+    """
+    orders = WorkerOrders(
+        fence=fleet.fence,
+        acknowledged=worker.stored_end,
+        lease_ms=lease_ms,
+        complete=True,
+        worker=worker.name,
+        born_ms=worker.born_ms,
+    )
+    if not worker.is_known:
+        return orders
+    orders.starts = [
+        start_order(charge)
+        for charge in worker.charges_by_task.values()
+        if _is_open(charge) and (charge.task.name, charge.run) in committed
+    ]
+    orders.stops = list_stops(worker)
+    orders.paces = _list_paces(worker)
+    return orders
+
+
+def start_order(charge: Charge) -> StartOrder:
+    """Return the order that starts a run."""
+    task = charge.task
+    return StartOrder(
+        task=task.name,
+        run=charge.run,
+        payload=task.job.accepted.declaration.payload,
+        checkpoint=task.checkpoint,
+    )
+
+
+def list_stops(worker: Worker) -> list[StopOrder]:
+    """Return the runs that must not go on."""
+    stops = [
+        StopOrder(task=task, run=run)
+        for task, run in worker.strays_by_task.items()
+    ]
+    stops.extend(
+        StopOrder(task=charge.task.name, run=charge.run)
+        for charge in worker.charges_by_task.values()
+        if charge.task.job.is_final
+    )
+    return stops
+
+
+def _list_paces(worker: Worker) -> list[PaceOrder]:
+    paces: list[PaceOrder] = []
+    for charge in list_paces(worker):
+        charge.paced_percent = worker.fill_percent
+        paces.append(
+            PaceOrder(
+                task=charge.task.name,
+                run=charge.run,
+                percent=worker.fill_percent,
+            ),
+        )
+    return paces
+
+
+def _is_open(charge: Charge) -> bool:
+    return not charge.is_confirmed and not charge.task.job.is_final
--- /dev/null
+++ b/wasabiturn/process/control/batch/pipeline.py
@@ -0,0 +1,136 @@
+"""Changes of the book on their way through the replicated log.
+
+The leader decides on its own copy, the book ahead, to which each change is
+applied when it is recorded. What a change means for others is said only once
+it is committed. All that is recorded in one turn of the loop is one command.
+"""
+
+from collections.abc import Callable
+from typing import Any, final
+
+import attrs
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from wasabiturn.batch import BatchBook, apply_batch_change
+from wasabiturn.connection.calls import CallError
+from wasabiturn.messages.batch import BatchChange
+from wasabiturn.messages.kinds import FailureCode
+from wasabiturn.messages.state import Command, Outcome
+from wasabiturn.process.control.submission import submit
+from wasabiturn.version.replica import Replica
+
+
+@final
+@attrs.define
+class _Batch:
+    change: BatchChange = attrs.field(factory=BatchChange)
+    waiting: list[Deferred[None]] = attrs.field(factory=list)
+
+
+@final
+class Pipeline:
+    """Commits changes of one term of this leader."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        clock: Any,
+        book: BatchBook,
+        on_flush: Callable[[], None],
+        on_commit: Callable[[BatchChange], None],
+        on_failure: Callable[[], None],
+    ) -> None:
+        """Create the pipeline; ``on_flush`` may record more."""
+        self.book = book
+        self.is_closed = False
+        self._replica = replica
+        self._clock = clock
+        self._on_flush = on_flush
+        self._on_commit = on_commit
+        self._on_failure = on_failure
+        self._batch = _Batch()
+        self._flush_call: Any = None
+
+    def record(self, change: BatchChange) -> Deferred[None]:
+        """Apply ``change`` to the book ahead, and commit it.
+
+        The Deferred fails with ``CallError`` when that is not certain.
+        """
+        self.add(change)
+        committed: Deferred[None] = Deferred()
+        self._batch.waiting.append(committed)
+        return committed
+
+    def add(self, change: BatchChange) -> BatchChange:
+        """Apply ``change`` to the book ahead, and commit it unwatched.
+
+        Returns the change that it became part of.
+        """
+        apply_batch_change(self.book, change)
+        _merge(self._batch.change, change)
+        self.wake_up()
+        return self._batch.change
+
+    def wake_up(self) -> None:
+        """Plan and flush at the end of this turn of the loop."""
+        if self._flush_call is None and not self.is_closed:
+            self._flush_call = self._clock.callLater(0, self._flush)
+
+    def close(self) -> None:
+        """Stop; what was not yet submitted has certainly not run."""
+        self.is_closed = True
+        if self._flush_call is not None:
+            self._flush_call.cancel()
+            self._flush_call = None
+        error = CallError(FailureCode.not_leader, 'leadership was lost')
+        _fail_all(self._take().waiting, error)
+
+    def _flush(self) -> None:
+        self._on_flush()
+        self._flush_call = None
+        batch = self._take()
+        if batch.change == BatchChange():
+            _settle(batch.waiting)
+            return
+        submitted = submit(self._replica, Command(batch=batch.change))
+        submitted.addCallbacks(self._finish, self._abandon, (batch,), {}, (batch,))
+
+    def _take(self) -> _Batch:
+        batch = self._batch
+        self._batch = _Batch()
+        return batch
+
+    def _finish(self, outcome: Outcome, batch: _Batch) -> None:
+        if not self.is_closed:
+            self._on_commit(batch.change)
+        _settle(batch.waiting)
+
+    def _abandon(self, failure: Failure, batch: _Batch) -> None:
+        error: Any = failure.value
+        if not isinstance(error, CallError):
+            error = CallError(FailureCode.outcome_unknown, repr(error))
+        _fail_all(batch.waiting, error)
+        if not self.is_closed:
+            self._on_failure()
+
+
+def _merge(merged: BatchChange, change: BatchChange) -> None:
+    if change.routing is not None:
+        merged.routing = change.routing
+    merged.marks.extend(change.marks)
+    merged.accepts.extend(change.accepts)
+    merged.cancels.extend(change.cancels)
+    merged.ends.extend(change.ends)
+    merged.starts.extend(change.starts)
+    merged.forgets.extend(change.forgets)
+
+
+def _settle(waiting: list[Deferred[None]]) -> None:
+    for committed in waiting:
+        committed.callback(None)
+
+
+def _fail_all(waiting: list[Deferred[None]], error: CallError) -> None:
+    for committed in waiting:
+        committed.errback(error)
--- a/wasabiturn/process/control/member.py
+++ b/wasabiturn/process/control/member.py
@@ -27,7 +27,7 @@
     take_effects,
 )
 from wasabiturn.version.raft.membership import name_of
-from wasabiturn.version.raft.state import RaftState
+from wasabiturn.version.raft.state import GroupRules, RaftState
 from wasabiturn.version.replica import CommandTooLargeError, NotLeaderError
 from wasabiturn.version.storage import Store, open_store
 
@@ -164,6 +164,7 @@
         store.recovered,
         random,
         now,
+        GroupRules(voters=section.voters, may_found=section.may_found),
     )
     if raft.snapshot is not None:
         applier.restore(raft.snapshot)
--- /dev/null
+++ b/wasabiturn/process/control_group.py
@@ -0,0 +1,110 @@
+"""Links of one process to an open control group, whose members change.
+
+The process is told a few instances to ask first. Any member tells the others.
+"""
+
+from random import Random
+from typing import Any, final
+
+from twisted.internet.task import LoopingCall
+from twisted.python.failure import Failure
+
+from wasabiturn.connection.dialer import Dialer, Endpoint
+from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.connection.link import Link
+from wasabiturn.messages.batch import MemberList
+from wasabiturn.messages.kinds import Method
+from wasabiturn.messages.link import Nothing
+from wasabiturn.process.leader_calls import LeaderCalls
+from wasabiturn.utils.logs import create_part_log
+
+REFRESH_SECONDS = 1.0
+CALL_TIMEOUT_SECONDS = 1.0
+
+_log = create_part_log('group')
+
+
+@final
+class ControlGroup:
+    """Keeps a link to each member of the control group open."""
+
+    def __init__(
+        self,
+        seeds: tuple[str, ...],
+        port: int,
+        dispatch: Dispatch,
+        reactor: Any,
+        random: Random,
+    ) -> None:
+        """Create the links; ``seeds`` are IP numbers of members."""
+        self._seeds = seeds
+        self._port = port
+        self._dispatch = dispatch
+        self._reactor = reactor
+        self._random = random
+        self._dialers_by_name: dict[str, Dialer] = {}
+        self._ticker = LoopingCall(self._refresh)
+        self._ticker.clock = reactor
+        self.calls = LeaderCalls(self.open_links, reactor, random)
+
+    def start(self) -> None:
+        """Dial the seeds and begin to ask for the members."""
+        self.use_seeds(self._seeds)
+        self._ticker.start(REFRESH_SECONDS, now=False)
+
+    def stop(self) -> None:
+        """Close the links."""
+        if self._ticker.running:
+            self._ticker.stop()
+        for dialer in self._dialers_by_name.values():
+            dialer.stop()
+
+    def use_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Ask other members first."""
+        self._seeds = seeds
+        for name in seeds:
+            self._dial(name)
+
+    def open_links(self) -> list[Link]:
+        """Return the links that are open."""
+        links = [dialer.link for dialer in self._dialers_by_name.values()]
+        return [link for link in links if link is not None and link.is_open]
+
+    def _dial(self, name: str) -> None:
+        if name in self._dialers_by_name:
+            return
+        dialer = Dialer(
+            endpoint=Endpoint(name, self._port),
+            dispatch=self._dispatch,
+            reactor=self._reactor,
+            random=self._random,
+        )
+        self._dialers_by_name[name] = dialer
+        dialer.start()
+
+    def _refresh(self) -> None:
+        links = self.open_links()
+        if not links:
+            return
+        asked = self._random.choice(links).call(
+            Method.members,
+            Nothing(),
+            MemberList,
+            CALL_TIMEOUT_SECONDS,
+        )
+        asked.addCallbacks(self._take_members, _log_failure)
+
+    def _take_members(self, members: MemberList) -> None:
+        if not members.names:
+            return
+        for name in members.names:
+            self._dial(name)
+        kept = {*members.names, *self._seeds}
+        for name, dialer in list(self._dialers_by_name.items()):
+            if name not in kept and dialer.link is None:
+                dialer.stop()
+                self._dialers_by_name.pop(name)
+
+
+def _log_failure(failure: Failure) -> None:
+    _log.event('members not told', error=str(failure.value))
--- a/wasabiturn/process/daemon.py
+++ b/wasabiturn/process/daemon.py
@@ -4,7 +4,7 @@
 import sys
 from collections.abc import Callable
 from contextlib import ExitStack
-from typing import Any, Protocol, final
+from typing import Any, Protocol, TextIO, final
 
 import attrs
 from twisted.internet.defer import Deferred
@@ -12,6 +12,7 @@
 
 from wasabiturn.conf import Settings
 from wasabiturn.exceptions import ProcessError, WasabiturnError
+from wasabiturn.utils.bounded_lines import BoundedLines, open_bounded_lines
 from wasabiturn.utils.clock import use_boot_clock
 from wasabiturn.utils.logs import create_part_log, open_log_output
 from wasabiturn.utils.metrics import Metrics, create_metrics
@@ -51,6 +52,7 @@
     on_failure: Callable[[WasabiturnError], None] = attrs.field(
         default=_raise_failure,
     )
+    on_reload: list[Callable[[], None]] = attrs.field(factory=list)
 
     def fail(self, error: WasabiturnError) -> None:
         """Stop the process at once, without draining, with exit status 1."""
@@ -89,7 +91,7 @@
 
 
 def _open_log(settings: Settings, stack: ExitStack) -> None:
-    stream = sys.stderr
+    stream: TextIO | BoundedLines = open_bounded_lines(sys.stdout.fileno())
     if settings.logging.file is not None:
         settings.logging.file.parent.mkdir(parents=True, exist_ok=True)
         stream = stack.enter_context(
@@ -124,6 +126,7 @@
         reactor = self._context.reactor
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGINT, self._on_signal)
+        signal.signal(signal.SIGHUP, self._on_hangup)
         reactor.run(installSignalHandlers=False)
 
     def _fail(self, error: WasabiturnError) -> None:
@@ -137,6 +140,14 @@
     def _on_signal(self, number: int, frame: Any) -> None:
         self._context.reactor.callFromThread(self._drain)
 
+    def _on_hangup(self, number: int, frame: Any) -> None:
+        self._context.reactor.callFromThread(self._reload)
+
+    def _reload(self) -> None:
+        _log.event('reloading')
+        for callback in self._context.on_reload:
+            callback()
+
     def _drain(self) -> None:
         if self._stopping:
             return
--- a/wasabiturn/utils/logs.py
+++ b/wasabiturn/utils/logs.py
@@ -11,6 +11,8 @@
     remove_destination,
 )
 
+from wasabiturn.utils.bounded_lines import BoundedLines
+
 LEVELS = ('decision', 'event', 'warning')
 
 
@@ -46,7 +48,7 @@
 class LogOutput:
     """Destination of the process's log lines; closing it stops them."""
 
-    stream: TextIO
+    stream: TextIO | BoundedLines
     destination: Callable[[dict[str, Any]], None]
 
     def close(self) -> None:
@@ -60,7 +62,10 @@
     return PartLog(part=part)
 
 
-def open_log_output(stream: TextIO, level: str) -> LogOutput:
+def open_log_output(
+    stream: TextIO | BoundedLines,
+    level: str,
+) -> LogOutput:
     """Send the lines of this process at ``level`` or above as JSON.
 
     Levels from the lowest: ``decision``, ``event``, ``warning``.
--- a/wasabiturn/version/apply.py
+++ b/wasabiturn/version/apply.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from wasabiturn.batch.apply import apply_batch_change
+from wasabiturn.messages.batch import BatchChange
 from wasabiturn.messages.codec import pack
 from wasabiturn.messages.kinds import OutcomeCode
 from wasabiturn.messages.state import (
@@ -15,6 +17,7 @@
     Command,
     DeleteResource,
     ExpireClaims,
+    Outcome,
     PutResource,
     RecordAnswers,
     RememberedOutcome,
@@ -72,6 +75,12 @@
 apply_body.register(ExpireClaims, expire_claims)
 
 
+@apply_body.register
+def _(body: BatchChange, state: State) -> Effect:
+    apply_batch_change(state.batch, body)
+    return Effect(outcome=Outcome(revision=state.revision))
+
+
 def _body_of(command: Command) -> object:
     bodies = [
         getattr(command, field.name)
--- a/wasabiturn/version/persistence.py
+++ b/wasabiturn/version/persistence.py
@@ -1,5 +1,6 @@
 """The state as bytes, for snapshots."""
 
+from wasabiturn.batch.dump import dump_book, load_book
 from wasabiturn.exceptions import StorageError
 from wasabiturn.messages.codec import CodecError, pack, unpack
 from wasabiturn.messages.state import StateDump
@@ -23,6 +24,7 @@
         claims=list(state.claims_by_key.values()),
         outcomes=list(state.outcomes_by_request_id.values()),
         history=list(state.history),
+        batch=dump_book(state.batch),
     )
     return pack(dump)
 
@@ -57,3 +59,5 @@
     for remembered in dump.outcomes:
         state.outcomes_by_request_id[remembered.request_id] = remembered
     state.history.extend(dump.history)
+    if dump.batch is not None:
+        state.batch = load_book(dump.batch)
--- a/wasabiturn/version/raft/core.py
+++ b/wasabiturn/version/raft/core.py
@@ -26,6 +26,7 @@
 from wasabiturn.version.raft.receipt import receive
 from wasabiturn.version.raft.state import (
     Effects,
+    GroupRules,
     RaftState,
     Recovered,
     Unsaved,
@@ -63,6 +64,7 @@
     recovered: Recovered,
     random: Random,
     now: float,
+    rules: GroupRules | None = None,
 ) -> RaftState:
     """Create a member from what storage held.
 
@@ -74,6 +76,7 @@
         names=names,
         random=random,
         life=random.getrandbits(_LIFE_BITS),
+        rules=rules or GroupRules(),
         ballot=recovered.ballot,
     )
     if recovered.snapshot is not None:
--- a/wasabiturn/version/raft/introduction.py
+++ b/wasabiturn/version/raft/introduction.py
@@ -4,6 +4,9 @@
 itself to every named instance. The first named instance founds the cluster
 once every other one has answered that it has no cluster either; if one has,
 this member's disk was lost or replaced, and the leader takes it in.
+
+In an open group a voter that hears no leader introduces itself too: others may
+have taken its place while it was away.
 """
 
 from wasabiturn.messages.codec import pack
@@ -17,6 +20,7 @@
     Membership,
 )
 from wasabiturn.version.raft import membership
+from wasabiturn.version.raft.lease import hears_leader
 from wasabiturn.version.raft.state import (
     Introduction,
     RaftState,
@@ -30,7 +34,7 @@
 
 def introduce(state: RaftState, now: float) -> None:
     """Introduce this member to all others while it has no vote."""
-    if membership.is_voter(state) or now < state.next_introduction_at:
+    if now < state.next_introduction_at or not _needs_others(state, now):
         return
     state.next_introduction_at = now + INTRODUCTION_SECONDS
     for name in _other_names(state):
@@ -40,6 +44,12 @@
         _found(state, now)
 
 
+def _needs_others(state: RaftState, now: float) -> bool:
+    if not membership.is_voter(state):
+        return True
+    return state.rules.is_open and not hears_leader(state, now)
+
+
 def handle_introduce(state: RaftState, envelope: Envelope, now: float) -> None:
     """Remember who introduced itself, and say whether there is a cluster."""
     _remember(state, envelope.sender, now, initialised=False)
@@ -64,7 +74,7 @@
     initialised: bool,
 ) -> None:
     name = membership.name_of(member_id)
-    if name in state.names:
+    if state.rules.is_open or name in state.names:
         state.introductions_by_name[name] = Introduction(
             member_id=member_id,
             heard_at=now,
@@ -74,12 +84,19 @@
 
 def _other_names(state: RaftState) -> list[str]:
     own = membership.name_of(state.member_id)
-    return [name for name in state.names if name != own]
+    names = dict.fromkeys(state.names)
+    if state.rules.is_open:
+        names.update(
+            dict.fromkeys(map(membership.name_of, membership.peers(state))),
+        )
+    return [name for name in names if name != own]
 
 
 def _may_found(state: RaftState, now: float) -> bool:
     if state.ballot.cluster or state.log.last_index:
         return False
+    if not state.rules.may_found:
+        return False
     if membership.name_of(state.member_id) != state.names[0]:
         return False
     return all(_is_blank(state, name, now) for name in _other_names(state))
--- a/wasabiturn/version/raft/reconfiguration.py
+++ b/wasabiturn/version/raft/reconfiguration.py
@@ -4,12 +4,16 @@
 the old incarnation is silent, the leader commits the removal of the old voter
 and then the vote of the new one. An instance that the settings name anew joins
 in the same way; one that they name no longer is removed once it is silent.
+
+An open group keeps a fixed number of voters. A learner of another instance
+takes the place of a voter only after that has been silent for longer than a
+pause or a restart lasts; learners that are gone are removed much later.
 """
 
 from wasabiturn.messages.codec import pack
 from wasabiturn.messages.kinds import EntryKind
 from wasabiturn.messages.raft import Entry, Member, Membership
-from wasabiturn.version.raft.membership import current, name_of
+from wasabiturn.version.raft.membership import current, name_of, voters
 from wasabiturn.version.raft.replication import append
 from wasabiturn.version.raft.state import Leadership, RaftState
 from wasabiturn.version.raft.timing import (
@@ -18,6 +22,10 @@
 )
 
 MAX_LEARNER_LAG_ENTRIES = 256
+# A voter that is silent for longer gives its place to a learner.
+REPLACEMENT_SECONDS = 4.0
+# A learner that is silent for longer is forgotten.
+DEPARTURE_SECONDS = 60.0
 
 
 def tend_members(state: RaftState, now: float) -> None:
@@ -45,7 +53,9 @@
     for member in members:
         if member.voter or not _has_caught_up(state, leadership, member, now):
             continue
-        return _exchange(leadership, members, member, now)
+        exchanged = _exchange(state, leadership, member, now)
+        if exchanged is not None or not state.rules.is_open:
+            return exchanged
     return _remove_departed(state, leadership, members, now)
 
 
@@ -57,13 +67,25 @@
 ) -> list[Member] | None:
     """Remove a silent member whose instance the settings no longer name."""
     for member in members:
-        if name_of(member.member_id) in state.names:
-            continue
-        if _is_silent(leadership, member, now):
+        if _may_remove(state, leadership, member, now):
             return [other for other in members if other is not member]
     return None
 
 
+def _may_remove(
+    state: RaftState,
+    leadership: Leadership,
+    member: Member,
+    now: float,
+) -> bool:
+    if state.rules.is_open:
+        silent = _silent_seconds(leadership, member, now)
+        return not member.voter and silent > DEPARTURE_SECONDS
+    if name_of(member.member_id) in state.names:
+        return False
+    return _is_silent(leadership, member, now)
+
+
 def _find_newcomer(
     state: RaftState,
     members: list[Member],
@@ -100,13 +122,17 @@
 
 
 def _exchange(
+    state: RaftState,
     leadership: Leadership,
-    members: list[Member],
     learner: Member,
     now: float,
 ) -> list[Member] | None:
-    """Remove the old voter of the learner's instance, or else promote it."""
+    """Remove the voter whose place the learner takes, or else promote it."""
+    members = current(state).members
     old = _find_old_voter(members, learner)
+    if old is None and _is_full(state):
+        old = _find_replaceable(leadership, members, now)
+        return old and [member for member in members if member is not old]
     if old is None:
         promoted = Member(member_id=learner.member_id, voter=True)
         return [promoted if each is learner else each for each in members]
@@ -115,6 +141,23 @@
     return [member for member in members if member is not old]
 
 
+def _is_full(state: RaftState) -> bool:
+    return state.rules.is_open and len(voters(state)) >= state.rules.voters
+
+
+def _find_replaceable(
+    leadership: Leadership,
+    members: list[Member],
+    now: float,
+) -> Member | None:
+    for member in members:
+        if not member.voter:
+            continue
+        if _silent_seconds(leadership, member, now) > REPLACEMENT_SECONDS:
+            return member
+    return None
+
+
 def _find_old_voter(members: list[Member], learner: Member) -> Member | None:
     name = name_of(learner.member_id)
     for member in members:
@@ -124,8 +167,16 @@
 
 
 def _is_silent(leadership: Leadership, member: Member, now: float) -> bool:
+    return _silent_seconds(leadership, member, now) > CHECK_QUORUM_SECONDS
+
+
+def _silent_seconds(
+    leadership: Leadership,
+    member: Member,
+    now: float,
+) -> float:
+    """Return for how long a member has not answered; 0 for the leader."""
     progress = leadership.progress_by_id.get(member.member_id)
     if progress is None:
-        return False
-    heard_at = max(leadership.since, progress.acknowledged_sent_at)
-    return now > heard_at + CHECK_QUORUM_SECONDS
+        return 0
+    return now - max(leadership.since, progress.acknowledged_sent_at)
--- a/wasabiturn/version/raft/state.py
+++ b/wasabiturn/version/raft/state.py
@@ -131,6 +131,26 @@
     committed: list[Entry]
 
 
+@final
+@attrs.frozen
+class GroupRules:
+    """How the group forms and changes.
+
+    A closed group has just the instances that the settings name as members. An
+    open one, whose settings name a few to ask, takes in every instance that
+    introduces itself; ``voters`` of its members vote, 0 for a closed group.
+    Only a member that ``may_found`` begins a group.
+    """
+
+    voters: int = 0
+    may_found: bool = True
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether instances that the settings do not name may join."""
+        return self.voters > 0
+
+
 @final
 @attrs.define
 class RaftState:
@@ -140,6 +160,7 @@
     names: tuple[str, ...]
     random: Random
     life: int
+    rules: GroupRules = attrs.field(factory=GroupRules)
     ballot: Ballot = attrs.field(factory=Ballot)
     log: Log = attrs.field(factory=Log)
     snapshot: Snapshot | None = None
