--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -60,6 +60,7 @@
     memory_mb: int = 0
     accelerators: int = 0
     fill_millicores: int = 0
+    lasting_millicores: int = 0
     seen_end: int = 0
     stored_end: int = 0
     pending_ends: deque[tuple[int, BatchChange]] = attrs.field(factory=deque)
@@ -94,6 +95,8 @@
             self.fill_millicores += sign * step.millicores
         else:
             self.millicores += sign * step.millicores
+        if step.lasting:
+            self.lasting_millicores += sign * step.millicores
         self.memory_mb += sign * step.memory_mb
         self.accelerators += sign * step.accelerators
 
--- a/wasabiturn/batch/planning.py
+++ b/wasabiturn/batch/planning.py
@@ -23,6 +23,8 @@
 LASTING_USE = 0.55
 # A late result is still of use up to this multiple of the objective.
 LATE_FACTOR = 3
+# Weight of what a task should stay away from, in the room of a worker.
+FOREIGN_FACTOR = 100
 _FULL_SHARE = 100
 
 
@@ -241,18 +243,29 @@
 
 
 def _score(task: Task, worker: Worker) -> float | None:
-    """Prefer room left over, the data's rack, and workers that did not fail."""
+    """Return how well a worker suits a task; ``None`` where it must not go.
+
+    Filling tasks disturb lasting ones, so lasting tasks share few workers, short
+    tasks go beside them, and filling tasks have the other workers to
+    themselves while there is room on these.
+    """
     step = task.step
-    left = float(worker.report.millicores - worker.millicores)
+    size = worker.report.millicores
     if step.fills:
-        left = leftover_millicores(worker)
-        if left < step.millicores and worker.fill_millicores:
+        suits = leftover_millicores(worker)
+        if suits < step.millicores and worker.fill_millicores:
             return None
+        suits -= FOREIGN_FACTOR * worker.lasting_millicores
+    elif step.lasting:
+        suits = float(worker.lasting_millicores - worker.fill_millicores)
+    else:
+        suits = float(size - worker.millicores)
+        suits -= size if not worker.lasting_millicores else 0
     if task.failures and task.worker == worker.name:
-        left -= worker.report.millicores
+        suits -= FOREIGN_FACTOR * size
     if step.preferred_rack and step.preferred_rack == worker.report.rack:
-        left += worker.report.millicores
-    return left
+        suits += size
+    return suits
 
 
 def leftover_millicores(worker: Worker) -> float:
