--- a/wasabiturn/batch/planning.py
+++ b/wasabiturn/batch/planning.py
@@ -143,15 +143,15 @@
 def _start_gang(part: Part, workers: list[Worker]) -> Iterator[StartRun]:
     """Start all members under one run number, or none."""
     tasks = [
-        task
-        for task in part.job.tasks_by_name.values()
-        if task.part is part
+        task for task in part.job.tasks_by_name.values() if task.part is part
     ]
     if any(task.state is not BatchTaskState.waiting for task in tasks):
         return
     placed = _place_gang(part, tasks, workers)
     run = max(task.run for task in tasks) + 1
-    checkpoint = next((task.checkpoint for task in tasks if task.checkpoint), '')
+    checkpoint = next(
+        (task.checkpoint for task in tasks if task.checkpoint), ''
+    )
     for task, worker in placed:
         task.checkpoint = checkpoint
         yield _start(task, worker, run)
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -105,9 +105,7 @@
 
     task: str = ''
     run: int = 0
-    ending: RunEnding = attrs.field(
-        default=RunEnding.lost, converter=RunEnding
-    )
+    ending: RunEnding = attrs.field(default=RunEnding.lost, converter=RunEnding)
     checkpoint: str = ''
 
 
@@ -184,9 +182,7 @@
     """Job in a snapshot."""
 
     accepted: AcceptJob = attrs.field(factory=AcceptJob)
-    state: JobState = attrs.field(
-        default=JobState.queued, converter=JobState
-    )
+    state: JobState = attrs.field(default=JobState.queued, converter=JobState)
     tasks: list[TaskRecord] = attrs.field(factory=list)
 
 
@@ -207,9 +203,7 @@
 class JobCall:
     """What a caller asks of a queue."""
 
-    action: JobAction = attrs.field(
-        default=JobAction.read, converter=JobAction
-    )
+    action: JobAction = attrs.field(default=JobAction.read, converter=JobAction)
     host: str = ''
     path: str = ''
     request_id: str = ''
@@ -225,9 +219,7 @@
     outcome: JobOutcome = attrs.field(
         default=JobOutcome.ok, converter=JobOutcome
     )
-    state: JobState = attrs.field(
-        default=JobState.queued, converter=JobState
-    )
+    state: JobState = attrs.field(default=JobState.queued, converter=JobState)
     pending: int = 0
     retry_after_ms: int = 0
 
@@ -290,9 +282,7 @@
     number: int = 0
     task: str = ''
     run: int = 0
-    ending: RunEnding = attrs.field(
-        default=RunEnding.lost, converter=RunEnding
-    )
+    ending: RunEnding = attrs.field(default=RunEnding.lost, converter=RunEnding)
     checkpoint: str = ''
 
 
--- a/wasabiturn/platform/operators.py
+++ b/wasabiturn/platform/operators.py
@@ -50,7 +50,10 @@
         if path == _PUT_PATH:
             put = PutRouting(routing=decode_routing(body))
             return self._order(Method.put_routing, put)
-        for prefix, out in ((_TAKE_OUT_PREFIX, True), (_BRING_BACK_PREFIX, False)):
+        for prefix, out in (
+            (_TAKE_OUT_PREFIX, True),
+            (_BRING_BACK_PREFIX, False),
+        ):
             if path.startswith(prefix):
                 return self._mark(path.removeprefix(prefix), out)
         return _no_such(path)
--- a/wasabiturn/process/agent/runs/keeper.py
+++ b/wasabiturn/process/agent/runs/keeper.py
@@ -45,7 +45,9 @@
 class RunKeeper:
     """Keeps the runs of the worker beside this agent."""
 
-    def __init__(self, port: WorkerPort, calls: LeaderCalls, clock: Any) -> None:
+    def __init__(
+        self, port: WorkerPort, calls: LeaderCalls, clock: Any
+    ) -> None:
         """Create the keeper; it begins with the worker's announcement."""
         self._port = port
         self._calls = calls
@@ -148,7 +150,9 @@
             return
         if listing.born_ms > identity.born_ms:
             # The worker has begun another life under the same name.
-            self._clock.callLater(HOLD_RETRY_SECONDS, self._hold_again, identity)
+            self._clock.callLater(
+                HOLD_RETRY_SECONDS, self._hold_again, identity
+            )
             return
         self._grants.read_clock(listing, self._now())
         self._refuses = False
--- a/wasabiturn/process/control/batch/leader.py
+++ b/wasabiturn/process/control/batch/leader.py
@@ -221,7 +221,12 @@
         final_ids = (
             job_id for job_id, job in book.jobs_by_id.items() if job.is_final
         )
-        surplus = [job_id for job_id, _ in zip(final_ids, range(ended - MAX_ENDED_JOBS), strict=False)]
+        surplus = [
+            job_id
+            for job_id, _ in zip(
+                final_ids, range(ended - MAX_ENDED_JOBS), strict=False
+            )
+        ]
         pipeline.add(BatchChange(forgets=surplus))
 
     def _plan(self) -> None:
--- a/wasabiturn/process/control/batch/pipeline.py
+++ b/wasabiturn/process/control/batch/pipeline.py
@@ -94,7 +94,9 @@
             _settle(batch.waiting)
             return
         submitted = submit(self._replica, Command(batch=batch.change))
-        submitted.addCallbacks(self._finish, self._abandon, (batch,), {}, (batch,))
+        submitted.addCallbacks(
+            self._finish, self._abandon, (batch,), {}, (batch,)
+        )
 
     def _take(self) -> _Batch:
         batch = self._batch
--- a/wasabiturn/utils/bounded_lines.py
+++ b/wasabiturn/utils/bounded_lines.py
@@ -43,7 +43,9 @@
         if self.dropped:
             dropped = self.dropped
             self.dropped = 0
-            self._write(b'{"text": "log: dropped lines", "count": %d}\n' % dropped)
+            self._write(
+                b'{"text": "log: dropped lines", "count": %d}\n' % dropped
+            )
 
     def _write(self, line: bytes) -> None:
         try:
