--- a/wasabiturn/batch/apply.py
+++ b/wasabiturn/batch/apply.py
@@ -85,10 +85,10 @@
         return
     if task.state is BatchTaskState.active:
         book.end_run(task)
-    elif not _ended_before_it_was_lost(task, end):
-        return
-    else:
+    elif _ended_before_it_was_lost(task, end):
         task.job.waiting_tasks -= 1
+    else:
+        return
     if end.checkpoint:
         task.checkpoint = end.checkpoint
     if task.job.is_final:
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -44,7 +44,8 @@
     """One life of a worker; times are seconds of the leader's loop.
 
     ``lease_ends_at`` is when all that the worker ran under leases of this
-    leader or an earlier one has ended for certain.
+    leader or an earlier one has ended for certain. ``inherited_by_task`` holds
+    runs of an earlier life under this name: their starts may still come.
     """
 
     name: str
@@ -54,6 +55,7 @@
     heard_at: float = NEVER
     is_known: bool = False
     is_gone: bool = False
+    is_succeeded: bool = False
     lease_ends_at: float = NEVER
     charges_by_task: dict[str, Charge] = attrs.field(factory=dict)
     millicores: int = 0
@@ -64,6 +66,7 @@
     seen_end: int = 0
     stored_end: int = 0
     pending_ends: deque[tuple[int, BatchChange]] = attrs.field(factory=deque)
+    inherited_by_task: dict[str, int] = attrs.field(factory=dict)
     strays_by_task: dict[str, int] = attrs.field(factory=dict)
     fill_percent: int = 100
     failures_in_row: int = 0
@@ -130,6 +133,10 @@
             self.workers_by_life[name, born_ms] = worker
         return worker
 
-    def forget(self, worker: Worker) -> None:
-        """Drop a life that has nothing charged."""
-        self.workers_by_life.pop((worker.name, worker.born_ms), None)
+    def forget_ended(self) -> None:
+        """Drop the lives that others have followed and that run nothing."""
+        self.workers_by_life = {
+            life: worker
+            for life, worker in self.workers_by_life.items()
+            if worker.charges_by_task or not worker.is_succeeded
+        }
--- /dev/null
+++ b/wasabiturn/batch/gangs.py
@@ -0,0 +1,62 @@
+"""Gangs: tasks of one step that start together, under one run number."""
+
+from collections.abc import Iterator
+
+from wasabiturn.batch.fleet import Worker
+from wasabiturn.batch.jobs import Part, Task
+from wasabiturn.batch.placing import Places
+from wasabiturn.messages.batch import StartRun, Step
+from wasabiturn.messages.kinds import BatchTaskState
+
+
+def start_gang(part: Part, places: Places) -> Iterator[StartRun]:
+    """Start all members, or none."""
+    tasks = part.open_tasks()
+    if any(task.state is not BatchTaskState.waiting for task in tasks):
+        return
+    run = max((task.run for task in tasks), default=0) + 1
+    for task, worker in _place(part, tasks, places.workers):
+        yield StartRun(
+            task=task.name,
+            run=run,
+            worker=worker.name,
+            born_ms=worker.born_ms,
+        )
+
+
+def _place(
+    part: Part,
+    tasks: list[Task],
+    workers: list[Worker],
+) -> list[tuple[Task, Worker]]:
+    """Find room for all members, on one rack if that has it."""
+    for rack in sorted({worker.report.rack for worker in workers}):
+        on_rack = [each for each in workers if each.report.rack == rack]
+        placed = _fit_all(part.step, tasks, on_rack)
+        if placed:
+            return placed
+    return _fit_all(part.step, tasks, workers)
+
+
+def _fit_all(
+    step: Step,
+    tasks: list[Task],
+    workers: list[Worker],
+) -> list[tuple[Task, Worker]]:
+    placed: list[tuple[Task, Worker]] = []
+    waiting = list(tasks)
+    limit = step.max_per_worker or len(tasks)
+    for worker in workers:
+        taken = 0
+        while waiting and taken < limit and _fits(step, worker, taken + 1):
+            placed.append((waiting.pop(), worker))
+            taken += 1
+    return [] if waiting else placed
+
+
+def _fits(step: Step, worker: Worker, members: int) -> bool:
+    if step.required_label and step.required_label not in worker.report.labels:
+        return False
+    millicores = 0 if step.fills else step.millicores * members
+    memory_mb = step.memory_mb * members
+    return worker.has_room(millicores, memory_mb, step.accelerators * members)
--- a/wasabiturn/batch/jobs.py
+++ b/wasabiturn/batch/jobs.py
@@ -8,7 +8,6 @@
 from wasabiturn.messages.kinds import BatchTaskState, JobState
 
 FINAL_STATES = frozenset((JobState.done, JobState.failed, JobState.cancelled))
-_MS_PER_SECOND = 1000
 
 
 @final
@@ -60,6 +59,14 @@
         """Return the name that the tasks of the part begin with."""
         return f'{self.job.job_id}.{self.occurrence}.{self.number}'
 
+    def open_tasks(self) -> list[Task]:
+        """Return the tasks that are not forgotten yet."""
+        return [
+            task
+            for task in self.job.tasks_by_name.values()
+            if task.part is self
+        ]
+
     def is_ready(self) -> bool:
         """Tell whether all steps before this one are done."""
         parts_by_key = self.job.parts_by_key
@@ -72,13 +79,17 @@
 @final
 @attrs.define(eq=False)
 class Job:
-    """A job that was accepted; tasks of an ended one are dropped."""
+    """A job that was accepted; tasks of an ended one are dropped.
+
+    ``objective_ms`` is how long it may take, by what its caller estimated.
+    """
 
     accepted: AcceptJob
     state: JobState = JobState.queued
     parts_by_key: dict[tuple[int, int], Part] = attrs.field(factory=dict)
     tasks_by_name: dict[str, Task] = attrs.field(factory=dict)
     waiting_tasks: int = 0
+    objective_ms: float = 0
 
     @property
     def job_id(self) -> str:
@@ -90,12 +101,6 @@
         """Tell whether nothing of the job may start any more."""
         return self.state in FINAL_STATES
 
-    def objective_ms(self) -> float:
-        """Return how long the job may take, by what its caller estimated."""
-        terms = self.accepted.terms
-        chain_ms = longest_chain_ms(self.accepted.declaration.steps)
-        return terms.stretch * chain_ms + terms.slack_ms
-
 
 def longest_chain_ms(steps: list[Step]) -> int:
     """Return the estimate of the longest chain of dependent steps."""
@@ -108,8 +113,13 @@
 
 def create_job(accepted: AcceptJob) -> Job:
     """Create a job whose tasks all wait."""
-    job = Job(accepted=accepted)
     declaration = accepted.declaration
+    terms = accepted.terms
+    chain_ms = longest_chain_ms(declaration.steps)
+    job = Job(
+        accepted=accepted,
+        objective_ms=terms.stretch * chain_ms + terms.slack_ms,
+    )
     for occurrence in range(max(declaration.occurrences, 1)):
         for number, step in enumerate(declaration.steps):
             _add_part(job, occurrence, number, step)
--- a/wasabiturn/batch/reports.py
+++ b/wasabiturn/batch/reports.py
@@ -35,6 +35,7 @@
         worker.is_known = True
         ends.extend(_settle_missing(worker, report))
     ends.extend(_take_refusals(worker, report))
+    ends.extend(_settle_inherited(worker, report))
     for end in ends:
         _note_health(worker, end, now)
     return ends
@@ -111,6 +112,21 @@
             charge.is_confirmed = True
 
 
+def _settle_inherited(
+    worker: Worker,
+    report: WorkerReport,
+) -> Iterator[EndRun]:
+    """Give up runs of an earlier life that this life agreed never to begin."""
+    for result in report.results:
+        run = worker.inherited_by_task.get(result.task)
+        if run == result.run and result.result is StartOutcome.refused:
+            worker.inherited_by_task.pop(result.task)
+            yield EndRun(task=result.task, run=run, ending=RunEnding.lost)
+    for row in report.ended:
+        if worker.inherited_by_task.get(row.task) == row.run:
+            worker.inherited_by_task.pop(row.task)
+
+
 def _not_started(charge: Charge) -> EndRun:
     return EndRun(
         task=charge.task.name,
--- a/wasabiturn/platform/__main__.py
+++ b/wasabiturn/platform/__main__.py
@@ -3,6 +3,7 @@
 import os
 import sys
 from pathlib import Path
+from types import MappingProxyType
 
 from wasabiturn.exceptions import SettingsError
 from wasabiturn.platform.programs import (
@@ -18,11 +19,13 @@
 
 SETTINGS_VARIABLE = 'WASABITURN_SETTINGS'
 EXIT_WRONG_USE = 2
-_FACTORIES_BY_PROGRAM = {
-    'control': create_control,
-    'entry': create_entry,
-    'agent': create_agent,
-}
+_FACTORIES_BY_PROGRAM = MappingProxyType(
+    {
+        'control': create_control,
+        'entry': create_entry,
+        'agent': create_agent,
+    }
+)
 
 
 def main(arguments: list[str]) -> int:
--- a/wasabiturn/platform/announcements.py
+++ b/wasabiturn/platform/announcements.py
@@ -5,7 +5,6 @@
 import attrs
 from twisted.web.server import Request
 
-from wasabiturn.platform.decoding import decode_identity
 from wasabiturn.platform.http_server import (
     BAD_REQUEST,
     NOT_FOUND,
@@ -14,6 +13,7 @@
     method_of,
     path_of,
 )
+from wasabiturn.platform.workers import decode_identity
 from wasabiturn.process.agent.runs import RunKeeper
 from wasabiturn.utils.logs import create_part_log
 
--- a/wasabiturn/platform/http_server.py
+++ b/wasabiturn/platform/http_server.py
@@ -13,7 +13,7 @@
 from wasabiturn.connection.calls import CallError
 from wasabiturn.connection.dialer import Endpoint
 from wasabiturn.messages.kinds import FailureCode
-from wasabiturn.platform.decoding import InvalidBodyError
+from wasabiturn.platform.fields import InvalidBodyError
 from wasabiturn.process.daemon import listen
 from wasabiturn.utils.logs import create_part_log
 
@@ -49,7 +49,8 @@
 class JsonResource(Resource):
     """Hands each request to ``handler`` and writes its reply."""
 
-    isLeaf = True
+    # The name is Twisted's.
+    isLeaf = True  # noqa: N815
 
     def __init__(self, handler: Handler) -> None:
         """Create the resource of a whole address."""
--- a/wasabiturn/platform/operators.py
+++ b/wasabiturn/platform/operators.py
@@ -14,7 +14,6 @@
 )
 from wasabiturn.messages.kinds import FailureCode, Method
 from wasabiturn.messages.link import Nothing
-from wasabiturn.platform.decoding import decode_routing
 from wasabiturn.platform.http_server import (
     NOT_FOUND,
     OK,
@@ -22,6 +21,7 @@
     method_of,
     path_of,
 )
+from wasabiturn.platform.routing import decode_routing
 from wasabiturn.process.leader_calls import LeaderCalls
 from wasabiturn.utils.logs import create_part_log
 
--- a/wasabiturn/platform/settings.py
+++ b/wasabiturn/platform/settings.py
@@ -59,12 +59,32 @@
     Raises:
         SettingsError: the file cannot be read, or a field is missing.
     """
+    return parse_platform_settings(source, read_text(source))
+
+
+def read_text(source: Path) -> str:
+    """Return the text of the settings file.
+
+    Raises:
+        SettingsError: the file cannot be read.
+    """
     try:
-        written = yaml.safe_load(source.read_text(encoding='utf-8'))
-        return _decode(source, written)
-    except (OSError, yaml.YAMLError) as error:
+        return source.read_text(encoding='utf-8')
+    except (OSError, UnicodeError) as error:
         raise SettingsError(f'{source}: cannot be read: {error}') from error
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+
+
+def parse_platform_settings(source: Path, text: str) -> PlatformSettings:
+    """Return the settings in ``text``, which ``source`` held.
+
+    Raises:
+        SettingsError: the text is no YAML, or a field is missing or wrong.
+    """
+    try:
+        return _decode(source, yaml.safe_load(text))
+    except yaml.YAMLError as error:
+        raise SettingsError(f'{source}: no YAML: {error}') from error
+    except (LookupError, TypeError, ValueError) as error:
         raise SettingsError(f'{source}: a field is wrong: {error!r}') from error
 
 
@@ -103,6 +123,8 @@
 
 
 def _decode(source: Path, written: dict[str, Any]) -> PlatformSettings:
+    if not isinstance(written, dict):
+        raise TypeError('no table')
     listen = written.get('listen') or {}
     folder = written.get('data_dir')
     bounds = written.get('bounds') or {}
--- a/wasabiturn/platform/worker_client.py
+++ b/wasabiturn/platform/worker_client.py
@@ -16,8 +16,9 @@
 from wasabiturn.connection.short_body import ShortBody
 from wasabiturn.exceptions import PlatformError
 from wasabiturn.messages.batch import PaceOrder, StartOrder, StopOrder
-from wasabiturn.platform.decoding import decode_listing, decode_object
+from wasabiturn.platform.fields import decode_object
 from wasabiturn.platform.http_server import OK, encode
+from wasabiturn.platform.workers import decode_listing
 from wasabiturn.process.agent.runs.port import (
     Hold,
     Listing,
@@ -136,11 +137,12 @@
                 'Wasabiturn-Expect-Instance': [identity.worker],
             },
         )
+        producer: Any = ShortBody(encode(body))
         sent: Deferred[Any] = self._agent.request(
             b'POST',
             f'{self._base}{path}'.encode(),
             headers,
-            ShortBody(encode(body)),
+            producer,
         )
         sent.addCallback(_read_answer)
         sent.addTimeout(timeout_seconds, self._reactor)
@@ -155,13 +157,17 @@
 def _check_status(body: bytes, status: int) -> bytes:
     if status == OK:
         return body
+    raise _error_of(body, status)
+
+
+def _error_of(body: bytes, status: int) -> PlatformError:
     if status == CONFLICT:
-        raise OrderRefusedError(str(decode_object(body).get('reason', '')))
+        return OrderRefusedError(str(decode_object(body).get('reason', '')))
     if status in NOT_DONE:
-        raise OrderRefusedError(f'status {status}')
+        return OrderRefusedError(f'status {status}')
     if status == OTHER_INSTANCE:
-        raise OtherLifeError('the worker has another life')
-    raise PlatformError(f'the worker answered with status {status}')
+        return OtherLifeError('the worker has another life')
+    return PlatformError(f'the worker answered with status {status}')
 
 
 def _translate(failure: Failure) -> Any:
--- a/wasabiturn/process/agent/runs/lease.py
+++ b/wasabiturn/process/agent/runs/lease.py
@@ -21,7 +21,7 @@
 @final
 @attrs.define
 class Grants:
-    """Grants for one life of a worker; times in loop seconds but for ``_ms``."""
+    """Grants for one life of a worker; times in loop seconds but ``_ms``."""
 
     clock_ms: int = 0
     clock_read_at: float = NEVER
--- a/wasabiturn/process/agent/runs/port.py
+++ b/wasabiturn/process/agent/runs/port.py
@@ -74,13 +74,15 @@
 class Hold:
     """Renewal of the lease of all runs, and acknowledgement of ends.
 
-    ``lease_until_ms`` is on the worker's clock; 0 renews nothing.
+    ``lease_until_ms`` is on the worker's clock; 0 renews nothing. ``number``
+    counts the holds that this agent has sent.
     """
 
     fence: int
     acknowledged: int
     lease_until_ms: int
     wait_ms: int
+    number: int = 0
 
 
 class WorkerPort(Protocol):
--- a/wasabiturn/process/agent/runs/starts.py
+++ b/wasabiturn/process/agent/runs/starts.py
@@ -15,7 +15,7 @@
 @final
 @attrs.define
 class Start:
-    """One ordered start; ``fence`` is the term of the leader that ordered it."""
+    """One ordered start; ``fence`` is the term of the leader that wants it."""
 
     order: StartOrder
     fence: int
@@ -23,6 +23,11 @@
     is_sent: bool = False
     reason: str = ''
 
+    @property
+    def is_under_way(self) -> bool:
+        """Tell whether the worker may still carry this out."""
+        return self.is_sent and self.outcome is StartOutcome.pending
+
 
 @final
 @attrs.define
@@ -64,11 +69,14 @@
         ]
 
     def forget_settled(self, still_ordered: set[RunKey]) -> None:
-        """Drop the settled starts that the leader no longer orders."""
+        """Drop the starts that the leader no longer orders.
+
+        Those on their way to the worker stay until they are settled.
+        """
         self.starts_by_run = {
             key: start
             for key, start in self.starts_by_run.items()
-            if start.outcome is StartOutcome.pending or key in still_ordered
+            if key in still_ordered or start.is_under_way
         }
 
     def drop_unsent(self, fence: int) -> None:
@@ -82,19 +90,21 @@
             if start.fence >= fence
         }
 
-    def settle_stops(self, listing: Listing, sent_holds: int) -> None:
-        """Refuse what was stopped before it came.
+    def settle(self, listing: Listing, sent_holds: int) -> None:
+        """Note what began, and refuse what was stopped before it came.
 
-        A run that the worker agreed to stop, and that a hold sent later does
+        A run that is listed needs to be sent no more. A run that the worker agreed to stop, and that a hold sent later does
         not list, never comes.
         """
-        listed = {(row.task, row.run) for row in listing.running}
-        listed.update((row.task, row.run) for row in listing.ended)
+        running = {(row.task, row.run) for row in listing.running}
+        ended = {(row.task, row.run) for row in listing.ended}
+        for key in (running | ended) & self.starts_by_run.keys():
+            self.starts_by_run[key].outcome = StartOutcome.started
         for key, sent_before in list(self.confirmed_stops.items()):
-            if sent_holds <= sent_before:
+            if sent_holds <= sent_before or key in running:
                 continue
             self.confirmed_stops.pop(key)
-            if key not in listed:
+            if key not in ended:
                 self._refuse(key)
 
     def _refuse(self, key: RunKey) -> None:
--- /dev/null
+++ b/wasabiturn/process/control/batch/lead.py
@@ -0,0 +1,186 @@
+"""One term of a leader at work on queues: its book ahead and its fleet."""
+
+import time
+from collections.abc import Callable
+from typing import Any, final
+
+from wasabiturn.batch import BatchBook, dump_book, load_book
+from wasabiturn.batch.fleet import Fleet, Worker
+from wasabiturn.batch.jobs import Task
+from wasabiturn.batch.ordering import Moment
+from wasabiturn.batch.planning import plan_starts
+from wasabiturn.batch.reports import find_lapsed, lose_worker
+from wasabiturn.connection.link import Link
+from wasabiturn.messages.batch import BatchChange, BatchDump, WorkerOrders
+from wasabiturn.messages.codec import pack, unpack
+from wasabiturn.messages.kinds import Method
+from wasabiturn.process.control.batch.orders import create_orders
+from wasabiturn.process.control.batch.pipeline import Pipeline
+from wasabiturn.utils.logs import create_part_log
+from wasabiturn.version.replica import Replica
+
+# Ended jobs beyond these are forgotten, oldest first.
+MAX_ENDED_JOBS = 4000
+# A worker's clock may run 2 % slow, and an answer takes its time.
+LEASE_DRIFT = 1.03
+LEASE_MARGIN_SECONDS = 0.2
+_MS = 1000
+
+_log = create_part_log('queues')
+
+
+def wall_clock_ms() -> int:
+    """Return Unix milliseconds, which may step."""
+    return int(time.time() * _MS)
+
+
+@final
+class Lead:
+    """Decides on a copy of the committed book until it is closed."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        clock: Any,
+        lease_ms: int,
+        on_failure: Callable[[], None],
+    ) -> None:
+        """Take over: charge what the committed book says that runs."""
+        now = float(clock.seconds())
+        self.lease_ms = lease_ms
+        self.links_by_life: dict[tuple[str, int], Link] = {}
+        self._replica = replica
+        self._clock = clock
+        self._committed: set[tuple[str, int]] = set()
+        self.fleet = Fleet(leading_since=now, fence=replica.standing().term)
+        book = _copy(replica.state.batch)
+        for task in book.active_by_name.values():
+            self._charge(task)
+            self._committed.add((task.name, task.run))
+        book.on_start = self._charge
+        book.on_end = self._release
+        self.pipeline = Pipeline(
+            replica=replica,
+            clock=clock,
+            book=book,
+            on_flush=self._plan,
+            on_commit=self._publish,
+            on_failure=on_failure,
+        )
+        _log.event(
+            'leads',
+            fence=self.fleet.fence,
+            jobs=len(book.open_jobs_by_id),
+            runs=len(book.active_by_name),
+        )
+
+    def close(self) -> None:
+        """Decide no more; what was not submitted has certainly not run."""
+        _log.event('leads no longer', fence=self.fleet.fence)
+        self.pipeline.book.on_start = None
+        self.pipeline.book.on_end = None
+        self.pipeline.close()
+
+    def tick(self) -> None:
+        """Give up runs whose leases have ended, and plan."""
+        now = self._now()
+        if not self._replica.holds_lease(now):
+            return
+        for worker in find_lapsed(self.fleet, now):
+            _log.event(
+                'lease ended',
+                worker=worker.name,
+                heard_seconds=now - worker.heard_at,
+                runs=len(worker.charges_by_task),
+            )
+            self.pipeline.add(BatchChange(ends=lose_worker(worker)))
+        self.fleet.forget_ended()
+        self._forget_jobs()
+        self.pipeline.wake_up()
+
+    def lease_end(self, now: float) -> float:
+        """Return when a lease granted at ``now`` has ended for certain."""
+        seconds = self.lease_ms / _MS * LEASE_DRIFT
+        return now + seconds + LEASE_MARGIN_SECONDS
+
+    def orders_for(self, worker: Worker, lease_ms: int) -> WorkerOrders:
+        """Return all that ``worker`` shall do now."""
+        return create_orders(self.fleet, worker, self._committed, lease_ms)
+
+    def _now(self) -> float:
+        return float(self._clock.seconds())
+
+    def _charge(self, task: Task) -> None:
+        now = self._now()
+        worker = self.fleet.open(
+            task.worker,
+            task.born_ms,
+            self.lease_end(now),
+        )
+        worker.charge(task, now)
+
+    def _release(self, task: Task) -> None:
+        worker = self.fleet.worker_of(task)
+        self._committed.discard((task.name, task.run))
+        if worker is not None:
+            worker.release(task)
+
+    def _forget_jobs(self) -> None:
+        book = self.pipeline.book
+        surplus = len(book.jobs_by_id) - len(book.open_jobs_by_id)
+        surplus -= MAX_ENDED_JOBS
+        if surplus > 0:
+            ended = [
+                job_id
+                for job_id, job in book.jobs_by_id.items()
+                if job.is_final
+            ]
+            self.pipeline.add(BatchChange(forgets=ended[:surplus]))
+
+    def _plan(self) -> None:
+        now = self._now()
+        if not self._replica.holds_lease(now):
+            return
+        moment = Moment(now=now, wall_ms=wall_clock_ms())
+        for start in plan_starts(self.pipeline.book, self.fleet, moment):
+            self.pipeline.add(BatchChange(starts=[start]))
+            _log.decision(
+                'starts',
+                task=start.task,
+                run=start.run,
+                worker=start.worker,
+            )
+
+    def _publish(self, change: BatchChange) -> None:
+        """Tell the agents what has been committed."""
+        touched: set[tuple[str, int]] = set()
+        for start in change.starts:
+            self._committed.add((start.task, start.run))
+            touched.add((start.worker, start.born_ms))
+        if change.cancels:
+            touched.update(self.links_by_life)
+        for life, worker in self.fleet.workers_by_life.items():
+            if _note_stored(worker, change):
+                touched.add(life)
+        for life in touched:
+            self._push(life)
+
+    def _push(self, life: tuple[str, int]) -> None:
+        worker = self.fleet.workers_by_life.get(life)
+        link = self.links_by_life.get(life)
+        if worker is not None and link is not None:
+            orders = self.orders_for(worker, lease_ms=0)
+            link.notify(Method.worker_orders, orders)
+
+
+def _note_stored(worker: Worker, change: BatchChange) -> bool:
+    """Let the worker forget the ends that are stored; tell if there are any."""
+    pending = worker.pending_ends
+    before = worker.stored_end
+    while pending and pending[0][1] is change:
+        worker.stored_end = pending.popleft()[0]
+    return worker.stored_end > before
+
+
+def _copy(book: BatchBook) -> BatchBook:
+    return load_book(unpack(BatchDump, pack(dump_book(book))))
--- a/wasabiturn/process/control/batch/orders.py
+++ b/wasabiturn/process/control/batch/orders.py
@@ -1,6 +1,7 @@
 """Orders for one worker, from what the leader has committed."""
 
 from wasabiturn.batch.fleet import Charge, Fleet, Worker
+from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.sharing import list_paces
 from wasabiturn.messages.batch import (
     PaceOrder,
@@ -47,7 +48,7 @@
         task=task.name,
         run=charge.run,
         payload=task.job.accepted.declaration.payload,
-        checkpoint=task.checkpoint,
+        checkpoint=_checkpoint_of(task),
     )
 
 
@@ -57,6 +58,10 @@
         StopOrder(task=task, run=run)
         for task, run in worker.strays_by_task.items()
     ]
+    stops.extend(
+        StopOrder(task=task, run=run)
+        for task, run in worker.inherited_by_task.items()
+    )
     stops.extend(
         StopOrder(task=charge.task.name, run=charge.run)
         for charge in worker.charges_by_task.values()
@@ -81,3 +86,11 @@
 
 def _is_open(charge: Charge) -> bool:
     return not charge.is_confirmed and not charge.task.job.is_final
+
+
+def _checkpoint_of(task: Task) -> str:
+    """Return where a run resumes; all members of a gang resume at one."""
+    if not task.step.gang:
+        return task.checkpoint
+    members = task.part.open_tasks()
+    return next((each.checkpoint for each in members if each.checkpoint), '')
--- /dev/null
+++ b/wasabiturn/process/control/batch/workers.py
@@ -0,0 +1,114 @@
+"""Reports of agents, taken in by the leader and answered with orders."""
+
+from wasabiturn.batch.fleet import Worker
+from wasabiturn.batch.reports import lose_worker, take_report
+from wasabiturn.batch.sharing import adjust_pace
+from wasabiturn.connection.calls import CallError
+from wasabiturn.connection.link import Link
+from wasabiturn.messages.batch import (
+    BatchChange,
+    EndRun,
+    WorkerOrders,
+    WorkerReport,
+)
+from wasabiturn.messages.kinds import FailureCode
+from wasabiturn.process.control.batch.lead import Lead
+from wasabiturn.utils.logs import create_part_log
+
+_log = create_part_log('workers')
+
+
+def answer_report(
+    lead: Lead,
+    link: Link,
+    report: WorkerReport,
+    now: float,
+) -> WorkerOrders:
+    """Take a report, and return orders with a lease.
+
+    Raises:
+        CallError: the report is of a life that is over.
+    """
+    worker = _meet(lead, link, report, now)
+    ends = take_report(lead.fleet, worker, report, now)
+    if report.refuses:
+        ends.extend(lose_worker(worker))
+    elif report.listed:
+        worker.is_gone = False
+    _store_ends(lead, worker, ends)
+    adjust_pace(worker)
+    if not report.listed:
+        # An agent that does not reach its worker renews no lease there.
+        orders = lead.orders_for(worker, lease_ms=0)
+        orders.starts = []
+        return orders
+    worker.lease_ends_at = max(worker.lease_ends_at, lead.lease_end(now))
+    return lead.orders_for(worker, lead.lease_ms)
+
+
+def _meet(
+    lead: Lead,
+    link: Link,
+    report: WorkerReport,
+    now: float,
+) -> Worker:
+    """Return the worker of a report; its earlier lives are over."""
+    life = (report.worker, report.born_ms)
+    agent = link.peer.name
+    for other in lead.fleet.workers_by_life.values():
+        if agent != other.agent and report.worker != other.name:
+            continue
+        if other.born_ms > report.born_ms:
+            raise CallError(FailureCode.invalid, 'a newer life is known')
+    worker = lead.fleet.open(report.worker, report.born_ms, now)
+    for other in list(lead.fleet.workers_by_life.values()):
+        if agent != other.agent and report.worker != other.name:
+            continue
+        if other is not worker and not other.is_succeeded:
+            _end_life(lead, other, worker)
+    if worker.agent != agent:
+        _log.event('meets worker', worker=worker.name, agent=agent)
+    worker.agent = agent
+    lead.links_by_life[life] = link
+    return worker
+
+
+def _end_life(lead: Lead, worker: Worker, following: Worker) -> None:
+    """Give up what a worker ran before its machine began another life.
+
+    Under the same name, starts that were meant for the earlier life may still
+    reach the new one, so its runs are given up only once they are refused.
+    """
+    _log.event(
+        'worker has another life',
+        worker=worker.name,
+        following=following.name,
+        runs=len(worker.charges_by_task),
+    )
+    worker.is_succeeded = True
+    worker.is_gone = True
+    lead.links_by_life.pop((worker.name, worker.born_ms), None)
+    if worker.name == following.name:
+        following.inherited_by_task.update(worker.inherited_by_task)
+        following.inherited_by_task.update(
+            (task, charge.run)
+            for task, charge in worker.charges_by_task.items()
+        )
+    elif worker.charges_by_task:
+        lead.pipeline.add(BatchChange(ends=lose_worker(worker)))
+
+
+def _store_ends(lead: Lead, worker: Worker, ends: list[EndRun]) -> None:
+    for end in ends:
+        _log.decision(
+            'run ended',
+            task=end.task,
+            run=end.run,
+            worker=worker.name,
+            ending=end.ending.name,
+        )
+    if ends:
+        change = lead.pipeline.add(BatchChange(ends=ends))
+        worker.pending_ends.append((worker.seen_end, change))
+    elif not worker.pending_ends:
+        worker.stored_end = max(worker.stored_end, worker.seen_end)
--- a/wasabiturn/process/control_group.py
+++ b/wasabiturn/process/control_group.py
@@ -18,7 +18,7 @@
 from wasabiturn.process.leader_calls import LeaderCalls
 from wasabiturn.utils.logs import create_part_log
 
-REFRESH_SECONDS = 1.0
+REFRESH_SECONDS = 2.0
 CALL_TIMEOUT_SECONDS = 1.0
 
 _log = create_part_log('group')
--- a/wasabiturn/process/entry/leader_contact.py
+++ b/wasabiturn/process/entry/leader_contact.py
@@ -12,7 +12,7 @@
 from wasabiturn.process.leader_calls import LeaderCalls
 from wasabiturn.utils.logs import create_part_log
 
-ASK_SECONDS = 0.5
+ASK_SECONDS = 1.0
 # An election takes up to this; an entry that is not ready loses its callers.
 FRESH_SECONDS = 3.0
 NEVER = float('-inf')
