--- a/wasabiturn/process/agent/runs/keeper.py
+++ b/wasabiturn/process/agent/runs/keeper.py
@@ -151,6 +151,7 @@
             return
         if listing.born_ms > identity.born_ms:
             # Another life under this name has yet to announce itself.
+            self._is_listed = False
             self._sender.suspend()
             self._hold_later(identity)
             return
