--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,174 @@
+"""Bodies of the platform, well formed and not."""
+
+import json
+from typing import Any
+
+import pytest
+
+from wasabiturn.messages.kinds import RunEnding
+from wasabiturn.platform.fields import InvalidBodyError
+from wasabiturn.platform.jobs import decode_job
+from wasabiturn.platform.routing import decode_routing
+from wasabiturn.platform.workers import decode_identity, decode_listing
+
+ROUTE = {
+    'name': 'r-1',
+    'host': 'a.example',
+    'prefix': '/q/',
+    'kind': 'mutating',
+    'timeout_ms': 3000,
+    'slo_ms': 250,
+    'priority': 0,
+    'service': 's',
+    'attempts': 2,
+    'stretch': 1.5,
+}
+CONFIGURATION = {
+    'version': 7,
+    'routes': [ROUTE],
+    'services': [{'name': 's'}],
+    'limits': {'max_body_bytes': 1},
+}
+
+
+def encode(content: Any) -> bytes:
+    return json.dumps(content).encode()
+
+
+def changed(**fields: Any) -> bytes:
+    return encode(CONFIGURATION | fields)
+
+
+def test_a_job_is_decoded_with_defaults() -> None:
+    body = encode(
+        {
+            'spec': 'text',
+            'steps': [
+                {'count': 2, 'cpu': 500, 'mem_mb': 256, 'est_ms': 900},
+                {'count': 1, 'after': [0], 'long_running': True},
+            ],
+        },
+    )
+    job = decode_job(body)
+    first, second = job.steps
+    assert (first.tasks, first.millicores, first.memory_mb) == (2, 500, 256)
+    assert (second.after, second.lasting) == ([0], True)
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'',
+        b'{',
+        b'[]',
+        b'{"spec":"x"}',
+        b'{"steps":[]}',
+        b'{"steps":[{"count":0}]}',
+        b'{"steps":[{"count":1,"after":[0]}]}',
+        b'{"steps":[{"count":1,"after":[1]},{"count":1,"after":[0]}]}',
+        b'{"steps":[{"count":"1"}]}',
+        b'{"steps":[{"count":true}]}',
+        b'{"steps":[{"count":1,"cpu":-1}]}',
+        b'{"steps":7}',
+        b'\xff\xfe',
+        b'{"steps":[{"count":100000}]}',
+    ],
+)
+def test_a_job_that_cannot_be_read_is_refused(body: bytes) -> None:
+    with pytest.raises(InvalidBodyError):
+        decode_job(body)
+
+
+def test_a_configuration_keeps_its_document() -> None:
+    body = encode(CONFIGURATION)
+    routing = decode_routing(body)
+    assert (routing.version, routing.document) == (7, body)
+    assert routing.queues[0].terms.attempts == 2
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        encode(CONFIGURATION)[:-5],
+        changed(services=[]),
+        changed(routes=[ROUTE | {'service': 'other'}]),
+        changed(routes=[ROUTE, ROUTE | {'name': 'r-2'}]),
+        changed(routes=[ROUTE | {'timeout_ms': 0}]),
+        changed(routes=[ROUTE | {'timeout_ms': 'x'}]),
+        changed(routes=[ROUTE | {'host': ''}]),
+        changed(routes=['r']),
+        changed(version=0),
+        changed(version='7'),
+        changed(limits=None),
+        changed(services=['s']),
+    ],
+)
+def test_an_invalid_configuration_is_refused(body: bytes) -> None:
+    with pytest.raises(InvalidBodyError):
+        decode_routing(body)
+
+
+ANNOUNCEMENT = {
+    'service': 's',
+    'zone': 'z',
+    'state': 'ready',
+    'capacity': {'cpu': 16000, 'mem_mb': 32768, 'gpu': 0},
+    'labels': ['a', 'r1-3'],
+    'born': 123,
+    'seq': 4,
+}
+
+
+def test_an_announcement_names_life_and_rack() -> None:
+    identity = decode_identity('i-1', encode(ANNOUNCEMENT), 'home')
+    assert identity.life == ('i-1', 123)
+    assert (identity.rack, identity.data_centre) == ('r1-3', 'z')
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'capacity': None},
+        {'state': 'sleeping'},
+        {'born': '123'},
+        {'born': 1.5},
+        {'labels': 'a'},
+        {'service': ''},
+        {'seq': None},
+    ],
+)
+def test_an_announcement_of_another_writer_is_refused(
+    fields: dict[str, Any],
+) -> None:
+    with pytest.raises(InvalidBodyError):
+        decode_identity('i-1', encode(ANNOUNCEMENT | fields), 'home')
+
+
+def test_a_listing_is_decoded() -> None:
+    listing = decode_listing(
+        encode(
+            {
+                'born': 1,
+                'clock_ms': 2,
+                'running': [['a.0.0.1', 2, 'c', 41, 7]],
+                'ended': [[58, 'a.0.0.2', 1, 'done', '']],
+            },
+        ),
+    )
+    assert listing.running[0].figure == pytest.approx(7)
+    assert listing.ended[0].ending is RunEnding.done
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'running': [['a']]},
+        {'ended': [[1, 'a', 1, 'vanished', '']]},
+        {'ended': 5},
+        {'clock_ms': 'x'},
+    ],
+)
+def test_a_listing_out_of_form_is_refused(fields: dict[str, Any]) -> None:
+    body = {'born': 1, 'clock_ms': 2, 'running': [], 'ended': []} | fields
+    with pytest.raises(InvalidBodyError):
+        decode_listing(encode(body))
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,62 @@
+"""The platform's settings file, and the product's settings made of it."""
+
+from pathlib import Path
+
+import pytest
+
+from wasabiturn.exceptions import SettingsError
+from wasabiturn.platform.settings import (
+    create_settings,
+    read_platform_settings,
+)
+
+TEXT = """
+node: "edge-1"
+ip: "10.1.0.13"
+zone: "zone-a"
+region: "region"
+zones:
+  zone-a: "region"
+listen:
+  front: "10.1.0.13:8161"
+  ready: "10.1.0.13:8167"
+  control: "10.1.0.13:8166"
+port_range: [7720, 7735]
+seeds: ["10.1.0.13:8166", "10.2.0.30:8166"]
+bootstrap: true
+data_dir: "/data/my-edge"
+fault_tolerance: {machines: 2, zones: 1}
+bounds: {hold_max_ms: 5000}
+unknown: 7
+"""
+
+
+def write(tmp_path: Path, text: str) -> Path:
+    path = tmp_path / 'boot.yaml'
+    path.write_text(text)
+    return path
+
+
+def test_settings_of_a_control_instance(tmp_path: Path) -> None:
+    platform = read_platform_settings(write(tmp_path, TEXT))
+    settings = create_settings(platform)
+    assert platform.seeds == ('10.1.0.13', '10.2.0.30')
+    assert platform.lease_ms == 5000
+    assert settings.control is not None
+    assert settings.control.voters == 5
+    assert settings.control.may_found
+    assert str(settings.control.listen) == '10.1.0.13:7720'
+
+
+@pytest.mark.parametrize('text', ['', '[', 'node: x', '7', TEXT + '\nx: ['])
+def test_a_file_that_cannot_be_read_is_refused(
+    tmp_path: Path,
+    text: str,
+) -> None:
+    with pytest.raises(SettingsError):
+        read_platform_settings(write(tmp_path, text))
+
+
+def test_a_missing_file_is_refused(tmp_path: Path) -> None:
+    with pytest.raises(SettingsError):
+        read_platform_settings(tmp_path / 'none.yaml')
--- a/tests/sessions/batch_fakes.py
+++ b/tests/sessions/batch_fakes.py
@@ -62,7 +62,11 @@
 
 
 def step(tasks: int = 1, **fields: Any) -> Step:
-    fields = {'millicores': 1000, 'memory_mb': 100, 'estimate_ms': 1000} | fields
+    fields = {
+        'millicores': 1000,
+        'memory_mb': 100,
+        'estimate_ms': 1000,
+    } | fields
     return Step(tasks=tasks, **fields)
 
 
--- a/wasabiturn/batch/placing.py
+++ b/wasabiturn/batch/placing.py
@@ -17,7 +17,7 @@
 from wasabiturn.messages.kinds import BatchTaskState
 
 # A worker that has not been heard for longer gets no work.
-HEARD_SECONDS = 1.5
+HEARD_SECONDS = 2.5
 # Share of its declared processors that a lasting task is expected to use.
 LASTING_USE = 0.55
 # Weight of what a task should stay away from, in the room of a worker.
--- a/wasabiturn/connection/link.py
+++ b/wasabiturn/connection/link.py
@@ -150,7 +150,7 @@
         if hasattr(transport, 'setTcpNoDelay'):
             transport.setTcpNoDelay(True)
         self.last_received = self._clock.seconds()
-        self._ticker.start(HEARTBEAT_SECONDS / 2, now=False)
+        self._ticker.start(HEARTBEAT_SECONDS, now=False)
         body = pack(self.dispatch.hello)
         self.send_frame(FrameKind.hello, 0, Method.none, body)
 
@@ -185,7 +185,7 @@
         now = self._clock.seconds()
         if now - self.last_received > SILENCE_LIMIT_SECONDS:
             self.abort('peer is silent')
-        elif now - self._last_sent >= HEARTBEAT_SECONDS:
+        elif now - self._last_sent >= HEARTBEAT_SECONDS / 2:
             self.send_frame(FrameKind.heartbeat, 0, Method.none, b'')
 
     def _handle_frame(self, frame: Frame) -> None:
--- a/wasabiturn/platform/reload.py
+++ b/wasabiturn/platform/reload.py
@@ -26,18 +26,23 @@
 
     def reload(self) -> None:
         """Use the seeds of the file, if it has changed and can be read."""
-        source = self._platform.source
         try:
-            text = read_text(source)
-            if text == self._text:
-                return
-            self._text = text
-            read = parse_platform_settings(source, text)
+            read = self._read_change()
         except SettingsError as error:
             _log.warning('settings not read', error=str(error))
             return
+        if read is None:
+            return
         _log.event('settings read', seeds=list(read.seeds))
         if read.seeds != self._platform.seeds:
             _log.event('seeds changed', seeds=list(read.seeds))
             self._group.use_seeds(read.seeds)
         self._platform = read
+
+    def _read_change(self) -> PlatformSettings | None:
+        source = self._platform.source
+        text = read_text(source)
+        if text == self._text:
+            return None
+        self._text = text
+        return parse_platform_settings(source, text)
--- a/wasabiturn/process/agent/runs/keeper.py
+++ b/wasabiturn/process/agent/runs/keeper.py
@@ -22,7 +22,9 @@
 from wasabiturn.process.leader_calls import LeaderCalls
 from wasabiturn.utils.logs import create_part_log
 
-HOLD_WAIT_MS = 500
+# How long a hold waits for an end; figures of sharing tasks age by it.
+HOLD_WAIT_MS = 1000
+SHARING_WAIT_MS = 500
 HOLD_RETRY_SECONDS = 0.2
 REPORT_SECONDS = 1.0
 NO_FENCE = -1
@@ -163,7 +165,7 @@
             self._listing_fence = hold.fence
             self._sender.take_listing(listing, hold.number)
         if hold.wait_ms:
-            self._hold(HOLD_WAIT_MS)
+            self._hold(_wait_ms(listing))
         self._report()
 
     def _is_newest(self, listing: Listing, fence: int) -> bool:
@@ -265,6 +267,11 @@
             self._report()
 
 
+def _wait_ms(listing: Listing) -> int:
+    """Look more often where tasks may disturb each other."""
+    return SHARING_WAIT_MS if len(listing.running) > 1 else HOLD_WAIT_MS
+
+
 def _is_newer(known: WorkerIdentity, identity: WorkerIdentity) -> bool:
     if known.life == identity.life:
         return identity.sequence > known.sequence
--- a/wasabiturn/process/agent/runs/lease.py
+++ b/wasabiturn/process/agent/runs/lease.py
@@ -13,7 +13,7 @@
 # A worker's clock may run 2 % slow.
 SLOWEST_CLOCK = 0.98
 # Starts need an answer of the leader to a report sent within this time.
-PERMIT_SECONDS = 1.5
+PERMIT_SECONDS = 2.0
 NEVER = float('-inf')
 _MS = 1000
 
--- a/wasabiturn/process/agent/runs/starts.py
+++ b/wasabiturn/process/agent/runs/starts.py
@@ -93,8 +93,8 @@
     def settle(self, listing: Listing, sent_holds: int) -> None:
         """Note what began, and refuse what was stopped before it came.
 
-        A run that is listed needs to be sent no more. A run that the worker agreed to stop, and that a hold sent later does
-        not list, never comes.
+        A run that is listed needs to be sent no more. One that the worker
+        agreed to stop, and that a hold sent later does not list, never comes.
         """
         running = {(row.task, row.run) for row in listing.running}
         ended = {(row.task, row.run) for row in listing.ended}
--- a/wasabiturn/process/control/batch/workers.py
+++ b/wasabiturn/process/control/batch/workers.py
@@ -53,23 +53,22 @@
     now: float,
 ) -> Worker:
     """Return the worker of a report; its earlier lives are over."""
-    life = (report.worker, report.born_ms)
     agent = link.peer.name
-    for other in lead.fleet.workers_by_life.values():
-        if agent != other.agent and report.worker != other.name:
-            continue
-        if other.born_ms > report.born_ms:
-            raise CallError(FailureCode.invalid, 'a newer life is known')
+    others = [
+        other
+        for other in lead.fleet.workers_by_life.values()
+        if agent == other.agent or report.worker == other.name
+    ]
+    if any(other.born_ms > report.born_ms for other in others):
+        raise CallError(FailureCode.invalid, 'a newer life is known')
     worker = lead.fleet.open(report.worker, report.born_ms, now)
-    for other in list(lead.fleet.workers_by_life.values()):
-        if agent != other.agent and report.worker != other.name:
-            continue
+    for other in others:
         if other is not worker and not other.is_succeeded:
             _end_life(lead, other, worker)
     if worker.agent != agent:
         _log.event('meets worker', worker=worker.name, agent=agent)
     worker.agent = agent
-    lead.links_by_life[life] = link
+    lead.links_by_life[worker.name, worker.born_ms] = link
     return worker
 
 
--- a/wasabiturn/standins/batch_worker.py
+++ b/wasabiturn/standins/batch_worker.py
@@ -331,10 +331,8 @@
 
     def _forget_ends(self, acknowledged: int) -> None:
         """Forget ends; tell of those after which no lease has lapsed."""
-        forgotten = [
-            row for row in self._ended if row.number <= acknowledged
-        ]
-        self._ended = self._ended[len(forgotten):]
+        forgotten = [row for row in self._ended if row.number <= acknowledged]
+        self._ended = self._ended[len(forgotten) :]
         for row in forgotten:
             ended_at = self._ended_at.pop(row.number, None)
             if ended_at is not None:
--- a/wasabiturn/version/apply.py
+++ b/wasabiturn/version/apply.py
@@ -8,7 +8,6 @@
 
 import attrs
 
-from wasabiturn.batch.apply import apply_batch_change
 from wasabiturn.messages.batch import BatchChange
 from wasabiturn.messages.codec import pack
 from wasabiturn.messages.kinds import OutcomeCode
@@ -17,12 +16,12 @@
     Command,
     DeleteResource,
     ExpireClaims,
-    Outcome,
     PutResource,
     RecordAnswers,
     RememberedOutcome,
     UpdateTasks,
 )
+from wasabiturn.version.apply_batch import change_batch
 from wasabiturn.version.apply_claims import (
     claim_requests,
     expire_claims,
@@ -73,12 +72,7 @@
 apply_body.register(ClaimRequests, claim_requests)
 apply_body.register(RecordAnswers, record_answers)
 apply_body.register(ExpireClaims, expire_claims)
-
-
-@apply_body.register
-def _(body: BatchChange, state: State) -> Effect:
-    apply_batch_change(state.batch, body)
-    return Effect(outcome=Outcome(revision=state.revision))
+apply_body.register(BatchChange, change_batch)
 
 
 def _body_of(command: Command) -> object:
