Learn which image presses which, pace by image, and start something of each idle job

Cause of the loss at high load: lasting tasks reserve nearly all room of 10 of 11 workers, so filling tasks cannot have workers of their own, and all of a worker's filling tasks were slowed for one image (paced to 0 on most workers). Ruled out: memory (5 of 20 GB free used). Change: pressure of each filling image on each lasting one learnt from figures; only the worst image is slowed; runs that stand still move; lasting tasks of one image share workers; a job that ran nothing for a second takes any room.

--- a/wasabiturn/batch/book.py
+++ b/wasabiturn/batch/book.py
@@ -57,6 +57,7 @@
         task.state = BatchTaskState.active
         task.part.waiting_by_name.pop(task.name, None)
         task.job.waiting_tasks -= 1
+        task.job.active_tasks += 1
         self.active_by_name[task.name] = task
         if self.on_start is not None:
             self.on_start(task)
@@ -64,6 +65,7 @@
     def end_run(self, task: Task) -> None:
         """Note that the newest run of ``task`` has ended."""
         self.active_by_name.pop(task.name, None)
+        task.job.active_tasks -= 1
         if self.on_end is not None:
             self.on_end(task)
 
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from wasabiturn.batch.jobs import Task
+from wasabiturn.batch.jobs import Job, Task
 from wasabiturn.messages.batch import (
     BatchChange,
     RunningRow,
@@ -18,7 +18,8 @@
 )
 
 NEVER = float('-inf')
-UNKNOWN_LIFE = 0
+# Idle jobs remembered; those that end while idle are not told apart.
+MAX_IDLE_JOBS = 10_000
 
 
 @final
@@ -36,6 +37,7 @@
     row: RunningRow | None = None
     percent_at: float = NEVER
     paced_percent: int = 100
+    is_to_stop: bool = False
 
 
 @final
@@ -68,7 +70,9 @@
     pending_ends: deque[tuple[int, BatchChange]] = attrs.field(factory=deque)
     inherited_by_task: dict[str, int] = attrs.field(factory=dict)
     strays_by_task: dict[str, int] = attrs.field(factory=dict)
-    fill_percent: int = 100
+    percent_by_image: dict[str, int] = attrs.field(factory=dict)
+    halted_at_by_image: dict[str, float] = attrs.field(factory=dict)
+    lasting_by_image: dict[str, int] = attrs.field(factory=dict)
     failures_in_row: int = 0
     avoided_until: float = NEVER
 
@@ -100,6 +104,8 @@
             self.millicores += sign * step.millicores
         if step.lasting:
             self.lasting_millicores += sign * step.millicores
+            count = self.lasting_by_image.get(step.image, 0) + sign
+            self.lasting_by_image[step.image] = count
         self.memory_mb += sign * step.memory_mb
         self.accelerators += sign * step.accelerators
 
@@ -112,6 +118,14 @@
     leading_since: float
     fence: int
     workers_by_life: dict[tuple[str, int], Worker] = attrs.field(factory=dict)
+    idle_since_by_job: dict[str, float] = attrs.field(factory=dict)
+
+    def idle_seconds(self, job: Job, now: float) -> float:
+        """Return for how long a job that may start something runs nothing."""
+        if job.active_tasks:
+            self.idle_since_by_job.pop(job.job_id, None)
+            return 0
+        return now - self.idle_since_by_job.setdefault(job.job_id, now)
 
     def worker_of(self, task: Task) -> Worker | None:
         """Return the life of the worker that has the newest run of a task."""
@@ -135,6 +149,8 @@
 
     def forget_ended(self) -> None:
         """Drop the lives that others have followed and that run nothing."""
+        if len(self.idle_since_by_job) > MAX_IDLE_JOBS:
+            self.idle_since_by_job.clear()
         self.workers_by_life = {
             life: worker
             for life, worker in self.workers_by_life.items()
--- a/wasabiturn/batch/jobs.py
+++ b/wasabiturn/batch/jobs.py
@@ -89,6 +89,7 @@
     parts_by_key: dict[tuple[int, int], Part] = attrs.field(factory=dict)
     tasks_by_name: dict[str, Task] = attrs.field(factory=dict)
     waiting_tasks: int = 0
+    active_tasks: int = 0
     objective_ms: float = 0
 
     @property
--- a/wasabiturn/batch/placing.py
+++ b/wasabiturn/batch/placing.py
@@ -3,7 +3,9 @@
 Answers the load of lasting tasks beside wide steps that fill what others leave
 unused: filling tasks disturb lasting ones, so lasting tasks share few workers,
 short tasks go beside them, and filling tasks have the other workers to
-themselves. Only where no worker is free of lasting tasks do they mix.
+themselves. Where these are full, a filling task goes where its image is
+expected to press the lasting ones least; lasting tasks of one image share a
+worker, so that each filling image finds some that it does not press.
 """
 
 from collections.abc import Iterable
@@ -13,6 +15,7 @@
 
 from wasabiturn.batch.book import BatchBook
 from wasabiturn.batch.fleet import Worker
+from wasabiturn.batch.interference import PARTS_OF_WORKER, Interference
 from wasabiturn.batch.jobs import Part, Task
 from wasabiturn.messages.kinds import BatchTaskState
 
@@ -22,34 +25,44 @@
 LASTING_USE = 0.55
 # Weight of what a task should stay away from, in the room of a worker.
 FOREIGN_FACTOR = 100
+# A filling task goes where tails are expected to stay below this share.
+MAX_EXPECTED_TAIL = 0.8
+# Where its image is slowed below this, a filling task does not go.
+MIN_PACE = 50
+NOWHERE = float('-inf')
 _FULL_SHARE = 100
 
 
 @final
 @attrs.define
 class Places:
-    """Workers that take work now."""
+    """Workers that take work now.
+
+    ``takes_any`` is set for a job that has run nothing for too long: it goes
+    where it has room, however that suits.
+    """
 
     workers: list[Worker]
-    is_mixed: bool
+    known: Interference
+    takes_any: bool = False
 
 
 def find_places(
     workers: Iterable[Worker],
     book: BatchBook,
+    known: Interference,
     now: float,
 ) -> Places:
     """Return the workers that take work at ``now``."""
     taking = [worker for worker in workers if _takes_work(worker, book, now)]
-    is_mixed = all(worker.lasting_millicores for worker in taking)
-    return Places(workers=taking, is_mixed=is_mixed)
+    return Places(workers=taking, known=known)
 
 
 def choose_worker(task: Task, places: Places) -> Worker | None:
     """Return the worker that suits ``task`` best, if one has room."""
     taken_by_worker = _count_by_worker(task.part)
     best: Worker | None = None
-    best_score = float('-inf')
+    best_score = NOWHERE
     for worker in places.workers:
         if not _may_take(task, worker, taken_by_worker):
             continue
@@ -65,8 +78,7 @@
     used = float(worker.fill_millicores)
     used += worker.millicores
     used -= (1 - LASTING_USE) * worker.lasting_millicores
-    left = worker.report.millicores - used
-    return left * worker.fill_percent / _FULL_SHARE
+    return worker.report.millicores - used
 
 
 def _takes_work(worker: Worker, book: BatchBook, now: float) -> bool:
@@ -112,13 +124,13 @@
 
 
 def _score(task: Task, worker: Worker, places: Places) -> float:
-    """Return how well a worker suits; minus infinity where it must not go."""
+    """Return how well a worker suits, or ``NOWHERE``."""
     step = task.step
     size = worker.report.millicores
     if step.fills:
         score = _score_filling(task, worker, places)
     elif step.lasting:
-        score = float(worker.lasting_millicores - worker.fill_millicores)
+        score = _score_lasting(task, worker)
     else:
         score = float(size - worker.millicores)
         score -= 0 if worker.lasting_millicores else size
@@ -129,10 +141,26 @@
     return score
 
 
+def _score_lasting(task: Task, worker: Worker) -> float:
+    """Prefer workers with the same image, then those with lasting tasks."""
+    same = worker.lasting_by_image.get(task.step.image, 0)
+    score = float(worker.lasting_millicores - worker.fill_millicores)
+    return score + same * worker.report.millicores
+
+
 def _score_filling(task: Task, worker: Worker, places: Places) -> float:
+    step = task.step
     left = leftover_millicores(worker)
-    if left < task.step.millicores and worker.fill_millicores:
-        return float('-inf')
-    if worker.lasting_millicores and not places.is_mixed:
-        return float('-inf')
-    return left
+    use = step.millicores * PARTS_OF_WORKER / worker.report.millicores
+    expected = places.known.predict(worker, step.image, use)
+    if places.takes_any:
+        return left - expected * worker.report.millicores
+    if left < step.millicores and worker.fill_millicores:
+        return NOWHERE
+    if not worker.lasting_millicores:
+        return left + FOREIGN_FACTOR * worker.report.millicores
+    if worker.percent_by_image.get(step.image, _FULL_SHARE) < MIN_PACE:
+        return NOWHERE
+    if expected > MAX_EXPECTED_TAIL:
+        return NOWHERE
+    return left * (1 - expected)
--- a/wasabiturn/batch/planning.py
+++ b/wasabiturn/batch/planning.py
@@ -6,17 +6,21 @@
 from wasabiturn.batch.book import BatchBook
 from wasabiturn.batch.fleet import Fleet
 from wasabiturn.batch.gangs import start_gang
+from wasabiturn.batch.interference import Interference
 from wasabiturn.batch.jobs import Part
 from wasabiturn.batch.ordering import Moment, needs_no_less, order_parts
 from wasabiturn.batch.placing import Places, choose_worker, find_places
 from wasabiturn.messages.batch import StartRun, Step
 
 MAX_STARTS = 200
+# A job that runs nothing for longer takes any worker with room.
+MAX_IDLE_SECONDS = 1.0
 
 
 def plan_starts(
     book: BatchBook,
     fleet: Fleet,
+    known: Interference,
     moment: Moment,
 ) -> Iterator[StartRun]:
     """Yield starts, one at a time.
@@ -27,24 +31,40 @@
     places = find_places(
         fleet.workers_by_life.values(),
         book,
+        known,
         moment.now,
     )
     if places.workers:
         parts = order_parts(book, moment)
-        yield from islice(_start_parts(parts, places), MAX_STARTS)
+        started = _start_parts(parts, places, fleet, moment.now)
+        yield from islice(started, MAX_STARTS)
 
 
-def _start_parts(parts: list[Part], places: Places) -> Iterator[StartRun]:
+def _start_parts(
+    parts: list[Part],
+    places: Places,
+    fleet: Fleet,
+    now: float,
+) -> Iterator[StartRun]:
     stuck: list[Step] = []
     for part in parts:
-        if any(needs_no_less(part.step, each) for each in stuck):
+        idle_seconds = fleet.idle_seconds(part.job, now)
+        places.takes_any = idle_seconds >= MAX_IDLE_SECONDS
+        if not places.takes_any and any(
+            needs_no_less(part.step, each) for each in stuck
+        ):
             continue
-        yield from _start_part(part, places)
+        yield from _start_part(part, places, fleet, now)
         if part.waiting_by_name:
             stuck.append(part.step)
 
 
-def _start_part(part: Part, places: Places) -> Iterator[StartRun]:
+def _start_part(
+    part: Part,
+    places: Places,
+    fleet: Fleet,
+    now: float,
+) -> Iterator[StartRun]:
     if part.step.gang:
         yield from start_gang(part, places)
         return
@@ -58,3 +78,5 @@
             worker=worker.name,
             born_ms=worker.born_ms,
         )
+        idle_seconds = fleet.idle_seconds(part.job, now)
+        places.takes_any = idle_seconds >= MAX_IDLE_SECONDS
--- a/wasabiturn/batch/sharing.py
+++ b/wasabiturn/batch/sharing.py
@@ -1,47 +1,107 @@
 """Pace of filling tasks beside lasting ones with a goal for their tails.
 
-Answers loads that change within seconds: filling work is slowed as soon as a
-tail nears its goal, and gets its speed back in small steps once all tails on
-the worker are quiet.
+Answers loads that change within seconds: as soon as a tail nears its goal, the
+filling image that presses it most is slowed, and it gets its speed back in
+small steps once the tails leave room for what it is expected to add.
 """
 
 from wasabiturn.batch.fleet import Charge, Worker
+from wasabiturn.batch.interference import (
+    Interference,
+    tails_of,
+    uses_by_image,
+)
 
-HIGH_SHARE = 0.85
-QUIET_SHARE = 0.65
+HIGH_TAIL = 0.85
+BROKEN_TAIL = 1.0
+ROOM_TAIL = 0.75
 SLOWER_FACTOR = 0.5
 MIN_PERCENT = 10
-FASTER_PERCENT = 10
+FASTER_PERCENT = 15
 FULL_PERCENT = 100
+# A run that stands still for so long goes elsewhere, if its work is saved.
+STANDSTILL_SECONDS = 1.0
 
 
-def adjust_pace(worker: Worker) -> None:
-    """Set the pace of the worker's filling tasks by its newest tails."""
-    worst = max(
-        (_share_of_goal(each) for each in worker.charges_by_task.values()),
-        default=0.0,
-    )
-    if worst > HIGH_SHARE:
-        slower = int(worker.fill_percent * SLOWER_FACTOR)
-        worker.fill_percent = slower if slower >= MIN_PERCENT else 0
-    elif worst < QUIET_SHARE:
-        faster = worker.fill_percent + FASTER_PERCENT
-        worker.fill_percent = min(faster, FULL_PERCENT)
+def adjust_pace(worker: Worker, known: Interference, now: float) -> None:
+    """Set the pace of the worker's filling images by its newest tails."""
+    known.learn(worker)
+    uses = uses_by_image(worker)
+    highest = max((tail for _, tail in tails_of(worker)), default=0.0)
+    if highest > HIGH_TAIL:
+        _slow_down(worker, known, uses, highest, now)
+        return
+    for image in list(worker.percent_by_image):
+        _speed_up(worker, known, uses, image, highest)
 
 
 def list_paces(worker: Worker) -> list[Charge]:
-    """Return the filling runs whose pace differs from the worker's."""
+    """Return the filling runs whose pace is to change."""
     return [
         charge
         for charge in worker.charges_by_task.values()
         if charge.task.step.fills
         and charge.row is not None
-        and charge.paced_percent != worker.fill_percent
+        and charge.paced_percent != wanted_percent(worker, charge)
     ]
 
 
-def _share_of_goal(charge: Charge) -> float:
-    goal_ms = charge.task.step.tail_goal_ms
-    if not goal_ms or charge.row is None:
-        return 0.0
-    return charge.row.figure / goal_ms
+def wanted_percent(worker: Worker, charge: Charge) -> int:
+    """Return the pace that a filling run is to have, in per cent."""
+    image = charge.task.step.image
+    return worker.percent_by_image.get(image, FULL_PERCENT)
+
+
+def mark_standstills(worker: Worker, now: float) -> None:
+    """Mark the runs to stop that stand still and lose little by it."""
+    for charge in worker.charges_by_task.values():
+        step = charge.task.step
+        since = worker.halted_at_by_image.get(step.image)
+        if not step.fills or not step.checkpoints or since is None:
+            continue
+        if now >= max(since, charge.started_at) + STANDSTILL_SECONDS:
+            charge.is_to_stop = True
+
+
+def _slow_down(
+    worker: Worker,
+    known: Interference,
+    uses: dict[str, float],
+    highest: float,
+    now: float,
+) -> None:
+    """Slow the images that press most; more of them the higher the tail."""
+    by_harm = sorted(
+        uses,
+        key=lambda image: known.worst_pressure(worker, image) * uses[image],
+        reverse=True,
+    )
+    count = 2 if highest > BROKEN_TAIL else 1
+    for image in by_harm[:count]:
+        percent = worker.percent_by_image.get(image, FULL_PERCENT)
+        slower = int(percent * SLOWER_FACTOR)
+        if slower < MIN_PERCENT:
+            slower = 0
+            worker.halted_at_by_image.setdefault(image, now)
+        worker.percent_by_image[image] = slower
+
+
+def _speed_up(
+    worker: Worker,
+    known: Interference,
+    uses: dict[str, float],
+    image: str,
+    highest: float,
+) -> None:
+    percent = worker.percent_by_image[image]
+    faster = min(percent + FASTER_PERCENT, FULL_PERCENT)
+    use = uses.get(image, 0)
+    added = use * (faster - percent) / percent if percent else 0
+    pressure = known.worst_pressure(worker, image)
+    if highest + pressure * added > ROOM_TAIL:
+        return
+    worker.halted_at_by_image.pop(image, None)
+    if faster == FULL_PERCENT:
+        worker.percent_by_image.pop(image)
+    else:
+        worker.percent_by_image[image] = faster
--- a/wasabiturn/process/control/batch/lead.py
+++ b/wasabiturn/process/control/batch/lead.py
@@ -1,17 +1,23 @@
 """One term of a leader at work on queues: its book ahead and its fleet."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any, final
 
 from wasabiturn.batch import BatchBook, dump_book, load_book
 from wasabiturn.batch.fleet import Fleet, Worker
+from wasabiturn.batch.interference import Interference
 from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.ordering import Moment
 from wasabiturn.batch.planning import plan_starts
 from wasabiturn.batch.reports import find_lapsed, lose_worker
 from wasabiturn.connection.link import Link
-from wasabiturn.messages.batch import BatchChange, BatchDump, WorkerOrders
+from wasabiturn.messages.batch import (
+    BatchChange,
+    BatchDump,
+    StartRun,
+    WorkerOrders,
+)
 from wasabiturn.messages.codec import pack, unpack
 from wasabiturn.messages.kinds import Method
 from wasabiturn.process.control.batch.orders import create_orders
@@ -48,6 +54,7 @@
         """Take over: charge what the committed book says that runs."""
         now = float(clock.seconds())
         self.lease_ms = lease_ms
+        self.interference = Interference()
         self.links_by_life: dict[tuple[str, int], Link] = {}
         self._replica = replica
         self._clock = clock
@@ -141,8 +148,7 @@
         now = self._now()
         if not self._replica.holds_lease(now):
             return
-        moment = Moment(now=now, wall_ms=wall_clock_ms())
-        for start in plan_starts(self.pipeline.book, self.fleet, moment):
+        for start in self._next_starts(now):
             self.pipeline.add(BatchChange(starts=[start]))
             _log.decision(
                 'starts',
@@ -151,6 +157,14 @@
                 worker=start.worker,
             )
 
+    def _next_starts(self, now: float) -> Iterator[StartRun]:
+        return plan_starts(
+            self.pipeline.book,
+            self.fleet,
+            self.interference,
+            Moment(now=now, wall_ms=wall_clock_ms()),
+        )
+
     def _publish(self, change: BatchChange) -> None:
         """Tell the agents what has been committed."""
         touched: set[tuple[str, int]] = set()
--- a/wasabiturn/process/control/batch/orders.py
+++ b/wasabiturn/process/control/batch/orders.py
@@ -2,7 +2,7 @@
 
 from wasabiturn.batch.fleet import Charge, Fleet, Worker
 from wasabiturn.batch.jobs import Task
-from wasabiturn.batch.sharing import list_paces
+from wasabiturn.batch.sharing import list_paces, wanted_percent
 from wasabiturn.messages.batch import (
     PaceOrder,
     StartOrder,
@@ -65,7 +65,7 @@
     stops.extend(
         StopOrder(task=charge.task.name, run=charge.run)
         for charge in worker.charges_by_task.values()
-        if charge.task.job.is_final
+        if charge.task.job.is_final or charge.is_to_stop
     )
     return stops
 
@@ -73,12 +73,12 @@
 def _list_paces(worker: Worker) -> list[PaceOrder]:
     paces: list[PaceOrder] = []
     for charge in list_paces(worker):
-        charge.paced_percent = worker.fill_percent
+        charge.paced_percent = wanted_percent(worker, charge)
         paces.append(
             PaceOrder(
                 task=charge.task.name,
                 run=charge.run,
-                percent=worker.fill_percent,
+                percent=charge.paced_percent,
             ),
         )
     return paces
--- a/wasabiturn/process/control/batch/workers.py
+++ b/wasabiturn/process/control/batch/workers.py
@@ -2,7 +2,7 @@
 
 from wasabiturn.batch.fleet import Worker
 from wasabiturn.batch.reports import lose_worker, take_report
-from wasabiturn.batch.sharing import adjust_pace
+from wasabiturn.batch.sharing import adjust_pace, mark_standstills
 from wasabiturn.connection.calls import CallError
 from wasabiturn.connection.link import Link
 from wasabiturn.messages.batch import (
@@ -36,7 +36,8 @@
     elif report.listed:
         worker.is_gone = False
     _store_ends(lead, worker, ends)
-    adjust_pace(worker)
+    adjust_pace(worker, lead.interference, now)
+    mark_standstills(worker, now)
     if not report.listed:
         # An agent that does not reach its worker renews no lease there.
         orders = lead.orders_for(worker, lease_ms=0)
