--- a/wasabiturn/batch/jobs.py
+++ b/wasabiturn/batch/jobs.py
@@ -97,6 +97,32 @@
         """Return the id that the caller chose."""
         return self.accepted.declaration.job_id
 
+    def due_ms(self) -> int:
+        """Return when the first open occurrence was due; wall clock."""
+        declaration = self.accepted.declaration
+        if not declaration.occurrences:
+            return self.accepted.accepted_ms
+        open_dues = [
+            part.due_ms for part in self.parts_by_key.values() if part.left
+        ]
+        return min(open_dues, default=declaration.first_ms)
+
+    def remaining_ms(self) -> int:
+        """Return the estimate of the longest chain that is not done."""
+        ends_ms: list[int] = []
+        for number, step in enumerate(self.accepted.declaration.steps):
+            begun_ms = max((ends_ms[each] for each in step.after), default=0)
+            own_ms = 0 if self._is_done(number) else step.estimate_ms
+            ends_ms.append(begun_ms + own_ms)
+        return max(ends_ms, default=0)
+
+    def _is_done(self, number: int) -> bool:
+        occurrences = max(self.accepted.declaration.occurrences, 1)
+        return not any(
+            self.parts_by_key[occurrence, number].left
+            for occurrence in range(occurrences)
+        )
+
     @property
     def is_final(self) -> bool:
         """Tell whether nothing of the job may start any more."""
--- a/wasabiturn/batch/ordering.py
+++ b/wasabiturn/batch/ordering.py
@@ -1,10 +1,13 @@
 """Which waiting work comes first.
 
-Answers days on which more is handed in than can be in time: jobs with the
-nearest objective come first, lasting tasks before all, and jobs whose result
-is past any use last, so that they hold back nothing that can still be in time.
+Answers days on which more is handed in than can be in time. Serving all by
+their objectives alone would make all late, so jobs that can still be in time
+come first, those that have begun before others; then late ones that are nearly
+finished; those past any use of their result come last. Lasting tasks come
+before all.
 """
 
+import enum
 from typing import final
 
 import attrs
@@ -12,11 +15,22 @@
 from wasabiturn.batch.book import BatchBook
 from wasabiturn.batch.jobs import Job, Part
 from wasabiturn.messages.batch import Step
+from wasabiturn.messages.kinds import JobState
 
 # A late result is still of use up to this multiple of the objective.
 LATE_FACTOR = 3
 
 
+@final
+class Prospect(enum.IntEnum):
+    """What a job's result can still be, best first."""
+
+    lasting = 0
+    in_time = 1
+    late = 2
+    useless = 3
+
+
 @final
 @attrs.frozen
 class Moment:
@@ -53,10 +67,26 @@
     )
 
 
-def _urgency(job: Job, moment: Moment) -> tuple[int, float]:
+def _urgency(job: Job, moment: Moment) -> tuple[int, int, float]:
     accepted_ms = job.accepted.accepted_ms
+    prospect = find_prospect(job, moment)
+    if prospect is Prospect.in_time:
+        is_new = job.state is JobState.queued
+        latest_start_ms = accepted_ms + job.objective_ms - job.remaining_ms()
+        return prospect, int(is_new), latest_start_ms
+    if prospect is Prospect.late:
+        return prospect, 0, float(job.remaining_ms())
+    return prospect, 0, accepted_ms
+
+
+def find_prospect(job: Job, moment: Moment) -> Prospect:
+    """Return what the job's result can be if it goes on at once."""
     if any(step.lasting for step in job.accepted.declaration.steps):
-        return 0, accepted_ms
-    if moment.wall_ms > accepted_ms + LATE_FACTOR * job.objective_ms:
-        return 2, accepted_ms
-    return 1, accepted_ms + job.objective_ms
+        return Prospect.lasting
+    done_ms = moment.wall_ms + job.remaining_ms()
+    passed_ms = done_ms - job.due_ms()
+    if passed_ms <= job.objective_ms:
+        return Prospect.in_time
+    if passed_ms <= LATE_FACTOR * job.objective_ms:
+        return Prospect.late
+    return Prospect.useless
--- a/wasabiturn/batch/placing.py
+++ b/wasabiturn/batch/placing.py
@@ -26,7 +26,7 @@
 # Weight of what a task should stay away from, in the room of a worker.
 FOREIGN_FACTOR = 100
 # A filling task goes where tails are expected to stay below this share.
-MAX_EXPECTED_TAIL = 0.8
+MAX_EXPECTED_TAIL = 0.65
 # Where its image is slowed below this, a filling task does not go.
 MIN_PACE = 50
 NOWHERE = float('-inf')
--- a/wasabiturn/batch/sharing.py
+++ b/wasabiturn/batch/sharing.py
@@ -12,9 +12,9 @@
     uses_by_image,
 )
 
-HIGH_TAIL = 0.85
-BROKEN_TAIL = 1.0
-ROOM_TAIL = 0.75
+HIGH_TAIL = 0.75
+BROKEN_TAIL = 0.95
+ROOM_TAIL = 0.6
 SLOWER_FACTOR = 0.5
 MIN_PERCENT = 10
 FASTER_PERCENT = 15
