--- /dev/null
+++ b/tests/batch/jobs_fakes.py
@@ -0,0 +1,112 @@
+"""Jobs, workers and books for tests of single decisions."""
+
+from typing import Any
+
+from wasabiturn.batch import BatchBook, apply_batch_change
+from wasabiturn.batch.fleet import Fleet, Worker
+from wasabiturn.batch.jobs import Task
+from wasabiturn.messages.batch import (
+    AcceptJob,
+    BatchChange,
+    EndRun,
+    JobDeclaration,
+    RunningRow,
+    StartRun,
+    Step,
+    Terms,
+    WorkerReport,
+)
+from wasabiturn.messages.kinds import RunEnding
+
+ACCEPTED_MS = 1_000_000
+
+
+def step(tasks: int = 1, **fields: Any) -> Step:
+    sizes = {'millicores': 1000, 'memory_mb': 100, 'estimate_ms': 1000}
+    return Step(tasks=tasks, **(sizes | fields))
+
+
+def accept(
+    job_id: str,
+    *steps: Step,
+    accepted_ms: int = ACCEPTED_MS,
+    attempts: int = 2,
+) -> BatchChange:
+    declaration = JobDeclaration(
+        job_id=job_id,
+        queue='queue',
+        payload='p',
+        steps=list(steps),
+    )
+    terms = Terms(
+        service_name='service',
+        attempts=attempts,
+        stretch=2,
+        slack_ms=500,
+    )
+    accepted = AcceptJob(
+        declaration=declaration,
+        terms=terms,
+        accepted_ms=accepted_ms,
+    )
+    return BatchChange(accepts=[accepted])
+
+
+def create_book(*changes: BatchChange) -> BatchBook:
+    book = BatchBook()
+    for change in changes:
+        apply_batch_change(book, change)
+    return book
+
+
+def start(task: str, run: int = 1, worker: str = 'w') -> BatchChange:
+    begun = StartRun(task=task, run=run, worker=worker, born_ms=1)
+    return BatchChange(starts=[begun])
+
+
+def end(
+    task: str,
+    run: int = 1,
+    ending: RunEnding = RunEnding.done,
+    checkpoint: str = '',
+) -> BatchChange:
+    ended = EndRun(task=task, run=run, ending=ending, checkpoint=checkpoint)
+    return BatchChange(ends=[ended])
+
+
+def create_worker(name: str, **fields: Any) -> Worker:
+    report = WorkerReport(
+        worker=name,
+        born_ms=1,
+        service_name='service',
+        data_centre='dc',
+        rack='r1',
+        labels=['a', 'r1'],
+        millicores=10_000,
+        memory_mb=10_000,
+        listed=True,
+    )
+    for field, content in fields.items():
+        setattr(report, field, content)
+    return Worker(
+        name=name,
+        born_ms=1,
+        report=report,
+        heard_at=0,
+        is_known=True,
+    )
+
+
+def create_fleet(*workers: Worker) -> Fleet:
+    fleet = Fleet(leading_since=0, fence=1)
+    for worker in workers:
+        fleet.workers_by_life[worker.name, worker.born_ms] = worker
+    return fleet
+
+
+def put(worker: Worker, task: Task, figure: float = 0) -> None:
+    """Let ``worker`` run ``task`` with a figure."""
+    task.run = task.run or 1
+    worker.charge(task, now=0)
+    row = RunningRow(task=task.name, run=task.run, percent=100, figure=figure)
+    worker.charges_by_task[task.name].row = row
--- a/wasabiturn/platform/http_server.py
+++ b/wasabiturn/platform/http_server.py
@@ -1,6 +1,7 @@
 """JSON over HTTP, as the platform's callers, operators and workers speak it."""
 
 import json
+import time
 from collections.abc import Callable
 from typing import Any, final
 
@@ -14,6 +15,7 @@
 from wasabiturn.connection.dialer import Endpoint
 from wasabiturn.messages.kinds import FailureCode
 from wasabiturn.platform.fields import InvalidBodyError
+from wasabiturn.process import exposition
 from wasabiturn.process.daemon import listen
 from wasabiturn.utils.logs import create_part_log
 
@@ -66,7 +68,9 @@
         gone: list[bool] = []
         request.notifyFinish().addErrback(lambda _: gone.append(True))
         handled: Deferred[Any] = maybeDeferred(self._handler, request, body)
+        began_at = time.monotonic()
         handled.addErrback(_explain, request)
+        handled.addCallback(_measure, request, began_at)
         handled.addCallback(self._write, request, gone)
         handled.addErrback(_log_failure)
         return NOT_DONE_YET
@@ -113,6 +117,14 @@
     return request.method.decode('latin-1')
 
 
+def _measure(reply: Reply, request: Request, began_at: float) -> Reply:
+    kind = method_of(request)
+    exposition.calls.labels(kind, reply.status).inc()
+    passed = time.monotonic() - began_at
+    exposition.call_seconds.labels(kind).observe(passed)
+    return reply
+
+
 def _explain(failure: Failure, request: Request) -> Reply:
     """Turn an error into the reply that says what is certain."""
     error: Any = failure.value
--- a/wasabiturn/platform/program.py
+++ b/wasabiturn/platform/program.py
@@ -3,6 +3,7 @@
 import secrets
 from contextlib import ExitStack
 from random import SystemRandom
+from types import MappingProxyType
 from typing import Any, final
 
 from twisted.internet.defer import Deferred, succeed
@@ -18,11 +19,16 @@
 from wasabiturn.platform.settings import PlatformSettings
 from wasabiturn.process.control_group import ControlGroup
 from wasabiturn.process.daemon import Context, Service, listen
+from wasabiturn.process.exposition import open_metrics_site
 
 RELOAD_SECONDS = 1.0
 FINISH_SECONDS = 1.7
 LOOK_SECONDS = 0.05
 _INCARNATION_BYTES = 8
+# The deploy file names the same ports.
+METRICS_PORTS_BY_ROLE = MappingProxyType(
+    {Role.control: 9101, Role.entry: 9102, Role.agent: 9103},
+)
 
 
 @final
@@ -65,6 +71,7 @@
                 port = open_site(self.context.reactor, endpoint, resource)
                 self._ports.append(port)
                 self._stack.callback(port.stopListening)
+        self._open_metrics()
         self._stack.callback(self.group.stop)
         self.group.start()
         self._watch_settings()
@@ -86,6 +93,12 @@
         """Release ports, links and files."""
         self._stack.close()
 
+    def _open_metrics(self) -> None:
+        port = METRICS_PORTS_BY_ROLE[self.dispatch.hello.role]
+        endpoint = Endpoint(self.platform.address, port)
+        opened = open_metrics_site(self.context.reactor, endpoint)
+        self._stack.callback(opened.stopListening)
+
     def _listen_for_links(self) -> None:
         reactor = self.context.reactor
         factory = LinkFactory(self.dispatch, reactor, dialled=False)
--- a/wasabiturn/process/agent/runs/keeper.py
+++ b/wasabiturn/process/agent/runs/keeper.py
@@ -11,6 +11,7 @@
 
 from wasabiturn.messages.batch import WorkerOrders, WorkerReport
 from wasabiturn.messages.kinds import Method
+from wasabiturn.process import exposition
 from wasabiturn.process.agent.runs.port import (
     Hold,
     Listing,
@@ -256,6 +257,8 @@
         asked_at: float,
         asked_ms: int,
     ) -> None:
+        passed = self._clock.seconds() - asked_at
+        exposition.report_seconds.observe(passed)
         if self._is_current(identity) and orders.fence >= self._fence:
             grants = self._sender.grants
             grants.extend(asked_at, asked_ms, orders.lease_ms)
--- a/wasabiturn/process/control/batch/lead.py
+++ b/wasabiturn/process/control/batch/lead.py
@@ -20,6 +20,7 @@
 )
 from wasabiturn.messages.codec import pack, unpack
 from wasabiturn.messages.kinds import Method
+from wasabiturn.process import exposition
 from wasabiturn.process.control.batch.orders import create_orders
 from wasabiturn.process.control.batch.pipeline import Pipeline
 from wasabiturn.utils.logs import create_part_log
@@ -150,6 +151,7 @@
             return
         for start in self._next_starts(now):
             self.pipeline.add(BatchChange(starts=[start]))
+            exposition.runs.labels('started').inc()
             _log.decision(
                 'starts',
                 task=start.task,
--- a/wasabiturn/process/control/batch/pipeline.py
+++ b/wasabiturn/process/control/batch/pipeline.py
@@ -17,6 +17,7 @@
 from wasabiturn.messages.batch import BatchChange
 from wasabiturn.messages.kinds import FailureCode
 from wasabiturn.messages.state import Command, Outcome
+from wasabiturn.process import exposition
 from wasabiturn.process.control.submission import submit
 from wasabiturn.version.replica import Replica
 
@@ -26,6 +27,7 @@
 class _Batch:
     change: BatchChange = attrs.field(factory=BatchChange)
     waiting: list[Deferred[None]] = attrs.field(factory=list)
+    submitted_at: float = 0.0
 
 
 @final
@@ -93,6 +95,7 @@
         if batch.change == BatchChange():
             _settle(batch.waiting)
             return
+        batch.submitted_at = self._clock.seconds()
         submitted = submit(self._replica, Command(batch=batch.change))
         submitted.addCallbacks(
             self._finish, self._abandon, (batch,), {}, (batch,)
@@ -104,6 +107,8 @@
         return batch
 
     def _finish(self, outcome: Outcome, batch: _Batch) -> None:
+        passed = self._clock.seconds() - batch.submitted_at
+        exposition.commit_seconds.observe(passed)
         if not self.is_closed:
             self._on_commit(batch.change)
         _settle(batch.waiting)
--- a/wasabiturn/process/control/batch/workers.py
+++ b/wasabiturn/process/control/batch/workers.py
@@ -12,6 +12,7 @@
     WorkerReport,
 )
 from wasabiturn.messages.kinds import FailureCode
+from wasabiturn.process import exposition
 from wasabiturn.process.control.batch.lead import Lead
 from wasabiturn.utils.logs import create_part_log
 
@@ -100,6 +101,7 @@
 
 def _store_ends(lead: Lead, worker: Worker, ends: list[EndRun]) -> None:
     for end in ends:
+        exposition.runs.labels(end.ending.name).inc()
         _log.decision(
             'run ended',
             task=end.task,
--- /dev/null
+++ b/wasabiturn/process/exposition.py
@@ -0,0 +1,76 @@
+"""Metrics of one process in the text format that Prometheus reads."""
+
+from typing import Any, final
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Histogram,
+    generate_latest,
+)
+from twisted.web.resource import Resource
+from twisted.web.server import Request, Site
+
+from wasabiturn.connection.dialer import Endpoint
+from wasabiturn.process.daemon import listen
+
+# Seconds; from one commit on an idle day to a caller's usual deadline.
+BUCKETS_SECONDS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5)
+
+registry = CollectorRegistry()
+
+calls = Counter(
+    'wasabiturn_calls',
+    'Calls of callers and operators, by kind and status.',
+    ('kind', 'status'),
+    registry=registry,
+)
+call_seconds = Histogram(
+    'wasabiturn_call_seconds',
+    'Time until a call was answered.',
+    ('kind',),
+    buckets=BUCKETS_SECONDS,
+    registry=registry,
+)
+runs = Counter(
+    'wasabiturn_runs',
+    'Runs of tasks, by what became of them.',
+    ('event',),
+    registry=registry,
+)
+commit_seconds = Histogram(
+    'wasabiturn_commit_seconds',
+    'Time until a change of the book was committed.',
+    buckets=BUCKETS_SECONDS,
+    registry=registry,
+)
+report_seconds = Histogram(
+    'wasabiturn_report_seconds',
+    'Time until the leader answered a report of an agent.',
+    buckets=BUCKETS_SECONDS,
+    registry=registry,
+)
+
+
+@final
+class MetricsResource(Resource):
+    """Serves the registry at any path."""
+
+    # The name is Twisted's.
+    isLeaf = True  # noqa: N815
+
+    def render_GET(self, request: Request) -> bytes:
+        """Return the metrics as text."""
+        request.setHeader(b'content-type', b'text/plain; version=0.0.4')
+        return generate_latest(registry)
+
+
+def open_metrics_site(reactor: Any, endpoint: Endpoint) -> Any:
+    """Listen on ``endpoint``; the caller owns the returned port.
+
+    Raises:
+        ProcessError: the port cannot be used.
+    """
+    site = Site(MetricsResource(), reactor=reactor)
+    site.noisy = False
+    return listen(reactor, endpoint, site)
