Tell a newcomer all members, so that it finds a leader that its seeds do not name

Found by reading: a learner introduces itself to its seeds only, and a leader that is none of them never hears of it. Test: tests/version/raft/test_open_group.py, which fails without the change.

--- /dev/null
+++ b/tests/version/raft/test_open_group.py
@@ -0,0 +1,160 @@
+"""Groups that form from seeds and take in others, with a fixed voter count."""
+
+from random import Random
+
+import pytest
+
+from tests.version.raft.cluster import Cluster
+from wasabiturn.messages.raft import Envelope
+from wasabiturn.version.raft import core, membership
+from wasabiturn.version.raft.membership import name_of
+from wasabiturn.version.raft.state import GroupRules, RaftState, Recovered
+
+STEP_SECONDS = 0.05
+
+
+class OpenGroup:
+    """Members on one clock and a network without faults but cuts."""
+
+    def __init__(self, seeds: tuple[str, ...], voters: int = 3) -> None:
+        self.now = 0.0
+        self.seeds = seeds
+        self.voters = voters
+        self.members: dict[str, RaftState] = {}
+        self.stored: dict[str, Recovered] = {}
+        self.cut: set[str] = set()
+
+    def add(
+        self,
+        name: str,
+        incarnation: int = 1,
+        may_found: bool = True,
+        seeds: tuple[str, ...] = (),
+    ) -> None:
+        self.members[name] = core.create_raft(
+            f'{name}/{incarnation}',
+            seeds or self.seeds,
+            Recovered(),
+            Random(name),
+            self.now,
+            GroupRules(voters=self.voters, may_found=may_found),
+        )
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.now += STEP_SECONDS
+            for name, member in list(self.members.items()):
+                if name not in self.cut:
+                    core.step(core.Tick(), member, self.now)
+            while self._deliver():
+                continue
+
+    def leader(self) -> RaftState:
+        (leader,) = (
+            member
+            for name, member in self.members.items()
+            if member.leadership is not None and name not in self.cut
+        )
+        return leader
+
+    def voting(self) -> set[str]:
+        return set(membership.voters(self.leader()))
+
+    def _deliver(self) -> bool:
+        envelopes: list[tuple[str, Envelope]] = []
+        for name, member in self.members.items():
+            messages = core.take_effects(member).messages
+            if name not in self.cut:
+                envelopes.extend((name, each) for each in messages)
+        for _, envelope in envelopes:
+            target = name_of(envelope.receiver)
+            if target in self.members and target not in self.cut:
+                core.step(envelope, self.members[target], self.now)
+        return bool(envelopes)
+
+
+def formed(*others: str) -> OpenGroup:
+    group = OpenGroup(seeds=('a', 'b', 'c'))
+    for name in ('a', 'b', 'c', *others):
+        group.add(name)
+    group.run(5)
+    return group
+
+
+def test_a_group_forms_from_its_seeds() -> None:
+    assert formed().voting() == {'a/1', 'b/1', 'c/1'}
+
+
+def test_others_join_as_learners() -> None:
+    group = formed('d')
+    assert group.voting() == {'a/1', 'b/1', 'c/1'}
+    ids = {
+        each.member_id for each in membership.current(group.leader()).members
+    }
+    assert ids == {'a/1', 'b/1', 'c/1', 'd/1'}
+
+
+def test_no_group_is_founded_without_the_right() -> None:
+    group = OpenGroup(seeds=('a', 'b', 'c'))
+    for name in 'abc':
+        group.add(name, may_found=False)
+    group.run(5)
+    assert not any(each.leadership for each in group.members.values())
+
+
+@pytest.mark.parametrize('lost', ['a', 'b', 'c'])
+def test_a_learner_takes_the_place_of_a_silent_voter(lost: str) -> None:
+    group = formed('d')
+    group.cut.add(lost)
+    group.run(12)
+    assert len(group.voting()) == 3
+    assert 'd/1' in group.voting()
+    assert f'{lost}/1' not in group.voting()
+
+
+def test_a_short_silence_costs_no_vote() -> None:
+    group = formed('d')
+    group.cut.add('b')
+    group.run(3)
+    group.cut.clear()
+    group.run(5)
+    assert group.voting() == {'a/1', 'b/1', 'c/1'}
+
+
+def test_a_voter_that_was_replaced_joins_again() -> None:
+    group = formed('d')
+    group.cut.add('b')
+    group.run(12)
+    group.cut.clear()
+    group.run(5)
+    ids = {
+        each.member_id for each in membership.current(group.leader()).members
+    }
+    assert 'b/1' in ids
+    assert len(group.voting()) == 3
+
+
+def test_an_empty_disk_never_votes_as_its_old_self() -> None:
+    group = formed()
+    group.add('b', incarnation=2, may_found=False)
+    group.run(8)
+    assert group.voting() == {'a/1', 'b/2', 'c/1'}
+
+
+def test_a_newcomer_finds_the_leader_through_any_member() -> None:
+    group = formed()
+    leader = name_of(group.leader().member_id)
+    other = next(name for name in 'abc' if name != leader)
+    group.add('e', may_found=False, seeds=(other,))
+    group.run(5)
+    ids = {
+        each.member_id for each in membership.current(group.leader()).members
+    }
+    assert 'e/1' in ids
+
+
+def test_a_closed_group_keeps_its_members() -> None:
+    cluster = Cluster(3, Random(1))
+    assert not cluster.machines[0].raft or (
+        not cluster.machines[0].raft.rules.is_open
+    )
--- a/wasabiturn/messages/raft.py
+++ b/wasabiturn/messages/raft.py
@@ -157,6 +157,7 @@
     """Answer to an introduction."""
 
     initialised: bool = False
+    names: list[str] = attrs.field(factory=list)
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/raft.thrift
+++ b/wasabiturn/messages/wire/raft.thrift
@@ -84,6 +84,7 @@
 
 struct Introduced {
   1: bool initialised,      // the replying member belongs to a cluster
+  2: list<string> names,    // instances that the replying member knows
 }
 
 // Exactly one of the optional fields is set.
--- a/wasabiturn/version/raft/introduction.py
+++ b/wasabiturn/version/raft/introduction.py
@@ -53,7 +53,10 @@
 def handle_introduce(state: RaftState, envelope: Envelope, now: float) -> None:
     """Remember who introduced itself, and say whether there is a cluster."""
     _remember(state, envelope.sender, now, initialised=False)
-    reply = Introduced(initialised=state.ballot.cluster != '')
+    reply = Introduced(
+        initialised=state.ballot.cluster != '',
+        names=_member_names(state),
+    )
     send(state, Envelope(receiver=envelope.sender, introduced=reply))
 
 
@@ -63,7 +66,9 @@
     envelope: Envelope,
     now: float,
 ) -> None:
-    """Note whether another member belongs to a cluster."""
+    """Note whether another member belongs to a cluster, and whom it knows."""
+    if state.rules.is_open:
+        state.told_names.update(reply.names)
     _remember(state, envelope.sender, now, reply.initialised)
 
 
@@ -86,12 +91,16 @@
     own = membership.name_of(state.member_id)
     names = dict.fromkeys(state.names)
     if state.rules.is_open:
-        names.update(
-            dict.fromkeys(map(membership.name_of, membership.peers(state))),
-        )
+        names.update(dict.fromkeys(_member_names(state)))
+        names.update(dict.fromkeys(sorted(state.told_names)))
     return [name for name in names if name != own]
 
 
+def _member_names(state: RaftState) -> list[str]:
+    members = membership.current(state).members
+    return [membership.name_of(member.member_id) for member in members]
+
+
 def _may_found(state: RaftState, now: float) -> bool:
     if state.ballot.cluster or state.log.last_index:
         return False
--- a/wasabiturn/version/raft/state.py
+++ b/wasabiturn/version/raft/state.py
@@ -175,6 +175,7 @@
     leadership: Leadership | None = None
     fresh_as_of: float = NEVER
     incoming: IncomingSnapshot | None = None
+    told_names: set[str] = attrs.field(factory=set)
     introductions_by_name: dict[str, Introduction] = attrs.field(factory=dict)
     next_introduction_at: float = NEVER
     unsaved: Unsaved = attrs.field(factory=Unsaved)
