--- a/tests/version/raft/test_open_group.py
+++ b/tests/version/raft/test_open_group.py
@@ -4,8 +4,7 @@
 
 import pytest
 
-from tests.version.raft.cluster import Cluster
-from wasabiturn.messages.raft import Envelope
+from wasabiturn.messages.raft import Envelope, Introduce
 from wasabiturn.version.raft import core, membership
 from wasabiturn.version.raft.membership import name_of
 from wasabiturn.version.raft.state import GroupRules, RaftState, Recovered
@@ -153,8 +152,12 @@
     assert 'e/1' in ids
 
 
-def test_a_closed_group_keeps_its_members() -> None:
-    cluster = Cluster(3, Random(1))
-    assert not cluster.machines[0].raft or (
-        not cluster.machines[0].raft.rules.is_open
+def test_a_closed_group_ignores_instances_that_it_does_not_name() -> None:
+    member = core.create_raft('a/1', ('a', 'b'), Recovered(), Random(0), 0)
+    stranger = Envelope(
+        sender='x/1',
+        receiver='a/',
+        introduce=Introduce(),
     )
+    core.step(stranger, member, 1)
+    assert not member.introductions_by_name
