Order the pace of slowed runs again, also after a change of leader

Found by reading: an order on pace that was lost, or carried out after a newer one, stayed so, and a new leader did not know which runs were slowed: a run at 0 per cent would have stood still for ever. Each has a test that fails without the change.

--- a/tests/batch/test_decisions.py
+++ b/tests/batch/test_decisions.py
@@ -189,7 +189,7 @@
         pressure_by_pair={('s', 'f'): 0.5, ('s', 'mild'): 0.01},
     )
     adjust_pace(worker, known, now=0)
-    assert [each.task.name for each in list_paces(worker)] == ['j.0.0.0']
+    assert [each.task.name for each in list_paces(worker, now=0)] == ['j.0.0.0']
     assert worker.percent_by_image == {'f': 50}
 
 
@@ -219,3 +219,14 @@
         name for name, c in worker.charges_by_task.items() if c.is_to_stop
     ]
     assert marked == ['j.0.0.0']
+
+
+def test_the_pace_of_a_run_that_was_slowed_is_ordered_again() -> None:
+    worker = create_worker('a')
+    book = create_book(accept('j', FILLING))
+    put(worker, book.tasks_by_name['j.0.0.0'])
+    charge = worker.charges_by_task['j.0.0.0']
+    assert not list_paces(worker, now=10)
+    charge.paced_at = 0
+    assert not list_paces(worker, now=1)
+    assert list_paces(worker, now=2) == [charge]
--- a/tests/sessions/test_batch.py
+++ b/tests/sessions/test_batch.py
@@ -103,6 +103,18 @@
     assert other != worker
 
 
+def test_a_new_leader_gives_slowed_runs_their_speed_back() -> None:
+    fleet = BatchFleet(workers=1)
+    fleet.run(1)
+    fleet.submit('a', [step(1, fills=True, image='f')], Work(1000))
+    fleet.run(1)
+    run = fleet.agents[0].worker.runs_by_task['a.0.0.0']
+    run.pace = 0
+    fleet.change_leader(1)
+    fleet.run(3)
+    assert run.pace == 100
+
+
 def test_a_worker_with_another_life_runs_nothing_of_before() -> None:
     fleet = BatchFleet(workers=2)
     fleet.run(1)
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -37,6 +37,7 @@
     row: RunningRow | None = None
     percent_at: float = NEVER
     paced_percent: int = 100
+    paced_at: float | None = None
     is_to_stop: bool = False
 
 
@@ -127,6 +128,12 @@
             return 0
         return now - self.idle_since_by_job.setdefault(job.job_id, now)
 
+    def forget_paces(self, now: float) -> None:
+        """Note that an earlier leader may have slowed any run."""
+        for worker in self.workers_by_life.values():
+            for charge in worker.charges_by_task.values():
+                charge.paced_at = now
+
     def worker_of(self, task: Task) -> Worker | None:
         """Return the life of the worker that has the newest run of a task."""
         return self.workers_by_life.get((task.worker, task.born_ms))
--- a/wasabiturn/batch/sharing.py
+++ b/wasabiturn/batch/sharing.py
@@ -21,6 +21,7 @@
 FULL_PERCENT = 100
 # A run that stands still for so long goes elsewhere, if its work is saved.
 STANDSTILL_SECONDS = 1.0
+REPEAT_SECONDS = 1.5
 
 
 def adjust_pace(worker: Worker, known: Interference, now: float) -> None:
@@ -35,17 +36,29 @@
         _speed_up(worker, known, uses, image, highest)
 
 
-def list_paces(worker: Worker) -> list[Charge]:
-    """Return the filling runs whose pace is to change."""
+def list_paces(worker: Worker, now: float) -> list[Charge]:
+    """Return the filling runs whose pace is to be ordered at ``now``.
+
+    An order may be lost, or be carried out after a newer one, so the pace of
+    a run that was ever slowed is ordered again from time to time.
+    """
     return [
         charge
         for charge in worker.charges_by_task.values()
         if charge.task.step.fills
         and charge.row is not None
-        and charge.paced_percent != wanted_percent(worker, charge)
+        and _needs_order(worker, charge, now)
     ]
 
 
+def _needs_order(worker: Worker, charge: Charge, now: float) -> bool:
+    if charge.paced_percent != wanted_percent(worker, charge):
+        return True
+    if charge.paced_at is None:
+        return False
+    return now >= charge.paced_at + REPEAT_SECONDS
+
+
 def wanted_percent(worker: Worker, charge: Charge) -> int:
     """Return the pace that a filling run is to have, in per cent."""
     image = charge.task.step.image
--- a/wasabiturn/process/control/batch/lead.py
+++ b/wasabiturn/process/control/batch/lead.py
@@ -65,6 +65,7 @@
         for task in book.active_by_name.values():
             self._charge(task)
             self._committed.add((task.name, task.run))
+        self.fleet.forget_paces(now)
         book.on_start = self._charge
         book.on_end = self._release
         self.pipeline = Pipeline(
@@ -113,7 +114,13 @@
 
     def orders_for(self, worker: Worker, lease_ms: int) -> WorkerOrders:
         """Return all that ``worker`` shall do now."""
-        return create_orders(self.fleet, worker, self._committed, lease_ms)
+        return create_orders(
+            self.fleet,
+            worker,
+            self._committed,
+            lease_ms,
+            self._now(),
+        )
 
     def _now(self) -> float:
         return float(self._clock.seconds())
--- a/wasabiturn/process/control/batch/orders.py
+++ b/wasabiturn/process/control/batch/orders.py
@@ -16,8 +16,9 @@
     worker: Worker,
     committed: set[tuple[str, int]],
     lease_ms: int,
+    now: float,
 ) -> WorkerOrders:
-    """Return all that the worker shall do now.
+    """Return all that the worker shall do at ``now``.
 
     ``committed`` holds the starts, by task and run, that are stored.
     """
@@ -37,7 +38,7 @@
         if _is_open(charge) and (charge.task.name, charge.run) in committed
     ]
     orders.stops = list_stops(worker)
-    orders.paces = _list_paces(worker)
+    orders.paces = _list_paces(worker, now)
     return orders
 
 
@@ -70,10 +71,11 @@
     return stops
 
 
-def _list_paces(worker: Worker) -> list[PaceOrder]:
+def _list_paces(worker: Worker, now: float) -> list[PaceOrder]:
     paces: list[PaceOrder] = []
-    for charge in list_paces(worker):
+    for charge in list_paces(worker, now):
         charge.paced_percent = wanted_percent(worker, charge)
+        charge.paced_at = now
         paces.append(
             PaceOrder(
                 task=charge.task.name,
