Store changes of one turn in the order in which they were decided

Cause: two configurations recorded in one turn of the loop were merged into one command, and the later, lower version took the place of the higher one, which both had been acknowledged; likewise a cancellation could go before an end that came before it. Ruled out: a stale leader (the node read the committed book). Change: what does not keep its order begins another command of the same sync.

--- a/wasabiturn/process/control/batch/pipeline.py
+++ b/wasabiturn/process/control/batch/pipeline.py
@@ -2,7 +2,8 @@
 
 The leader decides on its own copy, the book ahead, to which each change is
 applied when it is recorded. What a change means for others is said only once
-it is committed. All that is recorded in one turn of the loop is one command.
+it is committed. All that is recorded in one turn of the loop is one command, but where the order of
+its fields is not the order in which it was recorded.
 """
 
 from collections.abc import Callable
@@ -69,6 +70,8 @@
 
         Returns the change that it became part of.
         """
+        if not _keeps_order(self._batch.change, change):
+            self._submit(self._take())
         apply_batch_change(self.book, change)
         _merge(self._batch.change, change)
         self.wake_up()
@@ -91,7 +94,9 @@
     def _flush(self) -> None:
         self._on_flush()
         self._flush_call = None
-        batch = self._take()
+        self._submit(self._take())
+
+    def _submit(self, batch: _Batch) -> None:
         if batch.change == BatchChange():
             _settle(batch.waiting)
             return
@@ -123,8 +128,7 @@
 
 
 def _merge(merged: BatchChange, change: BatchChange) -> None:
-    if change.routing is not None:
-        merged.routing = change.routing
+    merged.routing = merged.routing or change.routing
     merged.marks.extend(change.marks)
     merged.accepts.extend(change.accepts)
     merged.cancels.extend(change.cancels)
@@ -133,6 +137,19 @@
     merged.forgets.extend(change.forgets)
 
 
+def _keeps_order(merged: BatchChange, change: BatchChange) -> bool:
+    """Tell whether both, applied as one, do what they do one by one."""
+    if merged.routing is not None and change.routing is not None:
+        return False
+    return max(_ranks(merged), default=0) <= min(_ranks(change), default=0)
+
+
+def _ranks(change: BatchChange) -> list[int]:
+    """Return the places of the fields in use, in their order."""
+    names = [field.name for field in attrs.fields(BatchChange)]
+    return [rank for rank, name in enumerate(names) if getattr(change, name)]
+
+
 def _settle(waiting: list[Deferred[None]]) -> None:
     for committed in waiting:
         committed.callback(None)
