--- a/wasabiturn/process/control/batch/pipeline.py
+++ b/wasabiturn/process/control/batch/pipeline.py
@@ -2,8 +2,8 @@
 
 The leader decides on its own copy, the book ahead, to which each change is
 applied when it is recorded. What a change means for others is said only once
-it is committed. All that is recorded in one turn of the loop is one command, but where the order of
-its fields is not the order in which it was recorded.
+it is committed. What is recorded in one turn of the loop is one command, unless
+the order of its fields would not be the order in which it was recorded.
 """
 
 from collections.abc import Callable
