Ask a worker for its first list at once

A worker that announced itself took work up to a second later, as its first hold waited for an end. Test: fails before (1.0 s), passes now.

--- a/tests/sessions/test_batch.py
+++ b/tests/sessions/test_batch.py
@@ -121,6 +121,13 @@
     assert run.pace == 100
 
 
+def test_a_worker_takes_work_soon_after_it_announced_itself() -> None:
+    fleet = BatchFleet(workers=1)
+    fleet.submit('a', [step(1)], Work(0.1))
+    # Its announcement comes at once, and its first list soon after it.
+    assert fleet.run_until('a', JobState.done, seconds=2) < 0.5
+
+
 def test_a_worker_with_another_life_runs_nothing_of_before() -> None:
     fleet = BatchFleet(workers=2)
     fleet.run(1)
--- a/wasabiturn/process/agent/runs/keeper.py
+++ b/wasabiturn/process/agent/runs/keeper.py
@@ -25,6 +25,8 @@
 
 # How long a hold waits for an end; figures of sharing tasks age by it.
 HOLD_WAIT_MS = 1000
+# The first list of a life is wanted at once.
+FIRST_WAIT_MS = 50
 SHARING_WAIT_MS = 500
 HOLD_RETRY_SECONDS = 0.2
 REPORT_SECONDS = 1.0
@@ -73,7 +75,7 @@
                 born_ms=identity.born_ms,
             )
             self._begin_life(identity.life)
-            self._hold(HOLD_WAIT_MS)
+            self._hold(FIRST_WAIT_MS)
         elif known.is_leaving != identity.is_leaving:
             _log.event('worker leaves', worker=identity.worker)
             self._report()
