--- a/tests/sessions/test_batch.py
+++ b/tests/sessions/test_batch.py
@@ -123,8 +123,11 @@
 
 def test_a_worker_takes_work_soon_after_it_announced_itself() -> None:
     fleet = BatchFleet(workers=1)
+    fleet.run(2)
+    fleet.agents[0].worker.reborn()
+    fleet.run(0.5)
+    fleet.agents[0].announce()
     fleet.submit('a', [step(1)], Work(0.1))
-    # Its announcement comes at once, and its first list soon after it.
     assert fleet.run_until('a', JobState.done, seconds=2) < 0.5
 
 
