--- a/tests/batch/jobs_fakes.py
+++ b/tests/batch/jobs_fakes.py
@@ -98,7 +98,7 @@
 
 
 def create_fleet(*workers: Worker) -> Fleet:
-    fleet = Fleet(leading_since=0, fence=1)
+    fleet = Fleet(fence=1)
     for worker in workers:
         fleet.workers_by_life[worker.name, worker.born_ms] = worker
     return fleet
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -35,7 +35,6 @@
     started_at: float
     is_confirmed: bool = False
     row: RunningRow | None = None
-    percent_at: float = NEVER
     paced_percent: int = 100
     paced_at: float | None = None
     is_to_stop: bool = False
@@ -47,8 +46,14 @@
     """One life of a worker; times are seconds of the leader's loop.
 
     ``lease_ends_at`` is when all that the worker ran under leases of this
-    leader or an earlier one has ended for certain. ``inherited_by_task`` holds
-    runs of an earlier life under this name: their starts may still come.
+    leader or an earlier one has ended for certain. ``seen_end`` numbers the
+    newest end that was taken in, ``stored_end`` the newest that is committed;
+    ``pending_ends`` are in between. ``inherited_by_task`` holds runs of an
+    earlier life under this name, whose starts may still come, and
+    ``strays_by_task`` runs that the worker lists and should not have.
+    ``percent_by_image`` is the pace of filling images below full speed, and
+    ``halted_at_by_image`` when that became nothing. The worker gets no new
+    tasks before ``avoided_until``.
     """
 
     name: str
@@ -116,7 +121,6 @@
 class Fleet:
     """Lives of workers that matter to the leader, by name and birth."""
 
-    leading_since: float
     fence: int
     workers_by_life: dict[tuple[str, int], Worker] = attrs.field(factory=dict)
     idle_since_by_job: dict[str, float] = attrs.field(factory=dict)
--- a/wasabiturn/batch/reports.py
+++ b/wasabiturn/batch/reports.py
@@ -29,7 +29,7 @@
     worker.heard_at = now
     if not report.listed or report.fence != fleet.fence:
         return []
-    _take_rows(worker, report, now)
+    _take_rows(worker, report)
     ends = [_to_end(row) for row in _new_ends(worker, report)]
     if not worker.is_known:
         worker.is_known = True
@@ -64,15 +64,13 @@
     ]
 
 
-def _take_rows(worker: Worker, report: WorkerReport, now: float) -> None:
+def _take_rows(worker: Worker, report: WorkerReport) -> None:
     worker.strays_by_task = {}
     for row in report.running:
         charge = worker.charges_by_task.get(row.task)
         if charge is None or charge.run != row.run:
             worker.strays_by_task[row.task] = row.run
             continue
-        if charge.row is None or charge.row.percent != row.percent:
-            charge.percent_at = now
         charge.is_confirmed = True
         charge.row = row
 
--- a/wasabiturn/process/control/batch/lead.py
+++ b/wasabiturn/process/control/batch/lead.py
@@ -60,7 +60,7 @@
         self._replica = replica
         self._clock = clock
         self._committed: set[tuple[str, int]] = set()
-        self.fleet = Fleet(leading_since=now, fence=replica.standing().term)
+        self.fleet = Fleet(fence=replica.standing().term)
         book = _copy(replica.state.batch)
         for task in book.active_by_name.values():
             self._charge(task)
