--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -369,6 +369,5 @@
     starts: list[StartOrder] = attrs.field(factory=list)
     stops: list[StopOrder] = attrs.field(factory=list)
     paces: list[PaceOrder] = attrs.field(factory=list)
-    complete: bool = False
     worker: str = ''
     born_ms: int = 0
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -209,6 +209,7 @@
   3: i32 percent,
 }
 
+// Each lists all that the worker is to do.
 struct WorkerOrders {
   1: i64 fence,             // term of the leader
   2: i64 acknowledged,      // ends up to here are stored
@@ -216,7 +217,6 @@
   4: list<StartOrder> starts,
   5: list<StopOrder> stops,
   6: list<PaceOrder> paces,
-  7: bool complete,         // false: a push of what is new
-  8: string worker,
-  9: i64 born_ms,
+  7: string worker,
+  8: i64 born_ms,
 }
--- a/wasabiturn/process/agent/runs/sender.py
+++ b/wasabiturn/process/agent/runs/sender.py
@@ -77,9 +77,8 @@
         """Take orders; starts wait until ``send_starts``."""
         self._identity = identity
         self.table.add(orders.starts, orders.fence)
-        if orders.complete:
-            still = {(order.task, order.run) for order in orders.starts}
-            self.table.forget_settled(still)
+        still = {(order.task, order.run) for order in orders.starts}
+        self.table.forget_settled(still)
         for stop in orders.stops:
             self._stop(identity, stop)
         for pace in orders.paces:
--- a/wasabiturn/process/control/batch/orders.py
+++ b/wasabiturn/process/control/batch/orders.py
@@ -26,7 +26,6 @@
         fence=fleet.fence,
         acknowledged=worker.stored_end,
         lease_ms=lease_ms,
-        complete=True,
         worker=worker.name,
         born_ms=worker.born_ms,
     )
