--- a/wasabiturn/conf/sections.py
+++ b/wasabiturn/conf/sections.py
@@ -92,7 +92,7 @@
 @final
 @attrs.frozen(kw_only=True)
 class LoggingSection:
-    """``[logging]``: standard error unless a file is named."""
+    """``[logging]``: standard output unless a file is named."""
 
     file: Path | None = setting(values.path(), default=None)
     level: str = setting(
--- a/wasabiturn/process/daemon.py
+++ b/wasabiturn/process/daemon.py
@@ -4,6 +4,7 @@
 import sys
 from collections.abc import Callable
 from contextlib import ExitStack
+from pathlib import Path
 from typing import Any, Protocol, TextIO, final
 
 import attrs
@@ -91,16 +92,25 @@
 
 
 def _open_log(settings: Settings, stack: ExitStack) -> None:
-    stream: TextIO | BoundedLines = open_bounded_lines(sys.stdout.fileno())
-    if settings.logging.file is not None:
-        settings.logging.file.parent.mkdir(parents=True, exist_ok=True)
-        stream = stack.enter_context(
-            settings.logging.file.open('a', encoding='utf-8', buffering=1),
-        )
-    output = open_log_output(stream, settings.logging.level)
+    output = open_log_output(
+        _open_log_stream(settings.logging.file, stack),
+        settings.logging.level,
+    )
     stack.callback(output.close)
 
 
+def _open_log_stream(
+    log_file: Path | None,
+    stack: ExitStack,
+) -> TextIO | BoundedLines:
+    if log_file is None:
+        return open_bounded_lines(sys.stdout.fileno())
+    log_file.parent.mkdir(parents=True, exist_ok=True)
+    return stack.enter_context(
+        log_file.open('a', encoding='utf-8', buffering=1),
+    )
+
+
 @final
 class _Daemon:
     def __init__(self, context: Context, stack: ExitStack) -> None:
--- a/wasabiturn/utils/bounded_lines.py
+++ b/wasabiturn/utils/bounded_lines.py
@@ -2,6 +2,7 @@
 
 import os
 import time
+from collections.abc import Callable
 from typing import final
 
 import attrs
@@ -18,13 +19,14 @@
     """
 
     descriptor: int
+    clock: Callable[[], float] = time.monotonic
     second: int = 0
     written: int = 0
     dropped: int = 0
 
     def write(self, line: bytes) -> int:
         """Write a line, or drop it when too many came or the reader lags."""
-        second = int(time.monotonic())
+        second = int(self.clock())
         if second != self.second:
             self._begin_second(second)
         if line and self.written >= MAX_LINES_PER_SECOND:
@@ -50,13 +52,15 @@
     def _write(self, line: bytes) -> None:
         try:
             os.write(self.descriptor, line)
-        except BlockingIOError:
-            self.dropped += 1
-        except BrokenPipeError:
+        except (BlockingIOError, BrokenPipeError):
             self.dropped += 1
 
 
 def open_bounded_lines(descriptor: int) -> BoundedLines:
-    """Create the stream and make its descriptor non-blocking."""
-    os.set_blocking(descriptor, False)
+    """Create the stream and make its descriptor non-blocking.
+
+    A terminal is left as it is: the shell that started the program shares it.
+    """
+    if not os.isatty(descriptor):
+        os.set_blocking(descriptor, False)
     return BoundedLines(descriptor=descriptor)
