--- a/wasabiturn/batch/apply.py
+++ b/wasabiturn/batch/apply.py
@@ -118,7 +118,7 @@
 
 
 def _finish(book: BatchBook, task: Task) -> None:
-    _mark_done(task)
+    task.mark_done()
     if task.step.gang:
         _finish_gang(book, task)
     job = task.job
@@ -133,13 +133,7 @@
             continue
         if other.state is BatchTaskState.active:
             book.end_run(other)
-            _mark_done(other)
-
-
-def _mark_done(task: Task) -> None:
-    task.state = BatchTaskState.done
-    task.part.waiting_by_name.pop(task.name, None)
-    task.part.left -= 1
+            other.mark_done()
 
 
 def _fail(book: BatchBook, task: Task) -> None:
--- a/wasabiturn/batch/dump.py
+++ b/wasabiturn/batch/dump.py
@@ -71,7 +71,5 @@
     if record.state is BatchTaskState.active:
         book.begin_run(task)
     elif record.state is BatchTaskState.done:
-        task.state = BatchTaskState.done
-        task.part.waiting_by_name.pop(task.name, None)
-        task.part.left -= 1
+        task.mark_done()
         task.job.waiting_tasks -= 1
--- a/wasabiturn/batch/jobs.py
+++ b/wasabiturn/batch/jobs.py
@@ -1,5 +1,6 @@
 """Jobs, their parts and their tasks, as the control group agrees on them."""
 
+from collections.abc import Collection
 from typing import final
 
 import attrs
@@ -37,6 +38,12 @@
         """Return what the job declares of the task."""
         return self.part.step
 
+    def mark_done(self) -> None:
+        """Note that the task needs no further run."""
+        self.state = BatchTaskState.done
+        self.part.waiting_by_name.pop(self.name, None)
+        self.part.left -= 1
+
 
 @final
 @attrs.define(eq=False)
@@ -109,12 +116,9 @@
 
     def remaining_ms(self) -> int:
         """Return the estimate of the longest chain that is not done."""
-        ends_ms: list[int] = []
-        for number, step in enumerate(self.accepted.declaration.steps):
-            begun_ms = max((ends_ms[each] for each in step.after), default=0)
-            own_ms = 0 if self._is_done(number) else step.estimate_ms
-            ends_ms.append(begun_ms + own_ms)
-        return max(ends_ms, default=0)
+        steps = self.accepted.declaration.steps
+        done = set(filter(self._is_done, range(len(steps))))
+        return longest_chain_ms(steps, done)
 
     def _is_done(self, number: int) -> bool:
         occurrences = max(self.accepted.declaration.occurrences, 1)
@@ -129,12 +133,16 @@
         return self.state in FINAL_STATES
 
 
-def longest_chain_ms(steps: list[Step]) -> int:
-    """Return the estimate of the longest chain of dependent steps."""
+def longest_chain_ms(
+    steps: list[Step],
+    done: Collection[int] = (),
+) -> int:
+    """Return the estimate of the longest chain of steps that are not done."""
     ends_ms: list[int] = []
-    for step in steps:
+    for number, step in enumerate(steps):
         begun_ms = max((ends_ms[each] for each in step.after), default=0)
-        ends_ms.append(begun_ms + step.estimate_ms)
+        own_ms = 0 if number in done else step.estimate_ms
+        ends_ms.append(begun_ms + own_ms)
     return max(ends_ms, default=0)
 
 
--- a/wasabiturn/batch/placing.py
+++ b/wasabiturn/batch/placing.py
@@ -8,6 +8,7 @@
 worker, so that each filling image finds some that it does not press.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 from typing import final
 
@@ -96,13 +97,13 @@
 
 
 def _count_by_worker(part: Part) -> dict[str, int]:
-    count_by_worker: dict[str, int] = {}
-    if part.step.max_per_worker:
-        for task in part.job.tasks_by_name.values():
-            if task.part is part and task.state is BatchTaskState.active:
-                count = count_by_worker.get(task.worker, 0)
-                count_by_worker[task.worker] = count + 1
-    return count_by_worker
+    if not part.step.max_per_worker:
+        return {}
+    return Counter(
+        task.worker
+        for task in part.open_tasks()
+        if task.state is BatchTaskState.active
+    )
 
 
 def _may_take(
