Learn pressure in loads, once a sample; know a machine's worker across leaders

Three causes, in one commit since they share files; each has tests that fail on the code before.

What drains from a queue was blamed on what had just been slowed. A step that found no place held up steps of other images. Change: loads by job and pressures by pair are learnt, once a new sample; paces come from the budget of each lasting job, hardest image first, and with the start; places are chosen by what the lasting tasks bear for the time of a task; runs that hardly move are stopped only if another worker takes them; small jobs before large ones among new ones.

After all machines lost power, the new leader waited 6.4 s for the leases of workers whose machines had long begun other lives: it did not know which machine a worker was on. A start now stores the agent.

--- /dev/null
+++ b/benchmarks/queues/shapes.py
@@ -0,0 +1,161 @@
+"""Deployments and days: how many workers, what jobs, how often."""
+
+from random import Random
+from typing import final
+
+import attrs
+
+from wasabiturn.messages.batch import (
+    AcceptJob,
+    JobDeclaration,
+    Step,
+    Terms,
+)
+
+QUICK = 'quick'
+FILLING = 'filling'
+LASTING = 'lasting'
+
+
+@final
+@attrs.frozen
+class Shape:
+    """One deployment; rates are jobs a second, sizes millicores and MB."""
+
+    name: str
+    workers: int = 11
+    millicores: int = 32_000
+    memory_mb: int = 128_000
+    lasting_jobs: int = 9
+    lasting_tasks: int = 6
+    lasting_millicores: int = 6400
+    quick_rate: float = 2.8
+    filling_rate: float = 0.6
+    filling_tasks: int = 8
+    filling_millicores: int = 3500
+    filling_seconds: float = 2.2
+    period: float = 20.0
+    lasting_images: int = 5
+    filling_images: int = 9
+    heavy_share: float = 0.4
+    heavy_pressure: float = 5.0
+    light_pressure: float = 0.4
+
+
+SHAPES = (
+    Shape(name='11x32'),
+    Shape(
+        name='11x16',
+        millicores=16_000,
+        memory_mb=64_000,
+        lasting_millicores=3200,
+        filling_millicores=1800,
+        period=10.0,
+    ),
+)
+
+
+@final
+@attrs.define
+class JobMaker:
+    """Draws jobs of a shape; pressures of each pair of images."""
+
+    shape: Shape
+    random: Random
+    drawn: int = 0
+
+    def draw_pressures(self) -> dict[tuple[str, str], float]:
+        """Return how hard each filling image presses each lasting one."""
+        shape = self.shape
+        return {
+            (f's{lasting}', f'f{filling}'): self._draw_pressure()
+            for lasting in range(shape.lasting_images)
+            for filling in range(shape.filling_images)
+        }
+
+    def lasting(self) -> AcceptJob:
+        """Return a job whose tasks last."""
+        shape = self.shape
+        step = Step(
+            tasks=max(int(self.random.gauss(shape.lasting_tasks, 2)), 2),
+            millicores=self._size(shape.lasting_millicores),
+            memory_mb=13_000 * shape.memory_mb // 128_000,
+            estimate_ms=1000,
+            lasting=True,
+            image=f's{self._skewed(shape.lasting_images)}',
+            tail_goal_ms=150,
+            max_per_worker=self.random.choice([0, 1]),
+        )
+        return self._accept(LASTING, [step], wall_ms=0)
+
+    def filling(self, wall_ms: int) -> AcceptJob:
+        """Return a job of one to three wide steps that fill."""
+        shape = self.shape
+        image = f'f{self._skewed(shape.filling_images)}'
+        size = self._size(shape.filling_millicores)
+        steps = [
+            Step(
+                tasks=max(int(self.random.expovariate(1 / 8)), 1),
+                millicores=size,
+                memory_mb=6400 * shape.memory_mb // 128_000,
+                estimate_ms=int(shape.filling_seconds * 1000),
+                fills=True,
+                checkpoints=self.random.choices([True, False], [17, 3])[0],
+                image=image,
+                after=[number - 1] if number else [],
+            )
+            for number in range(self.random.choice([1, 2, 2, 3]))
+        ]
+        return self._accept(FILLING, steps, wall_ms, slack_ms=1000)
+
+    def quick(self, wall_ms: int) -> AcceptJob:
+        """Return a job of short tasks with a tight objective."""
+        steps = [
+            Step(
+                tasks=max(int(self.random.expovariate(1 / 6)), 1),
+                millicores=480,
+                memory_mb=960,
+                estimate_ms=800,
+                after=[number - 1] if number else [],
+            )
+            for number in range(self.random.choice([1, 2, 2]))
+        ]
+        return self._accept(QUICK, steps, wall_ms, stretch=1.5, slack_ms=250)
+
+    def _accept(
+        self,
+        queue: str,
+        steps: list[Step],
+        wall_ms: int,
+        stretch: float = 2.0,
+        slack_ms: int = 0,
+    ) -> AcceptJob:
+        self.drawn += 1
+        return AcceptJob(
+            declaration=JobDeclaration(
+                job_id=f'{queue}-{self.drawn}',
+                queue=queue,
+                steps=steps,
+            ),
+            terms=Terms(
+                service_name='service',
+                attempts=2,
+                stretch=stretch,
+                slack_ms=slack_ms,
+            ),
+            accepted_ms=wall_ms,
+        )
+
+    def _draw_pressure(self) -> float:
+        is_heavy = self.random.random() < self.shape.heavy_share
+        usual = (
+            self.shape.heavy_pressure if is_heavy else self.shape.light_pressure
+        )
+        return usual * self.random.uniform(0.6, 1.4)
+
+    def _size(self, usual: int) -> int:
+        return int(usual * self.random.uniform(0.7, 1.3))
+
+    def _skewed(self, count: int) -> int:
+        """Return a number below ``count``, low ones more often."""
+        return int(count * self.random.random() ** 1.6)
--- a/wasabiturn/batch/apply.py
+++ b/wasabiturn/batch/apply.py
@@ -74,6 +74,7 @@
     task.run = start.run
     task.worker = start.worker
     task.born_ms = start.born_ms
+    task.agent = start.agent
     if task.job.state is JobState.queued:
         task.job.state = JobState.running
     book.begin_run(task)
--- a/wasabiturn/batch/dump.py
+++ b/wasabiturn/batch/dump.py
@@ -47,6 +47,7 @@
         born_ms=task.born_ms,
         failures=task.failures,
         checkpoint=task.checkpoint,
+        agent=task.agent,
     )
 
 
@@ -68,6 +69,7 @@
     task.born_ms = record.born_ms
     task.failures = record.failures
     task.checkpoint = record.checkpoint
+    task.agent = record.agent
     if record.state is BatchTaskState.active:
         book.begin_run(task)
     elif record.state is BatchTaskState.done:
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -18,6 +18,8 @@
 )
 
 NEVER = float('-inf')
+# Share of its declared processors that a lasting task is expected to use.
+LASTING_USE = 0.55
 # Idle jobs remembered; those that end while idle are not told apart.
 MAX_IDLE_JOBS = 10_000
 
@@ -51,9 +53,12 @@
     ``pending_ends`` are in between. ``inherited_by_task`` holds runs of an
     earlier life under this name, whose starts may still come, and
     ``strays_by_task`` runs that the worker lists and should not have.
-    ``percent_by_image`` is the pace of filling images below full speed, and
-    ``halted_at_by_image`` when that became nothing. The worker gets no new
-    tasks before ``avoided_until``.
+    ``percent_by_image`` is the pace of filling images, and
+    ``halted_at_by_image`` when that became next to nothing; ``figures`` are
+    those that were judged last, ``hot_samples`` counts how many samples in a
+    row had a tail near its goal, and ``recent_uses`` has what filling images
+    used of late, in shares of the worker. The worker gets no new tasks before
+    ``avoided_until``.
     """
 
     name: str
@@ -78,6 +83,10 @@
     strays_by_task: dict[str, int] = attrs.field(factory=dict)
     percent_by_image: dict[str, int] = attrs.field(factory=dict)
     halted_at_by_image: dict[str, float] = attrs.field(factory=dict)
+    figures: tuple[tuple[str, float], ...] = ()
+    sampled_at: float = NEVER
+    hot_samples: int = 0
+    recent_uses: dict[str, float] = attrs.field(factory=dict)
     lasting_by_image: dict[str, int] = attrs.field(factory=dict)
     failures_in_row: int = 0
     avoided_until: float = NEVER
@@ -102,6 +111,11 @@
             and self.accelerators + others <= report.accelerators
         )
 
+    def unused_millicores(self) -> float:
+        """Return what is left for filling tasks, all together."""
+        used = self.millicores - (1 - LASTING_USE) * self.lasting_millicores
+        return self.report.millicores - used
+
     def _add(self, task: Task, sign: int) -> None:
         step = task.step
         if step.fills:
@@ -146,7 +160,13 @@
         """Return one life of a worker."""
         return self.workers_by_life.get((name, born_ms))
 
-    def open(self, name: str, born_ms: int, lease_ends_at: float) -> Worker:
+    def open(
+        self,
+        name: str,
+        born_ms: int,
+        lease_ends_at: float,
+        agent: str = '',
+    ) -> Worker:
         """Return one life of a worker, created unheard if it is new."""
         worker = self.find(name, born_ms)
         if worker is None:
@@ -154,6 +174,7 @@
                 name=name,
                 born_ms=born_ms,
                 lease_ends_at=lease_ends_at,
+                agent=agent,
             )
             self.workers_by_life[name, born_ms] = worker
         return worker
--- a/wasabiturn/batch/gangs.py
+++ b/wasabiturn/batch/gangs.py
@@ -21,6 +21,7 @@
             run=run,
             worker=worker.name,
             born_ms=worker.born_ms,
+            agent=worker.agent,
         )
 
 
--- a/wasabiturn/batch/interference.py
+++ b/wasabiturn/batch/interference.py
@@ -1,116 +1,279 @@
-"""What filling images do to the tails of lasting ones, learnt from figures.
+"""What filling images do to lasting jobs, learnt from figures.
 
-The tail of a lasting task, as a share of its goal, is taken as what its image
-shows alone plus, for each filling image beside it, a pressure times the part
-of the worker that the image uses. Figures are rough and the truth changes
-within seconds, so each new sample moves the estimates at once.
+A filling image raises the load of a lasting task by a pressure for each pair
+of images, times the share of the worker that it uses. Most pairs hardly press,
+some press hard. Each estimate has a variance, so that the images beside a task
+share the blame by what is not yet known of them; variances never fall to
+nothing, as pressures may change within seconds.
 """
 
+import math
 from collections.abc import Iterator, Mapping
+from statistics import median_low
 from typing import final
 
 import attrs
 
-from wasabiturn.batch.fleet import Worker
+from wasabiturn.batch.fleet import Charge, Worker
+from wasabiturn.batch.loads import IdleTails, Load
 
 Pair = tuple[str, str]
 
-# Shares of its goal that a tail shows alone, before any was seen.
-FIRST_ALONE = 0.4
-# Pressure of an image that was never seen beside another.
-FIRST_PRESSURE = 0.15
-MAX_PRESSURE = 5.0
-# How far one sample moves an estimate.
-LEARNING_RATE = 0.35
-ALONE_RATE = 0.2
-# Use of a worker is counted in tenths of its processors.
-PARTS_OF_WORKER = 10
-# Below this use, a sample says little about an image.
-MIN_USE = 0.05
+# Pressure of a pair that was never seen, between those of the usual kinds.
+FIRST_PRESSURE = 2.0
+FIRST_VARIANCE = 4.0
+MIN_VARIANCE = 0.4
+MAX_PRESSURE = 15.0
+# Variances of what one sample shows: of a load, and of its rise by pressure.
+LOAD_VARIANCE = 0.004
+RISE_VARIANCE = 0.01
+# How fast an estimate that is not seen again goes back to the first one.
+FORGETTING_SECONDS = 60.0
+KEPT_SECONDS = 5 * FORGETTING_SECONDS
+# Lasting images are unlike if the same image presses one by so much more.
+UNLIKE_PRESSURE = 3.0
+UNKNOWN = 0.5
+# Part of a use that still counts in the next sample: queues drain slowly.
+KEPT_USE = 0.6
+# How far uncertain pressures lower the trust in the load of a pressed task.
+DOUBT = 20.0
+# Below this use, in shares of the worker, a sample says little of an image.
+MIN_USE = 0.005
+_FULL_PERCENT = 100
+
+
+@final
+@attrs.define
+class Pressure:
+    """Estimate for one lasting and one filling image."""
+
+    level: float = FIRST_PRESSURE
+    variance: float = FIRST_VARIANCE
+    seen_at: float = 0.0
+
+    def age(self, now: float) -> 'Pressure':
+        """Return what is left of the estimate at ``now``."""
+        kept = math.exp((self.seen_at - now) / FORGETTING_SECONDS)
+        return Pressure(
+            level=FIRST_PRESSURE + kept * (self.level - FIRST_PRESSURE),
+            variance=FIRST_VARIANCE + kept * (self.variance - FIRST_VARIANCE),
+            seen_at=now,
+        )
+
+
+@final
+@attrs.frozen
+class LastingGroup:
+    """Tasks of one lasting job on one worker."""
+
+    job_id: str
+    image: str
+    tails: tuple[float, ...]
+
+    @property
+    def tail(self) -> float:
+        """Return the usual tail, in shares of the goal."""
+        return median_low(self.tails)
 
 
 @final
 @attrs.define
 class Interference:
-    """Estimates by lasting image, and by lasting and filling image."""
+    """Estimates by lasting job, and by lasting and filling image."""
 
-    alone_by_image: dict[str, float] = attrs.field(factory=dict)
-    pressure_by_pair: dict[Pair, float] = attrs.field(factory=dict)
+    load_by_job: dict[str, Load] = attrs.field(factory=dict)
+    pressure_by_pair: dict[Pair, Pressure] = attrs.field(factory=dict)
+    idle_tails: IdleTails = attrs.field(factory=IdleTails)
 
-    def learn(self, worker: Worker) -> None:
+    def learn(self, worker: Worker, now: float) -> None:
         """Take the newest figures of a worker into the estimates."""
-        uses = uses_by_image(worker)
-        for image, tail in tails_of(worker):
-            if uses:
-                self._learn_pressure(image, tail, uses)
-            else:
-                alone = self.alone(image)
-                self.alone_by_image[image] = alone + ALONE_RATE * (tail - alone)
-
-    def alone(self, image: str) -> float:
-        """Return the tail of a lasting image alone, in shares of its goal."""
-        return self.alone_by_image.get(image, FIRST_ALONE)
-
-    def pressure(self, lasting: str, filling: str) -> float:
-        """Return what a tenth of a worker's use adds to a tail."""
-        return self.pressure_by_pair.get((lasting, filling), FIRST_PRESSURE)
-
-    def predict(self, worker: Worker, filling: str, use: float) -> float:
-        """Return the worst tail on ``worker`` with ``use`` more of an image."""
-        uses = dict(uses_by_image(worker))
-        uses[filling] = uses.get(filling, 0) + use
-        return max(
-            (
-                self.alone(image) + self._total(image, uses)
-                for image, _ in tails_of(worker)
-            ),
-            default=0.0,
-        )
+        uses = _recent_uses(worker)
+        for group in lasting_groups(worker):
+            if group.tails:
+                self._learn_group(group, uses, now)
 
-    def worst_pressure(self, worker: Worker, filling: str) -> float:
-        """Return the pressure of an image on the worker's weakest task."""
-        return max(
-            (self.pressure(image, filling) for image, _ in tails_of(worker)),
-            default=0.0,
-        )
+    def forget_unseen(self, now: float) -> None:
+        """Drop what says no more than the first estimates do."""
+        oldest = now - KEPT_SECONDS
+        self.load_by_job = {
+            job_id: load
+            for job_id, load in self.load_by_job.items()
+            if load.seen_at is not None and load.seen_at > oldest
+        }
+        self.pressure_by_pair = {
+            pair: pressure
+            for pair, pressure in self.pressure_by_pair.items()
+            if pressure.seen_at > oldest
+        }
+
+    def load(self, job_id: str) -> Load:
+        """Return the estimate for a lasting job."""
+        return self.load_by_job.get(job_id, Load())
 
-    def _total(self, image: str, uses: Mapping[str, float]) -> float:
+    def pressure(self, lasting: str, filling: str, now: float) -> float:
+        """Return the rise of a load for the use of a whole worker."""
+        return self._pressure(lasting, filling, now).level
+
+    def press(
+        self,
+        lasting: str,
+        uses: Mapping[str, float],
+        now: float,
+    ) -> float:
+        """Return the share by which ``uses`` raise the load of an image."""
         return sum(
-            self.pressure(image, filling) * use for filling, use in uses.items()
+            self.pressure(lasting, filling, now) * use
+            for filling, use in uses.items()
         )
 
-    def _learn_pressure(
+    def likeness(self, one: str, other: str, now: float) -> float:
+        """Tell how alike two lasting images are pressed, from -1 to 1.
+
+        What is not known of either counts as neither like nor unlike.
+        """
+        if one == other:
+            return 1.0
+        gaps = [
+            self._unlikeness(one, other, filling, now)
+            for _, filling in self.pressure_by_pair
+        ]
+        return 1 - 2 * max(gaps, default=UNKNOWN)
+
+    def _unlikeness(
+        self,
+        one: str,
+        other: str,
+        filling: str,
+        now: float,
+    ) -> float:
+        pairs = ((one, filling), (other, filling))
+        if not self.pressure_by_pair.keys() >= set(pairs):
+            return UNKNOWN
+        levels = [self.pressure(*pair, now) for pair in pairs]
+        gap = max(levels) - min(levels)
+        return min(gap / UNLIKE_PRESSURE, 1.0)
+
+    def _pressure(self, lasting: str, filling: str, now: float) -> Pressure:
+        known = self.pressure_by_pair.get((lasting, filling))
+        return known.age(now) if known else Pressure(seen_at=now)
+
+    def _learn_group(
+        self,
+        group: LastingGroup,
+        uses: Mapping[str, float],
+        now: float,
+    ) -> None:
+        shown = self.idle_tails.to_load(group.image, group.tail)
+        load = self.load_by_job.setdefault(group.job_id, Load())
+        if load.seen_at is not None:
+            self._learn_pressures(group.image, shown, load.present(), uses, now)
+        doubt = DOUBT * self._spread(group.image, uses, now)
+        alone = shown / (1 + self.press(group.image, uses, now))
+        load.take(alone, 1 / (1 + doubt), now)
+
+    def _learn_pressures(
         self,
-        image: str,
-        tail: float,
+        lasting: str,
+        shown: float,
+        alone: float,
         uses: Mapping[str, float],
+        now: float,
     ) -> None:
-        error = tail - self.alone(image) - self._total(image, uses)
-        norm = sum(use * use for use in uses.values())
+        """Share an unexpected rise of a load among the images in use."""
+        error = shown / alone - 1 - self.press(lasting, uses, now)
+        total = self._spread(lasting, uses, now)
+        total += LOAD_VARIANCE / alone**2 + RISE_VARIANCE
         for filling, use in uses.items():
-            if use < MIN_USE:
-                continue
-            step = LEARNING_RATE * error * use / norm
-            pressure = self.pressure(image, filling) + step
-            bounded = min(max(pressure, 0.0), MAX_PRESSURE)
-            self.pressure_by_pair[image, filling] = bounded
+            known = self._pressure(lasting, filling, now)
+            gain = known.variance * use / total
+            level = known.level + gain * error
+            variance = known.variance * (1 - gain * use)
+            self.pressure_by_pair[lasting, filling] = Pressure(
+                level=min(max(level, 0.0), MAX_PRESSURE),
+                variance=max(variance, MIN_VARIANCE),
+                seen_at=now,
+            )
+
+    def _spread(
+        self,
+        lasting: str,
+        uses: Mapping[str, float],
+        now: float,
+    ) -> float:
+        """Return the variance of what ``uses`` are expected to add."""
+        return sum(
+            self._pressure(lasting, filling, now).variance * use * use
+            for filling, use in uses.items()
+        )
+
 
+def _recent_uses(worker: Worker) -> dict[str, float]:
+    """Return what filling images use, or did use just before."""
+    present = present_uses(worker)
+    kept = {image: KEPT_USE * use for image, use in worker.recent_uses.items()}
+    uses = {
+        image: max(present.get(image, 0), kept.get(image, 0))
+        for image in present.keys() | kept.keys()
+    }
+    worker.recent_uses = {
+        image: use for image, use in uses.items() if use > MIN_USE
+    }
+    return worker.recent_uses
 
-def tails_of(worker: Worker) -> Iterator[tuple[str, float]]:
-    """Yield image and tail, in shares of its goal, of each lasting task."""
+
+def lasting_groups(worker: Worker) -> Iterator[LastingGroup]:
+    """Yield the lasting jobs on a worker; new ones show no tails yet."""
+    charges_by_job: dict[str, list[Charge]] = {}
     for charge in worker.charges_by_task.values():
-        step = charge.task.step
-        if step.tail_goal_ms and charge.row is not None:
-            yield step.image, charge.row.figure / step.tail_goal_ms
+        if charge.task.step.tail_goal_ms:
+            job_id = charge.task.job.job_id
+            charges_by_job.setdefault(job_id, []).append(charge)
+    for job_id, charges in charges_by_job.items():
+        yield LastingGroup(
+            job_id=job_id,
+            image=charges[0].task.step.image,
+            tails=tuple(_tails(charges)),
+        )
 
 
-def uses_by_image(worker: Worker) -> dict[str, float]:
-    """Return what each filling image uses, in tenths of the worker."""
+def highest_tail(worker: Worker) -> float:
+    """Return the highest usual tail on a worker, in shares of its goal."""
+    tails = [group.tail for group in lasting_groups(worker) if group.tails]
+    return max(tails, default=0.0)
+
+
+def present_uses(worker: Worker) -> dict[str, float]:
+    """Return what each filling image uses, in shares of the worker."""
     uses: dict[str, float] = {}
-    size = max(worker.report.millicores, 1)
     for charge in worker.charges_by_task.values():
         if charge.task.step.fills and charge.row is not None:
-            use = charge.row.figure * PARTS_OF_WORKER / size
+            use = charge.row.figure / _size(worker)
             image = charge.task.step.image
             uses[image] = uses.get(image, 0) + use
-    return {image: use for image, use in uses.items() if use > 0}
+    return {image: use for image, use in uses.items() if use > MIN_USE}
+
+
+def full_uses(worker: Worker) -> dict[str, float]:
+    """Return what each filling image would use at full pace.
+
+    Where they ask for more than is unused, all get the same part of it.
+    """
+    wanted = max(worker.fill_millicores, 1)
+    part = min(max(worker.unused_millicores(), 0) / wanted, 1)
+    uses: dict[str, float] = {}
+    for charge in worker.charges_by_task.values():
+        step = charge.task.step
+        if step.fills:
+            use = part * step.millicores / _size(worker)
+            uses[step.image] = uses.get(step.image, 0) + use
+    return uses
+
+
+def _tails(charges: list[Charge]) -> Iterator[float]:
+    for charge in charges:
+        if charge.row is not None and charge.row.figure > 0:
+            yield charge.row.figure / charge.task.step.tail_goal_ms
+
+
+def _size(worker: Worker) -> int:
+    return max(worker.report.millicores, 1)
--- a/wasabiturn/batch/jobs.py
+++ b/wasabiturn/batch/jobs.py
@@ -8,6 +8,7 @@
 from wasabiturn.messages.batch import AcceptJob, Step
 from wasabiturn.messages.kinds import BatchTaskState, JobState
 
+_MILLI = 1000
 FINAL_STATES = frozenset((JobState.done, JobState.failed, JobState.cancelled))
 
 
@@ -16,7 +17,8 @@
 class Task:
     """One task; ``run`` numbers its newest start, 0 before the first.
 
-    ``worker`` and ``born_ms`` name the life of the worker of that run.
+    ``worker`` and ``born_ms`` name the life of the worker of that run, and
+    ``agent`` the instance beside it, which has one worker at a time.
     """
 
     name: str
@@ -25,6 +27,7 @@
     run: int = 0
     worker: str = ''
     born_ms: int = 0
+    agent: str = ''
     failures: int = 0
     checkpoint: str = ''
 
@@ -120,6 +123,13 @@
         done = set(filter(self._is_done, range(len(steps))))
         return longest_chain_ms(steps, done)
 
+    def remaining_work(self) -> int:
+        """Return the estimate of what is left to do, in core milliseconds."""
+        return sum(
+            part.left * part.step.estimate_ms * part.step.millicores // _MILLI
+            for part in self.parts_by_key.values()
+        )
+
     def _is_done(self, number: int) -> bool:
         occurrences = max(self.accepted.declaration.occurrences, 1)
         return not any(
--- a/wasabiturn/batch/ordering.py
+++ b/wasabiturn/batch/ordering.py
@@ -2,9 +2,10 @@
 
 Answers days on which more is handed in than can be in time. Serving all by
 their objectives alone would make all late, so jobs that can still be in time
-come first, those that have begun before others; then late ones that are nearly
-finished; those past any use of their result come last. Lasting tasks come
-before all.
+come first, those that have begun before others and small ones before large
+ones: work spread over many jobs would finish none in time. Then come late ones
+that are nearly finished; those past any use of their result come last. Lasting
+tasks come before all.
 """
 
 import enum
@@ -60,6 +61,9 @@
         return False
     if stuck.fills is not step.fills or stuck.lasting is not step.lasting:
         return False
+    if stuck.fills and stuck.image != step.image:
+        # Another image may not press where this one does.
+        return False
     return (
         step.millicores >= stuck.millicores
         and step.memory_mb >= stuck.memory_mb
@@ -72,8 +76,7 @@
     prospect = find_prospect(job, moment)
     if prospect is Prospect.in_time:
         is_new = job.state is JobState.queued
-        latest_start_ms = accepted_ms + job.objective_ms - job.remaining_ms()
-        return prospect, int(is_new), latest_start_ms
+        return prospect, int(is_new), job.remaining_work()
     if prospect is Prospect.late:
         return prospect, 0, float(job.remaining_ms())
     return prospect, 0, accepted_ms
--- a/wasabiturn/batch/placing.py
+++ b/wasabiturn/batch/placing.py
@@ -1,11 +1,11 @@
 """Where a task goes.
 
 Answers the load of lasting tasks beside wide steps that fill what others leave
-unused: filling tasks disturb lasting ones, so lasting tasks share few workers,
-short tasks go beside them, and filling tasks have the other workers to
-themselves. Where these are full, a filling task goes where its image is
-expected to press the lasting ones least; lasting tasks of one image share a
-worker, so that each filling image finds some that it does not press.
+unused. Lasting tasks of one image share few workers, so that each filling
+image finds some that it does not press. A filling task goes beside lasting
+ones that it hardly presses even when their load is highest, which leaves the
+workers without lasting tasks to images that press; then to these workers; then
+where the lasting tasks can bear it for now.
 """
 
 from collections import Counter
@@ -16,22 +16,22 @@
 
 from wasabiturn.batch.book import BatchBook
 from wasabiturn.batch.fleet import Worker
-from wasabiturn.batch.interference import PARTS_OF_WORKER, Interference
+from wasabiturn.batch.interference import Interference
 from wasabiturn.batch.jobs import Part, Task
+from wasabiturn.batch.outlook import Outlook, create_outlook
 from wasabiturn.messages.kinds import BatchTaskState
 
 # A worker that has not been heard for longer gets no work.
 HEARD_SECONDS = 2.5
-# Share of its declared processors that a lasting task is expected to use.
-LASTING_USE = 0.55
 # Weight of what a task should stay away from, in the room of a worker.
 FOREIGN_FACTOR = 100
-# A filling task goes where tails are expected to stay below this share.
-MAX_EXPECTED_TAIL = 0.65
-# Where its image is slowed below this, a filling task does not go.
-MIN_PACE = 50
 NOWHERE = float('-inf')
-_FULL_SHARE = 100
+# A filling task does not go where its pace would be a lower share of its full.
+MIN_PACE = 0.9
+# Places for filling tasks by their kind; the unused part of a worker, from 0
+# to 1, decides among those of one kind.
+_GOOD_PLACE = 2
+_FREE_PLACE = 1
 
 
 @final
@@ -45,7 +45,21 @@
 
     workers: list[Worker]
     known: Interference
+    now: float
     takes_any: bool = False
+    _outlooks_by_name: dict[str, Outlook] = attrs.field(factory=dict)
+
+    def outlook(self, worker: Worker) -> Outlook:
+        """Return what the lasting tasks of a worker can bear."""
+        found = self._outlooks_by_name.get(worker.name)
+        if found is None:
+            found = create_outlook(worker, self.known, self.now)
+            self._outlooks_by_name[worker.name] = found
+        return found
+
+    def note_start(self, worker: Worker) -> None:
+        """Note that a worker has been given a task."""
+        self._outlooks_by_name.pop(worker.name, None)
 
 
 def find_places(
@@ -56,7 +70,7 @@
 ) -> Places:
     """Return the workers that take work at ``now``."""
     taking = [worker for worker in workers if _takes_work(worker, book, now)]
-    return Places(workers=taking, known=known)
+    return Places(workers=taking, known=known, now=now)
 
 
 def choose_worker(task: Task, places: Places) -> Worker | None:
@@ -76,10 +90,7 @@
 
 def leftover_millicores(worker: Worker) -> float:
     """Return what filling tasks may still take without slowing each other."""
-    used = float(worker.fill_millicores)
-    used += worker.millicores
-    used -= (1 - LASTING_USE) * worker.lasting_millicores
-    return worker.report.millicores - used
+    return worker.unused_millicores() - worker.fill_millicores
 
 
 def _takes_work(worker: Worker, book: BatchBook, now: float) -> bool:
@@ -131,7 +142,7 @@
     if step.fills:
         score = _score_filling(task, worker, places)
     elif step.lasting:
-        score = _score_lasting(task, worker)
+        score = _score_lasting(task, worker, places)
     else:
         score = float(size - worker.millicores)
         score -= 0 if worker.lasting_millicores else size
@@ -142,26 +153,31 @@
     return score
 
 
-def _score_lasting(task: Task, worker: Worker) -> float:
-    """Prefer workers with the same image, then those with lasting tasks."""
-    same = worker.lasting_by_image.get(task.step.image, 0)
+def _score_lasting(task: Task, worker: Worker, places: Places) -> float:
+    """Prefer workers whose lasting tasks the same images press."""
+    likeness = sum(
+        count * places.known.likeness(task.step.image, image, places.now)
+        for image, count in worker.lasting_by_image.items()
+    )
     score = float(worker.lasting_millicores - worker.fill_millicores)
-    return score + same * worker.report.millicores
+    return score + likeness * worker.report.millicores
 
 
 def _score_filling(task: Task, worker: Worker, places: Places) -> float:
     step = task.step
+    size = worker.report.millicores
     left = leftover_millicores(worker)
-    use = step.millicores * PARTS_OF_WORKER / worker.report.millicores
-    expected = places.known.predict(worker, step.image, use)
+    use = step.millicores / size
+    outlook = places.outlook(worker)
+    pace = outlook.expected_pace(step.image, use)
     if places.takes_any:
-        return left - expected * worker.report.millicores
+        return left / size + pace
     if left < step.millicores and worker.fill_millicores:
         return NOWHERE
-    if not worker.lasting_millicores:
-        return left + FOREIGN_FACTOR * worker.report.millicores
-    if worker.percent_by_image.get(step.image, _FULL_SHARE) < MIN_PACE:
-        return NOWHERE
-    if expected > MAX_EXPECTED_TAIL:
+    if pace < MIN_PACE:
         return NOWHERE
-    return left * (1 - expected)
+    if outlook.is_free:
+        return _FREE_PLACE + left / size
+    if outlook.is_always_good(step.image, use):
+        return _GOOD_PLACE + left / size
+    return pace * left / size
--- a/wasabiturn/batch/planning.py
+++ b/wasabiturn/batch/planning.py
@@ -4,8 +4,9 @@
 from itertools import islice
 
 from wasabiturn.batch.book import BatchBook
-from wasabiturn.batch.fleet import Fleet
+from wasabiturn.batch.fleet import Charge, Fleet
 from wasabiturn.batch.gangs import start_gang
+from wasabiturn.batch.halts import find_halted
 from wasabiturn.batch.interference import Interference
 from wasabiturn.batch.jobs import Part
 from wasabiturn.batch.ordering import Moment, needs_no_less, order_parts
@@ -14,7 +15,7 @@
 
 MAX_STARTS = 200
 # A job that runs nothing for longer takes any worker with room.
-MAX_IDLE_SECONDS = 1.0
+MAX_IDLE_SECONDS = 2.0
 
 
 def plan_starts(
@@ -40,6 +41,32 @@
         yield from islice(started, MAX_STARTS)
 
 
+def plan_moves(
+    book: BatchBook,
+    fleet: Fleet,
+    known: Interference,
+    now: float,
+) -> Iterator[Charge]:
+    """Yield runs to stop since they hardly move and would do so elsewhere.
+
+    At most one a call: where it goes, the next one may find no room.
+    """
+    workers = list(fleet.workers_by_life.values())
+    halted = [
+        (worker, charge)
+        for worker in workers
+        for charge in find_halted(worker, now)
+    ]
+    if not halted:
+        return
+    places = find_places(workers, book, known, now)
+    for worker, charge in halted:
+        found = choose_worker(charge.task, places)
+        if found is not None and found is not worker:
+            yield charge
+            return
+
+
 def _start_parts(
     parts: list[Part],
     places: Places,
@@ -54,17 +81,12 @@
             needs_no_less(part.step, each) for each in stuck
         ):
             continue
-        yield from _start_part(part, places, fleet, now)
+        yield from _start_part(part, places)
         if part.waiting_by_name:
             stuck.append(part.step)
 
 
-def _start_part(
-    part: Part,
-    places: Places,
-    fleet: Fleet,
-    now: float,
-) -> Iterator[StartRun]:
+def _start_part(part: Part, places: Places) -> Iterator[StartRun]:
     if part.step.gang:
         yield from start_gang(part, places)
         return
@@ -77,6 +99,8 @@
             run=task.run + 1,
             worker=worker.name,
             born_ms=worker.born_ms,
+            agent=worker.agent,
         )
-        idle_seconds = fleet.idle_seconds(part.job, now)
-        places.takes_any = idle_seconds >= MAX_IDLE_SECONDS
+        places.note_start(worker)
+        # The job runs something now.
+        places.takes_any = False
--- a/wasabiturn/batch/sharing.py
+++ b/wasabiturn/batch/sharing.py
@@ -1,39 +1,97 @@
 """Pace of filling tasks beside lasting ones with a goal for their tails.
 
-Answers loads that change within seconds: as soon as a tail nears its goal, the
-filling image that presses it most is slowed, and it gets its speed back in
-small steps once the tails leave room for what it is expected to add.
+Answers loads that change within seconds: each new sample of a worker gives the
+highest pace of each filling image at which all tails are expected to stay
+below their goals; the image that presses hardest is slowed first. Where tails
+are near their goals all the same, everything beside them is slowed step by
+step.
 """
 
+import math
+from collections.abc import Mapping
+from typing import final
+
+import attrs
+
 from wasabiturn.batch.fleet import Charge, Worker
+from wasabiturn.batch.halts import note_halts
 from wasabiturn.batch.interference import (
     Interference,
-    tails_of,
-    uses_by_image,
+    full_uses,
+    highest_tail,
+    lasting_groups,
 )
 
-HIGH_TAIL = 0.75
-BROKEN_TAIL = 0.95
-ROOM_TAIL = 0.6
-SLOWER_FACTOR = 0.5
-MIN_PERCENT = 10
-FASTER_PERCENT = 15
+# Load that a lasting task is to stay below; its goal is reached at about 0.83.
+TARGET_LOAD = 0.81
+# A tail above this, in shares of its goal, was not expected.
+HOT_TAIL = 0.95
+# Samples of a hot tail in a row that the estimates get to answer by themselves.
+PATIENT_SAMPLES = 1
+CAUTION_FACTOR = 0.5
+# Newer figures than these are mostly those of the sample before.
+SAMPLE_SECONDS = 0.2
+PACE_STEP = 10
 FULL_PERCENT = 100
-# A run that stands still for so long goes elsewhere, if its work is saved.
-STANDSTILL_SECONDS = 1.0
 REPEAT_SECONDS = 1.5
+_LEAST_SHARE = PACE_STEP / FULL_PERCENT
+
+
+@final
+@attrs.define
+class Pressed:
+    """A lasting job on a worker; ``budget`` is how far its load may rise."""
+
+    press_by_image: dict[str, float]
+    budget: float
+
+    def excess(self, share_by_image: Mapping[str, float]) -> float:
+        """Return how far the load rises beyond the budget at some paces."""
+        press = sum(
+            full * share_by_image[image]
+            for image, full in self.press_by_image.items()
+        )
+        return press - self.budget
 
 
 def adjust_pace(worker: Worker, known: Interference, now: float) -> None:
-    """Set the pace of the worker's filling images by its newest tails."""
-    known.learn(worker)
-    uses = uses_by_image(worker)
-    highest = max((tail for _, tail in tails_of(worker)), default=0.0)
-    if highest > HIGH_TAIL:
-        _slow_down(worker, known, uses, highest, now)
+    """Set the pace of the worker's filling images, if its figures are new."""
+    if not _take_sample(worker, now):
         return
-    for image in list(worker.percent_by_image):
-        _speed_up(worker, known, uses, image, highest)
+    known.learn(worker, now)
+    _count_hot_samples(worker)
+    set_pace(worker, known, now)
+
+
+def set_pace(worker: Worker, known: Interference, now: float) -> None:
+    """Set the pace of the worker's filling images by what is known."""
+    surplus = max(worker.hot_samples - PATIENT_SAMPLES, 0)
+    caution = CAUTION_FACTOR**surplus
+    share_by_image = choose_shares(worker, known, now)
+    worker.percent_by_image = {
+        image: _to_percent(share * caution)
+        for image, share in share_by_image.items()
+    }
+    note_halts(worker, now)
+
+
+def choose_shares(
+    worker: Worker,
+    known: Interference,
+    now: float,
+) -> dict[str, float]:
+    """Return the pace of each filling image, as a share of full pace."""
+    uses = full_uses(worker)
+    share_by_image = dict.fromkeys(uses, 1.0)
+    pressed = _list_pressed(worker, known, uses, now)
+    for _ in range(len(uses) * len(pressed)):
+        excesses = [each.excess(share_by_image) for each in pressed]
+        highest = max(excesses)
+        if highest <= 0:
+            break
+        worst = pressed[excesses.index(highest)]
+        _slow_hardest(worst, highest, share_by_image)
+    return share_by_image
 
 
 def list_paces(worker: Worker, now: float) -> list[Charge]:
@@ -51,70 +109,72 @@
     ]
 
 
-def _needs_order(worker: Worker, charge: Charge, now: float) -> bool:
-    if charge.paced_percent != wanted_percent(worker, charge):
-        return True
-    if charge.paced_at is None:
-        return False
-    return now >= charge.paced_at + REPEAT_SECONDS
-
-
 def wanted_percent(worker: Worker, charge: Charge) -> int:
     """Return the pace that a filling run is to have, in per cent."""
     image = charge.task.step.image
     return worker.percent_by_image.get(image, FULL_PERCENT)
 
 
-def mark_standstills(worker: Worker, now: float) -> None:
-    """Mark the runs to stop that stand still and lose little by it."""
-    for charge in worker.charges_by_task.values():
-        step = charge.task.step
-        since = worker.halted_at_by_image.get(step.image)
-        if not step.fills or not step.checkpoints or since is None:
-            continue
-        if now >= max(since, charge.started_at) + STANDSTILL_SECONDS:
-            charge.is_to_stop = True
+def _take_sample(worker: Worker, now: float) -> bool:
+    """Tell whether the worker's figures are others than those judged last."""
+    figures = tuple((row.task, row.figure) for row in worker.report.running)
+    if now < worker.sampled_at + SAMPLE_SECONDS or figures == worker.figures:
+        return False
+    worker.sampled_at = now
+    worker.figures = figures
+    return True
+
+
+def _count_hot_samples(worker: Worker) -> None:
+    is_hot = highest_tail(worker) > HOT_TAIL
+    worker.hot_samples = worker.hot_samples + 1 if is_hot else 0
 
 
-def _slow_down(
+def _list_pressed(
     worker: Worker,
     known: Interference,
-    uses: dict[str, float],
-    highest: float,
+    uses: Mapping[str, float],
     now: float,
+) -> list[Pressed]:
+    return [
+        Pressed(
+            press_by_image={
+                image: known.pressure(group.image, image, now) * use
+                for image, use in uses.items()
+            },
+            budget=find_budget(known.load(group.job_id).expect()),
+        )
+        for group in lasting_groups(worker)
+    ]
+
+
+def find_budget(load: float) -> float:
+    """Return the share by which ``load`` may rise."""
+    return max(TARGET_LOAD / load - 1, 0)
+
+
+def _slow_hardest(
+    pressed: Pressed,
+    excess: float,
+    share_by_image: dict[str, float],
 ) -> None:
-    """Slow the images that press most; more of them the higher the tail."""
-    by_harm = sorted(
-        uses,
-        key=lambda image: known.worst_pressure(worker, image) * uses[image],
-        reverse=True,
+    """Slow the image that presses one job hardest, at most to nothing."""
+    image = max(
+        pressed.press_by_image,
+        key=lambda each: pressed.press_by_image[each] * share_by_image[each],
     )
-    count = 2 if highest > BROKEN_TAIL else 1
-    for image in by_harm[:count]:
-        percent = worker.percent_by_image.get(image, FULL_PERCENT)
-        slower = int(percent * SLOWER_FACTOR)
-        if slower < MIN_PERCENT:
-            slower = 0
-            worker.halted_at_by_image.setdefault(image, now)
-        worker.percent_by_image[image] = slower
+    full = pressed.press_by_image[image]
+    share = share_by_image[image] - excess / full
+    share_by_image[image] = share if share > _LEAST_SHARE else 0.0
 
 
-def _speed_up(
-    worker: Worker,
-    known: Interference,
-    uses: dict[str, float],
-    image: str,
-    highest: float,
-) -> None:
-    percent = worker.percent_by_image[image]
-    faster = min(percent + FASTER_PERCENT, FULL_PERCENT)
-    use = uses.get(image, 0)
-    added = use * (faster - percent) / percent if percent else 0
-    pressure = known.worst_pressure(worker, image)
-    if highest + pressure * added > ROOM_TAIL:
-        return
-    worker.halted_at_by_image.pop(image, None)
-    if faster == FULL_PERCENT:
-        worker.percent_by_image.pop(image)
-    else:
-        worker.percent_by_image[image] = faster
+def _to_percent(share: float) -> int:
+    return math.floor(share * FULL_PERCENT / PACE_STEP) * PACE_STEP
+
+
+def _needs_order(worker: Worker, charge: Charge, now: float) -> bool:
+    if charge.paced_percent != wanted_percent(worker, charge):
+        return True
+    if charge.paced_at is None:
+        return False
+    return now >= charge.paced_at + REPEAT_SECONDS
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -95,6 +95,7 @@
     run: int = 0
     worker: str = ''
     born_ms: int = 0
+    agent: str = ''
 
 
 @bind(_idl)
@@ -173,6 +174,7 @@
     born_ms: int = 0
     failures: int = 0
     checkpoint: str = ''
+    agent: str = ''
 
 
 @bind(_idl)
@@ -328,12 +330,13 @@
 @final
 @attrs.define
 class StartOrder:
-    """Start a run."""
+    """Start a run, at a share of its speed in per cent."""
 
     task: str = ''
     run: int = 0
     payload: str = ''
     checkpoint: str = ''
+    percent: int = 100
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -52,6 +52,7 @@
   2: i64 run,
   3: string worker,
   4: i64 born_ms,           // life of the worker
+  5: string agent,          // instance of the agent beside it
 }
 
 struct EndRun {
@@ -100,6 +101,7 @@
   5: i64 born_ms,
   6: i32 failures,
   7: string checkpoint,
+  8: string agent,
 }
 
 struct JobRecord {
@@ -196,6 +198,7 @@
   2: i64 run,
   3: string payload,
   4: string checkpoint,
+  5: i32 percent,           // pace from the start on
 }
 
 struct StopOrder {
--- a/wasabiturn/process/agent/runs/sender.py
+++ b/wasabiturn/process/agent/runs/sender.py
@@ -30,6 +30,7 @@
 # Reasons of refusal: the worker has had this run, or its lease was over.
 RUN_IS_OLD = 'old'
 LEASE_WAS_LATE = 'late'
+FULL_PERCENT = 100
 
 _log = create_part_log('runs')
 
@@ -132,6 +133,10 @@
 
     def _note_started(self, nothing: None, start: Start) -> None:
         start.outcome = StartOutcome.started
+        order = start.order
+        if order.percent < FULL_PERCENT and self._identity is not None:
+            pace = PaceOrder(order.task, order.run, order.percent)
+            self._pace(self._identity, pace)
 
     def _note_not_started(self, failure: Failure, start: Start) -> None:
         error = failure.value
--- a/wasabiturn/process/control/batch/lead.py
+++ b/wasabiturn/process/control/batch/lead.py
@@ -9,8 +9,9 @@
 from wasabiturn.batch.interference import Interference
 from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.ordering import Moment
-from wasabiturn.batch.planning import plan_starts
+from wasabiturn.batch.planning import plan_moves, plan_starts
 from wasabiturn.batch.reports import find_lapsed, lose_worker
+from wasabiturn.batch.sharing import set_pace
 from wasabiturn.connection.link import Link
 from wasabiturn.messages.batch import (
     BatchChange,
@@ -103,7 +104,9 @@
                 runs=len(worker.charges_by_task),
             )
             self.pipeline.add(BatchChange(ends=lose_worker(worker)))
+        self._move_halted(now)
         self.fleet.forget_ended()
+        self.interference.forget_unseen(now)
         self._forget_jobs()
         self.pipeline.wake_up()
 
@@ -131,6 +134,7 @@
             task.worker,
             task.born_ms,
             self.lease_end(now),
+            agent=task.agent,
         )
         worker.charge(task, now)
 
@@ -140,6 +144,23 @@
         if worker is not None:
             worker.release(task)
 
+    def _move_halted(self, now: float) -> None:
+        moves = plan_moves(
+            self.pipeline.book,
+            self.fleet,
+            self.interference,
+            now,
+        )
+        for charge in moves:
+            charge.is_to_stop = True
+            _log.decision(
+                'moves',
+                task=charge.task.name,
+                run=charge.run,
+                worker=charge.task.worker,
+            )
+            self._push((charge.task.worker, charge.task.born_ms))
+
     def _forget_jobs(self) -> None:
         book = self.pipeline.book
         surplus = len(book.jobs_by_id) - len(book.open_jobs_by_id)
@@ -158,6 +179,7 @@
             return
         for start in self._next_starts(now):
             self.pipeline.add(BatchChange(starts=[start]))
+            self._set_pace(start, now)
             exposition.runs.labels('started').inc()
             _log.decision(
                 'starts',
@@ -166,6 +188,12 @@
                 worker=start.worker,
             )
 
+    def _set_pace(self, start: StartRun, now: float) -> None:
+        """Slow what disturbs from its start on, not from its first figures."""
+        worker = self.fleet.find(start.worker, start.born_ms)
+        if worker is not None and worker.lasting_millicores:
+            set_pace(worker, self.interference, now)
+
     def _next_starts(self, now: float) -> Iterator[StartRun]:
         return plan_starts(
             self.pipeline.book,
--- a/wasabiturn/process/control/batch/orders.py
+++ b/wasabiturn/process/control/batch/orders.py
@@ -32,7 +32,7 @@
     if not worker.is_known:
         return orders
     orders.starts = [
-        start_order(charge)
+        start_order(worker, charge, now)
         for charge in worker.charges_by_task.values()
         if _is_open(charge) and (charge.task.name, charge.run) in committed
     ]
@@ -41,14 +41,18 @@
     return orders
 
 
-def start_order(charge: Charge) -> StartOrder:
+def start_order(worker: Worker, charge: Charge, now: float) -> StartOrder:
     """Return the order that starts a run."""
     task = charge.task
+    if task.step.fills:
+        charge.paced_percent = wanted_percent(worker, charge)
+        charge.paced_at = now
     return StartOrder(
         task=task.name,
         run=charge.run,
         payload=task.job.accepted.declaration.payload,
         checkpoint=_checkpoint_of(task),
+        percent=charge.paced_percent,
     )
 
 
--- a/wasabiturn/process/control/batch/workers.py
+++ b/wasabiturn/process/control/batch/workers.py
@@ -1,8 +1,9 @@
 """Reports of agents, taken in by the leader and answered with orders."""
 
-from wasabiturn.batch.fleet import Worker
+from wasabiturn.batch.fleet import NEVER, Worker
+from wasabiturn.batch.interference import highest_tail
 from wasabiturn.batch.reports import lose_worker, take_report
-from wasabiturn.batch.sharing import adjust_pace, mark_standstills
+from wasabiturn.batch.sharing import adjust_pace
 from wasabiturn.connection.calls import CallError
 from wasabiturn.connection.link import Link
 from wasabiturn.messages.batch import (
@@ -37,8 +38,7 @@
     elif report.listed:
         worker.is_gone = False
     _store_ends(lead, worker, ends)
-    adjust_pace(worker, lead.interference, now)
-    mark_standstills(worker, now)
+    _adjust_pace(lead, worker, now)
     if not report.listed:
         # An agent that does not reach its worker renews no lease there.
         orders = lead.orders_for(worker, lease_ms=0)
@@ -48,6 +48,20 @@
     return lead.orders_for(worker, lead.lease_ms)
 
 
+def _adjust_pace(lead: Lead, worker: Worker, now: float) -> None:
+    """Set the pace of filling work; log what comes to a halt or goes on."""
+    before = set(worker.halted_at_by_image)
+    adjust_pace(worker, lead.interference, now)
+    for image in before ^ set(worker.halted_at_by_image):
+        _log.decision(
+            'resumes filling' if image in before else 'halts filling',
+            worker=worker.name,
+            image=image,
+            percent=worker.percent_by_image.get(image),
+            highest_tail=highest_tail(worker),
+        )
+
+
 def _meet(
     lead: Lead,
     link: Link,
@@ -67,7 +81,7 @@
     for other in others:
         if other is not worker and not other.is_succeeded:
             _end_life(lead, other, worker)
-    if worker.agent != agent:
+    if worker.heard_at == NEVER:
         _log.event('meets worker', worker=worker.name, agent=agent)
     worker.agent = agent
     lead.links_by_life[worker.name, worker.born_ms] = link
--- a/wasabiturn/standins/batch_worker.py
+++ b/wasabiturn/standins/batch_worker.py
@@ -117,14 +117,15 @@
             waiting.answered.errback(PlatformError('the worker crashed'))
         self._waiting.clear()
 
-    def reborn(self) -> None:
-        """Begin another life under the same name."""
+    def reborn(self, name: str = '') -> None:
+        """Begin another life, under the same name unless one is given."""
         if self.is_up:
             self.crash()
         self.is_up = True
         self.fence = 0
         self.identity = attrs.evolve(
             self.identity,
+            worker=name or self.identity.worker,
             born_ms=int(self._clock.seconds() * _MS) + 1,
             sequence=0,
         )
