Store what was learnt of images for the next leader; answer reads without a leader with 503

A GET that no leader answered got 504, though it may always be sent again. Tests: tests/sessions/test_batch.py (an earlier leader's estimates), tests/platform/test_http.py (reads). Figures of a worker are in a module of their own.

--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -126,6 +126,18 @@
     assert ('retry-after' in headers) is (status in {429, 503})
 
 
+@pytest.mark.parametrize(
+    'code', [FailureCode.timeout, FailureCode.outcome_unknown]
+)
+def test_a_read_that_no_leader_answers_may_be_sent_again(
+    code: FailureCode,
+) -> None:
+    error = CallError(code, 'no answer')
+    _, status, headers, _ = ask(error, 'GET', JOB)
+    assert status == 503
+    assert headers['retry-after'] == '1'
+
+
 def test_the_time_to_come_back_is_rounded_up() -> None:
     answer = JobAnswer(outcome=JobOutcome.busy, retry_after_ms=2500)
     _, _, headers, _ = ask(answer, 'POST', JOB, BODY)
--- a/tests/sessions/test_batch.py
+++ b/tests/sessions/test_batch.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests.sessions.batch_fakes import BatchFleet, step
+from wasabiturn.batch.interference import Pressure
 from wasabiturn.messages.batch import BatchChange, DataCentreMark
 from wasabiturn.messages.kinds import JobOutcome, JobState, RunEnding
 from wasabiturn.standins.batch_worker import Work
@@ -121,6 +122,25 @@
     assert run.pace == 100
 
 
+def test_a_new_leader_knows_what_an_earlier_one_learnt_of_images() -> None:
+    fleet = BatchFleet()
+    fleet.run(1)
+    lead = fleet.leader._lead
+    assert lead is not None
+    lead.interference.pressure_by_pair['s', 'f'] = Pressure(
+        level=5,
+        variance=0.5,
+        seen_at=fleet.clock.seconds(),
+    )
+    fleet.run(3)
+    fleet.change_leader(1)
+    fleet.run(0.2)
+    lead = fleet.leader._lead
+    assert lead is not None
+    learnt = lead.interference.pressure('s', 'f', fleet.clock.seconds())
+    assert learnt == pytest.approx(5, abs=0.3)
+
+
 def test_a_worker_takes_work_soon_after_it_announced_itself() -> None:
     fleet = BatchFleet(workers=1)
     fleet.run(2)
--- a/wasabiturn/batch/apply.py
+++ b/wasabiturn/batch/apply.py
@@ -34,6 +34,8 @@
         _start(book, start)
     for job_id in change.forgets:
         _forget(book, job_id)
+    if change.pressures:
+        book.pressures = list(change.pressures)
 
 
 def _put_routing(book: BatchBook, routing: Routing) -> None:
--- a/wasabiturn/batch/book.py
+++ b/wasabiturn/batch/book.py
@@ -6,14 +6,14 @@
 import attrs
 
 from wasabiturn.batch.jobs import Job, Task
-from wasabiturn.messages.batch import Queue, Routing
+from wasabiturn.messages.batch import PressureRecord, Queue, Routing
 from wasabiturn.messages.kinds import BatchTaskState, JobState
 
 
 @final
 @attrs.define
 class BatchBook:
-    """Jobs, queues and data centres that are out.
+    """Jobs, queues, data centres that are out, and what presses what.
 
     ``on_start`` is called with a task once it has a run, ``on_end`` with the
     task and its worker once that run has ended; only a leader sets them.
@@ -25,6 +25,7 @@
     open_jobs_by_id: dict[str, Job] = attrs.field(factory=dict)
     tasks_by_name: dict[str, Task] = attrs.field(factory=dict)
     active_by_name: dict[str, Task] = attrs.field(factory=dict)
+    pressures: list[PressureRecord] = attrs.field(factory=list)
     on_start: Callable[[Task], None] | None = None
     on_end: Callable[[Task], None] | None = None
 
--- a/wasabiturn/batch/dump.py
+++ b/wasabiturn/batch/dump.py
@@ -12,6 +12,7 @@
         routing=book.routing,
         out_data_centres=sorted(book.out_data_centres),
         jobs=[_dump_job(job) for job in book.jobs_by_id.values()],
+        pressures=list(book.pressures),
     )
 
 
@@ -20,6 +21,7 @@
     book = BatchBook(
         routing=dump.routing,
         out_data_centres=set(dump.out_data_centres),
+        pressures=list(dump.pressures),
     )
     for record in dump.jobs:
         _load_job(book, record)
--- a/wasabiturn/batch/outlook.py
+++ b/wasabiturn/batch/outlook.py
@@ -9,12 +9,9 @@
 
 import attrs
 
+from wasabiturn.batch.figures import full_uses, lasting_groups
 from wasabiturn.batch.fleet import Worker
-from wasabiturn.batch.interference import (
-    Interference,
-    full_uses,
-    lasting_groups,
-)
+from wasabiturn.batch.interference import Interference
 from wasabiturn.batch.sharing import find_budget
 
 
--- a/wasabiturn/batch/sharing.py
+++ b/wasabiturn/batch/sharing.py
@@ -13,14 +13,14 @@
 
 import attrs
 
-from wasabiturn.batch.fleet import Charge, Worker
-from wasabiturn.batch.halts import note_halts
-from wasabiturn.batch.interference import (
-    Interference,
+from wasabiturn.batch.figures import (
     full_uses,
     highest_tail,
     lasting_groups,
 )
+from wasabiturn.batch.fleet import Charge, Worker
+from wasabiturn.batch.halts import note_halts
+from wasabiturn.batch.interference import Interference
 
 # Load that a lasting task is to stay below; its goal is reached at about 0.83.
 TARGET_LOAD = 0.81
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -144,6 +144,18 @@
     out: bool = False
 
 
+@bind(_idl)
+@final
+@attrs.define
+class PressureRecord:
+    """How far a filling image raises the load of a lasting one."""
+
+    lasting: str = ''
+    filling: str = ''
+    level: float = 0.0
+    variance: float = 0.0
+
+
 @bind(_idl)
 @final
 @attrs.define
@@ -157,6 +169,7 @@
     ends: list[EndRun] = attrs.field(factory=list)
     starts: list[StartRun] = attrs.field(factory=list)
     forgets: list[str] = attrs.field(factory=list)
+    pressures: list[PressureRecord] = attrs.field(factory=list)
 
 
 @bind(_idl)
@@ -197,6 +210,7 @@
     routing: Routing | None = None
     out_data_centres: list[str] = attrs.field(factory=list)
     jobs: list[JobRecord] = attrs.field(factory=list)
+    pressures: list[PressureRecord] = attrs.field(factory=list)
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -82,6 +82,14 @@
   2: bool out,
 }
 
+// How far a filling image raises the load of a lasting one.
+struct PressureRecord {
+  1: string lasting,
+  2: string filling,
+  3: double level,          // for the use of a whole worker
+  4: double variance,
+}
+
 // Applied in the order of the fields.
 struct BatchChange {
   1: optional Routing routing,
@@ -91,6 +99,7 @@
   5: list<EndRun> ends,
   6: list<StartRun> starts,
   7: list<string> forgets,  // ended jobs
+  8: list<PressureRecord> pressures, // all that are known, if any is given
 }
 
 struct TaskRecord {
@@ -114,6 +123,7 @@
   1: optional Routing routing,
   2: list<string> out_data_centres,
   3: list<JobRecord> jobs,
+  4: list<PressureRecord> pressures,
 }
 
 // Calls of entries and operators to the leader.
--- a/wasabiturn/platform/http_server.py
+++ b/wasabiturn/platform/http_server.py
@@ -130,7 +130,7 @@
     error: Any = failure.value
     if isinstance(error, InvalidBodyError):
         reply = Reply(status=BAD_REQUEST, body=encode({'error': str(error)}))
-    elif isinstance(error, CallError) and error.code in _CERTAINLY_NOT_RUN:
+    elif isinstance(error, CallError) and _changes_nothing(error, request):
         reply = Reply(UNAVAILABLE, retry_after_seconds=RETRY_SOON_SECONDS)
     elif isinstance(error, CallError):
         reply = Reply(status=GATEWAY_TIMEOUT)
@@ -147,6 +147,12 @@
     return reply
 
 
+def _changes_nothing(error: CallError, request: Request) -> bool:
+    """Tell whether the request may be sent again without any doubt."""
+    is_read = method_of(request) == 'GET'
+    return is_read or error.code in _CERTAINLY_NOT_RUN
+
+
 def _log_failure(failure: Failure) -> None:
     _log.warning('reply not written', error=repr(failure.value))
 
--- a/wasabiturn/process/control/batch/lead.py
+++ b/wasabiturn/process/control/batch/lead.py
@@ -6,7 +6,7 @@
 
 from wasabiturn.batch import BatchBook, dump_book, load_book
 from wasabiturn.batch.fleet import Fleet, Worker
-from wasabiturn.batch.interference import Interference
+from wasabiturn.batch.interference import create_interference, list_records
 from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.ordering import Moment
 from wasabiturn.batch.planning import plan_moves, plan_starts
@@ -32,6 +32,8 @@
 # A worker's clock may run 2 % slow, and an answer takes its time.
 LEASE_DRIFT = 1.03
 LEASE_MARGIN_SECONDS = 0.2
+# How often what was learnt of images is stored for the next leader.
+PRESSURES_SECONDS = 2.0
 _MS = 1000
 
 _log = create_part_log('queues')
@@ -56,7 +58,6 @@
         """Take over: charge what the committed book says that runs."""
         now = float(clock.seconds())
         self.lease_ms = lease_ms
-        self.interference = Interference()
         self.links_by_life: dict[tuple[str, int], Link] = {}
         self._replica = replica
         self._clock = clock
@@ -67,6 +68,8 @@
             self._charge(task)
             self._committed.add((task.name, task.run))
         self.fleet.forget_paces(now)
+        self.interference = create_interference(book.pressures, now)
+        self._pressures_due_at = now + PRESSURES_SECONDS
         book.on_start = self._charge
         book.on_end = self._release
         self.pipeline = Pipeline(
@@ -107,6 +110,7 @@
         self._move_halted(now)
         self.fleet.forget_ended()
         self.interference.forget_unseen(now)
+        self._store_pressures(now)
         self._forget_jobs()
         self.pipeline.wake_up()
 
@@ -144,6 +148,15 @@
         if worker is not None:
             worker.release(task)
 
+    def _store_pressures(self, now: float) -> None:
+        """Keep what was learnt for the next leader."""
+        if now < self._pressures_due_at:
+            return
+        self._pressures_due_at = now + PRESSURES_SECONDS
+        records = list_records(self.interference)
+        if records and records != self.pipeline.book.pressures:
+            self.pipeline.add(BatchChange(pressures=records))
+
     def _move_halted(self, now: float) -> None:
         moves = plan_moves(
             self.pipeline.book,
--- a/wasabiturn/process/control/batch/pipeline.py
+++ b/wasabiturn/process/control/batch/pipeline.py
@@ -135,6 +135,7 @@
     merged.ends.extend(change.ends)
     merged.starts.extend(change.starts)
     merged.forgets.extend(change.forgets)
+    merged.pressures = change.pressures or merged.pressures
 
 
 def _keeps_order(merged: BatchChange, change: BatchChange) -> bool:
--- a/wasabiturn/process/control/batch/workers.py
+++ b/wasabiturn/process/control/batch/workers.py
@@ -1,7 +1,7 @@
 """Reports of agents, taken in by the leader and answered with orders."""
 
+from wasabiturn.batch.figures import highest_tail
 from wasabiturn.batch.fleet import NEVER, Worker
-from wasabiturn.batch.interference import highest_tail
 from wasabiturn.batch.reports import lose_worker, take_report
 from wasabiturn.batch.sharing import adjust_pace
 from wasabiturn.connection.calls import CallError
