--- a/wasabiturn/batch/interference.py
+++ b/wasabiturn/batch/interference.py
@@ -28,11 +28,13 @@
 # Pressure of a pair that was never seen, between those of the usual kinds.
 FIRST_PRESSURE = 2.0
 FIRST_VARIANCE = 4.0
-MIN_VARIANCE = 0.4
+MIN_VARIANCE = 0.15
 MAX_PRESSURE = 15.0
 # Variances of what one sample shows: of a load, and of its rise by pressure.
 LOAD_VARIANCE = 0.004
 RISE_VARIANCE = 0.01
+# Standard deviations beyond which a sample moves an estimate no further.
+MAX_SURPRISE = 2.0
 # How fast an estimate that is not seen again goes back to the first one.
 FORGETTING_SECONDS = 60.0
 KEPT_SECONDS = 5 * FORGETTING_SECONDS
@@ -40,7 +42,7 @@
 UNLIKE_PRESSURE = 3.0
 UNKNOWN = 0.5
 # Part of a use that still counts in the next sample: queues drain slowly.
-KEPT_USE = 0.6
+KEPT_USE = 0.4
 # How far uncertain pressures lower the trust in the load of a pressed task.
 DOUBT = 20.0
 
@@ -171,10 +173,12 @@
         error = shown / alone - 1 - self.press(lasting, uses, now)
         total = self._spread(lasting, uses, now)
         total += LOAD_VARIANCE / alone**2 + RISE_VARIANCE
+        surprise = MAX_SURPRISE * math.sqrt(total)
+        bounded = min(max(error, -surprise), surprise)
         for filling, use in uses.items():
             known = self._pressure(lasting, filling, now)
             gain = known.variance * use / total
-            level = known.level + gain * error
+            level = known.level + gain * bounded
             variance = known.variance * (1 - gain * use)
             self.pressure_by_pair[lasting, filling] = Pressure(
                 level=min(max(level, 0.0), MAX_PRESSURE),
