--- a/wasabiturn/batch/interference.py
+++ b/wasabiturn/batch/interference.py
@@ -170,11 +170,10 @@
         now: float,
     ) -> None:
         """Share an unexpected rise of a load among the images in use."""
-        error = shown / alone - 1 - self.press(lasting, uses, now)
         total = self._spread(lasting, uses, now)
         total += LOAD_VARIANCE / alone**2 + RISE_VARIANCE
-        surprise = MAX_SURPRISE * math.sqrt(total)
-        bounded = min(max(error, -surprise), surprise)
+        error = shown / alone - 1 - self.press(lasting, uses, now)
+        bounded = _bound(error, MAX_SURPRISE * math.sqrt(total))
         for filling, use in uses.items():
             known = self._pressure(lasting, filling, now)
             gain = known.variance * use / total
@@ -199,6 +198,10 @@
         )
 
 
+def _bound(error: float, most: float) -> float:
+    return min(max(error, -most), most)
+
+
 def _recent_uses(worker: Worker) -> dict[str, float]:
     """Return what filling images use, or did use just before."""
     present = present_uses(worker)
