Refuse a caller sooner without a leader; let one low figure lower an idle tail only a little

One low figure, as a first window may show, would have lowered an image's idle tail for ever, and every load would have read as full. Change: 1.2 s at most, 0.3 s while the entry is out of touch; an idle tail sinks a tenth of the way with a sample. Ruled out: refusing without asking, as a new leader may answer at any moment. Before: the new tests fail; after: they pass.

--- a/tests/batch/test_decisions.py
+++ b/tests/batch/test_decisions.py
@@ -219,6 +219,19 @@
     assert known.pressure('s', 'f', now=12) == pytest.approx(3, rel=0.25)
 
 
+def test_one_low_figure_is_no_reason_to_slow_all_that_fills() -> None:
+    known = Interference()
+    worker = create_worker('a')
+    add_lasting(worker, figure=1)
+    row = worker.charges_by_task['s.0.0.0'].row
+    assert row is not None
+    known.learn(worker, now=0)
+    row.figure = 33
+    for sample in range(1, 8):
+        known.learn(worker, now=sample / 2)
+    assert known.load('s').expect() < 0.6
+
+
 def test_a_queue_that_drains_is_not_blamed_on_what_was_slowed() -> None:
     known = know(f=1)
     worker = create_worker('a')
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -49,9 +49,11 @@
     def __init__(self, answer: Any) -> None:
         self.answer = answer
         self.sent: list[tuple[Method, Any]] = []
+        self.timeouts: list[float] = []
 
     def call(self, method: Method, message: Any, *rest: Any) -> Deferred[Any]:
         self.sent.append((method, message))
+        self.timeouts.append(rest[-1])
         if isinstance(self.answer, Exception):
             return fail(self.answer)
         return succeed(self.answer)
@@ -89,7 +91,7 @@
 def ask(answer: Any, method: str, path: str, body: bytes = b'') -> Any:
     calls = FakeCalls(answer)
     status, headers, content = send(
-        CallerDesk(calls).handle,  # type: ignore[arg-type]
+        CallerDesk(calls, lambda: True).handle,  # type: ignore[arg-type]
         method,
         path,
         body,
@@ -138,6 +140,17 @@
     assert headers['retry-after'] == '1'
 
 
+@pytest.mark.parametrize(('in_touch', 'most'), [(True, 1.2), (False, 0.3)])
+def test_a_caller_does_not_wait_long_for_a_leader(
+    in_touch: bool,
+    most: float,
+) -> None:
+    calls = FakeCalls(JobAnswer())
+    desk = CallerDesk(calls, lambda: in_touch)  # type: ignore[arg-type]
+    send(desk.handle, 'POST', JOB, BODY)
+    assert calls.timeouts == [most]
+
+
 def test_the_time_to_come_back_is_rounded_up() -> None:
     answer = JobAnswer(outcome=JobOutcome.busy, retry_after_ms=2500)
     _, _, headers, _ = ask(answer, 'POST', JOB, BODY)
@@ -171,7 +184,8 @@
 
 
 def test_a_server_that_stops_closes_connections_after_their_answer() -> None:
-    desk = CallerDesk(FakeCalls(JobAnswer()))  # type: ignore[arg-type]
+    calls = FakeCalls(JobAnswer())
+    desk = CallerDesk(calls, lambda: True)  # type: ignore[arg-type]
     status, headers, _ = send(desk.handle, 'GET', JOB, closing=True)
     assert (status, headers['connection']) == (200, 'close')
 
--- a/wasabiturn/batch/loads.py
+++ b/wasabiturn/batch/loads.py
@@ -12,8 +12,10 @@
 
 # Tail without load, in shares of the goal, until a tail shows that it is less.
 IDLE_TAIL = 1 / 6
-# An idle tail is at most this part of the lowest tail that was seen.
+# An idle tail sinks towards this part of a tail that is lower, by so much of
+# the way: figures are rough, and a first one may cover next to nothing.
 IDLE_PART_OF_LOWEST = 0.76
+SINKING_RATE = 0.1
 # A load that is seen is at least this; figures are rough.
 MIN_LOAD = 0.05
 FIRST_LOAD = 0.5
@@ -76,10 +78,11 @@
 
     def to_load(self, image: str, tail: float) -> float:
         """Return the load that shows in ``tail``, in shares of the goal."""
-        known = self.tail_by_image.get(image, IDLE_TAIL)
-        idle = min(known, IDLE_PART_OF_LOWEST * tail)
+        idle = self.tail_by_image.get(image, IDLE_TAIL)
+        lower = min(IDLE_PART_OF_LOWEST * tail, idle)
+        idle += SINKING_RATE * (lower - idle)
         self.tail_by_image[image] = idle
-        return 1 - idle / tail
+        return max(1 - idle / tail, MIN_LOAD)
 
 
 def _rate(passed: float, seconds: float) -> float:
--- a/wasabiturn/platform/callers.py
+++ b/wasabiturn/platform/callers.py
@@ -1,6 +1,7 @@
 """HTTP of callers: jobs handed to queues, read and cancelled."""
 
 import re
+from collections.abc import Callable
 from types import MappingProxyType
 from typing import final
 
@@ -15,7 +16,9 @@
 from wasabiturn.process.leader_calls import LeaderCalls
 
 # A caller that has waited longer asks again elsewhere.
-MAX_CALL_SECONDS = 1.5
+MAX_CALL_SECONDS = 1.2
+# The same while no leader has answered this entry for seconds.
+OUT_OF_TOUCH_SECONDS = 0.3
 # Kept of a caller's deadline for the way back.
 ANSWER_SECONDS = 0.1
 MIN_CALL_SECONDS = 0.05
@@ -52,9 +55,13 @@
 @final
 @attrs.frozen
 class CallerDesk:
-    """Turns callers' requests into calls to the leader, and back."""
+    """Turns callers' requests into calls to the leader, and back.
+
+    ``is_in_touch`` tells whether a leader answered this entry lately.
+    """
 
     calls: LeaderCalls
+    is_in_touch: Callable[[], bool]
 
     def handle(
         self,
@@ -81,17 +88,19 @@
             Method.job,
             call,
             JobAnswer,
-            _timeout_seconds(request),
+            self._timeout_seconds(request),
         )
         return asked.addCallback(_to_reply, call.action)
 
-
-def _timeout_seconds(request: Request) -> float:
-    written = request.getHeader(_DEADLINE) or ''
-    if not written.isdigit():
-        return MAX_CALL_SECONDS
-    seconds = int(written) / _MS - ANSWER_SECONDS
-    return max(min(seconds, MAX_CALL_SECONDS), MIN_CALL_SECONDS)
+    def _timeout_seconds(self, request: Request) -> float:
+        limit = MAX_CALL_SECONDS
+        if not self.is_in_touch():
+            limit = OUT_OF_TOUCH_SECONDS
+        written = request.getHeader(_DEADLINE) or ''
+        if not written.isdigit():
+            return limit
+        seconds = int(written) / _MS - ANSWER_SECONDS
+        return max(min(seconds, limit), MIN_CALL_SECONDS)
 
 
 def _to_reply(answer: JobAnswer, action: JobAction) -> http.Reply:
--- a/wasabiturn/platform/programs.py
+++ b/wasabiturn/platform/programs.py
@@ -52,7 +52,9 @@
     """Create the program that callers reach."""
     program = Program(context, platform, Role.entry)
     contact = LeaderContact(program.group.calls, context.reactor)
-    callers = JsonResource(CallerDesk(program.group.calls).handle)
+    callers = JsonResource(
+        CallerDesk(program.group.calls, contact.is_fresh).handle,
+    )
 
     def tell_ready(request: Any, body: bytes) -> Reply:
         is_ready = contact.is_fresh() and not callers.is_closing
