Settle a refused start by a stop if an earlier order had no answer

Links lost packets and workers answered 503 for a while. Cause: a start without an answer was sent again and refused with 503; the agent reported the run as not started, it was placed again, and then the first order was carried out. A refusal says nothing of the order before it. Change: such a run stays pending until the worker has agreed to a stop of it and a later listing shows that it is not there. Ruled out: the listing under a new fence (one leader at the time), another life of the worker (the same life ran both). Before: tests/sessions/test_batch.py, the new test, begins run 1 while run 2 is at work. Not covered: an agent that restarts does not know which orders had no answer.

--- a/tests/sessions/batch_fakes.py
+++ b/tests/sessions/batch_fakes.py
@@ -222,6 +222,7 @@
         self.clock = Clock()
         self.random = Random(seed)
         self.fault_share = 0.0
+        self.next_faults: list[Fault] = []
         self.work_by_job: dict[str, Work] = {}
         self.violations: list[str] = []
         self.done: set[str] = set()
@@ -390,10 +391,12 @@
         return self.work_by_job[order.task.partition('.')[0]]
 
     def _fault_of(self) -> Fault:
+        if self.next_faults:
+            return self.next_faults.pop(0)
         if self.random.random() >= self.fault_share:
             return Fault.none
         return self.random.choice(
-            [Fault.answer_lost, Fault.late, Fault.dropped],
+            [Fault.answer_lost, Fault.late, Fault.dropped, Fault.refused],
         )
 
     def _note_begin(
--- a/tests/sessions/test_batch.py
+++ b/tests/sessions/test_batch.py
@@ -9,7 +9,7 @@
 from wasabiturn.batch.interference import Pressure
 from wasabiturn.messages.batch import BatchChange, DataCentreMark
 from wasabiturn.messages.kinds import JobOutcome, JobState, RunEnding
-from wasabiturn.standins.batch_worker import Work
+from wasabiturn.standins.batch_worker import Fault, Work
 
 # Another range of seeds may be asked for, as `WASABITURN_SEEDS=1000:200`.
 FIRST_SEED, SEEDS = map(
@@ -93,6 +93,16 @@
     assert len({worker for _, _, _, worker in fleet.began}) == 1
 
 
+def test_a_refusal_does_not_settle_an_earlier_order_without_an_answer() -> None:
+    fleet = BatchFleet()
+    fleet.run(1)
+    fleet.next_faults = [Fault.late, Fault.refused]
+    fleet.submit('a', [step(1)], Work(8))
+    # The first order is carried out after 5 s, unless it was settled.
+    fleet.run_until('a', JobState.done, seconds=20)
+    assert len(fleet.began) == 1
+
+
 def test_a_worker_that_is_cut_off_loses_its_tasks_after_its_lease() -> None:
     fleet = BatchFleet(workers=2)
     fleet.run(1)
--- a/wasabiturn/process/agent/runs/sender.py
+++ b/wasabiturn/process/agent/runs/sender.py
@@ -151,6 +151,7 @@
                 run=start.order.run,
                 error=str(error),
             )
+            start.is_doubtful = True
             self._clock.callLater(RETRY_SECONDS, self._send_again, start)
 
     def _take_refusal(self, start: Start, reason: str) -> None:
@@ -159,9 +160,31 @@
             start.outcome = StartOutcome.started
         elif reason == LEASE_WAS_LATE:
             self._clock.callLater(RETRY_SECONDS, self._send_again, start)
+        elif start.is_doubtful:
+            self._settle_by_stop(start)
         else:
             self._refuse(start, reason)
 
+    def _settle_by_stop(self, start: Start) -> None:
+        """Let the worker agree that a run never begins.
+
+        The run counts as refused once a later listing shows that it is not
+        there; until then it stays pending, and is not sent again.
+        """
+        identity = self._identity
+        if identity is None or not self._is_wanted(start):
+            return
+        order = StopOrder(task=start.order.task, run=start.order.run)
+        key = (order.task, order.run)
+        _log.decision('settles start by a stop', task=key[0], run=key[1])
+        sent = self._turn.run(self._port.stop, identity, order, self._fence)
+        sent.addCallback(self._note_stopped, key)
+        sent.addErrback(self._settle_again, start)
+
+    def _settle_again(self, failure: Failure, start: Start) -> None:
+        _log_failure(failure)
+        self._clock.callLater(RETRY_SECONDS, self._settle_by_stop, start)
+
     def _send_again(self, start: Start) -> None:
         if start.outcome is not StartOutcome.pending:
             return
--- a/wasabiturn/process/agent/runs/starts.py
+++ b/wasabiturn/process/agent/runs/starts.py
@@ -15,12 +15,17 @@
 @final
 @attrs.define
 class Start:
-    """One ordered start; ``fence`` is the term of the leader that wants it."""
+    """One ordered start; ``fence`` is the term of the leader that wants it.
+
+    ``is_doubtful`` once an order had no answer: it may be carried out later,
+    whatever the worker answers to the same order sent again.
+    """
 
     order: StartOrder
     fence: int
     outcome: StartOutcome = StartOutcome.pending
     is_sent: bool = False
+    is_doubtful: bool = False
     reason: str = ''
 
     @property
--- a/wasabiturn/standins/batch_worker.py
+++ b/wasabiturn/standins/batch_worker.py
@@ -45,6 +45,7 @@
     answer_lost = 'answer lost'
     late = 'carried out late, without an answer'
     dropped = 'never carried out, without an answer'
+    refused = 'never carried out, and said so'
 
 
 @final
@@ -209,7 +210,7 @@
             fault,
             self._born_at,
         )
-        if fault is not Fault.none:
+        if fault not in {Fault.none, Fault.refused}:
             error = PlatformError('no answer')
             self._clock.callLater(TIMEOUT_SECONDS, answered.errback, error)
         return answered
@@ -224,6 +225,9 @@
     ) -> None:
         if fault is Fault.dropped:
             return
+        if fault is Fault.refused:
+            answered.errback(OrderRefusedError('status 503'))
+            return
         # What was to be carried out late ends with the life that took it.
         if fault is Fault.late and born_at != self._born_at:
             return
