Import in each program only what it runs

Cause: wasabiturn.platform.__main__ imported all three programs, and the packages process/agent, process/entry and process/control imported the product's programs as well: an agent loaded 243 modules of ours, with Raft, storage, placement and the product's API. Each of the five IDL files built a Thrift parser of its own, 46 ms each, beside 3 to 12 ms for the parsing.

Change: one module for each program, imported by name; packages that hold a program do not import it; Settings stands beside its sections, so that daemons do not load the INI reader; one Thrift parser for all IDL files; HTTP sites on Twisted's HTTP protocol without its resource tree (which loads perspective broker and credentials) and without its access log, which kept a timer a second for each site.

Ruled out: lazy parsing of the IDL, since each program speaks at least two of the files; splitting the message modules, 1.1 ms a class.

--- a/tests/conf/test_reader.py
+++ b/tests/conf/test_reader.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wasabiturn.conf import read_settings
+from wasabiturn.conf.reader import read_settings
 from wasabiturn.exceptions import SettingsError
 
 EXAMPLES = sorted(Path('examples').glob('**/*.ini'))
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -7,9 +7,9 @@
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
-from twisted.web.server import Site
 
 from wasabiturn.connection.calls import CallError
+from wasabiturn.connection.http_site import HttpSite
 from wasabiturn.messages.batch import (
     DataCentreMark,
     JobAnswer,
@@ -69,7 +69,7 @@
     """Send one request; return status, headers and body of the response."""
     resource = JsonResource(handler)
     resource.is_closing = closing
-    site = Site(resource, reactor=Clock())
+    site = HttpSite(resource.render, reactor=Clock())
     protocol = site.buildProtocol(None)
     transport = StringTransport()
     protocol.makeConnection(transport)
--- a/tests/process/agent/test_availability.py
+++ b/tests/process/agent/test_availability.py
@@ -7,7 +7,8 @@
 import attrs
 
 from tests.process.agent.fakes import ANSWER, AgentHarness, EntryStream
-from wasabiturn.conf import Settings, read_settings
+from wasabiturn.conf.reader import read_settings
+from wasabiturn.conf.sections import Settings
 from wasabiturn.ids import IncarnationId
 from wasabiturn.messages.kinds import Kind
 from wasabiturn.messages.session import AgentRecord
--- a/tests/process/entry/fakes.py
+++ b/tests/process/entry/fakes.py
@@ -13,7 +13,7 @@
 from twisted.python.failure import Failure
 
 from tests.connection.fakes import Pipe
-from wasabiturn.conf import read_settings
+from wasabiturn.conf.reader import read_settings
 from wasabiturn.connection.calls import CallError
 from wasabiturn.connection.dispatch import Dispatch
 from wasabiturn.connection.link import Link
--- a/wasabiturn/conf/reader.py
+++ b/wasabiturn/conf/reader.py
@@ -6,7 +6,7 @@
 import configparser
 from pathlib import Path
 from types import MappingProxyType
-from typing import Any, TypeVar, final
+from typing import Any, TypeVar
 
 import attrs
 
@@ -17,6 +17,7 @@
     InstanceSection,
     LoggingSection,
     MetricsSection,
+    Settings,
 )
 from wasabiturn.conf.values import VALUE_FORMAT, ValueFormat
 from wasabiturn.exceptions import SettingsError
@@ -24,20 +25,6 @@
 SectionType = TypeVar('SectionType')
 
 
-@final
-@attrs.frozen(kw_only=True)
-class Settings:
-    """Valid settings of one process; absent sections are ``None``."""
-
-    source: Path
-    instance: InstanceSection
-    metrics: MetricsSection
-    logging: LoggingSection
-    control: ControlSection | None
-    entry: EntrySection | None
-    agent: AgentSection | None
-
-
 CLASSES_BY_SECTION = MappingProxyType(
     {
         'instance': InstanceSection,
--- a/wasabiturn/conf/sections.py
+++ b/wasabiturn/conf/sections.py
@@ -100,3 +100,17 @@
         values.choice('decision', 'event', 'warning'),
         default='decision',
     )
+
+
+@final
+@attrs.frozen(kw_only=True)
+class Settings:
+    """Valid settings of one process; absent sections are ``None``."""
+
+    source: Path
+    instance: InstanceSection
+    metrics: MetricsSection
+    logging: LoggingSection
+    control: ControlSection | None
+    entry: EntrySection | None
+    agent: AgentSection | None
--- a/wasabiturn/management/check_settings.py
+++ b/wasabiturn/management/check_settings.py
@@ -4,7 +4,8 @@
 
 import typer
 
-from wasabiturn.conf import Settings, read_settings
+from wasabiturn.conf.reader import read_settings
+from wasabiturn.conf.sections import Settings
 from wasabiturn.exceptions import SettingsError
 
 EXIT_INVALID_SETTINGS = 2
--- a/wasabiturn/management/daemons.py
+++ b/wasabiturn/management/daemons.py
@@ -8,10 +8,10 @@
     EXIT_INVALID_SETTINGS,
     load_or_exit,
 )
-from wasabiturn.process.agent import create_agent
-from wasabiturn.process.control import create_control
+from wasabiturn.process.agent.program import create_agent
+from wasabiturn.process.control.program import create_control
 from wasabiturn.process.daemon import ComponentFactory, run_daemon
-from wasabiturn.process.entry import create_entry
+from wasabiturn.process.entry.program import create_entry
 
 
 def control(settings_file: Path) -> None:
--- a/wasabiturn/messages/codec.py
+++ b/wasabiturn/messages/codec.py
@@ -1,14 +1,12 @@
 """Binding of typed messages to the structs of the Thrift IDL.
 
 A message is an ``attrs`` class named after its struct in ``wire/*.thrift``.
-The IDL is parsed when the package is imported; no code is generated.
+The IDL is parsed when a module of messages is imported; no code is generated.
 """
 
-from pathlib import Path
 from typing import Any, TypeVar
 
 import attrs
-import thriftpy2
 from thriftpy2.protocol.cybin import (  # type: ignore[attr-defined]
     TCyBinaryProtocol,
 )
@@ -16,7 +14,6 @@
 
 from wasabiturn.exceptions import ConnectionLayerError
 
-_IDL_FOLDER = Path(__file__).parent / 'wire'
 _classes_by_name: dict[str, type] = {}
 
 MessageType = TypeVar('MessageType')
@@ -26,14 +23,6 @@
     """A message cannot be encoded or decoded, or does not match its struct."""
 
 
-def load_idl(file_name: str) -> Any:
-    """Load one IDL file of this package."""
-    return thriftpy2.load(
-        str(_IDL_FOLDER / file_name),
-        module_name=f'{Path(file_name).stem}_thrift',
-    )
-
-
 def bind(idl: Any) -> Any:
     """Return a class decorator that binds a message to its struct in ``idl``.
 
--- a/wasabiturn/messages/session.py
+++ b/wasabiturn/messages/session.py
@@ -7,7 +7,8 @@
 
 import attrs
 
-from wasabiturn.messages.codec import bind, load_idl
+from wasabiturn.messages.codec import bind
+from wasabiturn.messages.idl import load_idl
 from wasabiturn.messages.kinds import (
     AgentClaimState,
     AttemptState,
--- a/wasabiturn/messages/state.py
+++ b/wasabiturn/messages/state.py
@@ -8,7 +8,8 @@
 import attrs
 
 from wasabiturn.messages.batch import BatchChange, BatchDump
-from wasabiturn.messages.codec import bind, load_idl
+from wasabiturn.messages.codec import bind
+from wasabiturn.messages.idl import load_idl
 from wasabiturn.messages.kinds import ClaimState, Kind, OutcomeCode, TaskState
 
 _idl = load_idl('state.thrift')
--- a/wasabiturn/platform/__main__.py
+++ b/wasabiturn/platform/__main__.py
@@ -1,16 +1,15 @@
-"""Run one program: ``python -m wasabiturn.platform control|entry|agent``."""
+"""Run one program: ``python -m wasabiturn.platform control|entry|agent``.
 
+A process imports only the program that it runs.
+"""
+
+import importlib
 import os
 import sys
 from pathlib import Path
 from types import MappingProxyType
 
 from wasabiturn.exceptions import SettingsError
-from wasabiturn.platform.factories import (
-    create_agent,
-    create_control,
-    create_entry,
-)
 from wasabiturn.platform.settings import (
     create_settings,
     read_platform_settings,
@@ -19,21 +18,21 @@
 
 SETTINGS_VARIABLE = 'WASABITURN_SETTINGS'
 EXIT_USAGE_ERROR = 2
-_FACTORIES_BY_PROGRAM = MappingProxyType(
+MODULES_BY_PROGRAM = MappingProxyType(
     {
-        'control': create_control,
-        'entry': create_entry,
-        'agent': create_agent,
+        'control': 'wasabiturn.platform.control_program',
+        'entry': 'wasabiturn.platform.entry_program',
+        'agent': 'wasabiturn.platform.agent_program',
     }
 )
 
 
 def main(arguments: list[str]) -> int:
     """Run the program named in ``arguments`` and return the exit status."""
-    factory = _FACTORIES_BY_PROGRAM.get(arguments[0] if arguments else '')
+    module_name = MODULES_BY_PROGRAM.get(arguments[0] if arguments else '')
     source = os.environ.get(SETTINGS_VARIABLE, '')
-    if factory is None or not source:
-        names = '|'.join(_FACTORIES_BY_PROGRAM)
+    if module_name is None or not source:
+        names = '|'.join(MODULES_BY_PROGRAM)
         sys.stderr.write(
             f'usage: {SETTINGS_VARIABLE}=FILE wasabiturn.platform {names}\n',
         )
@@ -44,7 +43,10 @@
         sys.stderr.write(f'wasabiturn: {error}\n')
         return EXIT_USAGE_ERROR
     settings = create_settings(platform)
-    return run_daemon(settings, [lambda context: factory(context, platform)])
+    create_program = importlib.import_module(module_name).create_program
+    return run_daemon(
+        settings, [lambda context: create_program(context, platform)]
+    )
 
 
 if __name__ == '__main__':
--- a/wasabiturn/platform/announcements.py
+++ b/wasabiturn/platform/announcements.py
@@ -3,7 +3,7 @@
 from typing import final
 
 import attrs
-from twisted.web.server import Request
+from twisted.web.http import Request
 
 from wasabiturn.platform.http_server import (
     BAD_REQUEST,
--- a/wasabiturn/platform/callers.py
+++ b/wasabiturn/platform/callers.py
@@ -7,7 +7,7 @@
 
 import attrs
 from twisted.internet.defer import Deferred
-from twisted.web.server import Request
+from twisted.web.http import Request
 
 from wasabiturn.messages.batch import JobAnswer, JobCall
 from wasabiturn.messages.kinds import JobAction, JobOutcome, JobState, Method
--- /dev/null
+++ b/wasabiturn/platform/control_program.py
@@ -0,0 +1,30 @@
+"""The program that replicates the state and may lead."""
+
+from wasabiturn.messages.kinds import Role
+from wasabiturn.platform.http_server import JsonResource
+from wasabiturn.platform.operators import OperatorHandler
+from wasabiturn.platform.program import Program
+from wasabiturn.platform.settings import PlatformSettings
+from wasabiturn.process.control.batch import create_batch_leader
+from wasabiturn.process.control.consensus import create_replica
+from wasabiturn.process.daemon import Context
+
+
+def create_program(context: Context, platform: PlatformSettings) -> Program:
+    """Create the control member of this process."""
+    program = Program(context, platform, Role.control)
+    program.accepts_links = True
+    replica = create_replica(context, program.dispatch)
+    program.dispatch.revision = lambda: replica.state.revision
+    program.services = [
+        replica,
+        create_batch_leader(
+            context,
+            replica,
+            program.dispatch,
+            platform.lease_ms,
+        ),
+    ]
+    handler = OperatorHandler(program.group.calls, platform.data_centres)
+    program.sites = [(platform.control_listen, JsonResource(handler.handle))]
+    return program
--- a/wasabiturn/platform/http_server.py
+++ b/wasabiturn/platform/http_server.py
@@ -8,11 +8,11 @@
 import attrs
 from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.python.failure import Failure
-from twisted.web.resource import Resource
-from twisted.web.server import NOT_DONE_YET, Request, Site
+from twisted.web.http import Request
 
 from wasabiturn.connection.calls import CallError
 from wasabiturn.connection.dialer import Endpoint
+from wasabiturn.connection.http_site import HttpSite
 from wasabiturn.messages.kinds import FailureCode
 from wasabiturn.platform.fields import InvalidBodyError
 from wasabiturn.process import exposition
@@ -27,8 +27,6 @@
 SERVER_ERROR = 500
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
-# Longer than callers keep an idle connection open.
-IDLE_TIMEOUT_SECONDS = 75
 MIN_RETRY_AFTER_SECONDS = 1
 
 _log = create_component_log('http')
@@ -48,20 +46,16 @@
 
 
 @final
-class JsonResource(Resource):
+class JsonResource:
     """Passes each request to ``handler`` and writes its response."""
 
-    # Twisted requires this name.
-    isLeaf = True  # noqa: N815
-
     def __init__(self, handler: Handler) -> None:
         """Create the resource, which serves every path of a site."""
-        super().__init__()
         self.in_flight = 0
         self.is_closing = False
         self._handler = handler
 
-    def render(self, request: Request) -> int:
+    def render(self, request: Request) -> None:
         """Handle a request of any method."""
         self.in_flight += 1
         body = request.content.read() if request.content else b''
@@ -73,7 +67,6 @@
         handled.addCallback(_record_metrics, request, started_at)
         handled.addCallback(self._write_response, request, disconnects)
         handled.addErrback(_log_failure)
-        return NOT_DONE_YET
 
     def _write_response(
         self, response: Response, request: Request, disconnects: list[bool]
@@ -104,8 +97,7 @@
     Raises:
         ProcessError: the port cannot be used.
     """
-    site = Site(resource, timeout=IDLE_TIMEOUT_SECONDS, reactor=reactor)
-    site.noisy = False
+    site = HttpSite(resource.render, reactor)
     return listen(reactor, endpoint, site)
 
 
--- a/wasabiturn/platform/operators.py
+++ b/wasabiturn/platform/operators.py
@@ -4,7 +4,7 @@
 
 import attrs
 from twisted.internet.defer import Deferred
-from twisted.web.server import Request
+from twisted.web.http import Request
 
 from wasabiturn.connection.calls import CallError
 from wasabiturn.messages.batch import (
--- a/wasabiturn/platform/settings.py
+++ b/wasabiturn/platform/settings.py
@@ -6,12 +6,12 @@
 import attrs
 import yaml
 
-from wasabiturn.conf import Settings
 from wasabiturn.conf.sections import (
     ControlSection,
     InstanceSection,
     LoggingSection,
     MetricsSection,
+    Settings,
 )
 from wasabiturn.conf.values import Member
 from wasabiturn.connection.dialer import Endpoint, parse_endpoint
--- a/wasabiturn/process/agent/directory_record.py
+++ b/wasabiturn/process/agent/directory_record.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from wasabiturn.conf import Settings
+from wasabiturn.conf.sections import Settings
 from wasabiturn.ids import IncarnationId
 from wasabiturn.messages.session import AgentRecord
 from wasabiturn.process.agent.backends import Backends
--- a/wasabiturn/process/agent/program.py
+++ b/wasabiturn/process/agent/program.py
@@ -9,8 +9,7 @@
 from twisted.internet.defer import Deferred, gatherResults
 from twisted.internet.task import LoopingCall
 
-from wasabiturn.conf import Settings
-from wasabiturn.conf.sections import AgentSection
+from wasabiturn.conf.sections import AgentSection, Settings
 from wasabiturn.connection.dialer import LinkFactory
 from wasabiturn.connection.dispatch import Dispatch
 from wasabiturn.connection.link import PROTOCOL_VERSION
--- a/wasabiturn/process/daemon.py
+++ b/wasabiturn/process/daemon.py
@@ -11,7 +11,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.error import CannotListenError
 
-from wasabiturn.conf import Settings
+from wasabiturn.conf.sections import Settings
 from wasabiturn.exceptions import ProcessError, WasabiturnError
 from wasabiturn.utils.clock import use_boot_clock
 from wasabiturn.utils.logs import create_component_log, open_log_output
--- a/wasabiturn/process/exposition.py
+++ b/wasabiturn/process/exposition.py
@@ -1,6 +1,6 @@
 """Metrics of one process in the Prometheus text format."""
 
-from typing import Any, final
+from typing import Any
 
 from prometheus_client import (
     CollectorRegistry,
@@ -8,10 +8,10 @@
     Histogram,
     generate_latest,
 )
-from twisted.web.resource import Resource
-from twisted.web.server import Request, Site
+from twisted.web.http import Request
 
 from wasabiturn.connection.dialer import Endpoint
+from wasabiturn.connection.http_site import HttpSite
 from wasabiturn.process.daemon import listen
 
 # From a commit on an idle system (5 ms) to the usual caller deadline (5 s).
@@ -52,17 +52,13 @@
 )
 
 
-@final
-class MetricsResource(Resource):
-    """Serves the metrics of the registry at any path."""
-
-    # Twisted requires this name.
-    isLeaf = True  # noqa: N815
-
-    def render_GET(self, request: Request) -> bytes:
-        """Return the metrics in the Prometheus text format."""
-        request.setHeader(b'content-type', b'text/plain; version=0.0.4')
-        return generate_latest(registry)
+def write_metrics(request: Request) -> None:
+    """Respond with the metrics of the registry, in Prometheus' text format."""
+    body = generate_latest(registry)
+    request.setHeader(b'content-type', b'text/plain; version=0.0.4')
+    request.setHeader(b'content-length', b'%d' % len(body))
+    request.write(body)
+    request.finish()
 
 
 def open_metrics_site(reactor: Any, endpoint: Endpoint) -> Any:
@@ -71,6 +67,4 @@
     Raises:
         ProcessError: the port cannot be used.
     """
-    site = Site(MetricsResource(), reactor=reactor)
-    site.noisy = False
-    return listen(reactor, endpoint, site)
+    return listen(reactor, endpoint, HttpSite(write_metrics, reactor))
--- a/wasabiturn/process/local/programs.py
+++ b/wasabiturn/process/local/programs.py
@@ -5,7 +5,6 @@
 
 import attrs
 
-from wasabiturn.conf import Settings
 from wasabiturn.conf.sections import (
     AgentSection,
     ControlSection,
@@ -13,13 +12,14 @@
     InstanceSection,
     LoggingSection,
     MetricsSection,
+    Settings,
 )
 from wasabiturn.conf.values import Member
 from wasabiturn.connection.dialer import Endpoint
-from wasabiturn.process.agent import create_agent
-from wasabiturn.process.control import create_control
+from wasabiturn.process.agent.program import create_agent
+from wasabiturn.process.control.program import create_control
 from wasabiturn.process.daemon import Component, ComponentFactory, Context
-from wasabiturn.process.entry import create_entry
+from wasabiturn.process.entry.program import create_entry
 from wasabiturn.process.local.standins import (
     BackendComponent,
     WorkerComponent,
