--- a/benchmarks/agent_large_bodies.py
+++ b/benchmarks/agent_large_bodies.py
@@ -22,8 +22,9 @@
     rss_mb,
     start_program,
 )
-from wasabiturn.connection.dialer import Dialer, Endpoint
+from wasabiturn.connection.dialer import Dialer
 from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.connection.endpoint import Endpoint
 from wasabiturn.connection.link import PROTOCOL_VERSION
 from wasabiturn.connection.streams import Stream
 from wasabiturn.messages.codec import unpack
--- a/benchmarks/agent_throughput.py
+++ b/benchmarks/agent_throughput.py
@@ -19,8 +19,9 @@
 from hdrh.histogram import HdrHistogram
 from twisted.internet import reactor as default_reactor
 
-from wasabiturn.connection.dialer import Dialer, Endpoint
+from wasabiturn.connection.dialer import Dialer
 from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.connection.endpoint import Endpoint
 from wasabiturn.connection.link import PROTOCOL_VERSION
 from wasabiturn.connection.streams import Stream
 from wasabiturn.messages.codec import unpack
--- a/benchmarks/control_group.py
+++ b/benchmarks/control_group.py
@@ -16,8 +16,9 @@
 
 from benchmarks.soak.programs import Program
 from wasabiturn.connection.calls import CallError
-from wasabiturn.connection.dialer import Dialer, Endpoint
+from wasabiturn.connection.dialer import Dialer
 from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.connection.endpoint import Endpoint
 from wasabiturn.connection.link import PROTOCOL_VERSION
 from wasabiturn.messages.kinds import FailureCode, Kind, Method, Role
 from wasabiturn.messages.link import Hello
--- a/benchmarks/control_members.py
+++ b/benchmarks/control_members.py
@@ -12,8 +12,8 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
-from wasabiturn.connection.dialer import Endpoint
 from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.connection.endpoint import Endpoint
 from wasabiturn.messages.kinds import Kind, Role
 from wasabiturn.messages.link import Hello
 from wasabiturn.messages.session import AgentRecord
--- a/benchmarks/entry_throughput.py
+++ b/benchmarks/entry_throughput.py
@@ -16,7 +16,7 @@
 from twisted.internet.task import deferLater, react
 
 from benchmarks.soak.fleet import SERVICE, Fleet, FleetSize, create_fleet
-from wasabiturn.connection.dialer import Endpoint
+from wasabiturn.connection.endpoint import Endpoint
 
 WARM_UP_SECONDS = 8.0
 MEASURED_SECONDS = 6.0
--- a/benchmarks/rolling_restart.py
+++ b/benchmarks/rolling_restart.py
@@ -17,7 +17,7 @@
 
 from benchmarks.soak.callers import Callers, CallOutcome
 from benchmarks.soak.fleet import SERVICE, Fleet, FleetSize, create_fleet
-from wasabiturn.connection.dialer import Endpoint
+from wasabiturn.connection.endpoint import Endpoint
 
 WARM_UP_SECONDS = 8.0
 PROBE_SECONDS = 0.2
--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -11,7 +11,7 @@
 from twisted.web.http_headers import Headers
 
 from benchmarks.soak.bodies import create_producer
-from wasabiturn.connection.dialer import Endpoint
+from wasabiturn.connection.endpoint import Endpoint
 
 RESPONSE_TIMEOUT_SECONDS = 8.0
 # Timeout that is asked for in the header of each request.
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -11,7 +11,7 @@
 
 from benchmarks.soak.programs import Program, create_daemon, create_standin
 from benchmarks.soak.relay import NetworkPath, open_relay
-from wasabiturn.connection.dialer import Endpoint
+from wasabiturn.connection.endpoint import Endpoint
 
 LOOPBACK = '127.0.0.1'
 SERVICE = 'taller-app'
--- a/benchmarks/soak/operators.py
+++ b/benchmarks/soak/operators.py
@@ -11,7 +11,7 @@
 from twisted.web.http_headers import Headers
 
 from benchmarks.soak.bodies import BytesProducer
-from wasabiturn.connection.dialer import Endpoint
+from wasabiturn.connection.endpoint import Endpoint
 
 RESPONSE_TIMEOUT_SECONDS = 6.0
 RESEND_PAUSE_SECONDS = 0.3
--- a/benchmarks/soak/relay.py
+++ b/benchmarks/soak/relay.py
@@ -5,7 +5,7 @@
 import attrs
 from twisted.internet.protocol import Factory, Protocol
 
-from wasabiturn.connection.dialer import Endpoint
+from wasabiturn.connection.endpoint import Endpoint
 
 
 @final
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -28,7 +28,7 @@
 from wasabiturn.messages.link import Nothing
 from wasabiturn.platform.announcements import AnnouncementHandler
 from wasabiturn.platform.callers import CallerHandler
-from wasabiturn.platform.http_server import JsonResource
+from wasabiturn.platform.http_server import JsonServer
 from wasabiturn.platform.operators import OperatorHandler
 
 JOB = '/queue/5c0e7a21d94b36f8'
@@ -67,9 +67,8 @@
     closing: bool = False,
 ) -> tuple[int, dict[str, str], bytes]:
     """Send one request; return status, headers and body of the response."""
-    resource = JsonResource(handler)
-    resource.is_closing = closing
-    site = HttpSite(resource.render, reactor=Clock())
+    site = HttpSite(JsonServer(handler).handle, Clock())
+    site.is_closing = closing
     protocol = site.buildProtocol(None)
     transport = StringTransport()
     protocol.makeConnection(transport)
--- a/tests/process/network.py
+++ b/tests/process/network.py
@@ -5,8 +5,9 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
-from wasabiturn.connection.dialer import Endpoint, LinkFactory
+from wasabiturn.connection.dialer import LinkFactory
 from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.connection.endpoint import Endpoint
 
 STEP_SECONDS = 0.05
 
--- a/tests/sessions/control_fakes.py
+++ b/tests/sessions/control_fakes.py
@@ -11,7 +11,7 @@
 
 from wasabiturn.conf.sections import ControlSection
 from wasabiturn.conf.values import Member
-from wasabiturn.connection.dialer import Endpoint
+from wasabiturn.connection.endpoint import Endpoint
 from wasabiturn.exceptions import WasabiturnError
 from wasabiturn.messages.codec import pack, unpack
 from wasabiturn.messages.kinds import Kind
@@ -46,6 +46,9 @@
     def stop(self) -> None:
         pass
 
+    def memberless_names(self) -> frozenset[str]:
+        return frozenset()
+
     def send(self, envelope: Envelope) -> None:
         self.group.transmit(pack(envelope), envelope)
 
--- a/tests/version/raft/test_open_group.py
+++ b/tests/version/raft/test_open_group.py
@@ -25,6 +25,7 @@
         self.members: dict[str, RaftState] = {}
         self.stored: dict[str, Recovered] = {}
         self.isolated: set[str] = set()
+        self.memberless: frozenset[str] = frozenset()
 
     def add(
         self,
@@ -47,7 +48,8 @@
             self.now += STEP_SECONDS
             for name, member in list(self.members.items()):
                 if name not in self.isolated:
-                    core.step(core.Tick(), member, self.now)
+                    tick = core.Tick(memberless_names=self.memberless)
+                    core.step(tick, member, self.now)
             while self._deliver():
                 continue
 
@@ -164,3 +166,33 @@
     )
     core.step(introduction, member, 1)
     assert not member.introductions_by_name
+
+
+def test_a_group_forms_when_a_seed_runs_no_member() -> None:
+    """An instance without a disk may be among the seeds."""
+    group = OpenGroup(seeds=('x', 'b', 'c'))
+    for name in 'bcd':
+        group.add(name)
+    group.memberless = frozenset('x')
+    group.run(5)
+    assert group.voter_ids() == {'b/1', 'c/1', 'd/1'}
+
+
+def test_no_group_forms_while_a_seed_has_not_answered() -> None:
+    group = OpenGroup(seeds=('x', 'b', 'c'))
+    for name in 'bcd':
+        group.add(name)
+    group.run(5)
+    assert not any(each.leadership for each in group.members.values())
+
+
+def test_a_member_finds_the_group_through_an_instance_that_runs_none() -> None:
+    """All seeds may later be instances without a disk."""
+    group = create_formed_group()
+    group.memberless = frozenset('xy')
+    group.add('d', may_found=False, seeds=('x', 'y'))
+    group.run(2)
+    assert 'd/1' not in str(membership.current(group.leader()))
+    core.step(core.Contacts(('a', 'b', 'c')), group.members['d'], group.now)
+    group.run(2)
+    assert 'd/1' in str(membership.current(group.leader()))
--- a/wasabiturn/conf/sections.py
+++ b/wasabiturn/conf/sections.py
@@ -7,7 +7,7 @@
 
 from wasabiturn.conf import values
 from wasabiturn.conf.values import Member, setting
-from wasabiturn.connection.dialer import Endpoint
+from wasabiturn.connection.endpoint import Endpoint
 
 
 @final
--- a/wasabiturn/conf/values.py
+++ b/wasabiturn/conf/values.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from wasabiturn.connection.dialer import Endpoint, parse_endpoint
+from wasabiturn.connection.endpoint import Endpoint, parse_endpoint
 
 MAX_PORT = 65535
 # Key of the format in the metadata of an attrs field.
--- a/wasabiturn/connection/backend.py
+++ b/wasabiturn/connection/backend.py
@@ -13,7 +13,7 @@
 from twisted.python.failure import Failure
 from twisted.web.client import HTTP11ClientProtocol
 
-from wasabiturn.connection.dialer import Endpoint
+from wasabiturn.connection.endpoint import Endpoint
 from wasabiturn.exceptions import ConnectionLayerError
 
 CONNECT_TIMEOUT_SECONDS = 1.0
--- a/wasabiturn/connection/dialer.py
+++ b/wasabiturn/connection/dialer.py
@@ -3,11 +3,11 @@
 from random import Random
 from typing import Any, final
 
-import attrs
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import Factory
 
 from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.connection.endpoint import Endpoint
 from wasabiturn.connection.link import Link
 
 FIRST_RETRY_SECONDS = 0.05
@@ -15,19 +15,6 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 
 
-@final
-@attrs.frozen
-class Endpoint:
-    """IP address and port of a process."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        """Return the form used in settings."""
-        return f'{self.host}:{self.port}'
-
-
 @final
 class LinkFactory(Factory):
     """Factory of links for accepted or dialled connections."""
@@ -160,15 +147,3 @@
         """Cancel the attempt or close the link."""
         if self._connector is not None:
             self._connector.disconnect()
-
-
-def parse_endpoint(text: str) -> Endpoint:
-    """Parse ``ip:port``.
-
-    Raises:
-        ValueError: the text does not have this form.
-    """
-    host, separator, port = text.rpartition(':')
-    if not separator or not host:
-        raise ValueError(f'{text!r} is not ip:port')
-    return Endpoint(host=host, port=int(port))
--- a/wasabiturn/connection/http_site.py
+++ b/wasabiturn/connection/http_site.py
@@ -1,59 +1,168 @@
-"""HTTP site that passes each request to one function.
+"""HTTP/1.1 server that passes whole requests to one function.
 
-It uses Twisted's HTTP protocol without its resource tree and without an access
-log, which would cost a process start-up time and a timer for each site.
+Messages are held in memory, so this serves short ones only; requests that are
+streamed to backend servers go through ``process/entry``.
 """
 
+from collections import deque
 from collections.abc import Callable
-from typing import Any, final
+from typing import Any, cast, final
 
+from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.interfaces import IAddress
-from twisted.web.http import HTTPFactory, Request
+from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
+
+from wasabiturn.connection.http_messages import (
+    HttpError,
+    HttpRequest,
+    HttpResponse,
+    encode_response,
+)
+from wasabiturn.connection.http_reader import RequestReader
+from wasabiturn.utils.logs import create_component_log
 
 # Longer than clients keep an idle connection open.
 IDLE_TIMEOUT_SECONDS = 75.0
+# A client that sends more requests without reading responses must wait.
+MAX_QUEUED_REQUESTS = 16
+BAD_REQUEST = 400
+SERVER_ERROR = 500
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
-RequestHandler = Callable[[Request], None]
+RequestHandler = Callable[[HttpRequest], HttpResponse | Deferred[HttpResponse]]
 
+_log = create_component_log('http')
 
-@final
-class SiteRequest(Request):
-    """Request of a site; it is handled once its body has been received."""
 
-    def process(self) -> None:
-        """Pass this request to the handler of its site."""
-        channel: Any = self.channel
-        channel.site.handle(self)
+@final
+class HttpServerConnection(Protocol):
+    """Connection of one client; responds to its requests in their order."""
+
+    def __init__(self, site: 'HttpSite') -> None:
+        """Create the server side of a connection."""
+        self._site = site
+        self._reader = RequestReader(self._enqueue, self._send_continue)
+        self._queue: deque[HttpRequest] = deque()
+        self._is_busy = False
+        self._is_paused = False
+        self._closes = False
+        self._last_used = 0.0
+        self._idle_timer: Any = None
+
+    def connectionMade(self) -> None:
+        """Start to watch for an idle connection."""
+        transport = self._get_transport()
+        if hasattr(transport, 'setTcpNoDelay'):
+            transport.setTcpNoDelay(True)
+        self._last_used = self._site.clock.seconds()
+        self._watch_idleness()
+
+    def dataReceived(self, received: bytes) -> None:
+        """Read requests; respond with status 400 to what is none."""
+        self._last_used = self._site.clock.seconds()
+        try:
+            self._reader.feed(received)
+        except HttpError as error:
+            _log.event('rejecting a malformed request', error=str(error))
+            self._closes = True
+            self._queue.clear()
+            self._write(HttpResponse(status=BAD_REQUEST))
+
+    def connectionLost(self, reason: Failure | None = None) -> None:
+        """Drop what was not yet handled."""
+        self._queue.clear()
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+            self._idle_timer = None
+
+    def _get_transport(self) -> Any:
+        return cast(Any, self.transport)
+
+    def _enqueue(self, request: HttpRequest) -> None:
+        if self._closes:
+            return
+        # A response to HEAD must have no body, which no handler knows.
+        if request.method == 'HEAD' or not self._reader.keeps_alive():
+            self._closes = True
+        self._queue.append(request)
+        if not self._is_busy:
+            self._handle_next()
+        elif len(self._queue) > MAX_QUEUED_REQUESTS:
+            self._is_paused = True
+            self._get_transport().pauseProducing()
+
+    def _send_continue(self) -> None:
+        self._get_transport().write(_CONTINUE)
+
+    def _handle_next(self) -> None:
+        if not self._queue:
+            self._resume()
+            return
+        self._is_busy = True
+        request = self._queue.popleft()
+        handled: Deferred[Any] = maybeDeferred(self._site.handle, request)
+        handled.addErrback(_create_error_response)
+        handled.addCallback(self._respond)
+
+    def _respond(self, response: HttpResponse) -> None:
+        self._is_busy = False
+        self._last_used = self._site.clock.seconds()
+        self._write(response)
+        self._handle_next()
+
+    def _write(self, response: HttpResponse) -> None:
+        if not self.connected:
+            return
+        closes = (self._closes and not self._queue) or self._site.is_closing
+        self._get_transport().write(encode_response(response, closes))
+        if closes:
+            self._queue.clear()
+            self._closes = True
+            self._get_transport().loseConnection()
+
+    def _resume(self) -> None:
+        if self._is_paused:
+            self._is_paused = False
+            self._get_transport().resumeProducing()
+
+    def _watch_idleness(self) -> None:
+        now = self._site.clock.seconds()
+        remaining = self._last_used + IDLE_TIMEOUT_SECONDS - now
+        if self._is_busy:
+            remaining = IDLE_TIMEOUT_SECONDS
+        if remaining > 0:
+            self._idle_timer = self._site.clock.callLater(
+                remaining, self._watch_idleness
+            )
+            return
+        self._idle_timer = None
+        self._get_transport().loseConnection()
 
 
 @final
-class HttpSite(HTTPFactory):
-    """Passes each request to ``handle``, which writes the response."""
+class HttpSite(Factory):
+    """Passes each request to ``handle``, which returns the response.
+
+    While ``is_closing``, each connection ends with its next response.
+    """
 
     noisy = False
 
-    def __init__(
-        self,
-        handle: RequestHandler,
-        reactor: Any,
-        timeout_seconds: float = IDLE_TIMEOUT_SECONDS,
-    ) -> None:
-        """Create a site that closes connections idle for the timeout."""
-        super().__init__(timeout=timeout_seconds, reactor=reactor)
+    def __init__(self, handle: RequestHandler, clock: Any) -> None:
+        """Create a site; ``clock`` is the reactor."""
         self.handle = handle
+        self.clock = clock
+        self.is_closing = False
 
-    def startFactory(self) -> None:
-        """Start without an access log."""
-
-    def stopFactory(self) -> None:
-        """Stop without an access log to close."""
+    def buildProtocol(self, addr: IAddress | None) -> HttpServerConnection:
+        """Build the server side of one connection."""
+        return HttpServerConnection(self)
 
-    def buildProtocol(self, addr: IAddress | None) -> Any:
-        """Build the channel of one connection."""
-        channel: Any = super().buildProtocol(addr)
-        channel.requestFactory = SiteRequest
-        channel.site = self
-        return channel
 
-    def log(self, request: Request) -> None:
-        """Write no access log; handlers log what they decide."""
+def _create_error_response(failure: Failure) -> HttpResponse:
+    _log.warning(
+        'request handler failed; responding with status 500',
+        trace=failure.getTraceback(),
+    )
+    return HttpResponse(status=SERVER_ERROR)
--- a/wasabiturn/connection/link.py
+++ b/wasabiturn/connection/link.py
@@ -54,7 +54,7 @@
         self._clock = clock
         self._next_exchange = 1 if dialled else 2
         self._buffer = FrameBuffer()
-        self._calls = CallTable(clock=clock)
+        self.calls = CallTable(clock=clock)
         self._streams_by_exchange: dict[int, Stream] = {}
         self.last_received = 0.0
         self._last_sent = 0.0
@@ -62,8 +62,8 @@
             FrameKind.hello: self._handle_hello,
             FrameKind.call: self._handle_call,
             FrameKind.notice: self._handle_call,
-            FrameKind.reply: self._calls.complete,
-            FrameKind.failure: self._calls.complete,
+            FrameKind.reply: self.calls.complete,
+            FrameKind.failure: self.calls.complete,
             FrameKind.open: self._handle_open,
             FrameKind.data: self._handle_stream_frame,
             FrameKind.end: self._handle_stream_frame,
@@ -84,7 +84,7 @@
         if not self.is_open:
             return fail(CallError(FailureCode.closed, 'link is closed'))
         exchange = self._allocate_exchange()
-        reply_deferred = self._calls.start(
+        reply_deferred = self.calls.start(
             exchange, reply_class, timeout_seconds
         )
         self.send_frame(FrameKind.call, exchange, method, pack(message))
@@ -174,7 +174,7 @@
         self.is_open = False
         if self._liveness_loop.running:
             self._liveness_loop.stop()
-        self._calls.fail_all()
+        self.calls.fail_all()
         for stream in list(self._streams_by_exchange.values()):
             stream.handle_reset('link was lost')
         if was_open:
--- a/wasabiturn/platform/__main__.py
+++ b/wasabiturn/platform/__main__.py
@@ -1,6 +1,7 @@
 """Run one program: ``python -m wasabiturn.platform control|entry|agent``.
 
-A process imports only the program that it runs.
+A process imports only the program that it runs. A control program on an
+instance without a disk runs nothing.
 """
 
 import importlib
@@ -10,11 +11,12 @@
 from types import MappingProxyType
 
 from wasabiturn.exceptions import SettingsError
+from wasabiturn.platform.diskless import wait_for_stop
 from wasabiturn.platform.settings import (
+    PlatformSettings,
     create_settings,
     read_platform_settings,
 )
-from wasabiturn.process.daemon import run_daemon
 
 SETTINGS_VARIABLE = 'WASABITURN_SETTINGS'
 EXIT_USAGE_ERROR = 2
@@ -42,11 +44,19 @@
     except SettingsError as error:
         sys.stderr.write(f'wasabiturn: {error}\n')
         return EXIT_USAGE_ERROR
-    settings = create_settings(platform)
+    if arguments[0] == 'control' and platform.data_folder is None:
+        wait_for_stop()
+    return _run_program(module_name, platform)
+
+
+def _run_program(module_name: str, platform: PlatformSettings) -> int:
+    daemon = importlib.import_module('wasabiturn.process.daemon')
     create_program = importlib.import_module(module_name).create_program
-    return run_daemon(
-        settings, [lambda context: create_program(context, platform)]
+    exit_status: int = daemon.run_daemon(
+        create_settings(platform),
+        [lambda context: create_program(context, platform)],
     )
+    return exit_status
 
 
 if __name__ == '__main__':
--- a/wasabiturn/platform/agent_program.py
+++ b/wasabiturn/platform/agent_program.py
@@ -4,7 +4,7 @@
 from wasabiturn.messages.batch import WorkerOrders
 from wasabiturn.messages.kinds import Method, Role
 from wasabiturn.platform.announcements import AnnouncementHandler
-from wasabiturn.platform.http_server import JsonResource
+from wasabiturn.platform.http_server import JsonServer
 from wasabiturn.platform.program import Program
 from wasabiturn.platform.settings import PlatformSettings
 from wasabiturn.platform.worker_client import HttpWorker
@@ -34,5 +34,5 @@
         lambda link, orders: run_reconciler.apply_orders(orders),
     )
     handler = AnnouncementHandler(run_reconciler, platform.data_centre)
-    program.sites = [(platform.control_listen, JsonResource(handler.handle))]
+    program.servers = [(platform.control_listen, JsonServer(handler.handle))]
     return program
--- a/wasabiturn/platform/announcements.py
+++ b/wasabiturn/platform/announcements.py
@@ -3,15 +3,13 @@
 from typing import final
 
 import attrs
-from twisted.web.http import Request
 
+from wasabiturn.connection.http_messages import HttpRequest
 from wasabiturn.platform.http_server import (
     BAD_REQUEST,
     NOT_FOUND,
     OK,
     Response,
-    get_method,
-    get_path,
 )
 from wasabiturn.platform.workers import decode_identity
 from wasabiturn.process.agent.runs import RunReconciler
@@ -31,10 +29,10 @@
     run_reconciler: RunReconciler
     data_centre: str
 
-    def handle(self, request: Request, body: bytes) -> Response:
+    def handle(self, request: HttpRequest) -> Response:
         """Handle one request."""
-        path = get_path(request)
-        if get_method(request) != 'POST':
+        path = request.path
+        if request.method != 'POST':
             return Response(status=BAD_REQUEST)
         if path.startswith(_DEREGISTER_PREFIX):
             _log.event(
@@ -46,6 +44,6 @@
             return Response(status=NOT_FOUND)
         worker = path.removeprefix(_ANNOUNCE_PREFIX)
         self.run_reconciler.announce(
-            decode_identity(worker, body, self.data_centre)
+            decode_identity(worker, request.body, self.data_centre)
         )
         return Response(status=OK)
--- a/wasabiturn/platform/callers.py
+++ b/wasabiturn/platform/callers.py
@@ -7,8 +7,8 @@
 
 import attrs
 from twisted.internet.defer import Deferred
-from twisted.web.http import Request
 
+from wasabiturn.connection.http_messages import HttpRequest
 from wasabiturn.messages.batch import JobAnswer, JobCall
 from wasabiturn.messages.kinds import JobAction, JobOutcome, JobState, Method
 from wasabiturn.platform import http_server as http
@@ -64,26 +64,24 @@
     has_leader_contact: Callable[[], bool]
 
     def handle(
-        self,
-        request: Request,
-        body: bytes,
+        self, request: HttpRequest
     ) -> http.Response | Deferred[http.Response]:
         """Handle one request."""
-        action = _ACTIONS_BY_METHOD.get(http.get_method(request))
+        action = _ACTIONS_BY_METHOD.get(request.method)
         if action is None:
             return http.Response(status=http.BAD_REQUEST)
-        path = http.get_path(request)
+        path = request.path
         has_job_id = _JOB_PATH.fullmatch(path) is not None
         if not has_job_id and action is not JobAction.read:
             return http.Response(status=http.BAD_REQUEST)
         call = JobCall(
             action=action if has_job_id else JobAction.count,
-            host=(request.getHeader('host') or '').partition(':')[0],
+            host=(request.headers_by_name.get('host') or '').partition(':')[0],
             path=path,
             request_id=path.rpartition('/')[2],
         )
         if action is JobAction.submit:
-            call.declaration = decode_job(body)
+            call.declaration = decode_job(request.body)
         deferred = self.calls.call(
             Method.job,
             call,
@@ -92,11 +90,11 @@
         )
         return deferred.addCallback(_create_response, call.action)
 
-    def _choose_timeout_seconds(self, request: Request) -> float:
+    def _choose_timeout_seconds(self, request: HttpRequest) -> float:
         max_seconds = MAX_CALL_SECONDS
         if not self.has_leader_contact():
             max_seconds = MAX_CALL_SECONDS_WITHOUT_LEADER
-        deadline_ms = request.getHeader(_DEADLINE_HEADER) or ''
+        deadline_ms = request.headers_by_name.get(_DEADLINE_HEADER) or ''
         if not deadline_ms.isdigit():
             return max_seconds
         seconds = int(deadline_ms) / _MS_PER_SECOND - RESPONSE_RESERVE_SECONDS
--- a/wasabiturn/platform/control_program.py
+++ b/wasabiturn/platform/control_program.py
@@ -1,13 +1,12 @@
 """The program that replicates the state and may lead."""
 
 from wasabiturn.messages.kinds import Role
-from wasabiturn.platform.http_server import JsonResource
-from wasabiturn.platform.operators import OperatorHandler
 from wasabiturn.platform.program import Program
 from wasabiturn.platform.settings import PlatformSettings
 from wasabiturn.process.control.batch import create_batch_leader
 from wasabiturn.process.control.consensus import create_replica
 from wasabiturn.process.daemon import Context
+from wasabiturn.version.raft.core import Contacts
 
 
 def create_program(context: Context, platform: PlatformSettings) -> Program:
@@ -25,6 +24,7 @@
             platform.lease_ms,
         ),
     ]
-    handler = OperatorHandler(program.group.calls, platform.data_centres)
-    program.sites = [(platform.control_listen, JsonResource(handler.handle))]
+    program.group.on_members.append(
+        lambda names: replica.step(Contacts(tuple(names))),
+    )
     return program
--- a/wasabiturn/platform/entry_program.py
+++ b/wasabiturn/platform/entry_program.py
@@ -1,15 +1,22 @@
-"""The program that accepts requests of callers."""
+"""The program that accepts requests of callers and of operators.
+
+On an instance without a disk no control member runs. The entry then answers
+for it the one question by which processes find the group: who its members are.
+"""
 
 from typing import Any
 
-from wasabiturn.messages.kinds import Role
+from wasabiturn.messages.batch import MemberList
+from wasabiturn.messages.kinds import Method, Role
+from wasabiturn.messages.link import Nothing
 from wasabiturn.platform.callers import CallerHandler
 from wasabiturn.platform.http_server import (
     OK,
     UNAVAILABLE,
-    JsonResource,
+    JsonServer,
     Response,
 )
+from wasabiturn.platform.operators import OperatorHandler
 from wasabiturn.platform.program import Program
 from wasabiturn.platform.settings import PlatformSettings
 from wasabiturn.process.daemon import Context
@@ -24,18 +31,31 @@
     """Create the entry of this process."""
     program = Program(context, platform, Role.entry)
     leader_contact = LeaderContact(program.group.calls, context.reactor)
-    callers = JsonResource(
+    callers = JsonServer(
         CallerHandler(program.group.calls, leader_contact.is_fresh).handle,
     )
 
-    def report_readiness(request: Any, body: bytes) -> Response:
-        is_ready = leader_contact.is_fresh() and not callers.is_closing
+    def report_readiness(request: Any) -> Response:
+        is_ready = leader_contact.is_fresh() and not program.is_draining
         return Response(status=OK if is_ready else UNAVAILABLE)
 
     program.services = [leader_contact]
-    program.sites = [
+    operators = OperatorHandler(program.group.calls, platform.data_centres)
+    program.servers = [
         (platform.callers_listen, callers),
-        (platform.ready_listen, JsonResource(report_readiness)),
+        (platform.control_listen, JsonServer(operators.handle)),
+        (platform.ready_listen, JsonServer(report_readiness)),
     ]
     program.drain_seconds = DRAIN_SECONDS
+    if platform.data_folder is None:
+        _list_members(program)
     return program
+
+
+def _list_members(program: Program) -> None:
+    program.accepts_links = True
+    program.dispatch.handle(
+        Method.members,
+        Nothing,
+        lambda link, nothing: MemberList(names=program.group.member_names),
+    )
--- a/wasabiturn/platform/http_server.py
+++ b/wasabiturn/platform/http_server.py
@@ -8,15 +8,12 @@
 import attrs
 from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.python.failure import Failure
-from twisted.web.http import Request
 
 from wasabiturn.connection.calls import CallError
-from wasabiturn.connection.dialer import Endpoint
-from wasabiturn.connection.http_site import HttpSite
+from wasabiturn.connection.http_messages import HttpRequest, HttpResponse
 from wasabiturn.messages.kinds import FailureCode
 from wasabiturn.platform.fields import InvalidBodyError
 from wasabiturn.process import exposition
-from wasabiturn.process.daemon import listen
 from wasabiturn.utils.logs import create_component_log
 
 OK = 200
@@ -42,48 +39,35 @@
     retry_after_seconds: int = 0
 
 
-Handler = Callable[[Request, bytes], Any]
+Handler = Callable[[HttpRequest], Any]
 
 
 @final
-class JsonResource:
-    """Passes each request to ``handler`` and writes its response."""
+class JsonServer:
+    """Passes each request to ``handler``; counts requests and errors."""
 
     def __init__(self, handler: Handler) -> None:
-        """Create the resource, which serves every path of a site."""
+        """Create the server, which serves every path of a site."""
         self.in_flight = 0
-        self.is_closing = False
         self._handler = handler
 
-    def render(self, request: Request) -> None:
-        """Handle a request of any method."""
+    def handle(self, request: HttpRequest) -> Deferred[HttpResponse]:
+        """Handle one request; the Deferred does not fail."""
         self.in_flight += 1
-        body = request.content.read() if request.content else b''
-        disconnects: list[bool] = []
-        request.notifyFinish().addErrback(lambda _: disconnects.append(True))
-        handled: Deferred[Any] = maybeDeferred(self._handler, request, body)
         started_at = time.monotonic()
+        handled: Deferred[Any] = maybeDeferred(self._handler, request)
         handled.addErrback(_create_error_response, request)
-        handled.addCallback(_record_metrics, request, started_at)
-        handled.addCallback(self._write_response, request, disconnects)
-        handled.addErrback(_log_failure)
+        handled.addCallback(self._finish, request, started_at)
+        return handled
 
-    def _write_response(
-        self, response: Response, request: Request, disconnects: list[bool]
-    ) -> None:
+    def _finish(
+        self, response: Response, request: HttpRequest, started_at: float
+    ) -> HttpResponse:
         self.in_flight -= 1
-        if disconnects:
-            return
-        request.setResponseCode(response.status)
-        request.setHeader(b'content-type', b'application/json')
-        request.setHeader(b'content-length', b'%d' % len(response.body))
-        if response.retry_after_seconds:
-            seconds = b'%d' % response.retry_after_seconds
-            request.setHeader(b'retry-after', seconds)
-        if self.is_closing:
-            request.setHeader(b'connection', b'close')
-        request.write(response.body)
-        request.finish()
+        exposition.calls.labels(request.method, response.status).inc()
+        elapsed_seconds = time.monotonic() - started_at
+        exposition.call_seconds.labels(request.method).observe(elapsed_seconds)
+        return _convert_response(response)
 
 
 def encode(content: Any) -> bytes:
@@ -91,37 +75,16 @@
     return json.dumps(content, separators=(',', ':')).encode()
 
 
-def open_site(reactor: Any, endpoint: Endpoint, resource: JsonResource) -> Any:
-    """Listen on ``endpoint``; the caller owns the returned port.
-
-    Raises:
-        ProcessError: the port cannot be used.
-    """
-    site = HttpSite(resource.render, reactor)
-    return listen(reactor, endpoint, site)
-
-
-def get_path(request: Request) -> str:
-    """Return the path of a request without its query."""
-    return request.path.decode('latin-1') if request.path else ''
-
-
-def get_method(request: Request) -> str:
-    """Return the method of a request."""
-    return request.method.decode('latin-1')
-
-
-def _record_metrics(
-    response: Response, request: Request, started_at: float
-) -> Response:
-    http_method = get_method(request)
-    exposition.calls.labels(http_method, response.status).inc()
-    elapsed_seconds = time.monotonic() - started_at
-    exposition.call_seconds.labels(http_method).observe(elapsed_seconds)
-    return response
+def _convert_response(response: Response) -> HttpResponse:
+    headers: tuple[tuple[str, str], ...] = ()
+    if response.retry_after_seconds:
+        headers = (('Retry-After', str(response.retry_after_seconds)),)
+    return HttpResponse(
+        status=response.status, body=response.body, headers=headers
+    )
 
 
-def _create_error_response(failure: Failure, request: Request) -> Response:
+def _create_error_response(failure: Failure, request: HttpRequest) -> Response:
     """Return the error response for a request that failed.
 
     Its status is 503 if the request can safely be sent again, and 504 if it may
@@ -146,24 +109,20 @@
         response = Response(status=SERVER_ERROR)
     _log.decision(
         'request failed; sending an error response',
-        method=get_method(request),
-        path=get_path(request),
+        method=request.method,
+        path=request.path,
         status=response.status,
         reason=str(error),
     )
     return response
 
 
-def _is_safe_to_retry(error: CallError, request: Request) -> bool:
+def _is_safe_to_retry(error: CallError, request: HttpRequest) -> bool:
     """Return whether the request can safely be sent again."""
-    is_read = get_method(request) == 'GET'
+    is_read = request.method == 'GET'
     return is_read or error.code in _CERTAINLY_NOT_RUN
 
 
-def _log_failure(failure: Failure) -> None:
-    _log.warning('cannot write the response', error=repr(failure.value))
-
-
 _CERTAINLY_NOT_RUN = frozenset(
     (FailureCode.unavailable, FailureCode.not_leader),
 )
--- a/wasabiturn/platform/operators.py
+++ b/wasabiturn/platform/operators.py
@@ -4,9 +4,9 @@
 
 import attrs
 from twisted.internet.defer import Deferred
-from twisted.web.http import Request
 
 from wasabiturn.connection.calls import CallError
+from wasabiturn.connection.http_messages import HttpRequest
 from wasabiturn.messages.batch import (
     DataCentreMark,
     PutRouting,
@@ -18,8 +18,6 @@
     NOT_FOUND,
     OK,
     Response,
-    get_method,
-    get_path,
 )
 from wasabiturn.platform.routing import decode_routing
 from wasabiturn.process.leader_calls import LeaderCalls
@@ -42,19 +40,17 @@
     calls: LeaderCalls
     data_centres: tuple[str, ...]
 
-    def handle(
-        self, request: Request, body: bytes
-    ) -> Response | Deferred[Response]:
+    def handle(self, request: HttpRequest) -> Response | Deferred[Response]:
         """Handle one request."""
-        path = get_path(request)
-        if get_method(request) == 'GET':
+        path = request.path
+        if request.method == 'GET':
             return (
                 self._read_routing()
                 if path == _GET_PATH
                 else _create_not_found(path)
             )
         if path == _PUT_PATH:
-            put = PutRouting(routing=decode_routing(body))
+            put = PutRouting(routing=decode_routing(request.body))
             return self._send_to_leader(Method.put_routing, put)
         for prefix, out in (
             (_DRAIN_BEGIN_PREFIX, True),
--- a/wasabiturn/platform/program.py
+++ b/wasabiturn/platform/program.py
@@ -9,19 +9,22 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import LoopingCall, deferLater
 
-from wasabiturn.connection.dialer import Endpoint, LinkFactory
+from wasabiturn.connection.dialer import LinkFactory
 from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.connection.endpoint import Endpoint
+from wasabiturn.connection.http_site import HttpSite
 from wasabiturn.connection.link import PROTOCOL_VERSION
 from wasabiturn.messages.kinds import Role
 from wasabiturn.messages.link import Hello
-from wasabiturn.platform.http_server import JsonResource, open_site
+from wasabiturn.platform.http_server import JsonServer
 from wasabiturn.platform.reload import SettingsReloader
 from wasabiturn.platform.settings import PlatformSettings
 from wasabiturn.process.control_group import ControlGroup
 from wasabiturn.process.daemon import Component, Context, listen
 from wasabiturn.process.exposition import open_metrics_site
 
-RELOAD_INTERVAL_SECONDS = 1.0
+# A change is also announced by SIGHUP.
+RELOAD_INTERVAL_SECONDS = 5.0
 IN_FLIGHT_TIMEOUT_SECONDS = 1.7
 IN_FLIGHT_POLL_SECONDS = 0.05
 _INCARNATION_BYTES = 8
@@ -53,9 +56,11 @@
             random=SystemRandom(),
         )
         self.services: list[Component] = []
-        self.sites: list[tuple[Endpoint | None, JsonResource]] = []
+        self.servers: list[tuple[Endpoint | None, JsonServer]] = []
         self.accepts_links = False
         self.drain_seconds = 0.0
+        self.is_draining = False
+        self._sites: list[HttpSite] = []
         self._ports: list[Any] = []
         self._stack = ExitStack()
 
@@ -66,11 +71,9 @@
         for service in self.services:
             self._stack.callback(service.close)
             service.start()
-        for endpoint, resource in self.sites:
+        for endpoint, server in self.servers:
             if endpoint is not None:
-                port = open_site(self.context.reactor, endpoint, resource)
-                self._ports.append(port)
-                self._stack.callback(port.stopListening)
+                self._open_site(endpoint, server)
         self._open_metrics()
         self._stack.callback(self.group.stop)
         self.group.start()
@@ -78,8 +81,9 @@
 
     def drain(self) -> Deferred[None]:
         """Finish the requests in flight, then drain each service."""
-        for _, resource in self.sites:
-            resource.is_closing = True
+        self.is_draining = True
+        for site in self._sites:
+            site.is_closing = True
         drained: Deferred[Any] = succeed(None)
         if self.drain_seconds:
             drained = deferLater(self.context.reactor, self.drain_seconds)
@@ -93,6 +97,14 @@
         """Close ports, links and files."""
         self._stack.close()
 
+    def _open_site(self, endpoint: Endpoint, server: JsonServer) -> None:
+        reactor = self.context.reactor
+        site = HttpSite(server.handle, reactor)
+        port = listen(reactor, endpoint, site)
+        self._sites.append(site)
+        self._ports.append(port)
+        self._stack.callback(port.stopListening)
+
     def _open_metrics(self) -> None:
         port = METRICS_PORTS_BY_ROLE[self.dispatch.hello.role]
         endpoint = Endpoint(self.platform.address, port)
@@ -124,7 +136,7 @@
         finished: Deferred[None] = Deferred()
 
         def check() -> None:
-            is_busy = any(resource.in_flight for _, resource in self.sites)
+            is_busy = any(server.in_flight for _, server in self.servers)
             if is_busy and reactor.seconds() < deadline:
                 reactor.callLater(IN_FLIGHT_POLL_SECONDS, check)
             else:
--- a/wasabiturn/platform/settings.py
+++ b/wasabiturn/platform/settings.py
@@ -14,7 +14,7 @@
     Settings,
 )
 from wasabiturn.conf.values import Member
-from wasabiturn.connection.dialer import Endpoint, parse_endpoint
+from wasabiturn.connection.endpoint import Endpoint, parse_endpoint
 from wasabiturn.exceptions import SettingsError
 
 # Offsets from the first port of the range that the platform assigns.
--- a/wasabiturn/platform/worker_client.py
+++ b/wasabiturn/platform/worker_client.py
@@ -7,15 +7,10 @@
     ConnectionRefusedError as TwistedConnectionRefusedError,
 )
 from twisted.python.failure import Failure
-from twisted.web.client import (
-    Agent,
-    HTTPConnectionPool,
-    readBody,
-)
-from twisted.web.http_headers import Headers
 
-from wasabiturn.connection.body_producer import BytesBodyProducer
-from wasabiturn.connection.dialer import Endpoint
+from wasabiturn.connection.endpoint import Endpoint
+from wasabiturn.connection.http_client import HttpClient
+from wasabiturn.connection.http_messages import HttpRequest, HttpResponse
 from wasabiturn.exceptions import PlatformError
 from wasabiturn.messages.batch import PaceOrder, StartOrder, StopOrder
 from wasabiturn.platform.fields import decode_object
@@ -33,7 +28,6 @@
 CONNECT_TIMEOUT_SECONDS = 0.5
 # In addition to the time for which the worker is asked to hold the call.
 RESPONSE_TIMEOUT_SECONDS = 0.6
-MAX_CONNECTIONS = 5
 CONFLICT = 409
 MISDIRECTED_REQUEST = 421
 # Statuses that say that the worker did not execute the order.
@@ -43,21 +37,11 @@
 
 @final
 class HttpWorker:
-    """Calls the worker at one address over persistent connections."""
+    """Calls the worker at one address over kept connections."""
 
     def __init__(self, endpoint: Endpoint, reactor: Any) -> None:
         """Create the client; it connects on the first call."""
-        self._base_url = f'http://{endpoint}'
-        self._reactor = reactor
-        self._pool = HTTPConnectionPool(reactor, persistent=True)
-        self._pool.maxPersistentPerHost = MAX_CONNECTIONS
-        self._pool.retryAutomatically = False
-        self._pool.cachedConnectionTimeout = 60
-        self._agent = Agent(
-            reactor,
-            connectTimeout=CONNECT_TIMEOUT_SECONDS,
-            pool=self._pool,
-        )
+        self._client = HttpClient(endpoint, reactor, CONNECT_TIMEOUT_SECONDS)
 
     def hold(
         self, identity: WorkerIdentity, hold: HoldRequest
@@ -126,10 +110,9 @@
         sent = self._post('/api/pace', identity, body, RESPONSE_TIMEOUT_SECONDS)
         return sent.addCallback(_ignore_body)
 
-    def close(self) -> Deferred[None]:
-        """Close the persistent connections."""
-        closed: Deferred[None] = self._pool.closeCachedConnections()
-        return closed
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._client.close()
 
     def _post(
         self,
@@ -138,34 +121,25 @@
         body: dict[str, Any],
         timeout_seconds: float,
     ) -> Deferred[bytes]:
-        headers = Headers(
-            {
-                'Content-Type': ['application/json'],
+        request = HttpRequest(
+            method='POST',
+            path=path,
+            headers_by_name={
+                'Content-Type': 'application/json',
                 # Any other instance of the worker responds with 421.
-                'Wasabiturn-Expect-Instance': [identity.worker],
+                'Wasabiturn-Expect-Instance': identity.worker,
             },
+            body=encode(body),
         )
-        producer: Any = BytesBodyProducer(encode(body))
-        sent: Deferred[Any] = self._agent.request(
-            b'POST',
-            f'{self._base_url}{path}'.encode(),
-            headers,
-            producer,
-        )
-        sent.addCallback(_read_response)
-        sent.addTimeout(timeout_seconds, self._reactor)
+        sent: Deferred[Any] = self._client.send(request, timeout_seconds)
+        sent.addCallback(_check_status)
         return sent.addErrback(_convert_error)
 
 
-def _read_response(response: Any) -> Deferred[bytes]:
-    body: Deferred[bytes] = readBody(response)
-    return body.addCallback(_check_status, response.code)
-
-
-def _check_status(body: bytes, status: int) -> bytes:
-    if status == OK:
-        return body
-    raise _create_error(body, status)
+def _check_status(response: HttpResponse) -> bytes:
+    if response.status == OK:
+        return response.body
+    raise _create_error(response.body, response.status)
 
 
 def _create_error(body: bytes, status: int) -> PlatformError:
--- a/wasabiturn/process/agent/announcements.py
+++ b/wasabiturn/process/agent/announcements.py
@@ -10,7 +10,7 @@
 from twisted.web.resource import NoResource, Resource
 from twisted.web.server import Request, Site
 
-from wasabiturn.connection.dialer import parse_endpoint
+from wasabiturn.connection.endpoint import parse_endpoint
 from wasabiturn.exceptions import ProcessError
 from wasabiturn.messages.session import BackendRecord
 
--- a/wasabiturn/process/agent/backends.py
+++ b/wasabiturn/process/agent/backends.py
@@ -7,7 +7,7 @@
 import attrs
 
 from wasabiturn.connection.backend import IDLE_LIMIT_SECONDS, BackendPool
-from wasabiturn.connection.dialer import parse_endpoint
+from wasabiturn.connection.endpoint import parse_endpoint
 from wasabiturn.ids import ClaimId, ServiceName, Ticket
 from wasabiturn.messages.session import (
     BackendRecord,
--- a/wasabiturn/process/control/consensus.py
+++ b/wasabiturn/process/control/consensus.py
@@ -174,17 +174,18 @@
 
     def receive(self, link: Any, envelope: Envelope) -> None:
         """Pass a message of another member to the consensus core."""
-        self._step(envelope)
+        self.step(envelope)
 
     def _now(self) -> float:
         return cast(float, self._context.reactor.seconds())
 
     def _tick(self) -> None:
-        self._step(Tick())
+        self.step(Tick(memberless_names=self._peers.memberless_names()))
         if self._handover is not None and self._member is not None:
             self._handover.advance(self._member, self._now())
 
-    def _step(self, message: object) -> None:
+    def step(self, message: object) -> None:
+        """Pass ``message`` to the consensus core; flush its effects later."""
         if self._member is None:
             return
         try:
--- a/wasabiturn/process/control/peers.py
+++ b/wasabiturn/process/control/peers.py
@@ -7,9 +7,10 @@
 import attrs
 
 from wasabiturn.conf.sections import ControlSection
-from wasabiturn.connection.dialer import Dialer, Endpoint
+from wasabiturn.connection.dialer import Dialer
 from wasabiturn.connection.dispatch import Dispatch
-from wasabiturn.messages.kinds import Method
+from wasabiturn.connection.endpoint import Endpoint
+from wasabiturn.messages.kinds import Method, Role
 from wasabiturn.messages.raft import Envelope
 from wasabiturn.process.daemon import Context
 from wasabiturn.version.raft.membership import name_of
@@ -27,6 +28,9 @@
     def send(self, envelope: Envelope) -> None:
         """Send a message, which may be lost."""
 
+    def memberless_names(self) -> frozenset[str]:
+        """Return the instances that answered, but run no member."""
+
 
 @final
 @attrs.frozen
@@ -59,6 +63,14 @@
         elif dialer.link is not None:
             dialer.link.notify(Method.consensus, envelope)
 
+    def memberless_names(self) -> frozenset[str]:
+        """Return the instances that answered, but run no member."""
+        return frozenset(
+            name
+            for name, dialer in self.dialers_by_name.items()
+            if dialer.link is not None and dialer.link.peer.role is Role.entry
+        )
+
     def _add_peer(self, name: str) -> None:
         dialer = self.dial(name)
         if dialer is not None:
--- a/wasabiturn/process/control_group.py
+++ b/wasabiturn/process/control_group.py
@@ -1,33 +1,42 @@
 """Links of one process to a control group with changing members.
 
-The process is configured with a few seed members. Any member returns the
-list of all members.
+The process is configured with a few seeds. Any member returns the list of all
+members, and so does an entry on an instance without a disk. A process keeps a
+link to the leader and to one other member, which names the new leader when the
+leader is lost. While it knows no leader, it tries more members in turn.
 """
 
+from collections.abc import Callable
 from random import Random
 from typing import Any, final
 
 from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
-from wasabiturn.connection.dialer import Dialer, Endpoint
+from wasabiturn.connection.dialer import Dialer
 from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.connection.endpoint import Endpoint
 from wasabiturn.connection.link import Link
 from wasabiturn.messages.batch import MemberList
-from wasabiturn.messages.kinds import Method
+from wasabiturn.messages.kinds import Method, Role
 from wasabiturn.messages.link import Nothing
 from wasabiturn.process.leader_calls import LeaderCalls
 from wasabiturn.utils.logs import create_component_log
 
-REFRESH_SECONDS = 2.0
+MAINTENANCE_SECONDS = 0.5
+MEMBERS_REFRESH_SECONDS = 10.0
 CALL_TIMEOUT_SECONDS = 1.0
+KEPT_LINKS = 2
+NEVER = float('-inf')
+
+MembersCallback = Callable[[list[str]], None]
 
 _log = create_component_log('group')
 
 
 @final
 class ControlGroup:
-    """Keeps a link open to each member of the control group."""
+    """Keeps links to the leader and to a spare member of the control group."""
 
     def __init__(
         self,
@@ -38,39 +47,70 @@
         random: Random,
     ) -> None:
         """Create the group; ``seeds`` are IP addresses of some members."""
+        # Called with the names of the members whenever a member lists them.
+        self.on_members: list[MembersCallback] = []
+        self.member_names: list[str] = []
         self._seeds = seeds
         self._port = port
         self._dispatch = dispatch
         self._reactor = reactor
         self._random = random
         self._dialers_by_name: dict[str, Dialer] = {}
-        self._ticker = LoopingCall(self._refresh)
+        self._refreshed_at = NEVER
+        self._ticker = LoopingCall(self._maintain)
         self._ticker.clock = reactor
-        self.calls = LeaderCalls(self.open_links, reactor, random)
+        self.calls = LeaderCalls(
+            self.open_links, reactor, random, on_leader_hint=self._dial
+        )
 
     def start(self) -> None:
-        """Dial the seeds and begin to refresh the list of members."""
-        self.set_seeds(self._seeds)
-        self._ticker.start(REFRESH_SECONDS, now=False)
+        """Dial some of the seeds and begin to maintain the links."""
+        for _ in range(KEPT_LINKS):
+            self._dial_another()
+        self._ticker.start(MAINTENANCE_SECONDS, now=False)
 
     def stop(self) -> None:
-        """Stop refreshing and close the links."""
+        """Close the links."""
         if self._ticker.running:
             self._ticker.stop()
         for dialer in self._dialers_by_name.values():
             dialer.stop()
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
-        """Replace the seeds and dial the new ones."""
+        """Replace the seeds; they are dialled when links are missing."""
         self._seeds = seeds
-        for name in seeds:
-            self._dial(name)
 
     def open_links(self) -> list[Link]:
-        """Return the links that are open."""
+        """Return the open links to members."""
+        return [
+            link
+            for link in self._all_open_links()
+            if link.peer.role is Role.control
+        ]
+
+    def _all_open_links(self) -> list[Link]:
         links = [dialer.link for dialer in self._dialers_by_name.values()]
         return [link for link in links if link is not None and link.is_open]
 
+    def _maintain(self) -> None:
+        open_names = {link.peer.name for link in self.open_links()}
+        if len(open_names) < KEPT_LINKS or self.calls.leader not in open_names:
+            self._dial_another()
+        else:
+            self._drop_surplus(open_names)
+        now = self._reactor.seconds()
+        if now >= self._refreshed_at + MEMBERS_REFRESH_SECONDS:
+            self._refresh(now)
+
+    def _dial_another(self) -> None:
+        """Dial one more of the known instances, if there is one."""
+        names = {*self.member_names, *self._seeds}
+        candidates = sorted(names - self._dialers_by_name.keys())
+        if candidates:
+            self._dial(self._random.choice(candidates))
+        else:
+            self._forget_departed(names)
+
     def _dial(self, name: str) -> None:
         if name in self._dialers_by_name:
             return
@@ -83,31 +123,54 @@
         self._dialers_by_name[name] = dialer
         dialer.start()
 
-    def _refresh(self) -> None:
-        links = self.open_links()
+    def _drop_surplus(self, open_names: set[str]) -> None:
+        """Close all links but those to the leader and to one other member."""
+        spares = sorted(open_names - {self.calls.leader})
+        kept = {self.calls.leader, self._random.choice(spares)}
+        kept |= open_names if len(open_names) == KEPT_LINKS else set()
+        for name, dialer in list(self._dialers_by_name.items()):
+            if name not in kept and not _is_in_use(dialer):
+                self._drop(name)
+
+    def _forget_departed(self, names: set[str]) -> None:
+        """Stop dialling instances that no list names any more."""
+        for name, dialer in list(self._dialers_by_name.items()):
+            if name not in names and dialer.link is None:
+                self._drop(name)
+
+    def _drop(self, name: str) -> None:
+        self._dialers_by_name.pop(name).stop()
+
+    def _refresh(self, now: float) -> None:
+        links = self._all_open_links()
         if not links:
             return
+        self._refreshed_at = now + self._random.uniform(-1, 0)
         members_call = self._random.choice(links).call(
             Method.members,
             Nothing(),
             MemberList,
             CALL_TIMEOUT_SECONDS,
         )
-        members_call.addCallbacks(self._update_members, _log_failure)
+        members_call.addCallback(self._update_members)
+        members_call.addErrback(self._handle_refresh_failure)
 
     def _update_members(self, members: MemberList) -> None:
         if not members.names:
+            self._refreshed_at = NEVER
             return
-        for name in members.names:
-            self._dial(name)
-        kept = {*members.names, *self._seeds}
-        for name, dialer in list(self._dialers_by_name.items()):
-            if name not in kept and dialer.link is None:
-                dialer.stop()
-                self._dialers_by_name.pop(name)
+        self.member_names = list(members.names)
+        for callback in self.on_members:
+            callback(members.names)
+
+    def _handle_refresh_failure(self, failure: Failure) -> None:
+        self._refreshed_at = NEVER
+        _log.event(
+            'cannot get the list of control members',
+            error=str(failure.value),
+        )
 
 
-def _log_failure(failure: Failure) -> None:
-    _log.event(
-        'cannot get the list of control members', error=str(failure.value)
-    )
+def _is_in_use(dialer: Dialer) -> bool:
+    link = dialer.link
+    return link is not None and bool(link.calls.pending_by_exchange)
--- a/wasabiturn/process/control_links.py
+++ b/wasabiturn/process/control_links.py
@@ -6,8 +6,9 @@
 
 import attrs
 
-from wasabiturn.connection.dialer import Dialer, Endpoint
+from wasabiturn.connection.dialer import Dialer
 from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.connection.endpoint import Endpoint
 from wasabiturn.connection.link import Link
 
 
--- a/wasabiturn/process/entry/agents.py
+++ b/wasabiturn/process/entry/agents.py
@@ -5,8 +5,9 @@
 
 import attrs
 
-from wasabiturn.connection.dialer import Dialer, parse_endpoint
+from wasabiturn.connection.dialer import Dialer
 from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.connection.endpoint import parse_endpoint
 from wasabiturn.connection.link import Link
 from wasabiturn.ids import DataCentre, InstanceName, ServiceName
 from wasabiturn.messages.kinds import Kind
--- a/wasabiturn/process/exposition.py
+++ b/wasabiturn/process/exposition.py
@@ -8,15 +8,17 @@
     Histogram,
     generate_latest,
 )
-from twisted.web.http import Request
 
-from wasabiturn.connection.dialer import Endpoint
+from wasabiturn.connection.endpoint import Endpoint
+from wasabiturn.connection.http_messages import HttpRequest, HttpResponse
 from wasabiturn.connection.http_site import HttpSite
 from wasabiturn.process.daemon import listen
 
 # From a commit on an idle system (5 ms) to the usual caller deadline (5 s).
 BUCKETS_SECONDS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5)
 
+_OK = 200
+
 registry = CollectorRegistry()
 
 calls = Counter(
@@ -52,13 +54,13 @@
 )
 
 
-def write_metrics(request: Request) -> None:
-    """Respond with the metrics of the registry, in Prometheus' text format."""
-    body = generate_latest(registry)
-    request.setHeader(b'content-type', b'text/plain; version=0.0.4')
-    request.setHeader(b'content-length', b'%d' % len(body))
-    request.write(body)
-    request.finish()
+def create_metrics_response(request: HttpRequest) -> HttpResponse:
+    """Return the metrics of the registry, in Prometheus' text format."""
+    return HttpResponse(
+        status=_OK,
+        body=generate_latest(registry),
+        content_type='text/plain; version=0.0.4',
+    )
 
 
 def open_metrics_site(reactor: Any, endpoint: Endpoint) -> Any:
@@ -67,4 +69,4 @@
     Raises:
         ProcessError: the port cannot be used.
     """
-    return listen(reactor, endpoint, HttpSite(write_metrics, reactor))
+    return listen(reactor, endpoint, HttpSite(create_metrics_response, reactor))
--- a/wasabiturn/process/leader_calls.py
+++ b/wasabiturn/process/leader_calls.py
@@ -25,6 +25,10 @@
 MessageType = TypeVar('MessageType')
 
 
+def _ignore_hint(leader: str) -> None:
+    """Do nothing: this process has a link to every member."""
+
+
 @final
 @attrs.define
 class LeaderCalls:
@@ -38,6 +42,10 @@
     open_links: Callable[[], list[Link]]
     clock: Any
     random: Random
+    # Called with the name of each leader that a member refers to.
+    on_leader_hint: Callable[[str], None] = attrs.field(default=_ignore_hint)
+    # Name of the instance that answered last as the leader, or that a member
+    # referred to; empty if unknown.
     leader: str = ''
     retry_delay_seconds: float = FIRST_RETRY_DELAY_SECONDS
 
@@ -73,6 +81,12 @@
                 return link
         return self.random.choice(links) if links else None
 
+    def follow_hint(self, leader: str) -> None:
+        """Call ``leader`` from now on; empty if the leader is unknown."""
+        self.leader = leader
+        if leader:
+            self.on_leader_hint(leader)
+
     def next_retry_delay(self) -> float:
         """Return the delay before a retry in seconds.
 
@@ -113,10 +127,11 @@
             self.reply_class,
             timeout_seconds=min(remaining, ATTEMPT_TIMEOUT_SECONDS),
         )
-        sent.addCallbacks(self._on_reply, self._on_failure)
+        sent.addCallbacks(self._on_reply, self._on_failure, (link,))
 
-    def _on_reply(self, reply: Any) -> None:
+    def _on_reply(self, reply: Any, link: Link) -> None:
         self.calls.retry_delay_seconds = FIRST_RETRY_DELAY_SECONDS
+        self.calls.leader = link.peer.name
         self.result.callback(reply)
 
     def _on_failure(self, failure: TwistedFailure) -> None:
@@ -127,7 +142,7 @@
         elif code not in _NOT_RUN_CODES:
             self.result.errback(failure)
             return
-        self.calls.leader = getattr(error, 'leader', '')
+        self.calls.follow_hint(getattr(error, 'leader', ''))
         self._retry_later(self.deadline - self.calls.clock.seconds())
 
     def _retry_later(self, remaining: float) -> None:
--- a/wasabiturn/process/local/programs.py
+++ b/wasabiturn/process/local/programs.py
@@ -15,7 +15,7 @@
     Settings,
 )
 from wasabiturn.conf.values import Member
-from wasabiturn.connection.dialer import Endpoint
+from wasabiturn.connection.endpoint import Endpoint
 from wasabiturn.process.agent.program import create_agent
 from wasabiturn.process.control.program import create_control
 from wasabiturn.process.daemon import Component, ComponentFactory, Context
--- a/wasabiturn/process/local/standins.py
+++ b/wasabiturn/process/local/standins.py
@@ -6,7 +6,7 @@
 import attrs
 from twisted.internet.defer import Deferred, succeed
 
-from wasabiturn.connection.dialer import Endpoint
+from wasabiturn.connection.endpoint import Endpoint
 from wasabiturn.messages.state import Capacity
 from wasabiturn.process.daemon import Context, listen
 from wasabiturn.standins.backend import BackendOptions, StandInBackend
--- a/wasabiturn/process/session.py
+++ b/wasabiturn/process/session.py
@@ -12,8 +12,8 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
-from wasabiturn.connection.dialer import Endpoint
 from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.connection.endpoint import Endpoint
 from wasabiturn.connection.link import Link
 from wasabiturn.messages.kinds import Kind, Method
 from wasabiturn.messages.link import Nothing
--- a/wasabiturn/standins/backend.py
+++ b/wasabiturn/standins/backend.py
@@ -29,7 +29,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
-from wasabiturn.connection.dialer import Endpoint, parse_endpoint
+from wasabiturn.connection.endpoint import Endpoint, parse_endpoint
 from wasabiturn.standins.bodies import FixedBody, LargeResponse
 
 ANNOUNCE_SECONDS = 1.0
--- a/wasabiturn/standins/worker.py
+++ b/wasabiturn/standins/worker.py
@@ -17,7 +17,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import Site
 
-from wasabiturn.connection.dialer import parse_endpoint
+from wasabiturn.connection.endpoint import parse_endpoint
 from wasabiturn.messages.kinds import AttemptState
 from wasabiturn.messages.state import Capacity
 from wasabiturn.process.daemon import listen
--- a/wasabiturn/version/raft/core.py
+++ b/wasabiturn/version/raft/core.py
@@ -39,7 +39,20 @@
 @final
 @attrs.frozen
 class Tick:
-    """Request to run the timers that are due."""
+    """Request to run the timers that are due.
+
+    ``memberless_names`` are the instances that answer but run no member.
+    """
+
+    memberless_names: frozenset[str] = frozenset()
+
+
+@final
+@attrs.frozen
+class Contacts:
+    """Names of members that this process knows from others."""
+
+    names: tuple[str, ...]
 
 
 @final
@@ -106,6 +119,7 @@
 
 @step.register
 def _(message: Tick, state: RaftState, now: float) -> None:
+    state.memberless_names = message.memberless_names
     introduction.introduce(state, now)
     if state.leadership is not None:
         _tick_leader(state, now)
@@ -113,6 +127,12 @@
         election.start_pre_vote(state, now)
 
 
+@step.register
+def _(message: Contacts, state: RaftState, now: float) -> None:
+    if state.rules.is_open:
+        state.reported_names.update(message.names)
+
+
 @step.register
 def _(message: Envelope, state: RaftState, now: float) -> None:
     receive(message, state, now)
--- a/wasabiturn/version/raft/introduction.py
+++ b/wasabiturn/version/raft/introduction.py
@@ -107,13 +107,26 @@
         return False
     if not state.rules.may_found:
         return False
-    if membership.name_of(state.member_id) != state.names[0]:
+    candidates = _founder_names(state)
+    own_name = membership.name_of(state.member_id)
+    if not candidates or own_name != candidates[0]:
         return False
     return all(
-        _is_uninitialised(state, name, now) for name in _other_names(state)
+        _is_uninitialised(state, name, now)
+        for name in candidates
+        if name != own_name
     )
 
 
+def _founder_names(state: RaftState) -> list[str]:
+    """Return the instances of the settings that run a member.
+
+    All instances see the same ones, so the first of them founds the cluster.
+    """
+    names = dict.fromkeys((*state.names, *_other_names(state)))
+    return [name for name in names if name not in state.memberless_names]
+
+
 def _is_uninitialised(state: RaftState, name: str, now: float) -> bool:
     newest = state.introductions_by_name.get(name)
     if newest is None or newest.initialised:
@@ -124,7 +137,8 @@
 def _found_cluster(state: RaftState, now: float) -> None:
     others = [
         state.introductions_by_name[name].member_id
-        for name in _other_names(state)
+        for name in _founder_names(state)
+        if name != membership.name_of(state.member_id)
     ]
     founded = Membership(
         members=[
--- a/wasabiturn/version/raft/state.py
+++ b/wasabiturn/version/raft/state.py
@@ -187,6 +187,8 @@
     incoming_snapshot: IncomingSnapshot | None = None
     # Instances that other members of an open group have reported.
     reported_names: set[str] = attrs.field(factory=set)
+    # Instances that answered, but run no member.
+    memberless_names: frozenset[str] = frozenset()
     introductions_by_name: dict[str, Introduction] = attrs.field(factory=dict)
     next_introduction_at: float = NEVER
     unsaved: Unsaved = attrs.field(factory=Unsaved)
