Go on after an unexpected error in periodic work and in planning

Cause: a looping call of Twisted ends at the first exception, and the process goes on without it: a leader would no longer end leases, a member no longer tick, a process no longer look after its links. An exception in planning left the pipeline of the leader believing that a flush was scheduled, so nothing was committed or answered any more until the leadership ended.

Change: Ticker logs the error and ticks again; a failed plan is logged, and what callers recorded is committed. Ruled out: stopping the process, which would repeat the error in the next leader.

--- a/tests/sessions/test_batch.py
+++ b/tests/sessions/test_batch.py
@@ -2,6 +2,7 @@
 
 import os
 from random import Random
+from typing import Any
 
 import pytest
 
@@ -9,6 +10,7 @@
 from wasabiturn.batch.interference import Pressure
 from wasabiturn.messages.batch import BatchChange, DataCentreMark
 from wasabiturn.messages.kinds import JobOutcome, JobState, RunEnding
+from wasabiturn.process.control.batch import leader_term
 from wasabiturn.standins.batch_worker import Fault, SimulatedWork
 
 # WASABITURN_SEEDS=1000:200 selects 200 seeds from 1000 on.
@@ -275,3 +277,23 @@
         agent.is_partitioned = not agent.is_partitioned
     elif draw < 0.44:
         agent.restart()
+
+
+@pytest.mark.parametrize('errors', [1, 5])
+def test_an_error_in_planning_delays_starts_but_ends_nothing(
+    monkeypatch: pytest.MonkeyPatch, errors: int
+) -> None:
+    fleet = BatchFleet()
+    plan_starts = leader_term.plan_starts
+    left = [errors]
+
+    def fail_at_first(*parts: Any) -> Any:
+        if left[0]:
+            left[0] -= 1
+            raise ZeroDivisionError('unexpected')
+        return plan_starts(*parts)
+
+    monkeypatch.setattr(leader_term, 'plan_starts', fail_at_first)
+    answer = fleet.submit('j', [create_step(2)])
+    assert answer.outcome is JobOutcome.ok
+    fleet.run_until('j', JobState.done, 5)
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -240,3 +240,5 @@
             for incarnation, worker in self.workers_by_incarnation.items()
             if worker.allocations_by_task or not worker.is_superseded
         }
+        if len(self.reporting_by_name) > 2 * len(self.workers_by_incarnation):
+            self.reporting_by_name.clear()
--- a/wasabiturn/platform/program.py
+++ b/wasabiturn/platform/program.py
@@ -7,7 +7,7 @@
 from typing import Any, final
 
 from twisted.internet.defer import Deferred, succeed
-from twisted.internet.task import LoopingCall, deferLater
+from twisted.internet.task import deferLater
 
 from wasabiturn.connection.dialer import LinkFactory
 from wasabiturn.connection.dispatch import Dispatch
@@ -22,6 +22,7 @@
 from wasabiturn.process.control_group import ControlGroup
 from wasabiturn.process.daemon import Component, Context, listen
 from wasabiturn.process.exposition import open_metrics_site
+from wasabiturn.utils.ticker import Ticker
 
 # A change is also announced by SIGHUP.
 RELOAD_INTERVAL_SECONDS = 5.0
@@ -121,8 +122,7 @@
     def _start_reloader(self) -> None:
         reloader = SettingsReloader(self.platform, self.group)
         self.context.on_reload.append(reloader.reload)
-        ticker = LoopingCall(reloader.reload)
-        ticker.clock = self.context.reactor
+        ticker = Ticker(reloader.reload, self.context.reactor)
         self._stack.callback(ticker.stop)
         ticker.start(RELOAD_INTERVAL_SECONDS, now=False)
 
--- a/wasabiturn/process/agent/program.py
+++ b/wasabiturn/process/agent/program.py
@@ -7,7 +7,6 @@
 
 import attrs
 from twisted.internet.defer import Deferred, gatherResults
-from twisted.internet.task import LoopingCall
 
 from wasabiturn.conf.sections import AgentSection, Settings
 from wasabiturn.connection.dialer import LinkFactory
@@ -31,6 +30,7 @@
 from wasabiturn.process.agent.request_server import RequestServer
 from wasabiturn.process.daemon import Component, Context, listen
 from wasabiturn.process.session import ControlSession, create_control_session
+from wasabiturn.utils.ticker import Ticker
 
 CHECK_INTERVAL_SECONDS = 0.025
 
@@ -86,8 +86,7 @@
         self._stack.callback(port.stopListening)
 
     def _start_checks(self) -> None:
-        ticker = LoopingCall(self._run_checks)
-        ticker.clock = self.context.reactor
+        ticker = Ticker(self._run_checks, self.context.reactor)
         ticker.start(CHECK_INTERVAL_SECONDS, now=False)
         self._stack.callback(ticker.stop)
 
--- a/wasabiturn/process/control/batch/leader.py
+++ b/wasabiturn/process/control/batch/leader.py
@@ -9,7 +9,6 @@
 from typing import final
 
 from twisted.internet.defer import Deferred, succeed
-from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
 from wasabiturn.connection.calls import CallError
@@ -26,6 +25,7 @@
 from wasabiturn.process.control.batch.worker_reports import answer_report
 from wasabiturn.process.daemon import Context
 from wasabiturn.utils.logs import create_component_log
+from wasabiturn.utils.ticker import Ticker
 from wasabiturn.version.raft.membership import name_of
 from wasabiturn.version.replica import Replica
 
@@ -51,8 +51,7 @@
         self._lease_ms = lease_ms
         self._leader_term: LeaderTerm | None = None
         self._is_taking_over = False
-        self._ticker = LoopingCall(self._tick)
-        self._ticker.clock = context.reactor
+        self._ticker = Ticker(self._tick, context.reactor)
         self._register_handlers(dispatch)
         replica.on_restored.append(self._stop_leading)
         replica.on_role_change.append(self._handle_role_change)
--- a/wasabiturn/process/control/batch/pipeline.py
+++ b/wasabiturn/process/control/batch/pipeline.py
@@ -6,6 +6,7 @@
 unless applying its fields in turn would reorder them.
 """
 
+import traceback
 from collections.abc import Callable
 from typing import Any, final
 
@@ -20,8 +21,11 @@
 from wasabiturn.messages.state import Command, Outcome
 from wasabiturn.process import exposition
 from wasabiturn.process.control.submission import submit
+from wasabiturn.utils.logs import create_component_log
 from wasabiturn.version.replica import Replica
 
+_log = create_component_log('queues')
+
 
 @final
 @attrs.define
@@ -95,7 +99,11 @@
         _fail_all(self._take_batch().waiters, error)
 
     def _flush(self) -> None:
-        self._on_flush()
+        try:
+            self._on_flush()
+        except Exception:
+            # What callers recorded must still be committed and answered.
+            _log.warning('planning failed', trace=traceback.format_exc())
         self._flush_call = None
         self._submit(self._take_batch())
 
--- a/wasabiturn/process/control/consensus.py
+++ b/wasabiturn/process/control/consensus.py
@@ -11,7 +11,6 @@
 
 import attrs
 from twisted.internet.defer import Deferred, fail, succeed
-from twisted.internet.task import LoopingCall
 
 from wasabiturn.conf.sections import ControlSection
 from wasabiturn.connection.dispatch import Dispatch
@@ -29,6 +28,7 @@
 from wasabiturn.process.control.peers import Peers, create_peers
 from wasabiturn.process.daemon import Context
 from wasabiturn.utils.logs import create_component_log
+from wasabiturn.utils.ticker import Ticker
 from wasabiturn.version.raft import lease, membership, replication
 from wasabiturn.version.raft.core import Tick, step
 from wasabiturn.version.replica import MemberStatus, NotLeaderError
@@ -96,8 +96,7 @@
         self._member = member
         self._stack.callback(self._peers.stop)
         self._peers.start()
-        ticker = LoopingCall(self._tick)
-        ticker.clock = self._context.reactor
+        ticker = Ticker(self._tick, self._context.reactor)
         self._stack.callback(ticker.stop)
         ticker.start(TICK_SECONDS)
 
--- a/wasabiturn/process/control/housekeeping.py
+++ b/wasabiturn/process/control/housekeeping.py
@@ -2,10 +2,9 @@
 
 from typing import Any, final
 
-from twisted.internet.task import LoopingCall
-
 from wasabiturn.messages.state import Command, DeleteResource, ExpireClaims
 from wasabiturn.utils.logs import create_component_log
+from wasabiturn.utils.ticker import Ticker
 from wasabiturn.version.replica import Replica
 from wasabiturn.version.retention import (
     SAMPLE_PERIOD_SECONDS,
@@ -25,8 +24,7 @@
         self._replica = replica
         self._clock = clock
         self._claim_ages = ClaimAgeTracker()
-        self._ticker = LoopingCall(self.tick)
-        self._ticker.clock = clock
+        self._ticker = Ticker(self.tick, clock)
 
     def start(self) -> None:
         """Start the periodic check."""
--- a/wasabiturn/process/control/scheduler.py
+++ b/wasabiturn/process/control/scheduler.py
@@ -8,7 +8,6 @@
 from typing import Any, final
 
 from twisted.internet.defer import Deferred, succeed
-from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
 from wasabiturn.connection.calls import CallError
@@ -25,6 +24,7 @@
 from wasabiturn.process.control.order_publisher import OrderPublisher
 from wasabiturn.process.daemon import Context
 from wasabiturn.utils.logs import create_component_log
+from wasabiturn.utils.ticker import Ticker
 from wasabiturn.version.placement.heartbeats import (
     ReportedChange,
     evaluate_reports,
@@ -66,8 +66,7 @@
         self._reported_by_task: dict[str, ReportedChange] = {}
         self._is_proposing = False
         self._plan_call: Any = None
-        self._ticker = LoopingCall(self._tick)
-        self._ticker.clock = context.reactor
+        self._ticker = Ticker(self._tick, context.reactor)
         dispatch.handle(Method.heartbeat, Heartbeat, self._handle_heartbeat)
         dispatch.on_close.append(self._publisher.remove_link)
         replica.on_applied.append(self._handle_applied)
--- a/wasabiturn/process/control/sessions.py
+++ b/wasabiturn/process/control/sessions.py
@@ -16,7 +16,6 @@
 from typing import Any, final
 
 from twisted.internet.defer import Deferred, succeed
-from twisted.internet.task import LoopingCall
 
 from wasabiturn.connection.calls import CallError
 from wasabiturn.connection.dispatch import Dispatch
@@ -51,6 +50,7 @@
 from wasabiturn.process.control.watches import Watches, create_watches
 from wasabiturn.process.daemon import Context
 from wasabiturn.process.freshness import FRESH_SECONDS
+from wasabiturn.utils.ticker import Ticker
 from wasabiturn.version.apply_claims import claim_key
 from wasabiturn.version.replica import AppliedCommand, Replica
 
@@ -72,8 +72,7 @@
         self._claim_batcher = create_claim_batcher(replica)
         self._answer_batcher = create_answer_batcher(replica)
         self._was_complete = False
-        self._ticker = LoopingCall(self._tick)
-        self._ticker.clock = clock
+        self._ticker = Ticker(self._tick, clock)
 
     def register(self, dispatch: Dispatch) -> None:
         """Register the handlers on ``dispatch``."""
--- a/wasabiturn/process/control/watches.py
+++ b/wasabiturn/process/control/watches.py
@@ -14,7 +14,6 @@
 from typing import Any, final
 
 import attrs
-from twisted.internet.task import LoopingCall
 
 from wasabiturn.connection.dispatch import Dispatch
 from wasabiturn.connection.link import Link
@@ -25,6 +24,7 @@
 from wasabiturn.process.control.soft_resources import SOFT_KINDS
 from wasabiturn.process.control.tokens import Tokens
 from wasabiturn.utils.logs import create_component_log
+from wasabiturn.utils.ticker import Ticker
 from wasabiturn.version.replica import AppliedCommand, Replica
 from wasabiturn.version.resources import render_resource
 from wasabiturn.version.state import State, changes_since
@@ -106,8 +106,7 @@
 
     def start(self) -> None:
         """Start sending heartbeats."""
-        self._ticker = LoopingCall(self.tick)
-        self._ticker.clock = self.clock
+        self._ticker = Ticker(self.tick, self.clock)
         self._ticker.start(HEARTBEAT_INTERVAL_SECONDS, now=False)
 
     def stop(self) -> None:
--- a/wasabiturn/process/control_group.py
+++ b/wasabiturn/process/control_group.py
@@ -10,7 +10,6 @@
 from random import Random
 from typing import Any, final
 
-from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
 from wasabiturn.connection.dialer import Dialer
@@ -22,6 +21,7 @@
 from wasabiturn.messages.link import Nothing
 from wasabiturn.process.leader_calls import LeaderCalls
 from wasabiturn.utils.logs import create_component_log
+from wasabiturn.utils.ticker import Ticker
 
 MAINTENANCE_SECONDS = 0.5
 MEMBERS_REFRESH_SECONDS = 10.0
@@ -57,8 +57,7 @@
         self._random = random
         self._dialers_by_name: dict[str, Dialer] = {}
         self._refreshed_at = NEVER
-        self._ticker = LoopingCall(self._maintain)
-        self._ticker.clock = reactor
+        self._ticker = Ticker(self._maintain, reactor)
         self.calls = LeaderCalls(
             self.open_links, reactor, random, on_leader_hint=self._dial
         )
--- a/wasabiturn/process/entry/leader_contact.py
+++ b/wasabiturn/process/entry/leader_contact.py
@@ -3,7 +3,6 @@
 from typing import Any, final
 
 from twisted.internet.defer import Deferred, succeed
-from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
 from wasabiturn.messages.batch import LeaderStatus
@@ -11,6 +10,7 @@
 from wasabiturn.messages.link import Nothing
 from wasabiturn.process.leader_calls import LeaderCalls
 from wasabiturn.utils.logs import create_component_log
+from wasabiturn.utils.ticker import Ticker
 
 POLL_INTERVAL_SECONDS = 1.0
 # An election takes up to 3 s; an entry should not become unready, and lose its
@@ -31,8 +31,7 @@
         self._clock = clock
         self._answered_at = NEVER
         self._was_fresh = False
-        self._ticker = LoopingCall(self._request_status)
-        self._ticker.clock = clock
+        self._ticker = Ticker(self._request_status, clock)
 
     def start(self) -> None:
         """Start polling."""
--- a/wasabiturn/process/sampler.py
+++ b/wasabiturn/process/sampler.py
@@ -1,13 +1,13 @@
 """Periodic gauges of one process."""
 
 from collections.abc import Callable
-from typing import Any, final
+from typing import final
 
 from twisted.internet.defer import Deferred, succeed
-from twisted.internet.task import LoopingCall
 
 from wasabiturn.process.daemon import Context
 from wasabiturn.utils.metrics import Metrics
+from wasabiturn.utils.ticker import Ticker
 
 SAMPLE_SECONDS = 5.0
 
@@ -22,8 +22,7 @@
         """Create a sampler; ``sample`` writes gauges to the metrics client."""
         self._metrics = context.metrics
         self._sample = sample
-        self._loop: Any = LoopingCall(self._send)
-        self._loop.clock = context.reactor
+        self._loop = Ticker(self._send, context.reactor)
 
     def start(self) -> None:
         """Begin to send; the first gauges follow after one period."""
--- a/wasabiturn/process/session.py
+++ b/wasabiturn/process/session.py
@@ -10,7 +10,6 @@
 
 import attrs
 from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall
 
 from wasabiturn.connection.dispatch import Dispatch
 from wasabiturn.connection.endpoint import Endpoint
@@ -33,6 +32,7 @@
 from wasabiturn.process.freshness import Freshness
 from wasabiturn.process.leader_calls import LeaderCalls
 from wasabiturn.utils.logs import create_component_log
+from wasabiturn.utils.ticker import Ticker
 from wasabiturn.version.view import View, ViewUpdater
 
 TICK_SECONDS = 0.5
@@ -70,8 +70,7 @@
         self._freshness = Freshness()
         self._record: AgentRecord | None = None
         self._ticks = 0
-        self._ticker = LoopingCall(self._tick)
-        self._ticker.clock = clock
+        self._ticker = Ticker(self._tick, clock)
         self.call_leader = LeaderCalls(self.open_links, clock, random).call
         self._register(dispatch)
 
