--- a/wasabiturn/connection/http_reader.py
+++ b/wasabiturn/connection/http_reader.py
@@ -19,12 +19,32 @@
     The names of the ``on_`` methods are those that httptools calls.
     """
 
-    def __init__(self) -> None:
-        """Create a reader that awaits the start of a message."""
+    def __init__(self, create_parser: Callable[[Any], Any]) -> None:
+        """Create a reader of one connection with a parser of httptools."""
         self.headers_by_name: dict[str, str] = {}
         self._body_parts: list[bytes] = []
         self._head_bytes = 0
         self._body_bytes = 0
+        self._parser = create_parser(self)
+
+    def feed(self, received: bytes) -> None:
+        """Read received bytes.
+
+        Raises:
+            HttpError: the bytes are not HTTP/1.1, or a message is too large.
+        """
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserUpgrade as error:
+            raise HttpError('cannot change the protocol') from error
+        except httptools.HttpParserCallbackError as error:
+            raise HttpError(f'{error.__context__ or error}') from error
+        except httptools.HttpParserError as error:
+            raise HttpError(f'malformed message: {error}') from error
+
+    def keeps_alive(self) -> bool:
+        """Return whether the peer wants to use the connection again."""
+        return bool(self._parser.should_keep_alive())
 
     def on_message_begin(self) -> None:
         """Forget the message before."""
@@ -70,23 +90,10 @@
         ``on_expectation`` is called for a client that sends its body only
         after an interim response.
         """
-        super().__init__()
+        super().__init__(httptools.HttpRequestParser)
         self._on_request = on_request
         self._on_expectation = on_expectation
         self._url = b''
-        self._parser: Any = httptools.HttpRequestParser(self)
-
-    def feed(self, received: bytes) -> None:
-        """Read received bytes.
-
-        Raises:
-            HttpError: the bytes are not HTTP/1.1, or a message is too large.
-        """
-        _feed(self._parser, received)
-
-    def keeps_alive(self) -> bool:
-        """Return whether the client wants to use the connection again."""
-        return bool(self._parser.should_keep_alive())
 
     def on_url(self, part: bytes) -> None:
         """Collect a part of the request target."""
@@ -122,35 +129,11 @@
 
     def __init__(self, on_response: Callable[[int, bytes], None]) -> None:
         """Create the reader of one connection."""
-        super().__init__()
+        super().__init__(httptools.HttpResponseParser)
         self._on_response = on_response
-        self._parser: Any = httptools.HttpResponseParser(self)
-
-    def feed(self, received: bytes) -> None:
-        """Read received bytes.
-
-        Raises:
-            HttpError: the bytes are not HTTP/1.1, or a message is too large.
-        """
-        _feed(self._parser, received)
-
-    def keeps_alive(self) -> bool:
-        """Return whether the connection can carry another request."""
-        return bool(self._parser.should_keep_alive())
 
     def on_message_complete(self) -> None:
         """Pass on the response, unless it is an interim one."""
         status = self._parser.get_status_code()
         if status >= FIRST_FINAL_STATUS:
             self._on_response(status, self.take_body())
-
-
-def _feed(parser: Any, received: bytes) -> None:
-    try:
-        parser.feed_data(received)
-    except httptools.HttpParserUpgrade as error:
-        raise HttpError('a change of the protocol is not supported') from error
-    except httptools.HttpParserCallbackError as error:
-        raise HttpError(f'{error.__context__ or error}') from error
-    except httptools.HttpParserError as error:
-        raise HttpError(f'malformed message: {error}') from error
