--- a/benchmarks/queues/simulation.py
+++ b/benchmarks/queues/simulation.py
@@ -72,7 +72,6 @@
     over_goal_seconds: float = 0.0
 
 
-@final
 class Simulation:
     """Simulate the workers and jobs of one deployment."""
 
