Stand aside while the disk is full instead of ending the process

Cause: a write that found no room raised an error that ends the process. The platform started it again, and it ended at its next write, for as long as the disk was full.

Change: a record that finds no room is cut off again, and the member keeps the effects of that step and tries again at each tick. Until then it steps nothing, sends nothing, names no leader and takes no commands: to the others it is a member with a hanging disk. A failed sync ends the process as before.

--- a/tests/version/raft/test_invariants.py
+++ b/tests/version/raft/test_invariants.py
@@ -69,6 +69,11 @@
         machine = self.pick(number)
         machine.paused = not machine.paused
 
+    @rule(number=numbers)
+    def fill_or_free_disk(self, number: int) -> None:
+        machine = self.pick(number)
+        machine.disk_is_full = not machine.disk_is_full
+
     @rule(source=numbers, sink=numbers)
     def cut_one_way(self, source: int, sink: int) -> None:
         route = (self.pick(source).name, self.pick(sink).name)
--- a/tests/version/storage/test_store.py
+++ b/tests/version/storage/test_store.py
@@ -3,10 +3,11 @@
 import errno
 import os
 from pathlib import Path
+from typing import Any
 
 import pytest
 
-from wasabiturn.exceptions import StorageError
+from wasabiturn.exceptions import DiskFullError, StorageError
 from wasabiturn.messages.raft import Ballot, Entry, SnapshotHead
 from wasabiturn.version.raft.state import Snapshot
 from wasabiturn.version.storage import Store, open_store, segments
@@ -210,6 +211,67 @@
         store.save(None, [entry(1)], None)
 
 
+@pytest.mark.parametrize('written', [0, 5])
+def test_a_batch_that_found_no_room_can_be_saved_again(
+    store: Store, monkeypatch: pytest.MonkeyPatch, written: int
+) -> None:
+    store.save(None, [entry(1)], None)
+    with monkeypatch.context() as patched:
+        patched.setattr(os, 'write', create_full_disk(written, os.write))
+        for _ in range(2):
+            with pytest.raises(DiskFullError):
+                store.save(None, [entry(2)], None)
+    store.save(None, [entry(2)], None)
+    assert recovered_positions(reopen(store)) == [(1, 1), (2, 1)]
+
+
+def test_a_snapshot_that_found_no_room_leaves_the_log_usable(
+    store: Store, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    store.save(None, [entry(1), entry(2)], None)
+    with monkeypatch.context() as patched:
+        patched.setattr(os, 'write', create_full_disk(3, os.write))
+        for _ in range(2):
+            with pytest.raises(DiskFullError):
+                store.save_snapshot(snapshot(2))
+    assert not list(store.folder.glob('*.tmp'))
+    store.save(None, [entry(3)], None)
+    again = reopen(store)
+    assert recovered_positions(again) == [(1, 1), (2, 1), (3, 1)]
+    again.save_snapshot(snapshot(3))
+    assert recovered_positions(reopen(again)) == []
+
+
+def test_a_new_segment_that_found_no_room_is_used_later(
+    store: Store, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    store.save(None, [entry(1)], None)
+    with monkeypatch.context() as patched:
+        patched.setattr(os, 'write', create_full_disk(0, os.write))
+        for _ in range(2):
+            with pytest.raises(DiskFullError):
+                store.log.roll(store.ballot)
+    store.log.roll(store.ballot)
+    store.save(None, [entry(2)], None)
+    assert len(store.log.segments) == 2
+    assert recovered_positions(reopen(store)) == [(1, 1), (2, 1)]
+
+
+def create_full_disk(written: int, write: Any) -> Any:
+    """Return a write that finds no room after ``written`` bytes of a call."""
+    left = [written]
+
+    def write_in_part(descriptor: int, content: Any) -> int:
+        if left[0]:
+            part = content[: left[0]]
+            left[0] = 0
+            return int(write(descriptor, part))
+        left[0] = written
+        raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+    return write_in_part
+
+
 def test_uncreatable_folder_is_reported(tmp_path: Path) -> None:
     (tmp_path / 'file').write_text('')
     with pytest.raises(StorageError, match='cannot create'):
--- a/wasabiturn/exceptions.py
+++ b/wasabiturn/exceptions.py
@@ -21,6 +21,10 @@
     """The durable log or snapshot is damaged or cannot be written."""
 
 
+class DiskFullError(StorageError):
+    """The disk has no room; nothing was written, and it may be tried again."""
+
+
 class RequestError(WasabiturnError):
     """A caller's request could not be served."""
 
--- a/wasabiturn/process/control/consensus.py
+++ b/wasabiturn/process/control/consensus.py
@@ -14,7 +14,7 @@
 
 from wasabiturn.conf.sections import ControlSection
 from wasabiturn.connection.dispatch import Dispatch
-from wasabiturn.exceptions import StateError, StorageError
+from wasabiturn.exceptions import DiskFullError, StateError, StorageError
 from wasabiturn.ids import InstanceName
 from wasabiturn.messages.kinds import Method
 from wasabiturn.messages.raft import Envelope, Membership
@@ -129,7 +129,8 @@
         """Wait until a quorum confirms this leader, unless it holds a lease."""
         member = self._member
         now = self._now()
-        if member is None or member.raft.leadership is None:
+        is_leading = member is not None and member.raft.leadership is not None
+        if member is None or member.is_stalled() or not is_leading:
             return fail(NotLeaderError(self.leader()))
         if self.holds_lease(now):
             return succeed(None)
@@ -171,21 +172,22 @@
         member = self._member
         return member is not None and lease.is_fresh(member.raft, now)
 
-    def receive(self, link: Any, envelope: Envelope) -> None:
-        """Pass a message of another member to the consensus core."""
-        self.step(envelope)
-
     def _now(self) -> float:
         return cast(float, self._context.reactor.seconds())
 
     def _tick(self) -> None:
+        if self._member is not None and self._member.is_stalled():
+            self._carry_out(self._member, self._member.retry_save)
         self.step(Tick(memberless_names=self._peers.memberless_names()))
         if self._handover is not None and self._member is not None:
             self._handover.advance(self._member, self._now())
 
     def step(self, message: object) -> None:
-        """Pass ``message`` to the consensus core; flush its effects later."""
-        if self._member is None:
+        """Pass ``message`` to the consensus core; flush its effects later.
+
+        While the disk has no room, messages are dropped as a network may.
+        """
+        if self._member is None or self._member.is_stalled():
             return
         try:
             step(message, self._member.raft, self._now())
@@ -200,14 +202,26 @@
 
     def _flush(self) -> None:
         self._flush_call = None
-        if self._member is None:
-            return
+        if self._member is not None and not self._member.is_stalled():
+            self._carry_out(self._member, self._member.flush)
+
+    def _carry_out(
+        self, member: ActiveMember, action: Callable[[float], None]
+    ) -> None:
+        was_stalled = member.is_stalled()
         try:
-            self._member.flush(self._now())
+            action(self._now())
+        except DiskFullError as error:
+            if not was_stalled:
+                _log.warning(
+                    'no room on the disk; standing aside', error=str(error)
+                )
         except StateError as error:
             self._stop_process(error)
             return
-        self._notify_role_change(self._member)
+        if was_stalled and not member.is_stalled():
+            _log.event('the disk has room again')
+        self._notify_role_change(member)
 
     def _notify_role_change(self, member: ActiveMember) -> None:
         view = _LeaderView(leader=self.leader(), leads=member.leads())
@@ -240,5 +254,9 @@
         raise StorageError('the settings have no [control] section')
     peers = create_peers(context, section, dispatch)
     replica = ConsensusReplica(context, section, peers, SystemRandom())
-    dispatch.handle(Method.consensus, Envelope, replica.receive)
+    dispatch.handle(
+        Method.consensus,
+        Envelope,
+        lambda link, envelope: replica.step(envelope),
+    )
     return replica
--- a/wasabiturn/process/control/member.py
+++ b/wasabiturn/process/control/member.py
@@ -11,6 +11,7 @@
 from twisted.internet.defer import Deferred, fail
 
 from wasabiturn.conf.sections import ControlSection
+from wasabiturn.exceptions import DiskFullError
 from wasabiturn.ids import InstanceName
 from wasabiturn.messages.codec import pack
 from wasabiturn.messages.state import Command, Outcome
@@ -27,13 +28,15 @@
     take_effects,
 )
 from wasabiturn.version.raft.membership import name_of
-from wasabiturn.version.raft.state import GroupRules, RaftState
+from wasabiturn.version.raft.state import Effects, GroupRules, RaftState
 from wasabiturn.version.replica import CommandTooLargeError, NotLeaderError
 from wasabiturn.version.storage import Store, open_store
 
 RETAINED_LOG_ENTRIES = 1000
 MAX_COMMAND_BYTES = 4 * 1024 * 1024
 STAGGER_DIVISOR = 4
+# Entries after which a snapshot that found no room is tried again.
+POSTPONED_SNAPSHOT_ENTRIES = 500
 _INCARNATION_BITS = 64
 
 _log = create_component_log('consensus')
@@ -56,12 +59,16 @@
     peers: Peers
     applier: Applier
     snapshot_entries: int
+    # Effects that found no room on the disk. Until they are saved, this member
+    # steps nothing and sends nothing, as if the disk hung.
+    unsaved_effects: Effects | None = None
+    postponed_snapshot_index: int = 0
     barriers: ReadBarriers = attrs.field(factory=ReadBarriers)
     pending_commands: list[_PendingCommand] = attrs.field(factory=list)
 
     def submit(self, command: Command, now: float) -> Deferred[Outcome]:
         """Add a command to the next flush; fires with its outcome."""
-        if self.raft.leadership is None:
+        if self.raft.leadership is None or self.is_stalled():
             return fail(NotLeaderError(self.leader(now)))
         payload = pack(command)
         if len(payload) > MAX_COMMAND_BYTES:
@@ -77,11 +84,25 @@
         """Save the effects of all steps, then send messages and apply entries.
 
         Raises:
+            DiskFullError: nothing was saved or sent; call ``retry_save`` later.
             StateError: this member must stop and send nothing more.
         """
         self._propose(now)
-        effects = take_effects(self.raft)
+        self._carry_out(take_effects(self.raft), now)
+
+    def retry_save(self, now: float) -> None:
+        """Carry out the effects that found no room; raises as ``flush``."""
+        if self.unsaved_effects is not None:
+            self._carry_out(self.unsaved_effects, now)
+
+    def is_stalled(self) -> bool:
+        """Return whether this member waits for room on its disk."""
+        return self.unsaved_effects is not None
+
+    def _carry_out(self, effects: Effects, now: float) -> None:
+        self.unsaved_effects = effects
         self.store.save(effects.ballot, effects.entries, effects.snapshot)
+        self.unsaved_effects = None
         for envelope in effects.messages:
             self.peers.send(envelope)
         if effects.snapshot is not None:
@@ -92,7 +113,7 @@
 
     def leader(self, now: float) -> InstanceName | None:
         """Return the name of the leader that this member has heard lately."""
-        if not lease.hears_leader(self.raft, now):
+        if self.is_stalled() or not lease.hears_leader(self.raft, now):
             return None
         return InstanceName(name_of(self.raft.leader_id)) or None
 
@@ -106,7 +127,7 @@
         It has then applied all entries committed in earlier terms.
         """
         leadership = self.raft.leadership
-        if leadership is None:
+        if leadership is None or self.is_stalled():
             return False
         return self.applier.applied_index >= leadership.first_index
 
@@ -128,11 +149,19 @@
     def _take_snapshot_if_due(self) -> None:
         current = self.raft.snapshot
         covered_index = 0 if current is None else current.head.index
-        if self.applier.applied_index < covered_index + self.snapshot_entries:
+        due_index = max(
+            covered_index + self.snapshot_entries,
+            self.postponed_snapshot_index,
+        )
+        if self.applier.applied_index < due_index:
             return
         content = dump_state(self.applier.state)
         snapshot = snapshots.create_snapshot(self.raft, content)
-        self.store.save_snapshot(snapshot)
+        try:
+            self.store.save_snapshot(snapshot)
+        except DiskFullError as error:
+            self._postpone_snapshot(error)
+            return
         snapshots.adopt_snapshot(self.raft, snapshot, RETAINED_LOG_ENTRIES)
         _log.event(
             'took snapshot of the state',
@@ -140,6 +169,15 @@
             size=len(content),
         )
 
+    def _postpone_snapshot(self, error: DiskFullError) -> None:
+        index = self.applier.applied_index + POSTPONED_SNAPSHOT_ENTRIES
+        self.postponed_snapshot_index = index
+        _log.warning(
+            'no room for a snapshot; tried again later',
+            next_index=index,
+            error=str(error),
+        )
+
     def _resolve_pending(self, now: float) -> None:
         if self.raft.leadership is None:
             self.applier.fail_waiters()
--- a/wasabiturn/version/storage/disk.py
+++ b/wasabiturn/version/storage/disk.py
@@ -1,13 +1,15 @@
 """Durable file operations; errors name the file and the failed action."""
 
+import errno
 import os
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 from pathlib import Path
 
-from wasabiturn.exceptions import StorageError
+from wasabiturn.exceptions import DiskFullError, StorageError
 
 _FILE_MODE = 0o600
+_NO_ROOM_CODES = frozenset((errno.ENOSPC, errno.EDQUOT))
 
 
 @contextmanager
@@ -16,9 +18,26 @@
     try:
         yield
     except OSError as error:
-        raise StorageError(
-            f'cannot {action} {path}: {error.strerror or error}',
-        ) from error
+        raise StorageError(_describe(action, path, error)) from error
+
+
+@contextmanager
+def room_errors(action: str, path: Path) -> Iterator[None]:
+    """Like ``storage_errors``, but raise ``DiskFullError`` on a full disk.
+
+    Only for actions after which the caller can restore the state before them.
+    """
+    try:
+        yield
+    except OSError as error:
+        text = _describe(action, path, error)
+        if error.errno in _NO_ROOM_CODES:
+            raise DiskFullError(text) from error
+        raise StorageError(text) from error
+
+
+def _describe(action: str, path: Path, error: OSError) -> str:
+    return f'cannot {action} {path}: {error.strerror or error}'
 
 
 def sync_folder(folder: Path) -> None:
@@ -32,7 +51,7 @@
 
 def open_file(path: Path, flags: int) -> int:
     """Open a file; the caller closes the descriptor."""
-    with storage_errors('open', path):
+    with room_errors('open', path):
         return os.open(path, flags, _FILE_MODE)
 
 
@@ -46,13 +65,19 @@
 
 
 def write_all(descriptor: int, content: bytes, path: Path) -> None:
-    """Write all of ``content``."""
+    """Write all of ``content``; part of it may be written on an error."""
     view = memoryview(content)
-    with storage_errors('write', path):
+    with room_errors('write', path):
         while view:
             view = view[os.write(descriptor, view) :]
 
 
+def cut_file(descriptor: int, size: int, path: Path) -> None:
+    """Cut an open file to ``size``, after a write that failed midway."""
+    with storage_errors('truncate', path):
+        os.ftruncate(descriptor, size)
+
+
 def sync_file(descriptor: int, path: Path) -> None:
     """Make the content of a file durable; a failure must not be retried."""
     with storage_errors('sync', path):
@@ -62,16 +87,24 @@
 def replace_file(path: Path, content: bytes) -> None:
     """Replace a file so that a crash leaves the old or the new content."""
     temporary = path.with_suffix('.tmp')
-    descriptor = open_file(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC)
-    with ExitStack() as stack:
-        stack.callback(os.close, descriptor)
-        write_all(descriptor, content, temporary)
-        sync_file(descriptor, temporary)
+    try:
+        _write_file(temporary, content)
+    except DiskFullError:
+        temporary.unlink(missing_ok=True)
+        raise
     with storage_errors('rename', temporary):
         temporary.replace(path)
     sync_folder(path.parent)
 
 
+def _write_file(path: Path, content: bytes) -> None:
+    descriptor = open_file(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC)
+    with ExitStack() as stack:
+        stack.callback(os.close, descriptor)
+        write_all(descriptor, content, path)
+        sync_file(descriptor, path)
+
+
 def read_file(path: Path) -> bytes:
     """Read a whole file."""
     with storage_errors('read', path):
--- a/wasabiturn/version/storage/segments.py
+++ b/wasabiturn/version/storage/segments.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from wasabiturn.exceptions import StorageError
+from wasabiturn.exceptions import DiskFullError, StorageError
 from wasabiturn.messages.codec import CodecError, pack, unpack
 from wasabiturn.messages.raft import Ballot, LogRecord
 from wasabiturn.utils.logs import create_component_log
@@ -50,11 +50,16 @@
         """Write a record and sync it.
 
         Raises:
+            DiskFullError: the log is as before.
             StorageError: the record may not be durable; the process must stop.
         """
         encoded = encode_record(self.next_sequence, pack(record))
         segment = self.segments[-1]
-        disk.write_all(self.descriptor, encoded, segment.path)
+        try:
+            disk.write_all(self.descriptor, encoded, segment.path)
+        except DiskFullError:
+            disk.cut_file(self.descriptor, segment.size, segment.path)
+            raise
         disk.sync_file(self.descriptor, segment.path)
         self.next_sequence += 1
         segment.size += len(encoded)
@@ -65,17 +70,26 @@
         return self.segments[-1].size >= SEGMENT_BYTES
 
     def roll(self, ballot: Ballot) -> None:
-        """Start a new segment whose first record repeats the ballot."""
-        self.close()
+        """Start a new segment whose first record repeats the ballot.
+
+        A segment that is still empty, as its first record found no room, is
+        used again.
+        """
+        if not self.segments or self.segments[-1].size:
+            self._add_segment()
+        self.append(LogRecord(ballot=ballot))
+
+    def _add_segment(self) -> None:
         name = f'{_PREFIX}{self.next_sequence:020d}'
         path = self.folder / name
         flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
-        self.descriptor = disk.open_file(path, flags)
+        descriptor = disk.open_file(path, flags)
+        self.close()
+        self.descriptor = descriptor
         disk.sync_folder(self.folder)
         self.segments.append(
             Segment(path=path, first_sequence=self.next_sequence),
         )
-        self.append(LogRecord(ballot=ballot))
 
     def remove_until(self, index: int) -> None:
         """Remove the oldest segments that hold no entry after ``index``."""
--- a/wasabiturn/version/storage/store.py
+++ b/wasabiturn/version/storage/store.py
@@ -29,7 +29,11 @@
 @final
 @attrs.define
 class Store:
-    """Open data folder; the process must stop after any method fails."""
+    """Open data folder.
+
+    The process must stop after a method fails, unless with ``DiskFullError``:
+    then nothing was saved, and the same call may be made again.
+    """
 
     folder: Path
     identity: Identity
