--- a/wasabiturn/management/cli.py
+++ b/wasabiturn/management/cli.py
@@ -4,7 +4,6 @@
 
 from wasabiturn.management import (
     apply,
-    bring_back,
     cancel,
     check_settings,
     delete,
@@ -13,7 +12,6 @@
     list_settings,
     local,
     status,
-    take_out,
     watch,
 )
 from wasabiturn.management.daemons import agent, control, entry
@@ -32,8 +30,8 @@
 app.command('apply')(apply.apply)
 app.command('delete')(delete.delete)
 app.command('watch')(watch.watch)
-app.command('take-out')(take_out.take_out)
-app.command('bring-back')(bring_back.bring_back)
+app.command('take-out')(data_centres.take_out)
+app.command('bring-back')(data_centres.bring_back)
 app.command('cancel')(cancel.cancel)
 app.command('status')(status.status)
 app.command('explain')(explain.explain)
--- a/wasabiturn/management/take_out.py
+++ b/wasabiturn/management/data_centres.py
@@ -1,4 +1,4 @@
-"""``wasabiturn take-out``: take a data centre out of service."""
+"""``wasabiturn take-out`` and ``bring-back``: data centres out and in."""
 
 from wasabiturn.management.options import (
     DEFAULT_OUTPUT,
@@ -21,9 +21,24 @@
 
     No more work is started there, and what runs there is moved.
     """
-    change = SpecChange(
+    change = _create_change(data_centre, out=True)
+    change_and_print(change, server, timeout, output)
+
+
+def bring_back(
+    data_centre: str,
+    server: ServerOption = DEFAULT_SERVER,
+    timeout: TimeoutOption = DEFAULT_TIMEOUT,
+    output: OutputOption = DEFAULT_OUTPUT,
+) -> None:
+    """Bring DATA_CENTRE back into service: work may start there again."""
+    change = _create_change(data_centre, out=False)
+    change_and_print(change, server, timeout, output)
+
+
+def _create_change(data_centre: str, out: bool) -> SpecChange:
+    return SpecChange(
         path=f'/v1/data-centres/{data_centre}',
-        fields={'out': True},
+        fields={'out': out},
         create_missing=True,
     )
-    change_and_print(change, server, timeout, output)
