--- a/wasabiturn/management/cli.py
+++ b/wasabiturn/management/cli.py
@@ -6,6 +6,7 @@
     apply,
     cancel,
     check_settings,
+    data_centres,
     delete,
     explain,
     get,
