Let seeds without a disk learn the members from their links

Change: members keep links to all seeds, and the directory on an instance without a disk takes the names of the members from the links that they open. A list from such an instance adds names and removes none.

A test that failed before: all restart, and the seeds know nobody.

--- a/tests/process/test_control_group.py
+++ b/tests/process/test_control_group.py
@@ -14,6 +14,7 @@
 from wasabiturn.messages.kinds import FailureCode, Method, Role
 from wasabiturn.messages.link import Hello, Nothing
 from wasabiturn.process.control_group import KEPT_LINKS, ControlGroup
+from wasabiturn.process.member_directory import MemberDirectory
 
 NAMES = ['m1', 'm2', 'm3', 'm4', 'm5']
 RELAYS = ['e1', 'e2']
@@ -132,6 +133,32 @@
     assert not {*group.linked_names()} & {*RELAYS}
 
 
+def test_the_group_is_found_when_no_seed_knows_a_member_yet() -> None:
+    """All instances restart, and the seeds are instances without a disk."""
+    group = Group(('e1', 'e2'))
+    for name in RELAYS:
+        dispatch = Dispatch(create_hello(name, Role.entry))
+        relay = ControlGroup(
+            tuple(RELAYS), 7000, dispatch, group.network, Random(2)
+        )
+        MemberDirectory(relay, dispatch)
+        group.network.listen(PORTS_BY_NAME[name], dispatch)
+        relay.start()
+    assert group.call()[0].code == FailureCode.unavailable
+    for name in NAMES:
+        dispatch = Dispatch(create_hello(name, Role.control))
+        ControlGroup(
+            tuple(RELAYS),
+            7000,
+            dispatch,
+            group.network,
+            Random(3),
+            links_to_all=True,
+        ).start()
+    group.network.run(3)
+    assert group.call() == [LeaderStatus(is_configured=True)]
+
+
 def test_calls_are_never_sent_to_an_instance_that_is_no_member() -> None:
     group = Group(('e1',))
     group.start('e1', Role.entry)
--- a/wasabiturn/platform/entry_program.py
+++ b/wasabiturn/platform/entry_program.py
@@ -6,9 +6,7 @@
 
 from typing import Any
 
-from wasabiturn.messages.batch import MemberList
-from wasabiturn.messages.kinds import Method, Role
-from wasabiturn.messages.link import Nothing
+from wasabiturn.messages.kinds import Role
 from wasabiturn.platform.callers import CallerHandler
 from wasabiturn.platform.http_server import (
     OK,
@@ -21,6 +19,7 @@
 from wasabiturn.platform.settings import PlatformSettings
 from wasabiturn.process.daemon import Context
 from wasabiturn.process.entry.leader_contact import LeaderContact
+from wasabiturn.process.member_directory import MemberDirectory
 
 # A stopping entry still serves requests for this long: the load balancer stops
 # using it only after two failed checks, which are a second apart.
@@ -48,14 +47,6 @@
     ]
     program.drain_seconds = DRAIN_SECONDS
     if platform.data_folder is None:
-        _list_members(program)
+        program.accepts_links = True
+        MemberDirectory(program.group, program.dispatch)
     return program
-
-
-def _list_members(program: Program) -> None:
-    program.accepts_links = True
-    program.dispatch.handle(
-        Method.members,
-        Nothing,
-        lambda link, nothing: MemberList(names=program.group.member_names),
-    )
--- a/wasabiturn/platform/program.py
+++ b/wasabiturn/platform/program.py
@@ -55,6 +55,7 @@
             dispatch=self.dispatch,
             reactor=context.reactor,
             random=SystemRandom(),
+            links_to_all=role is Role.control,
         )
         self.services: list[Component] = []
         self.servers: list[tuple[Endpoint | None, JsonServer]] = []
--- a/wasabiturn/process/control_group.py
+++ b/wasabiturn/process/control_group.py
@@ -45,11 +45,17 @@
         dispatch: Dispatch,
         reactor: Any,
         random: Random,
+        links_to_all: bool = False,
     ) -> None:
-        """Create the group; ``seeds`` are IP addresses of some members."""
+        """Create the group; ``seeds`` are IP addresses of some instances.
+
+        A member has ``links_to_all`` other members and seeds, so that seeds
+        without a member learn of it.
+        """
         # Called with the names of the members whenever a member lists them.
         self.on_members: list[MembersCallback] = []
         self.member_names: list[str] = []
+        self._links_to_all = links_to_all
         self._seeds = seeds
         self._port = port
         self._dispatch = dispatch
@@ -79,6 +85,11 @@
         """Replace the seeds; they are dialled when links are missing."""
         self._seeds = seeds
 
+    def add_member(self, name: str) -> None:
+        """Add a member that has opened a link to this process."""
+        if name not in self.member_names:
+            self.member_names.append(name)
+
     def open_links(self) -> list[Link]:
         """Return the open links to members."""
         return [
@@ -93,7 +104,11 @@
 
     def _maintain(self) -> None:
         open_names = {link.peer.name for link in self.open_links()}
-        if len(open_names) < KEPT_LINKS or self.calls.leader not in open_names:
+        if self._links_to_all:
+            self._dial_all()
+        elif (
+            len(open_names) < KEPT_LINKS or self.calls.leader not in open_names
+        ):
             self._dial_another()
         else:
             self._drop_surplus(open_names)
@@ -101,6 +116,12 @@
         if now >= self._refreshed_at + MEMBERS_REFRESH_SECONDS:
             self._refresh(now)
 
+    def _dial_all(self) -> None:
+        names = {*self.member_names, *self._seeds}
+        for name in names:
+            self._dial(name)
+        self._forget_departed(names)
+
     def _dial_another(self) -> None:
         """Dial one more of the known instances, if there is one."""
         names = {*self.member_names, *self._seeds}
@@ -145,20 +166,25 @@
         if not links:
             return
         self._refreshed_at = now + self._random.uniform(-1, 0)
-        members_call = self._random.choice(links).call(
+        link = self._random.choice(links)
+        members_call = link.call(
             Method.members,
             Nothing(),
             MemberList,
             CALL_TIMEOUT_SECONDS,
         )
-        members_call.addCallback(self._update_members)
+        members_call.addCallback(self._update_members, link)
         members_call.addErrback(self._handle_refresh_failure)
 
-    def _update_members(self, members: MemberList) -> None:
+    def _update_members(self, members: MemberList, link: Link) -> None:
         if not members.names:
             self._refreshed_at = NEVER
             return
-        self.member_names = list(members.names)
+        if link.peer.role is Role.control:
+            self.member_names = []
+        # The list of an instance that runs no member may lack some.
+        for name in members.names:
+            self.add_member(name)
         for callback in self.on_members:
             callback(members.names)
 
