Take out what the change did twice or for nothing

Read again: with two open links, the leader's and one more, the set of kept links in ControlGroup was already the set of open ones, so the line that added them could never change it. Pressure.decayed took its exponential twice, once by level_at, on the path of each sample. Two `or ''` stood for a default of the look-up.

Behaviour is as before: no test was changed.

--- a/wasabiturn/batch/interference.py
+++ b/wasabiturn/batch/interference.py
@@ -61,19 +61,20 @@
 
     def level_at(self, now: float) -> float:
         """Return the level decayed towards the prior until ``now``."""
-        kept = math.exp((self.seen_at - now) / DECAY_SECONDS)
-        return INITIAL_PRESSURE + kept * (self.level - INITIAL_PRESSURE)
+        return _decay(self.level, INITIAL_PRESSURE, self._kept_share(now))
 
     def decayed(self, now: float) -> 'Pressure':
         """Return the estimate decayed towards the prior until ``now``."""
-        kept = math.exp((self.seen_at - now) / DECAY_SECONDS)
+        kept_share = self._kept_share(now)
         return Pressure(
-            level=self.level_at(now),
-            variance=INITIAL_VARIANCE
-            + kept * (self.variance - INITIAL_VARIANCE),
+            level=_decay(self.level, INITIAL_PRESSURE, kept_share),
+            variance=_decay(self.variance, INITIAL_VARIANCE, kept_share),
             seen_at=now,
         )
 
+    def _kept_share(self, now: float) -> float:
+        return math.exp((self.seen_at - now) / DECAY_SECONDS)
+
 
 @final
 @attrs.define
@@ -212,6 +213,10 @@
         )
 
 
+def _decay(estimate: float, prior: float, kept_share: float) -> float:
+    return prior + kept_share * (estimate - prior)
+
+
 def _clamp(error: float, limit: float) -> float:
     return min(max(error, -limit), limit)
 
--- a/wasabiturn/platform/callers.py
+++ b/wasabiturn/platform/callers.py
@@ -76,7 +76,7 @@
             return http.Response(status=http.BAD_REQUEST)
         call = JobCall(
             action=action if has_job_id else JobAction.count,
-            host=(request.headers_by_name.get('host') or '').partition(':')[0],
+            host=request.headers_by_name.get('host', '').partition(':')[0],
             path=path,
             request_id=path.rpartition('/')[2],
         )
@@ -94,7 +94,7 @@
         max_seconds = MAX_CALL_SECONDS
         if not self.has_leader_contact():
             max_seconds = MAX_CALL_SECONDS_WITHOUT_LEADER
-        deadline_ms = request.headers_by_name.get(_DEADLINE_HEADER) or ''
+        deadline_ms = request.headers_by_name.get(_DEADLINE_HEADER, '')
         if not deadline_ms.isdigit():
             return max_seconds
         seconds = int(deadline_ms) / _MS_PER_SECOND - RESPONSE_RESERVE_SECONDS
--- a/wasabiturn/process/control_group.py
+++ b/wasabiturn/process/control_group.py
@@ -147,7 +147,6 @@
         """Close all links but those to the leader and to one other member."""
         spares = sorted(open_names - {self.calls.leader})
         kept = {self.calls.leader, self._random.choice(spares)}
-        kept |= open_names if len(open_names) == KEPT_LINKS else set()
         for name, dialer in list(self._dialers_by_name.items()):
             if name not in kept and not _is_in_use(dialer):
                 self._drop(name)
