Log every start order and what became of it

The report says that one task ran twice at the same time; the logs told which starts were refused, not how many orders for a start were out, whether one had no answer, or that an agent forgot a start that had been answered. They did not tell either which runs the leader gave up and why.

The agent logs each order it sends with its fence, its number and whether an earlier one is unanswered, each answer, and each start that it forgets with the number of starts in the orders that made it do so. The leader logs the runs it gives up with the reason and the lease that was left, and a worker that lists runs again afterwards. Two counters go with them: wasabiturn_start_orders_total{event} and wasabiturn_given_up_runs_total{reason}.

No decision changes: forget_settled returns what it drops, nothing else.

--- a/wasabiturn/process/agent/runs/sender.py
+++ b/wasabiturn/process/agent/runs/sender.py
@@ -13,6 +13,7 @@
 
 from wasabiturn.messages.batch import PaceOrder, StopOrder, WorkerOrders
 from wasabiturn.messages.kinds import StartOutcome
+from wasabiturn.process import exposition
 from wasabiturn.process.agent.runs.lease import Grants
 from wasabiturn.process.agent.runs.port import (
     OrderRefusedError,
@@ -82,7 +83,13 @@
         self._identity = identity
         self.table.add(orders.starts, orders.fence)
         still_ordered = {(order.task, order.run) for order in orders.starts}
-        self.table.forget_settled(still_ordered)
+        for start in self.table.forget_settled(still_ordered):
+            exposition.start_orders.labels('forgotten').inc()
+            _log.decision(
+                'start forgotten, as it is no longer ordered',
+                **start.describe(),
+                ordered_starts=len(orders.starts),
+            )
         for stop in orders.stops:
             self._send_stop(identity, stop)
         for pace in orders.paces:
@@ -115,6 +122,9 @@
     ) -> Deferred[None]:
         if not self._is_still_ordered(start):
             return succeed(None)
+        start.order_count += 1
+        exposition.start_orders.labels('sent').inc()
+        _log.decision('sends start', **start.describe())
         sent = self._port.start(
             identity,
             start.order,
@@ -136,6 +146,8 @@
 
     def _handle_started(self, nothing: None, start: Start) -> None:
         start.outcome = StartOutcome.started
+        exposition.start_orders.labels('started').inc()
+        _log.decision('start answered', **start.describe())
         order = start.order
         if order.percent < FULL_PERCENT and self._identity is not None:
             pace = PaceOrder(order.task, order.run, order.percent)
@@ -148,13 +160,13 @@
         elif isinstance(error, OtherIncarnationError):
             self._record_refusal(start, 'the worker has another life')
         else:
+            start.has_unanswered_order = True
+            exposition.start_orders.labels('unanswered').inc()
             _log.event(
                 'start order failed; it will be retried',
-                task=start.order.task,
-                run=start.order.run,
+                **start.describe(),
                 error=str(error),
             )
-            start.has_unanswered_order = True
             self._clock.callLater(RETRY_SECONDS, self._retry_start, start)
 
     def _handle_refusal(self, start: Start, reason: str) -> None:
@@ -199,10 +211,10 @@
         self.send_starts()
 
     def _record_refusal(self, start: Start, reason: str) -> None:
+        exposition.start_orders.labels('refused').inc()
         _log.decision(
             'start refused',
-            task=start.order.task,
-            run=start.order.run,
+            **start.describe(),
             worker=self._incarnation[0],
             reason=reason,
         )
--- a/wasabiturn/process/agent/runs/starts.py
+++ b/wasabiturn/process/agent/runs/starts.py
@@ -1,7 +1,7 @@
 """Starts and stops that the leader ordered, and their outcomes."""
 
 from collections.abc import Iterable
-from typing import final
+from typing import Any, final
 
 import attrs
 
@@ -17,6 +17,7 @@
 class Start:
     """One ordered start; ``fence`` is the term of the leader that ordered it.
 
+    ``order_count`` is the number of orders that were sent to the worker.
     ``has_unanswered_order`` is set once an order got no answer. The worker may
     still carry that order out, whatever it answers to a repeated one.
     """
@@ -25,6 +26,7 @@
     fence: int
     outcome: StartOutcome = StartOutcome.pending
     is_sent: bool = False
+    order_count: int = 0
     has_unanswered_order: bool = False
     reason: str = ''
 
@@ -33,6 +35,17 @@
         """Return whether the worker may still carry the start out."""
         return self.is_sent and self.outcome is StartOutcome.pending
 
+    def describe(self) -> dict[str, Any]:
+        """Return the fields of a log line about this start."""
+        return {
+            'task': self.order.task,
+            'run': self.order.run,
+            'fence': self.fence,
+            'order': self.order_count,
+            'outcome': self.outcome.name,
+            'has_unanswered_order': self.has_unanswered_order,
+        }
+
 
 @final
 @attrs.define
@@ -74,16 +87,17 @@
             if start.outcome is not StartOutcome.pending
         ]
 
-    def forget_settled(self, still_ordered: set[RunKey]) -> None:
-        """Drop the starts that the leader no longer orders.
+    def forget_settled(self, still_ordered: set[RunKey]) -> list[Start]:
+        """Drop and return the starts that the leader no longer orders.
 
         Starts in flight stay until their outcome is known.
         """
-        self.starts_by_run = {
-            key: start
+        forgotten_keys = [
+            key
             for key, start in self.starts_by_run.items()
-            if key in still_ordered or start.is_in_flight
-        }
+            if key not in still_ordered and not start.is_in_flight
+        ]
+        return [self.starts_by_run.pop(key) for key in forgotten_keys]
 
     def drop_superseded(self, fence: int) -> None:
         """Drop all starts that leaders before ``fence`` ordered.
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -109,8 +109,15 @@
             _log.event(
                 'lease expired; runs are given up',
                 worker=worker.name,
+                born_ms=worker.born_ms,
                 heard_seconds=now - worker.heard_at,
-                runs=len(worker.allocations_by_task),
+                runs=[
+                    f'{allocation.task.name}/{allocation.run}'
+                    for allocation in worker.allocations_by_task.values()
+                ],
+            )
+            exposition.given_up_runs.labels('lease expired').inc(
+                len(worker.allocations_by_task)
             )
             self.pipeline.add(BatchChange(ends=mark_worker_gone(worker)))
         self._move_stalled_runs(now)
--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -34,8 +34,16 @@
     worker = _register_worker(leader_term, link, report, now)
     ends = apply_report(leader_term.fleet, worker, report, now)
     if report.refuses:
-        ends.extend(mark_worker_gone(worker))
+        lost = mark_worker_gone(worker)
+        ends.extend(lost)
+        _log_lost_runs(worker, lost, 'nothing listens', now)
     elif report.listed:
+        if worker.is_gone:
+            _log.event(
+                'worker lists its runs again after they were given up',
+                worker=worker.name,
+                running=len(report.running),
+            )
         worker.is_gone = False
     _store_ends(leader_term, worker, ends)
     _adjust_pace(leader_term, worker, now)
@@ -50,6 +58,22 @@
     return leader_term.orders_for(worker, leader_term.lease_ms)
 
 
+def _log_lost_runs(
+    worker: Worker, lost: list[EndRun], reason: str, now: float
+) -> None:
+    if not lost:
+        return
+    exposition.given_up_runs.labels(reason).inc(len(lost))
+    _log.event(
+        'runs are given up',
+        worker=worker.name,
+        born_ms=worker.born_ms,
+        reason=reason,
+        lease_seconds=worker.lease_ends_at - now,
+        runs=[f'{end.task}/{end.run}' for end in lost],
+    )
+
+
 def _adjust_pace(leader_term: LeaderTerm, worker: Worker, now: float) -> None:
     """Set the pace of filling images; log which stall or resume."""
     before = set(worker.stalled_at_by_image)
@@ -118,7 +142,8 @@
         'worker has a new incarnation',
         worker=worker.name,
         following=successor.name,
-        runs=len(worker.allocations_by_task),
+        following_born_ms=successor.born_ms,
+        runs=sorted(worker.allocations_by_task),
     )
     worker.is_superseded = True
     worker.is_gone = True
--- a/wasabiturn/process/exposition.py
+++ b/wasabiturn/process/exposition.py
@@ -40,6 +40,18 @@
     ('event',),
     registry=registry,
 )
+start_orders = Counter(
+    'wasabiturn_start_orders',
+    'Orders to start a run that an agent sent, and what became of them.',
+    ('event',),
+    registry=registry,
+)
+given_up_runs = Counter(
+    'wasabiturn_given_up_runs',
+    'Runs that the leader declared lost, by reason.',
+    ('reason',),
+    registry=registry,
+)
 commit_seconds = Histogram(
     'wasabiturn_commit_seconds',
     'Time until a change of the book was committed.',
