--- a/tests/sessions/batch_fakes.py
+++ b/tests/sessions/batch_fakes.py
@@ -128,7 +128,7 @@
     """Leader's end of a link to one agent."""
 
     def __init__(self, fleet: 'BatchFleet', agent: 'FakeAgent') -> None:
-        self.peer = Hello(name=agent.name)
+        self.peer = Hello(name=agent.name, incarnation=agent.incarnation)
         self._fleet = fleet
         self._agent = agent
 
@@ -159,6 +159,7 @@
         self.name = name
         self.worker = worker
         self.is_partitioned = False
+        self.incarnation = ''
         self._fleet = fleet
         self.restart()
 
@@ -166,6 +167,7 @@
         old = getattr(self, 'reconciler', None)
         if old is not None:
             old.close()
+        self.incarnation = f'{self.name}/{self._fleet.clock.seconds()}'
         self.reconciler = RunReconciler(self.worker, self, self._fleet.clock)
 
     def announce(self) -> None:
