--- a/tests/sessions/batch_fakes.py
+++ b/tests/sessions/batch_fakes.py
@@ -2,7 +2,7 @@
 
 While the clock advances, these invariants are checked:
 
-- a task never has two simultaneous runs on workers that are up;
+- a task never has two simultaneous runs, on one worker or on several;
 - a task isn't started again after it is done;
 - a step doesn't start before the steps that it waits for are done;
 - no worker exceeds its CPU capacity.
@@ -25,11 +25,13 @@
     JobAnswer,
     JobCall,
     JobDeclaration,
+    PaceOrder,
     PutRouting,
     Queue,
     Routing,
     StartOrder,
     Step,
+    StopOrder,
     Terms,
 )
 from wasabiturn.messages.codec import pack, unpack
@@ -43,7 +45,11 @@
 from wasabiturn.messages.link import Hello
 from wasabiturn.messages.state import Command, Outcome
 from wasabiturn.process.agent.runs import RunReconciler
-from wasabiturn.process.agent.runs.port import WorkerIdentity
+from wasabiturn.process.agent.runs.port import (
+    HoldRequest,
+    RunListing,
+    WorkerIdentity,
+)
 from wasabiturn.process.control.batch import create_batch_leader
 from wasabiturn.standins.batch_worker import (
     Fault,
@@ -124,6 +130,17 @@
     reactor: Clock
 
 
+@attrs.frozen
+class SentStart:
+    """Start order that an agent sent to one incarnation of its worker."""
+
+    at: float
+    task: str
+    run: int
+    worker: str
+    born_ms: int
+
+
 class FakeLink:
     """Leader's end of a link to one agent."""
 
@@ -136,7 +153,7 @@
         if not self._agent.is_partitioned:
             packed = pack(message)
             self._fleet.clock.callLater(
-                LATENCY_SECONDS,
+                self._agent.notice_delay_seconds,
                 self._deliver,
                 type(message),
                 packed,
@@ -147,6 +164,58 @@
             self._agent.reconciler.apply_orders(unpack(message_class, packed))
 
 
+class FakePort:
+    """Port of one agent process to its worker; closed, it sends nothing."""
+
+    def __init__(self, fleet: 'BatchFleet', worker: StandInBatchWorker) -> None:
+        self._fleet = fleet
+        self._worker = worker
+        self._is_closed = False
+
+    def close(self) -> None:
+        self._is_closed = True
+
+    def hold(
+        self, identity: WorkerIdentity, hold: HoldRequest
+    ) -> Deferred[RunListing]:
+        return self._send(self._worker.hold, identity, hold)
+
+    def start(
+        self,
+        identity: WorkerIdentity,
+        order: StartOrder,
+        fence: int,
+        lease_until_ms: int,
+    ) -> Deferred[None]:
+        if not self._is_closed:
+            self._fleet.start_orders.append(
+                SentStart(
+                    at=self._fleet.clock.seconds(),
+                    task=order.task,
+                    run=order.run,
+                    worker=identity.worker,
+                    born_ms=identity.born_ms,
+                )
+            )
+        start = self._worker.start
+        return self._send(start, identity, order, fence, lease_until_ms)
+
+    def stop(
+        self, identity: WorkerIdentity, order: StopOrder, fence: int
+    ) -> Deferred[None]:
+        return self._send(self._worker.stop, identity, order, fence)
+
+    def pace(
+        self, identity: WorkerIdentity, order: PaceOrder, fence: int
+    ) -> Deferred[None]:
+        return self._send(self._worker.pace, identity, order, fence)
+
+    def _send(
+        self, call: Callable[..., Deferred[Any]], *arguments: Any
+    ) -> Deferred[Any]:
+        return Deferred() if self._is_closed else call(*arguments)
+
+
 class FakeAgent:
     """Agent with its worker and its connection to the leader."""
 
@@ -159,16 +228,27 @@
         self.name = name
         self.worker = worker
         self.is_partitioned = False
+        # How long a notice of the leader takes.
+        self.notice_delay_seconds = LATENCY_SECONDS
         self.incarnation = ''
         self._fleet = fleet
-        self.restart()
+        self._port = FakePort(fleet, worker)
+        self.reconciler = self._start_process()
 
     def restart(self) -> None:
-        old = getattr(self, 'reconciler', None)
-        if old is not None:
-            old.close()
+        self.reconciler.close()
+        self._port.close()
+        self._port = FakePort(self._fleet, self.worker)
+        self.reconciler = self._start_process()
+
+    def _start_process(self) -> RunReconciler:
         self.incarnation = f'{self.name}/{self._fleet.clock.seconds()}'
-        self.reconciler = RunReconciler(self.worker, self, self._fleet.clock)
+        return RunReconciler(self._port, self, self._fleet.clock)
+
+    def announce_draining(self) -> None:
+        identity = self.worker.identity
+        self.worker.identity = attrs.evolve(identity, is_draining=True)
+        self.announce()
 
     def announce(self) -> None:
         if self.worker.is_up:
@@ -243,6 +323,9 @@
         self.run_starts: list[tuple[float, str, int, str]] = []
         # Time, task, run number and ending of each end.
         self.run_ends: list[tuple[float, str, int, RunEnding]] = []
+        # Start orders that agents sent to their workers.
+        self.start_orders: list[SentStart] = []
+        self._active_runs: set[tuple[str, int]] = set()
         self._steps_by_job: dict[str, list[Step]] = {}
         self._term = 1
         self._next_announcement_at = 0.0
@@ -434,6 +517,11 @@
             self.violations.append(
                 f'{task} has two runs: {self.find_workers_by_task()[task]}'
             )
+        if any(active == task for active, _ in self._active_runs):
+            self.violations.append(
+                f'{task} run {run} started on {name} beside an earlier run'
+            )
+        self._active_runs.add((task, run))
         self._check_step_order(task)
         self._check_capacity(worker)
 
@@ -461,6 +549,7 @@
 
     def _record_end(self, task: str, run: int, ending: RunEnding) -> None:
         self.run_ends.append((self.clock.seconds(), task, run, ending))
+        self._active_runs.discard((task, run))
         if ending is RunEnding.done:
             self.done_tasks.add(task)
 
--- a/wasabiturn/standins/batch_worker.py
+++ b/wasabiturn/standins/batch_worker.py
@@ -101,6 +101,14 @@
         self.identity = identity
         self.late_delay_seconds = 5.0
         self.stop_delay_seconds = 0.2
+        # How long an order without a fault takes.
+        self.order_delay_seconds = LATENCY_SECONDS
+        # Faults of the next orders, before any that is chosen.
+        self.next_faults: list[Fault] = []
+        # It answers holds with an error, but carries orders out.
+        self.refuses_holds = False
+        # A late order reaches a new incarnation under the same name.
+        self.keeps_late_orders = False
         self.is_up = True
         self.on_begin: list[Callable[[str, int], None]] = []
         self.on_end: list[Callable[[str, int, RunEnding], None]] = []
@@ -140,6 +148,7 @@
             self.identity,
             worker=name or self.identity.worker,
             born_ms=int(self._clock.seconds() * _MS_PER_SECOND) + 1,
+            is_draining=False,
             sequence=0,
         )
         self._reset_incarnation()
@@ -212,8 +221,12 @@
         execute: Callable[[], None],
     ) -> Deferred[None]:
         reply: Deferred[None] = Deferred()
-        fault = self._choose_fault()
-        delay = LATENCY_SECONDS
+        fault = (
+            self.next_faults.pop(0)
+            if self.next_faults
+            else self._choose_fault()
+        )
+        delay = self.order_delay_seconds
         if fault is Fault.late:
             delay = self.late_delay_seconds
         self._clock.callLater(
@@ -243,8 +256,8 @@
         if fault is Fault.refused:
             reply.errback(OrderRefusedError('status 503'))
             return
-        # A delayed order is discarded when its incarnation has ended.
-        if fault is Fault.late and worker_started_at != self._started_at:
+        is_outlived = worker_started_at != self._started_at
+        if fault is Fault.late and is_outlived and not self.keeps_late_orders:
             return
         error = self._find_connection_error(identity)
         if error is None:
@@ -338,6 +351,8 @@
         error = self._find_connection_error(identity)
         if error is None and hold.fence < self.fence:
             error = OrderRefusedError('fence')
+        if error is None and self.refuses_holds:
+            error = OrderRefusedError('status 503')
         if error is not None:
             reply.errback(error)
             return
