Split the agent's sender into a channel, starts and the rest

No change of behaviour: WorkerChannel limits the orders in flight, StartSender delivers starts until they have an outcome, OrderSender joins both with stops and paces.

--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -66,7 +66,7 @@
         self._acknowledged_end = 0
         self._listing: RunListing | None = None
         self._listing_fence = NO_FENCE
-        self._sender = self._create_sender(('', 0))
+        self._sender = self._create_sender()
 
     def announce(self, identity: WorkerIdentity) -> None:
         """Handle an announcement; those of older incarnations are ignored."""
@@ -80,7 +80,7 @@
                 worker=identity.worker,
                 born_ms=identity.born_ms,
             )
-            self._begin_incarnation(identity.life)
+            self._begin_incarnation()
             self._send_hold(FIRST_HOLD_WAIT_MS)
         elif known.is_draining != identity.is_draining:
             _log.event(
@@ -112,21 +112,20 @@
         if has_acknowledged_all(self._listing, self._acknowledged_end):
             self._hold_delay.finish()
 
-    def _begin_incarnation(self, incarnation: tuple[str, int]) -> None:
+    def _begin_incarnation(self) -> None:
         self._hold_delay.cancel()
         self._listing = None
         self._listing_fence = NO_FENCE
         self._is_listing_current = False
         self._is_connection_refused = False
         self._acknowledged_end = 0
-        self._sender = self._create_sender(incarnation)
+        self._sender = self._create_sender()
         self._sender.follow_leader(self._fence)
 
-    def _create_sender(self, incarnation: tuple[str, int]) -> OrderSender:
+    def _create_sender(self) -> OrderSender:
         return OrderSender(
             port=self._port,
             clock=self._clock,
-            incarnation=incarnation,
             on_start_refused=self._send_report,
             on_stop_confirmed=lambda: self._send_hold(0),
         )
--- /dev/null
+++ b/wasabiturn/process/agent/runs/start_sender.py
@@ -0,0 +1,164 @@
+"""Delivery of start orders to the worker.
+
+An order that gets no answer may still be carried out. A start is therefore
+repeated under the same run number, by which the worker recognises the run,
+until it is answered, stopped, or superseded by a listing under a higher fence.
+"""
+
+from collections.abc import Callable
+from typing import final
+
+from twisted.internet.defer import Deferred, succeed
+from twisted.python.failure import Failure
+
+from wasabiturn.messages.batch import PaceOrder, StopOrder
+from wasabiturn.messages.kinds import StartOutcome
+from wasabiturn.process import exposition
+from wasabiturn.process.agent.runs.channel import (
+    WorkerChannel,
+    log_order_failure,
+)
+from wasabiturn.process.agent.runs.lease import Grants
+from wasabiturn.process.agent.runs.port import (
+    OrderRefusedError,
+    OtherIncarnationError,
+    WorkerIdentity,
+)
+from wasabiturn.process.agent.runs.starts import RunKey, Start, StartTable
+from wasabiturn.utils.logs import create_component_log
+
+RETRY_SECONDS = 0.2
+# Reasons for a refusal, as the worker sends them: the worker has already had
+# this run, or the lease in the order had expired.
+REASON_RUN_OUTDATED = 'old'
+REASON_LEASE_EXPIRED = 'late'
+FULL_PERCENT = 100
+
+_log = create_component_log('runs')
+
+
+@final
+class StartSender:
+    """Sends the starts of a table until each has an outcome."""
+
+    def __init__(
+        self,
+        channel: WorkerChannel,
+        table: StartTable,
+        grants: Grants,
+        on_refused: Callable[[], None],
+        on_revoked: Callable[[RunKey], None],
+    ) -> None:
+        """Create the sender.
+
+        ``on_refused`` is called for each start that was refused,
+        ``on_revoked`` with each run whose start the worker was told to forget.
+        """
+        self._channel = channel
+        self._table = table
+        self._grants = grants
+        self._on_refused = on_refused
+        self._on_revoked = on_revoked
+
+    def send_starts(self) -> None:
+        """Send the queued starts, if the leader has answered recently."""
+        identity = self._channel.identity
+        if identity is None:
+            return
+        for start in self._table.list_unsent():
+            if identity.is_draining:
+                self._record_refusal(start, 'the worker leaves')
+            elif self._grants.may_start(self._channel.clock.seconds()):
+                start.is_sent = True
+                self._channel.run(self._send, identity, start)
+
+    def _send(self, identity: WorkerIdentity, start: Start) -> Deferred[None]:
+        if not self._table.has(start):
+            return succeed(None)
+        start.order_count += 1
+        exposition.start_orders.labels('sent').inc()
+        _log.decision('sends start', **start.describe())
+        sent = self._channel.port.start(
+            identity, start.order, start.fence, self._grants.lease_until_ms
+        )
+        sent.addCallbacks(
+            self._handle_started,
+            self._handle_failure,
+            (start,),
+            {},
+            (start,),
+        )
+        return sent
+
+    def _handle_started(self, nothing: None, start: Start) -> None:
+        start.outcome = StartOutcome.started
+        exposition.start_orders.labels('started').inc()
+        _log.decision('start answered', **start.describe())
+        order = start.order
+        identity = self._channel.identity
+        if order.percent < FULL_PERCENT and identity is not None:
+            pace = PaceOrder(order.task, order.run, order.percent)
+            self._channel.send_pace(identity, pace)
+
+    def _handle_failure(self, failure: Failure, start: Start) -> None:
+        error = failure.value
+        if isinstance(error, OrderRefusedError):
+            self._handle_refusal(start, error.reason)
+        elif isinstance(error, OtherIncarnationError):
+            self._record_refusal(start, 'the worker has another incarnation')
+        else:
+            start.has_unanswered_order = True
+            exposition.start_orders.labels('unanswered').inc()
+            _log.event(
+                'start order failed; it will be retried',
+                **start.describe(),
+                error=str(error),
+            )
+            self._retry_later(start)
+
+    def _handle_refusal(self, start: Start, reason: str) -> None:
+        if reason == REASON_RUN_OUTDATED:
+            # The run has already ended; its end is or was listed.
+            start.outcome = StartOutcome.started
+        elif reason == REASON_LEASE_EXPIRED:
+            self._retry_later(start)
+        elif start.has_unanswered_order:
+            self._revoke(start)
+        else:
+            self._record_refusal(start, reason)
+
+    def _retry_later(self, start: Start) -> None:
+        self._channel.clock.callLater(RETRY_SECONDS, self._retry, start)
+
+    def _retry(self, start: Start) -> None:
+        if start.outcome is StartOutcome.pending:
+            start.is_sent = False
+            self.send_starts()
+
+    def _revoke(self, start: Start) -> None:
+        """Stop a run whose start is uncertain, so that it never begins.
+
+        The run counts as refused once a later listing does not have it; until
+        then it stays pending, and is not sent again.
+        """
+        identity = self._channel.identity
+        if identity is None or not self._table.has(start):
+            return
+        order = StopOrder(task=start.order.task, run=start.order.run)
+        _log.decision(
+            'stops a run whose start is uncertain', **start.describe()
+        )
+        sent = self._channel.send_stop(identity, order)
+        sent.addCallback(lambda _: self._on_revoked(start.key))
+        sent.addErrback(self._retry_revoke, start)
+
+    def _retry_revoke(self, failure: Failure, start: Start) -> None:
+        log_order_failure(failure)
+        self._channel.clock.callLater(RETRY_SECONDS, self._revoke, start)
+
+    def _record_refusal(self, start: Start, reason: str) -> None:
+        start.outcome = StartOutcome.refused
+        start.reason = reason
+        exposition.start_orders.labels('refused').inc()
+        _log.decision('start refused', **start.describe(), reason=reason)
+        self._on_refused()
--- a/wasabiturn/process/agent/runs/starts.py
+++ b/wasabiturn/process/agent/runs/starts.py
@@ -30,6 +30,11 @@
     has_unanswered_order: bool = False
     reason: str = ''
 
+    @property
+    def key(self) -> RunKey:
+        """Return the task and the run number."""
+        return self.order.task, self.order.run
+
     @property
     def is_in_flight(self) -> bool:
         """Return whether the worker may still carry the start out."""
@@ -66,6 +71,10 @@
             if key not in self.starts_by_run:
                 self.starts_by_run[key] = Start(order=order, fence=fence)
 
+    def has(self, start: Start) -> bool:
+        """Return whether the start is still ordered."""
+        return self.starts_by_run.get(start.key) is start
+
     def list_unsent(self) -> list[Start]:
         """Return the pending starts that are not yet sent to the worker."""
         return [
