Check again that a start may be sent when its turn comes

Callers saw tasks begin on a worker that had said seconds before that it leaves: a run that is stopped soon after, and started again elsewhere.

Cause: an agent sends three orders at a time. A start waited for its turn with the permission, the identity and the incarnation of the moment at which it was queued. If orders before it took long (0.6 s each without an answer), it was sent after the permission to start had ended, after the worker had begun to drain, or, as a retry, to the next incarnation of the same name.

All three are looked at when the order is sent; an announcement of draining reaches the queued starts at once; a new incarnation closes the channel of the one before for good.

--- a/wasabiturn/process/agent/runs/channel.py
+++ b/wasabiturn/process/agent/runs/channel.py
@@ -26,15 +26,27 @@
 class WorkerChannel:
     """Sends a few orders at a time, under the newest fencing token.
 
-    ``identity`` is None until the leader has sent orders.
+    ``identity`` is None until the leader has sent orders, and once the
+    incarnation has ended.
     """
 
     port: WorkerPort
     clock: Any
     fence: int = 0
     identity: WorkerIdentity | None = None
+    is_closed: bool = False
     _semaphore: DeferredSemaphore = attrs.field(factory=_create_semaphore)
 
+    def open(self, identity: WorkerIdentity) -> None:
+        """Send orders to ``identity``, unless its incarnation has ended."""
+        if not self.is_closed:
+            self.identity = identity
+
+    def close(self) -> None:
+        """Send no more orders, as the worker has another incarnation."""
+        self.is_closed = True
+        self.identity = None
+
     def run(
         self, send: Callable[..., Deferred[None]], *arguments: Any
     ) -> Deferred[None]:
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -86,6 +86,8 @@
             _log.event(
                 'worker changed its draining state', worker=identity.worker
             )
+            self._sender.update_identity(identity)
+            self._send_starts()
             self._send_report()
 
     def close(self) -> None:
@@ -119,6 +121,9 @@
         self._is_listing_current = False
         self._is_connection_refused = False
         self._acknowledged_end = 0
+        # Its retries must not reach the new incarnation, which may have its
+        # name.
+        self._sender.close()
         self._sender = self._create_sender()
         self._sender.follow_leader(self._fence)
 
@@ -176,7 +181,7 @@
             # A newer incarnation has the worker's name, but has not announced
             # itself yet.
             self._is_listing_current = False
-            self._sender.suspend()
+            self._sender.close()
             self._send_hold_later(identity)
             return
         self._sender.grants.record_clock(listing, self._clock.seconds())
--- a/wasabiturn/process/agent/runs/sender.py
+++ b/wasabiturn/process/agent/runs/sender.py
@@ -57,15 +57,22 @@
         self._channel.fence = fence
         self.table.drop_superseded(fence)
 
-    def suspend(self) -> None:
-        """Stop sending starts, as the worker has another incarnation."""
-        self._channel.identity = None
+    def close(self) -> None:
+        """Send no more orders, as the worker has another incarnation."""
+        self._channel.close()
+
+    def update_identity(self, identity: WorkerIdentity) -> None:
+        """Follow an announcement of the same incarnation."""
+        if self._channel.identity is not None:
+            self._channel.open(identity)
 
     def accept_orders(
         self, identity: WorkerIdentity, orders: WorkerOrders
     ) -> None:
         """Send stops and paces at once; queue starts for ``send_starts``."""
-        self._channel.identity = identity
+        self._channel.open(identity)
+        if self._channel.is_closed:
+            return
         self._accept_starts(orders)
         for stop in orders.stops:
             self._send_stop(identity, stop)
--- a/wasabiturn/process/agent/runs/start_sender.py
+++ b/wasabiturn/process/agent/runs/start_sender.py
@@ -22,7 +22,6 @@
 from wasabiturn.process.agent.runs.port import (
     OrderRefusedError,
     OtherIncarnationError,
-    WorkerIdentity,
 )
 from wasabiturn.process.agent.runs.starts import RunKey, Start, StartTable
 from wasabiturn.utils.logs import create_component_log
@@ -68,12 +67,20 @@
         for start in self._table.list_unsent():
             if identity.is_draining:
                 self._record_refusal(start, 'the worker leaves')
-            elif self._grants.may_start(self._channel.clock.seconds()):
+            elif self._may_start():
                 start.is_sent = True
-                self._channel.run(self._send, identity, start)
+                self._channel.run(self._send, start)
 
-    def _send(self, identity: WorkerIdentity, start: Start) -> Deferred[None]:
-        if not self._table.has(start):
+    def _may_start(self) -> bool:
+        return self._grants.may_start(self._channel.clock.seconds())
+
+    def _send(self, start: Start) -> Deferred[None]:
+        identity = self._channel.identity
+        if identity is None or not self._table.has(start):
+            return succeed(None)
+        # The orders before this one may have taken long.
+        if identity.is_draining or not self._may_start():
+            start.is_sent = False
             return succeed(None)
         start.order_count += 1
         exposition.start_orders.labels('sent').inc()
