Count a start as refused only once no order for it is out

Cause: a start that waited for its retry was reported as refused as soon as its worker began to leave, though an order for it had no answer yet. The leader started the task elsewhere, and the first order was carried out seconds later. One flag also stood for all orders of a start, and was set only when one failed: an order in flight did not count.

A start counts its unanswered orders. Each way to refuse it goes through one function, which revokes the run with a stop while any order is out; a refused connection tells that the order did not arrive.

--- a/wasabiturn/process/agent/runs/start_sender.py
+++ b/wasabiturn/process/agent/runs/start_sender.py
@@ -3,6 +3,7 @@
 An order that gets no answer may still be carried out. A start is therefore
 repeated under the same run number, by which the worker recognises the run,
 until it is answered, stopped, or superseded by a listing under a higher fence.
+It counts as refused only if no order for it can be carried out any more.
 """
 
 from collections.abc import Callable
@@ -22,6 +23,7 @@
 from wasabiturn.process.agent.runs.port import (
     OrderRefusedError,
     OtherIncarnationError,
+    WorkerNotListeningError,
 )
 from wasabiturn.process.agent.runs.starts import RunKey, Start, StartTable
 from wasabiturn.utils.logs import create_component_log
@@ -66,7 +68,7 @@
             return
         for start in self._table.list_unsent():
             if identity.is_draining:
-                self._record_refusal(start, 'the worker leaves')
+                self._refuse(start, 'the worker leaves')
             elif self._may_start():
                 start.is_sent = True
                 self._channel.run(self._send, start)
@@ -79,10 +81,13 @@
         if identity is None or not self._table.has(start):
             return succeed(None)
         # The orders before this one may have taken long.
-        if identity.is_draining or not self._may_start():
+        if identity.is_draining:
+            self._refuse(start, 'the worker leaves')
+            return succeed(None)
+        if not self._may_start():
             start.is_sent = False
             return succeed(None)
-        start.order_count += 1
+        start.record_order()
         exposition.start_orders.labels('sent').inc()
         _log.decision('sends start', **start.describe())
         sent = self._channel.port.start(
@@ -98,6 +103,7 @@
         return sent
 
     def _handle_started(self, nothing: None, start: Start) -> None:
+        start.unanswered_orders -= 1
         start.outcome = StartOutcome.started
         exposition.start_orders.labels('started').inc()
         _log.decision('start answered', **start.describe())
@@ -110,11 +116,16 @@
     def _handle_failure(self, failure: Failure, start: Start) -> None:
         error = failure.value
         if isinstance(error, OrderRefusedError):
+            start.unanswered_orders -= 1
             self._handle_refusal(start, error.reason)
         elif isinstance(error, OtherIncarnationError):
-            self._record_refusal(start, 'the worker has another incarnation')
+            # No order reaches the incarnation that it names any more.
+            start.unanswered_orders = 0
+            self._refuse(start, 'the worker has another incarnation')
+        elif isinstance(error, WorkerNotListeningError):
+            start.unanswered_orders -= 1
+            self._handle_closed_port(start)
         else:
-            start.has_unanswered_order = True
             exposition.start_orders.labels('unanswered').inc()
             _log.event(
                 'start order failed; it will be retried',
@@ -129,10 +140,15 @@
             start.outcome = StartOutcome.started
         elif reason == REASON_LEASE_EXPIRED:
             self._retry_later(start)
-        elif start.has_unanswered_order:
-            self._revoke(start)
         else:
-            self._record_refusal(start, reason)
+            self._refuse(start, reason)
+
+    def _handle_closed_port(self, start: Start) -> None:
+        if start.has_unanswered_order:
+            # A new incarnation of the worker may carry that order out.
+            self._retry_later(start)
+        else:
+            self._refuse(start, 'nothing listens at the worker')
 
     def _retry_later(self, start: Start) -> None:
         self._channel.clock.callLater(RETRY_SECONDS, self._retry, start)
@@ -142,6 +158,15 @@
             start.is_sent = False
             self.send_starts()
 
+    def _refuse(self, start: Start, reason: str) -> None:
+        if start.outcome is not StartOutcome.pending:
+            return
+        if start.has_unanswered_order:
+            start.is_sent = True
+            self._revoke(start)
+        else:
+            self._record_refusal(start, reason)
+
     def _revoke(self, start: Start) -> None:
         """Stop a run whose start is uncertain, so that it never begins.
 
--- a/wasabiturn/process/agent/runs/starts.py
+++ b/wasabiturn/process/agent/runs/starts.py
@@ -17,9 +17,9 @@
 class Start:
     """One ordered start; ``fence`` is the term of the leader that ordered it.
 
-    ``order_count`` is the number of orders that were sent to the worker.
-    ``has_unanswered_order`` is set once an order got no answer. The worker may
-    still carry that order out, whatever it answers to a repeated one.
+    ``order_count`` is the number of orders that were sent to the worker, and
+    ``unanswered_orders`` how many of them have no answer. The worker may still
+    carry these out, whatever it answers to a repeated one.
     """
 
     order: StartOrder
@@ -27,7 +27,7 @@
     outcome: StartOutcome = StartOutcome.pending
     is_sent: bool = False
     order_count: int = 0
-    has_unanswered_order: bool = False
+    unanswered_orders: int = 0
     reason: str = ''
 
     @property
@@ -36,9 +36,21 @@
         return self.order.task, self.order.run
 
     @property
-    def is_in_flight(self) -> bool:
-        """Return whether the worker may still carry the start out."""
-        return self.is_sent and self.outcome is StartOutcome.pending
+    def has_unanswered_order(self) -> bool:
+        """Return whether the worker may still carry an order out."""
+        return self.unanswered_orders > 0
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether an order may still settle the pending start."""
+        if self.outcome is not StartOutcome.pending:
+            return False
+        return self.is_sent or self.has_unanswered_order
+
+    def record_order(self) -> None:
+        """Count an order that is sent now."""
+        self.order_count += 1
+        self.unanswered_orders += 1
 
     def describe(self) -> dict[str, Any]:
         """Return the fields of a log line about this start."""
@@ -99,12 +111,12 @@
     def forget_settled(self, still_ordered: set[RunKey]) -> list[Start]:
         """Drop and return the starts that the leader no longer orders.
 
-        Starts in flight stay until their outcome is known.
+        Open starts stay until their outcome is known.
         """
         forgotten_keys = [
             key
             for key, start in self.starts_by_run.items()
-            if key not in still_ordered and not start.is_in_flight
+            if key not in still_ordered and not start.is_open
         ]
         return [self.starts_by_run.pop(key) for key in forgotten_keys]
 
