Keep what an agent knows of a start until newer orders lack it

Cause: while holds fail, an agent reports without a current list. The leader answered such reports without starts and did not read their results. The agent took the empty answer for 'no longer ordered' and forgot starts that had been answered; the next orders named them again, they were sent again, and a status 503 to the repeated order was read as 'never started'. Orders that arrive after newer ones, over another link, had the same effect.

Orders always name all starts, and are numbered: an agent takes starts from no older orders than it has seen. A result counts in a report without a current list too, as it is the worker's own answer. A refused start is kept while the leader still names it in a stop, and a start that is to be stopped is no longer ordered. Old orders without a number are taken as before.

--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -56,6 +56,8 @@
     born_ms: int
     report: WorkerReport = attrs.field(factory=WorkerReport)
     agent: str = ''
+    # Number of the newest orders to it.
+    order_number: int = 0
     heard_at: float = NEVER
     # It has listed its runs under this leader's fencing token.
     is_reconciled: bool = False
--- a/wasabiturn/batch/reports.py
+++ b/wasabiturn/batch/reports.py
@@ -25,16 +25,16 @@
     report: WorkerReport,
     now: float,
 ) -> list[EndRun]:
-    """Apply a report of a worker incarnation; return the run ends to commit."""
+    """Apply a report of a worker incarnation; return the run ends to commit.
+
+    The results of starts count without a current list as well: they are the
+    worker's own answers.
+    """
     worker.report = report
     worker.heard_at = now
-    if not report.listed or report.fence != fleet.fence:
+    if report.fence != fleet.fence:
         return []
-    _match_running_rows(worker, report)
-    ends = [_to_end(row) for row in _new_ends(worker, report)]
-    if not worker.is_reconciled:
-        worker.is_reconciled = True
-        ends.extend(_end_missing_runs(worker, report))
+    ends = _apply_listing(worker, report) if report.listed else []
     ends.extend(_apply_start_results(worker, report))
     ends.extend(_end_inherited_runs(worker, report))
     for end in ends:
@@ -68,6 +68,15 @@
     ]
 
 
+def _apply_listing(worker: Worker, report: WorkerReport) -> list[EndRun]:
+    _match_running_rows(worker, report)
+    ends = [_to_end(row) for row in _new_ends(worker, report)]
+    if not worker.is_reconciled:
+        worker.is_reconciled = True
+        ends.extend(_end_missing_runs(worker, report))
+    return ends
+
+
 def _match_running_rows(worker: Worker, report: WorkerReport) -> None:
     worker.unexpected_runs_by_task = {}
     for row in report.running:
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -393,3 +393,4 @@
     paces: list[PaceOrder] = attrs.field(factory=list)
     worker: str = ''
     born_ms: int = 0
+    number: int = 0
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -234,4 +234,5 @@
   6: list<PaceOrder> paces,
   7: string worker,
   8: i64 born_ms,
+  9: i64 number,            // increases under one fence; 0: not numbered
 }
--- a/wasabiturn/process/agent/runs/sender.py
+++ b/wasabiturn/process/agent/runs/sender.py
@@ -4,6 +4,7 @@
 from typing import Any, final
 
 from wasabiturn.messages.batch import StopOrder, WorkerOrders
+from wasabiturn.messages.kinds import StartOutcome
 from wasabiturn.process import exposition
 from wasabiturn.process.agent.runs.channel import (
     WorkerChannel,
@@ -50,11 +51,13 @@
         )
         self._on_stop_confirmed = on_stop_confirmed
         self._pending_stops: set[RunKey] = set()
+        self._newest_orders = 0
         self._sent_holds = 0
 
     def follow_leader(self, fence: int) -> None:
         """Discard the starts that leaders before ``fence`` ordered."""
         self._channel.fence = fence
+        self._newest_orders = 0
         self.table.drop_superseded(fence)
 
     def close(self) -> None:
@@ -73,7 +76,9 @@
         self._channel.open(identity)
         if self._channel.is_closed:
             return
-        self._accept_starts(orders)
+        if orders.number >= self._newest_orders:
+            self._newest_orders = orders.number
+            self._accept_starts(orders)
         for stop in orders.stops:
             self._send_stop(identity, stop)
         for pace in orders.paces:
@@ -92,9 +97,14 @@
         self._sent_holds = sent_holds
 
     def _accept_starts(self, orders: WorkerOrders) -> None:
-        """Queue new starts, and forget settled ones that are not named."""
+        """Queue new starts, and forget settled ones that are not named.
+
+        Older orders than the newest are not passed to this method: they may
+        name starts that were settled and forgotten since.
+        """
         self.table.add(orders.starts, orders.fence)
         still_ordered = {(order.task, order.run) for order in orders.starts}
+        still_ordered.update((order.task, order.run) for order in orders.stops)
         for start in self.table.forget_settled(still_ordered):
             exposition.start_orders.labels('forgotten').inc()
             _log.decision(
@@ -107,6 +117,10 @@
         key = (order.task, order.run)
         if key in self._pending_stops or key in self.table.confirmed_stops:
             return
+        start = self.table.starts_by_run.get(key)
+        if start is not None and start.outcome is StartOutcome.refused:
+            # It will never start, and the next report says so.
+            return
         self._pending_stops.add(key)
         self.table.starts_by_run.pop(key, None)
         _log.decision('stops run', task=order.task, run=order.run)
--- a/wasabiturn/process/control/batch/orders.py
+++ b/wasabiturn/process/control/batch/orders.py
@@ -18,12 +18,14 @@
     lease_ms: int,
     now: float,
 ) -> WorkerOrders:
-    """Return the orders for the worker at ``now``.
+    """Return all orders for the worker at ``now``, with the next number.
 
     ``committed_starts`` has the task and run of each committed start.
     """
+    worker.order_number += 1
     orders = WorkerOrders(
         fence=fleet.fence,
+        number=worker.order_number,
         acknowledged=worker.committed_end,
         lease_ms=lease_ms,
         worker=worker.name,
@@ -93,7 +95,9 @@
 
 
 def _awaits_start(allocation: Allocation) -> bool:
-    return not allocation.is_confirmed and not allocation.task.job.is_final
+    if allocation.is_confirmed or allocation.is_stop_requested:
+        return False
+    return not allocation.task.job.is_final
 
 
 def _checkpoint_of(task: Task) -> str:
--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -49,9 +49,7 @@
     _adjust_pace(leader_term, worker, now)
     if not report.listed:
         # An agent that cannot reach its worker cannot renew its lease.
-        orders = leader_term.orders_for(worker, lease_ms=0)
-        orders.starts = []
-        return orders
+        return leader_term.orders_for(worker, lease_ms=0)
     worker.lease_ends_at = max(
         worker.lease_ends_at, leader_term.lease_expiry(now)
     )
