Fence the orders to each worker, and raise the fence when knowledge ends

Callers saw a task run twice at the same time, a job done while a task ran, a worker over its limits: all after an order that had no answer was carried out seconds later.

Cause, as a class: the leader took a start for over while an order for it could still be carried out, and nothing that a worker checks told that order from a valid one, since the fencing token was the leader's term.

The token is now the term and, below it, a count for each worker. The leader raises it for a new process of the agent, for runs given up, and for a new incarnation. An agent that follows it lists the worker's runs under it; from then on each older order is void, and what that list lacks is certainly over. Before that list a worker that was given up gets neither lease nor starts. A run is given up only if no order for it is out that a new incarnation under the same name could carry out: with the list of that incarnation, with another worker at the same agent, or 15 s after the last order. An answer to a start is taken for that of the incarnation only if its clock did not start anew. Runs that another incarnation left are no longer stopped one by one.

--- a/tests/sessions/batch_fakes.py
+++ b/tests/sessions/batch_fakes.py
@@ -186,7 +186,7 @@
         order: StartOrder,
         fence: int,
         lease_until_ms: int,
-    ) -> Deferred[None]:
+    ) -> Deferred[int]:
         if not self._is_closed:
             self._fleet.start_orders.append(
                 SentStart(
--- a/tests/sessions/test_batch.py
+++ b/tests/sessions/test_batch.py
@@ -202,6 +202,19 @@
     fleet.run_until('a', JobState.done, seconds=9)
 
 
+@pytest.mark.parametrize('name', ['', 'another'])
+def test_crashed_worker_runs_tasks_again_once_it_is_back(name: str) -> None:
+    fleet = BatchFleet(workers=1)
+    fleet.run(1)
+    fleet.submit('a', [create_step(1)], SimulatedWork(3))
+    fleet.run(1)
+    worker = fleet.agents[0].worker
+    worker.crash()
+    fleet.run(2)
+    worker.start_incarnation(name=name)
+    fleet.run_until('a', JobState.done, seconds=6)
+
+
 def test_no_task_starts_in_a_data_centre_marked_out() -> None:
     fleet = BatchFleet(workers=2)
     fleet.run(1)
--- a/tests/sessions/test_start_orders.py
+++ b/tests/sessions/test_start_orders.py
@@ -170,3 +170,21 @@
         if order.born_ms == born_ms and order.at > reborn_at
     ]
     assert not late
+
+
+def test_start_that_the_next_life_answered_is_not_given_up_with_the_last() -> (
+    None
+):
+    fleet = BatchFleet(workers=2)
+    fleet.run(1)
+    choose_worker(fleet, 1)
+    worker = fleet.agents[0].worker
+    worker.start_incarnation()
+    # The refusal has the answered start reported before the announcement.
+    worker.next_faults = [Fault.none, Fault.refused]
+    fleet.submit('a', [create_step(1)], LONG_WORK)
+    fleet.submit('b', [create_step(1)], LONG_WORK)
+    fleet.run(0.1)
+    choose_worker(fleet, 2)
+    fleet.run(10)
+    assert len(fleet.find_workers_by_task()[TASK]) == 1
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -1,8 +1,9 @@
 """Workers as the leader sees them, with the resources that runs take.
 
-A worker is reconciled once it has listed its runs under this leader's fencing
-token; from then on no order of an earlier leader can take effect there. Until
-then it is charged for the runs in the replicated state.
+A worker is reconciled once it has listed its runs under its current fencing
+token; from then on no order under an earlier token can take effect there. Until
+then it is charged for the runs in the replicated state. The token rises with
+the term and, within a term, as ``wasabiturn/batch/fences.py`` tells.
 """
 
 from collections import deque
@@ -18,6 +19,10 @@
 )
 
 NEVER = float('-inf')
+UNKNOWN = float('inf')
+# How long after it was sent a worker may carry out an order that it left
+# unanswered.
+ORDER_LIFETIME_SECONDS = 15.0
 # Share of its declared CPU that a lasting task is expected to use.
 LASTING_CPU_USE = 0.55
 # Jobs that end while idle are not removed one by one; above this number all
@@ -35,6 +40,9 @@
     started_at: float
     # The worker has reported that it has the run.
     is_confirmed: bool = False
+    # By then no order to start the run can be carried out any more, not even by
+    # a new incarnation of the worker, which has seen no fencing token.
+    orders_end_at: float = UNKNOWN
     # Newest report of the run.
     row: RunningRow | None = None
     # Newest pace order; ``pace_ordered_at`` is None if none was sent.
@@ -43,6 +51,19 @@
     # The run stalls and is to be stopped; its task moves to another worker.
     is_stop_requested: bool = False
 
+    def confirm(self, has_unanswered_order: bool, now: float) -> None:
+        """Record that the run has started; no further order is sent."""
+        self.is_confirmed = True
+        self.limit_orders(now)
+        if not has_unanswered_order:
+            self.orders_end_at = NEVER
+
+    def limit_orders(self, now: float) -> None:
+        """Record that no further order to start the run is sent."""
+        self.orders_end_at = min(
+            self.orders_end_at, now + ORDER_LIFETIME_SECONDS
+        )
+
 
 @final
 @attrs.define(eq=False)
@@ -54,14 +75,19 @@
 
     name: str
     born_ms: int
+    # Fencing token of the orders to it.
+    fence: int = 0
     report: WorkerReport = attrs.field(factory=WorkerReport)
     agent: str = ''
+    # Process of the agent that reported last; empty before the first report.
+    agent_incarnation: str = ''
     # Number of the newest orders to it.
     order_number: int = 0
     heard_at: float = NEVER
-    # It has listed its runs under this leader's fencing token.
+    # It has listed its runs under its fencing token.
     is_reconciled: bool = False
-    # Its runs were declared lost; it gets no new ones until it lists its runs.
+    # Its runs were declared lost; it gets no lease and no new runs until it
+    # lists its runs under the token that was raised for this.
     is_gone: bool = False
     # A newer incarnation has reported.
     is_superseded: bool = False
@@ -82,9 +108,9 @@
     seen_end: int = 0
     committed_end: int = 0
     pending_ends: deque[tuple[int, BatchChange]] = attrs.field(factory=deque)
-    # Run numbers of an earlier incarnation of the same name; their start orders
-    # may still arrive.
-    inherited_runs_by_task: dict[str, int] = attrs.field(factory=dict)
+    # Earlier incarnations of the same name with runs whose start orders may
+    # still arrive here.
+    predecessors: list['Worker'] = attrs.field(factory=list)
     # Run numbers that the worker lists although it should not have them.
     unexpected_runs_by_task: dict[str, int] = attrs.field(factory=dict)
     # Pace of each filling image, and when it fell so low that runs stall.
@@ -226,6 +252,7 @@
             worker = Worker(
                 name=name,
                 born_ms=born_ms,
+                fence=self.fence,
                 lease_ends_at=lease_ends_at,
                 agent=agent,
             )
--- a/wasabiturn/batch/placing.py
+++ b/wasabiturn/batch/placing.py
@@ -132,7 +132,7 @@
         return False
     if report.leaving or report.refuses:
         return False
-    if worker.unexpected_runs_by_task or worker.inherited_runs_by_task:
+    if worker.unexpected_runs_by_task:
         # Its runs that are to be stopped take resources that are not charged.
         return False
     if report.data_centre in batch_state.out_data_centres:
--- a/wasabiturn/batch/reports.py
+++ b/wasabiturn/batch/reports.py
@@ -1,13 +1,16 @@
 """Evaluation of agents' reports: ends of runs, and runs that were lost.
 
 Nothing here changes the replicated state; the leader commits the ends that are
-returned. A run is ended only if it cannot go on: its end is listed, its worker
-has a newer incarnation, nothing listens at its worker's address, its lease has
-expired, or it is missing from the first list under this leader's fencing token.
+returned. A run is ended only if it neither goes on nor can begin any more: its
+end is listed; it is missing from the first list under a fencing token above
+that of its orders; its worker refused all orders for it; or the incarnation or
+the lease of its worker has ended, and no order for it is out that a new
+incarnation under the same name could carry out.
 """
 
 from collections.abc import Iterator
 
+from wasabiturn.batch.fences import raise_fence
 from wasabiturn.batch.fleet import Allocation, Fleet, Worker
 from wasabiturn.messages.batch import EndedRow, EndRun, WorkerReport
 from wasabiturn.messages.kinds import RunEnding, StartOutcome
@@ -20,7 +23,6 @@
 
 
 def apply_report(
-    fleet: Fleet,
     worker: Worker,
     report: WorkerReport,
     now: float,
@@ -32,30 +34,40 @@
     """
     worker.report = report
     worker.heard_at = now
-    if report.fence != fleet.fence:
+    if report.fence != worker.fence:
         return []
-    ends = _apply_listing(worker, report) if report.listed else []
-    ends.extend(_apply_start_results(worker, report))
-    ends.extend(_end_inherited_runs(worker, report))
+    ends = _apply_listing(worker, report, now) if report.listed else []
+    ends.extend(_apply_start_results(worker, report, now))
     for end in ends:
         _track_failures(worker, end, now)
     return ends
 
 
-def mark_worker_gone(worker: Worker) -> list[EndRun]:
-    """Mark a worker gone, and return ends of all its runs as lost.
+def give_up_runs(worker: Worker, now: float) -> list[EndRun]:
+    """Mark a worker gone; return ends of the runs that are certainly over.
 
-    Its incarnation or its lease is over, or nothing listens at its address.
+    Its incarnation or its lease has ended, or nothing listens at its address.
+    A run with an order that a new incarnation of the same name may carry out
+    is over only once that one has listed its runs, or the order has expired.
     """
+    if not worker.is_gone:
+        worker.is_gone = True
+        raise_fence(worker)
+    ends: list[EndRun] = []
+    for allocation in worker.allocations_by_task.values():
+        allocation.limit_orders(now)
+        if now >= allocation.orders_end_at:
+            ends.append(_lost_end(allocation))
+    return ends
+
+
+def give_up_all_runs(worker: Worker) -> list[EndRun]:
+    """Mark a worker gone whose name no order can reach any more."""
     worker.is_gone = True
     return [
-        EndRun(
-            task=allocation.task.name,
-            run=allocation.run,
-            ending=RunEnding.lost,
-            checkpoint=_checkpoint_of(allocation),
-        )
-        for allocation in worker.allocations_by_task.values()
+        _lost_end(allocation)
+        for each in (worker, *worker.predecessors)
+        for allocation in each.allocations_by_task.values()
     ]
 
 
@@ -68,23 +80,31 @@
     ]
 
 
-def _apply_listing(worker: Worker, report: WorkerReport) -> list[EndRun]:
-    _match_running_rows(worker, report)
+def _apply_listing(
+    worker: Worker, report: WorkerReport, now: float
+) -> list[EndRun]:
+    worker.predecessors = [
+        each for each in worker.predecessors if each.allocations_by_task
+    ]
+    _match_running_rows(worker, report, now)
     ends = [_to_end(row) for row in _new_ends(worker, report)]
     if not worker.is_reconciled:
         worker.is_reconciled = True
+        worker.is_gone = False
         ends.extend(_end_missing_runs(worker, report))
     return ends
 
 
-def _match_running_rows(worker: Worker, report: WorkerReport) -> None:
+def _match_running_rows(
+    worker: Worker, report: WorkerReport, now: float
+) -> None:
     worker.unexpected_runs_by_task = {}
     for row in report.running:
         allocation = worker.allocations_by_task.get(row.task)
         if allocation is None or allocation.run != row.run:
             worker.unexpected_runs_by_task[row.task] = row.run
             continue
-        allocation.is_confirmed = True
+        allocation.confirm(has_unanswered_order=True, now=now)
         allocation.row = row
 
 
@@ -105,16 +125,22 @@
 
 
 def _end_missing_runs(worker: Worker, report: WorkerReport) -> Iterator[EndRun]:
+    """End the runs that the first list under a fencing token does not have.
+
+    Those of earlier incarnations of the name are among them.
+    """
     listed = {(row.task, row.run) for row in report.running}
     listed.update((row.task, row.run) for row in report.ended)
-    for allocation in worker.allocations_by_task.values():
-        if (allocation.task.name, allocation.run) not in listed:
-            yield _not_started_end(allocation)
+    for each in (worker, *worker.predecessors):
+        for allocation in each.allocations_by_task.values():
+            if (allocation.task.name, allocation.run) not in listed:
+                yield _lost_end(allocation)
 
 
 def _apply_start_results(
     worker: Worker,
     report: WorkerReport,
+    now: float,
 ) -> Iterator[EndRun]:
     for result in report.results:
         allocation = worker.allocations_by_task.get(result.task)
@@ -123,22 +149,18 @@
         if result.result is StartOutcome.refused:
             yield _not_started_end(allocation)
         elif result.result is StartOutcome.started:
-            allocation.is_confirmed = True
+            allocation.confirm(result.has_unanswered_order, now)
 
 
-def _end_inherited_runs(
-    worker: Worker,
-    report: WorkerReport,
-) -> Iterator[EndRun]:
-    """End runs of an earlier incarnation that this one refuses to start."""
-    for result in report.results:
-        run = worker.inherited_runs_by_task.get(result.task)
-        if run == result.run and result.result is StartOutcome.refused:
-            worker.inherited_runs_by_task.pop(result.task)
-            yield EndRun(task=result.task, run=run, ending=RunEnding.lost)
-    for row in report.ended:
-        if worker.inherited_runs_by_task.get(row.task) == row.run:
-            worker.inherited_runs_by_task.pop(row.task)
+def _lost_end(allocation: Allocation) -> EndRun:
+    if not allocation.is_confirmed:
+        return _not_started_end(allocation)
+    return EndRun(
+        task=allocation.task.name,
+        run=allocation.run,
+        ending=RunEnding.lost,
+        checkpoint=_checkpoint_of(allocation),
+    )
 
 
 def _not_started_end(allocation: Allocation) -> EndRun:
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -319,6 +319,7 @@
         default=StartOutcome.pending, converter=StartOutcome
     )
     reason: str = ''
+    has_unanswered_order: bool = False
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -184,6 +184,7 @@
   2: i64 run,
   3: i32 result,            // StartOutcome
   4: string reason,
+  5: bool has_unanswered_order, // an order for the run may still be carried out
 }
 
 struct WorkerReport {
@@ -226,7 +227,7 @@
 
 // Each message contains all current orders for the worker.
 struct WorkerOrders {
-  1: i64 fence,             // term of the leader
+  1: i64 fence,             // fencing token of the leader for this worker
   2: i64 acknowledged,      // ended runs up to this number are committed
   3: i64 lease_ms,          // lease from the time the report was sent; 0: none
   4: list<StartOrder> starts,
--- a/wasabiturn/platform/worker_client.py
+++ b/wasabiturn/platform/worker_client.py
@@ -13,7 +13,7 @@
 from wasabiturn.connection.http_messages import HttpRequest, HttpResponse
 from wasabiturn.exceptions import PlatformError
 from wasabiturn.messages.batch import PaceOrder, StartOrder, StopOrder
-from wasabiturn.platform.fields import decode_object
+from wasabiturn.platform.fields import decode_object, read_int
 from wasabiturn.platform.http_server import OK, encode
 from wasabiturn.platform.workers import decode_listing
 from wasabiturn.process.agent.runs.port import (
@@ -65,7 +65,7 @@
         order: StartOrder,
         fence: int,
         lease_until_ms: int,
-    ) -> Deferred[None]:
+    ) -> Deferred[int]:
         """Start a run; see ``WorkerPort``."""
         body = {
             'task': order.task,
@@ -79,7 +79,7 @@
         sent = self._post(
             '/api/run-start', identity, body, RESPONSE_TIMEOUT_SECONDS
         )
-        return sent.addCallback(_ignore_body)
+        return sent.addCallback(_decode_clock)
 
     def stop(
         self,
@@ -165,5 +165,9 @@
     raise PlatformError(f'no response from the worker: {error!r}') from error
 
 
+def _decode_clock(body: bytes) -> int:
+    return read_int(decode_object(body), 'clock_ms')
+
+
 def _ignore_body(body: bytes) -> None:
     """Discard a response body that carries no information."""
--- a/wasabiturn/process/agent/runs/channel.py
+++ b/wasabiturn/process/agent/runs/channel.py
@@ -48,7 +48,7 @@
         self.identity = None
 
     def run(
-        self, send: Callable[..., Deferred[None]], *arguments: Any
+        self, send: Callable[..., Deferred[Any]], *arguments: Any
     ) -> Deferred[None]:
         """Call ``send`` once fewer orders are in flight."""
         sent: Deferred[None] = self._semaphore.run(send, *arguments)
--- a/wasabiturn/process/agent/runs/port.py
+++ b/wasabiturn/process/agent/runs/port.py
@@ -111,8 +111,12 @@
         order: StartOrder,
         fence: int,
         lease_until_ms: int,
-    ) -> Deferred[None]:
-        """Start a run; succeeds also if the worker already has it."""
+    ) -> Deferred[int]:
+        """Start a run; succeeds also if the worker already has it.
+
+        Fires with the worker's clock in milliseconds, which starts anew with
+        each incarnation.
+        """
 
     def stop(
         self,
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -105,7 +105,7 @@
         if identity.life != (orders.worker, orders.born_ms):
             return
         if orders.fence > self._fence:
-            self._follow_leader(orders.fence)
+            self._follow_fence(orders.fence)
         self._acknowledged_end = max(
             self._acknowledged_end, orders.acknowledged
         )
@@ -125,7 +125,7 @@
         # name.
         self._sender.close()
         self._sender = self._create_sender()
-        self._sender.follow_leader(self._fence)
+        self._sender.follow_fence(self._fence)
 
     def _create_sender(self) -> OrderSender:
         return OrderSender(
@@ -135,11 +135,11 @@
             on_stop_confirmed=lambda: self._send_hold(0),
         )
 
-    def _follow_leader(self, fence: int) -> None:
-        _log.event('switched to a new leader', fence=fence, before=self._fence)
+    def _follow_fence(self, fence: int) -> None:
+        _log.event('follows a new fence', fence=fence, before=self._fence)
         self._fence = fence
         self._acknowledged_end = 0
-        self._sender.follow_leader(fence)
+        self._sender.follow_fence(fence)
         self._send_hold(0)
 
     def _send_starts(self) -> None:
--- a/wasabiturn/process/agent/runs/sender.py
+++ b/wasabiturn/process/agent/runs/sender.py
@@ -54,8 +54,8 @@
         self._newest_orders = 0
         self._sent_holds = 0
 
-    def follow_leader(self, fence: int) -> None:
-        """Discard the starts that leaders before ``fence`` ordered."""
+    def follow_fence(self, fence: int) -> None:
+        """Discard the starts that were ordered before ``fence``."""
         self._channel.fence = fence
         self._newest_orders = 0
         self.table.drop_superseded(fence)
--- a/wasabiturn/process/agent/runs/start_sender.py
+++ b/wasabiturn/process/agent/runs/start_sender.py
@@ -90,20 +90,32 @@
         start.record_order()
         exposition.start_orders.labels('sent').inc()
         _log.decision('sends start', **start.describe())
+        now = self._channel.clock.seconds()
+        sent_clock_ms = self._grants.estimate_clock_ms(now)
         sent = self._channel.port.start(
             identity, start.order, start.fence, self._grants.lease_until_ms
         )
-        sent.addCallbacks(
+        return sent.addCallbacks(
             self._handle_started,
             self._handle_failure,
-            (start,),
+            (start, sent_clock_ms),
             {},
             (start,),
         )
-        return sent
 
-    def _handle_started(self, nothing: None, start: Start) -> None:
-        start.unanswered_orders -= 1
+    def _handle_started(
+        self, clock_ms: int, start: Start, sent_clock_ms: int
+    ) -> None:
+        if clock_ms >= sent_clock_ms:
+            start.unanswered_orders -= 1
+        else:
+            # Its clock started anew: another incarnation has the run.
+            _log.event(
+                'a new incarnation answered a start',
+                **start.describe(),
+                clock_ms=clock_ms,
+                sent_clock_ms=sent_clock_ms,
+            )
         start.outcome = StartOutcome.started
         exposition.start_orders.labels('started').inc()
         _log.decision('start answered', **start.describe())
--- a/wasabiturn/process/agent/runs/starts.py
+++ b/wasabiturn/process/agent/runs/starts.py
@@ -15,7 +15,7 @@
 @final
 @attrs.define
 class Start:
-    """One ordered start; ``fence`` is the term of the leader that ordered it.
+    """One ordered start; ``fence`` is the fencing token of the order.
 
     ``order_count`` is the number of orders that were sent to the worker, and
     ``unanswered_orders`` how many of them have no answer. The worker may still
@@ -103,6 +103,7 @@
                 run=run,
                 result=start.outcome,
                 reason=start.reason,
+                has_unanswered_order=start.has_unanswered_order,
             )
             for (task, run), start in self.starts_by_run.items()
             if start.outcome is not StartOutcome.pending
@@ -121,7 +122,7 @@
         return [self.starts_by_run.pop(key) for key in forgotten_keys]
 
     def drop_superseded(self, fence: int) -> None:
-        """Drop all starts that leaders before ``fence`` ordered.
+        """Drop all starts that were ordered before ``fence``.
 
         A listing under ``fence`` shows which of those sent have taken effect.
         """
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -5,6 +5,7 @@
 from typing import Any, final
 
 from wasabiturn.batch import BatchState, dump_batch_state, load_batch_state
+from wasabiturn.batch.fences import first_fence
 from wasabiturn.batch.fleet import Fleet, Worker
 from wasabiturn.batch.forecast import Forecasts
 from wasabiturn.batch.interference import (
@@ -14,12 +15,13 @@
 from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.ordering import Moment
 from wasabiturn.batch.planning import plan_moves, plan_starts
-from wasabiturn.batch.reports import find_expired_workers, mark_worker_gone
+from wasabiturn.batch.reports import find_expired_workers, give_up_runs
 from wasabiturn.batch.sharing import set_pace
 from wasabiturn.connection.link import Link
 from wasabiturn.messages.batch import (
     BatchChange,
     BatchDump,
+    EndRun,
     StartRun,
     WorkerOrders,
 )
@@ -67,7 +69,7 @@
         self._replica = replica
         self._clock = clock
         self._committed_starts: set[tuple[str, int]] = set()
-        self.fleet = Fleet(fence=replica.member_status().term)
+        self.fleet = Fleet(fence=first_fence(replica.member_status().term))
         batch_state = _copy_batch_state(replica.state.batch)
         for task in batch_state.active_by_name.values():
             self._reserve_capacity(task)
@@ -106,20 +108,7 @@
         if not self._replica.holds_lease(now):
             return
         for worker in find_expired_workers(self.fleet, now):
-            _log.event(
-                'lease expired; runs are given up',
-                worker=worker.name,
-                born_ms=worker.born_ms,
-                heard_seconds=now - worker.heard_at,
-                runs=[
-                    f'{allocation.task.name}/{allocation.run}'
-                    for allocation in worker.allocations_by_task.values()
-                ],
-            )
-            exposition.given_up_runs.labels('lease expired').inc(
-                len(worker.allocations_by_task)
-            )
-            self.pipeline.add(BatchChange(ends=mark_worker_gone(worker)))
+            self.give_up_runs(worker, 'lease expired', now)
         self._move_stalled_runs(now)
         self.fleet.remove_superseded()
         self.interference.drop_decayed(now)
@@ -128,6 +117,33 @@
         self._forget_ended_jobs()
         self.pipeline.schedule_flush()
 
+    def give_up_runs(self, worker: Worker, reason: str, now: float) -> None:
+        """Give up the runs of a worker that are certainly over."""
+        was_gone = worker.is_gone
+        ends = give_up_runs(worker, now)
+        if not was_gone:
+            self._send_orders((worker.name, worker.born_ms))
+        self.store_lost_runs(worker, ends, reason, now)
+
+    def store_lost_runs(
+        self, worker: Worker, ends: list[EndRun], reason: str, now: float
+    ) -> None:
+        """Commit the ends of runs that went with their worker."""
+        if not ends:
+            return
+        exposition.given_up_runs.labels(reason).inc(len(ends))
+        _log.event(
+            'runs are given up',
+            worker=worker.name,
+            born_ms=worker.born_ms,
+            reason=reason,
+            heard_seconds=now - worker.heard_at,
+            lease_seconds=worker.lease_ends_at - now,
+            kept=len(worker.allocations_by_task) - len(ends),
+            runs=[f'{end.task}/{end.run}' for end in ends],
+        )
+        self.pipeline.add(BatchChange(ends=ends))
+
     def lease_expiry(self, now: float) -> float:
         """Return when a lease granted at ``now`` has certainly expired."""
         seconds = self.lease_ms / _MS * LEASE_DRIFT_FACTOR
@@ -136,7 +152,6 @@
     def orders_for(self, worker: Worker, lease_ms: int) -> WorkerOrders:
         """Return the current orders for ``worker``."""
         return create_orders(
-            self.fleet,
             worker,
             self._committed_starts,
             lease_ms,
--- a/wasabiturn/process/control/batch/orders.py
+++ b/wasabiturn/process/control/batch/orders.py
@@ -1,6 +1,6 @@
 """Creation of orders for one worker from the committed starts."""
 
-from wasabiturn.batch.fleet import Allocation, Fleet, Worker
+from wasabiturn.batch.fleet import Allocation, Worker
 from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.sharing import find_pace_updates, target_percent
 from wasabiturn.messages.batch import (
@@ -12,7 +12,6 @@
 
 
 def create_orders(
-    fleet: Fleet,
     worker: Worker,
     committed_starts: set[tuple[str, int]],
     lease_ms: int,
@@ -24,7 +23,7 @@
     """
     worker.order_number += 1
     orders = WorkerOrders(
-        fence=fleet.fence,
+        fence=worker.fence,
         number=worker.order_number,
         acknowledged=worker.committed_end,
         lease_ms=lease_ms,
@@ -67,10 +66,6 @@
         StopOrder(task=task, run=run)
         for task, run in worker.unexpected_runs_by_task.items()
     ]
-    stops.extend(
-        StopOrder(task=task, run=run)
-        for task, run in worker.inherited_runs_by_task.items()
-    )
     stops.extend(
         StopOrder(task=allocation.task.name, run=allocation.run)
         for allocation in worker.allocations_by_task.values()
--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -1,7 +1,8 @@
 """Handling of agents' worker reports, which are answered with orders."""
 
+from wasabiturn.batch.fences import raise_fence, succeed_worker
 from wasabiturn.batch.fleet import NEVER, Worker
-from wasabiturn.batch.reports import apply_report, mark_worker_gone
+from wasabiturn.batch.reports import apply_report, give_up_all_runs
 from wasabiturn.batch.sharing import adjust_pace
 from wasabiturn.batch.worker_metrics import highest_tail
 from wasabiturn.connection.calls import CallError
@@ -32,44 +33,44 @@
         CallError: the report is from an incarnation that has ended.
     """
     worker = _register_worker(leader_term, link, report, now)
-    ends = apply_report(leader_term.fleet, worker, report, now)
+    was_gone = worker.is_gone
+    _store_ends(leader_term, worker, apply_report(worker, report, now))
+    if was_gone and not worker.is_gone:
+        _log.event(
+            'worker lists its runs again after they were given up',
+            worker=worker.name,
+            fence=worker.fence,
+            running=len(report.running),
+        )
     if report.refuses:
-        lost = mark_worker_gone(worker)
-        ends.extend(lost)
-        _log_lost_runs(worker, lost, 'nothing listens', now)
-    elif report.listed:
-        if worker.is_gone:
-            _log.event(
-                'worker lists its runs again after they were given up',
-                worker=worker.name,
-                running=len(report.running),
-            )
-        worker.is_gone = False
-    _store_ends(leader_term, worker, ends)
+        leader_term.give_up_runs(worker, 'nothing listens', now)
     _adjust_pace(leader_term, worker, now)
-    if not report.listed:
-        # An agent that cannot reach its worker cannot renew its lease.
-        return leader_term.orders_for(worker, lease_ms=0)
-    worker.lease_ends_at = max(
-        worker.lease_ends_at, leader_term.lease_expiry(now)
+    return leader_term.orders_for(
+        worker, _grant_lease(leader_term, worker, report, now)
     )
-    return leader_term.orders_for(worker, leader_term.lease_ms)
 
 
-def _log_lost_runs(
-    worker: Worker, lost: list[EndRun], reason: str, now: float
-) -> None:
-    if not lost:
-        return
-    exposition.given_up_runs.labels(reason).inc(len(lost))
-    _log.event(
-        'runs are given up',
-        worker=worker.name,
-        born_ms=worker.born_ms,
-        reason=reason,
-        lease_seconds=worker.lease_ends_at - now,
-        runs=[f'{end.task}/{end.run}' for end in lost],
+def _grant_lease(
+    leader_term: LeaderTerm,
+    worker: Worker,
+    report: WorkerReport,
+    now: float,
+) -> int:
+    """Return the lease for a worker in milliseconds; 0 for none.
+
+    An agent without a current list cannot reach its worker to renew a lease. A
+    worker whose runs were given up gets none before it has listed its runs
+    under the raised token: a new lease would make their orders valid again.
+    """
+    if not report.listed or worker.is_gone:
+        return 0
+    worker.lease_ends_at = max(
+        worker.lease_ends_at, leader_term.lease_expiry(now)
     )
+    for predecessor in worker.predecessors:
+        # This incarnation may run what the earlier one was ordered to start.
+        predecessor.lease_ends_at = worker.lease_ends_at
+    return leader_term.lease_ms
 
 
 def _adjust_pace(leader_term: LeaderTerm, worker: Worker, now: float) -> None:
@@ -99,10 +100,26 @@
     worker = leader_term.fleet.find(report.worker, report.born_ms)
     if worker is None or not leader_term.fleet.is_reporting(worker, agent):
         worker = _take_over_from_others(leader_term, agent, report, now)
+    _follow_agent(worker, link.peer.incarnation)
     leader_term.links_by_incarnation[worker.name, worker.born_ms] = link
     return worker
 
 
+def _follow_agent(worker: Worker, incarnation: str) -> None:
+    """Make orders void that an earlier process of the agent may have sent."""
+    if worker.agent_incarnation == incarnation:
+        return
+    if worker.agent_incarnation:
+        raise_fence(worker)
+        _log.event(
+            'agent has restarted',
+            worker=worker.name,
+            agent=worker.agent,
+            fence=worker.fence,
+        )
+    worker.agent_incarnation = incarnation
+
+
 def _take_over_from_others(
     leader_term: LeaderTerm,
     agent: str,
@@ -119,7 +136,7 @@
     worker = leader_term.fleet.open(report.worker, report.born_ms, now)
     for other in others:
         if other is not worker and not other.is_superseded:
-            _supersede_worker(leader_term, other, worker)
+            _supersede_worker(leader_term, other, worker, now)
     if worker.heard_at == NEVER:
         _log.event('worker registered', worker=worker.name, agent=agent)
     worker.agent = agent
@@ -128,13 +145,13 @@
 
 
 def _supersede_worker(
-    leader_term: LeaderTerm, worker: Worker, successor: Worker
+    leader_term: LeaderTerm, worker: Worker, successor: Worker, now: float
 ) -> None:
     """Give up the runs of a worker that a new incarnation replaces.
 
-    If both have the same name, starts meant for the earlier incarnation may
-    still reach the new one. Its runs are then given up only once the new one
-    has refused them.
+    If both have the same name, orders meant for the earlier incarnation may
+    still reach the new one. Runs with such orders are kept until the new one
+    has listed its runs under a higher token.
     """
     _log.event(
         'worker has a new incarnation',
@@ -144,16 +161,13 @@
         runs=sorted(worker.allocations_by_task),
     )
     worker.is_superseded = True
-    worker.is_gone = True
     leader_term.links_by_incarnation.pop((worker.name, worker.born_ms), None)
     if worker.name == successor.name:
-        successor.inherited_runs_by_task.update(worker.inherited_runs_by_task)
-        successor.inherited_runs_by_task.update(
-            (task, allocation.run)
-            for task, allocation in worker.allocations_by_task.items()
-        )
-    elif worker.allocations_by_task:
-        leader_term.pipeline.add(BatchChange(ends=mark_worker_gone(worker)))
+        leader_term.give_up_runs(worker, 'new incarnation', now)
+    else:
+        ends = give_up_all_runs(worker)
+        leader_term.store_lost_runs(worker, ends, 'other worker', now)
+    succeed_worker(successor, worker)
 
 
 def _store_ends(
--- a/wasabiturn/standins/batch_worker.py
+++ b/wasabiturn/standins/batch_worker.py
@@ -173,12 +173,13 @@
         order: StartOrder,
         fence: int,
         lease_until_ms: int,
-    ) -> Deferred[None]:
+    ) -> Deferred[int]:
         """Start a run; see ``WorkerPort``."""
-        return self._schedule_order(
+        started = self._schedule_order(
             identity,
             lambda: self._start(order, fence, lease_until_ms),
         )
+        return started.addCallback(lambda _: self.clock_ms())
 
     def stop(
         self,
