Count a job as pending until a run of it has begun

Cause: a job stopped to count as waiting when the start of its first task was committed, though its worker may leave the orders unanswered for seconds. The leader's copy knows which starts were confirmed, so it counts there. A new leader counts jobs whose runs it has not heard of yet, for about a second.

Ruled out: a lagging copy of the state (the leader answered) and lost jobs (all ran later).

test_ordered_job_counts_as_pending_until_a_run_has_begun failed before (0 for 1).

--- a/tests/sessions/batch_fakes.py
+++ b/tests/sessions/batch_fakes.py
@@ -443,6 +443,11 @@
     def read_state(self, job_id: str) -> JobState:
         return self._call_job(JobAction.read, job_id).state
 
+    def count_pending(self) -> int:
+        call = JobCall(action=JobAction.count, host=HOST, path=PREFIX)
+        answer: JobAnswer = self.call_leader(Method.job, call)
+        return answer.pending
+
     def _call_job(self, action: JobAction, job_id: str) -> JobAnswer:
         path = f'{PREFIX}{job_id}'
         call = JobCall(action=action, host=HOST, path=path)
--- a/tests/sessions/test_batch.py
+++ b/tests/sessions/test_batch.py
@@ -202,6 +202,22 @@
     fleet.run_until('a', JobState.done, seconds=9)
 
 
+def test_ordered_job_counts_as_pending_until_a_run_has_begun() -> None:
+    fleet = BatchFleet(workers=1)
+    fleet.run(1)
+    fleet.next_faults = [Fault.dropped, Fault.dropped, Fault.dropped]
+    fleet.submit('a', [create_step(1)], SimulatedWork(5))
+    fleet.run(1)
+    assert fleet.count_pending() == 1
+    fleet.run(3)
+    assert fleet.find_workers_by_task()
+    assert fleet.count_pending() == 0
+    fleet.change_leader(1)
+    # A hold of up to 1 s is answered before the new leader hears of the run.
+    fleet.run(1.5)
+    assert fleet.count_pending() == 0
+
+
 @pytest.mark.parametrize('name', ['', 'another'])
 def test_crashed_worker_runs_tasks_again_once_it_is_back(name: str) -> None:
     fleet = BatchFleet(workers=1)
--- a/wasabiturn/batch/apply.py
+++ b/wasabiturn/batch/apply.py
@@ -94,6 +94,8 @@
         task.job.waiting_tasks -= 1
     else:
         return
+    if end.ending is not RunEnding.not_started:
+        task.job.has_begun = True
     if end.checkpoint:
         task.checkpoint = end.checkpoint
     if task.job.is_final:
--- a/wasabiturn/batch/dump.py
+++ b/wasabiturn/batch/dump.py
@@ -80,5 +80,6 @@
     if record.state is BatchTaskState.active:
         batch_state.begin_run(task)
     elif record.state is BatchTaskState.done:
+        task.job.has_begun = True
         task.mark_done()
         task.job.waiting_tasks -= 1
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -54,6 +54,7 @@
     def confirm(self, has_unanswered_order: bool, now: float) -> None:
         """Record that the run has started; no further order is sent."""
         self.is_confirmed = True
+        self.task.job.has_begun = True
         self.limit_orders(now)
         if not has_unanswered_order:
             self.orders_end_at = NEVER
--- a/wasabiturn/batch/jobs.py
+++ b/wasabiturn/batch/jobs.py
@@ -104,6 +104,9 @@
     waiting_tasks: int = 0
     active_tasks: int = 0
     objective_ms: float = 0
+    # A run of one of its tasks has certainly begun. Replicas that do not lead
+    # learn it from the ends of runs only.
+    has_begun: bool = False
 
     @property
     def job_id(self) -> str:
--- a/wasabiturn/batch/state.py
+++ b/wasabiturn/batch/state.py
@@ -40,10 +40,10 @@
                 found = queue
         return found
 
-    def count_queued(self, queue: str) -> int:
-        """Return the number of jobs in ``queue`` that have not begun."""
+    def count_pending(self, queue: str) -> int:
+        """Return the number of jobs in ``queue`` with no run known to begin."""
         return sum(
-            job.state is JobState.queued
+            not job.has_begun
             and job.accepted.declaration.queue == queue
             for job in self.open_jobs_by_id.values()
         )
--- a/wasabiturn/process/control/batch/job_calls.py
+++ b/wasabiturn/process/control/batch/job_calls.py
@@ -100,7 +100,9 @@
         return JobAnswer(outcome=JobOutcome.ok, state=job.state)
 
     def _count(self, queue: Queue) -> JobAnswer:
-        pending = self.committed_state().count_queued(queue_key(queue))
+        # Only the leader's copy knows which ordered runs have begun.
+        batch_state = self.pipeline.batch_state
+        pending = batch_state.count_pending(queue_key(queue))
         return JobAnswer(outcome=JobOutcome.ok, pending=pending)
 
     def _find_job(
