--- a/tests/sessions/test_start_orders.py
+++ b/tests/sessions/test_start_orders.py
@@ -188,3 +188,20 @@
     choose_worker(fleet, 2)
     fleet.run(10)
     assert len(fleet.find_workers_by_task()[TASK]) == 1
+
+
+def test_start_that_a_list_settled_is_not_sent_when_its_turn_comes() -> None:
+    fleet = BatchFleet(workers=1)
+    fleet.run(1.75)
+    (agent,) = fleet.agents
+    agent.worker.next_faults = [Fault.answer_lost]
+    fleet.submit('a', [create_step(1)], LONG_WORK)
+    fleet.run(0.4)
+    # The retry waits behind these until a list has its run.
+    agent.worker.order_delay_seconds = 1.2
+    fleet.submit('b', [create_step(3, millicores=200)], LONG_WORK)
+    fleet.run(0.4)
+    agent.is_partitioned = True
+    fleet.run(2)
+    sent = [order.task for order in fleet.start_orders]
+    assert sent.count(TASK) == 1
--- a/wasabiturn/batch/state.py
+++ b/wasabiturn/batch/state.py
@@ -43,8 +43,7 @@
     def count_pending(self, queue: str) -> int:
         """Return the number of jobs in ``queue`` with no run known to begin."""
         return sum(
-            not job.has_begun
-            and job.accepted.declaration.queue == queue
+            not job.has_begun and job.accepted.declaration.queue == queue
             for job in self.open_jobs_by_id.values()
         )
 
--- a/wasabiturn/process/agent/runs/start_sender.py
+++ b/wasabiturn/process/agent/runs/start_sender.py
@@ -78,7 +78,7 @@
 
     def _send(self, start: Start) -> Deferred[None]:
         identity = self._channel.identity
-        if identity is None or not self._table.has(start):
+        if identity is None or not self._table.awaits(start):
             return succeed(None)
         # The orders before this one may have taken long.
         if identity.is_draining:
--- a/wasabiturn/process/agent/runs/starts.py
+++ b/wasabiturn/process/agent/runs/starts.py
@@ -87,6 +87,10 @@
         """Return whether the start is still ordered."""
         return self.starts_by_run.get(start.key) is start
 
+    def awaits(self, start: Start) -> bool:
+        """Return whether the start is still ordered and has no outcome."""
+        return self.has(start) and start.outcome is StartOutcome.pending
+
     def list_unsent(self) -> list[Start]:
         """Return the pending starts that are not yet sent to the worker."""
         return [
