Give the next lead of the same term higher fences

Found by the review of the fences. One instance may lead a term more than once: a commit that fails, or a lease that is lost for a moment, ends the leader's plans, and the next tick begins them again in the same term (shown by the review with a full disk of 0.3 and 0.6 s under the leader). Fences and order numbers then began anew: - a run was ended by a list under a fence that its open order had as well, so the task ran twice (as before the fences); - agents ignored all orders below the fence, or number, that they had seen: a worker without work until the next term, which is new.

The leader keeps the highest fence it has given and begins above it; raised fences are counted for the fleet, not for a worker, so that a successor is always above. The runs that went with their worker move to a module of their own.

--- a/tests/batch/test_reports.py
+++ b/tests/batch/test_reports.py
@@ -6,15 +6,13 @@
 from tests.batch.jobs_fakes import accept, create_batch_state, step
 from wasabiturn.batch.fences import (
     first_fence,
+    next_fence,
     raise_fence,
     succeed_worker,
 )
 from wasabiturn.batch.fleet import ORDER_LIFETIME_SECONDS, Fleet, Worker
-from wasabiturn.batch.reports import (
-    apply_report,
-    give_up_all_runs,
-    give_up_runs,
-)
+from wasabiturn.batch.lost_runs import give_up_all_runs, give_up_runs
+from wasabiturn.batch.reports import apply_report
 from wasabiturn.messages.batch import (
     EndedRow,
     EndRun,
@@ -66,14 +64,16 @@
 def test_each_term_has_higher_fences_than_all_raised_in_the_one_before() -> (
     None
 ):
-    worker = open_worker(create_fleet())
+    fleet = create_fleet()
+    worker = open_worker(fleet)
     for _ in range(1000):
-        raise_fence(worker)
+        raise_fence(fleet, worker)
     assert first_fence(TERM) < worker.fence < first_fence(TERM + 1)
 
 
 def test_refusal_counts_in_a_report_without_a_current_list() -> None:
-    worker = open_worker(create_fleet())
+    fleet = create_fleet()
+    worker = open_worker(fleet)
     report = report_of(
         worker, listed=False, results=[result_of(StartOutcome.refused)]
     )
@@ -82,7 +82,8 @@
 
 
 def test_start_is_confirmed_by_a_report_without_a_current_list() -> None:
-    worker = open_worker(create_fleet())
+    fleet = create_fleet()
+    worker = open_worker(fleet)
     report = report_of(
         worker, listed=False, results=[result_of(StartOutcome.started)]
     )
@@ -92,84 +93,98 @@
 
 @pytest.mark.parametrize('is_listed', [True, False])
 def test_report_under_an_older_fence_ends_no_run(is_listed: bool) -> None:
-    worker = open_worker(create_fleet())
+    fleet = create_fleet()
+    worker = open_worker(fleet)
     report = report_of(
         worker, listed=is_listed, results=[result_of(StartOutcome.refused)]
     )
-    raise_fence(worker)
+    raise_fence(fleet, worker)
     assert not apply_report(worker, report, now=1)
     assert not worker.is_reconciled
 
 
 def test_first_list_under_a_raised_fence_ends_the_missing_run() -> None:
-    worker = open_worker(create_fleet())
-    raise_fence(worker)
+    fleet = create_fleet()
+    worker = open_worker(fleet)
+    raise_fence(fleet, worker)
     ends = apply_report(worker, report_of(worker), now=1)
     assert list_endings(ends) == [RunEnding.not_started]
     assert worker.is_reconciled
 
 
 def test_run_with_an_open_order_is_not_given_up_with_the_lease() -> None:
-    worker = open_worker(create_fleet())
-    assert not give_up_runs(worker, now=10)
+    fleet = create_fleet()
+    worker = open_worker(fleet)
+    assert not give_up_runs(fleet, worker, now=10)
     assert worker.is_gone
-    assert not give_up_runs(worker, now=10 + ORDER_LIFETIME_SECONDS - 1)
-    ends = give_up_runs(worker, now=10 + ORDER_LIFETIME_SECONDS)
+    assert not give_up_runs(fleet, worker, now=10 + ORDER_LIFETIME_SECONDS - 1)
+    ends = give_up_runs(fleet, worker, now=10 + ORDER_LIFETIME_SECONDS)
     assert list_endings(ends) == [RunEnding.not_started]
 
 
 def test_answered_run_is_given_up_at_once() -> None:
-    worker = open_worker(create_fleet())
+    fleet = create_fleet()
+    worker = open_worker(fleet)
     report = report_of(worker, results=[result_of(StartOutcome.started)])
     apply_report(worker, report, now=1)
     running = [RunningRow(task=TASK, run=1)]
     apply_report(worker, report_of(worker, running=running), now=2)
-    assert list_endings(give_up_runs(worker, now=10)) == [RunEnding.lost]
+    assert list_endings(give_up_runs(fleet, worker, now=10)) == [RunEnding.lost]
 
 
 def test_run_with_an_unanswered_order_is_not_given_up_at_once() -> None:
-    worker = open_worker(create_fleet())
+    fleet = create_fleet()
+    worker = open_worker(fleet)
     report = report_of(
         worker,
         running=[RunningRow(task=TASK, run=1)],
         results=[result_of(StartOutcome.started, is_unanswered=True)],
     )
     apply_report(worker, report, now=1)
-    assert not give_up_runs(worker, now=2)
+    assert not give_up_runs(fleet, worker, now=2)
     assert list_endings(
-        give_up_runs(worker, now=1 + ORDER_LIFETIME_SECONDS)
+        give_up_runs(fleet, worker, now=1 + ORDER_LIFETIME_SECONDS)
     ) == [RunEnding.lost]
 
 
 def test_fence_is_raised_once_when_runs_are_given_up() -> None:
-    worker = open_worker(create_fleet())
+    fleet = create_fleet()
+    worker = open_worker(fleet)
     fence = worker.fence
-    give_up_runs(worker, now=10)
-    give_up_runs(worker, now=11)
+    give_up_runs(fleet, worker, now=10)
+    give_up_runs(fleet, worker, now=11)
     assert worker.fence == fence + 1
 
 
 def test_worker_given_up_stays_gone_until_it_lists_under_the_new_fence() -> (
     None
 ):
-    worker = open_worker(create_fleet())
+    fleet = create_fleet()
+    worker = open_worker(fleet)
     older = report_of(worker)
-    give_up_runs(worker, now=10)
+    give_up_runs(fleet, worker, now=10)
     apply_report(worker, older, now=11)
     assert worker.is_gone
     apply_report(worker, report_of(worker), now=12)
     assert not worker.is_gone
 
 
+def test_next_fence_is_above_all_that_were_given_in_the_same_term() -> None:
+    fleet = create_fleet()
+    raise_fence(fleet, open_worker(fleet))
+    assert next_fence(TERM, fleet.newest_fence) > fleet.newest_fence
+    assert next_fence(TERM + 1, fleet.newest_fence) == first_fence(TERM + 1)
+
+
 @pytest.mark.parametrize('name', ['w', 'another'])
 def test_new_incarnation_has_a_higher_fence_than_the_one_before(
     name: str,
 ) -> None:
     fleet = create_fleet()
     worker = open_worker(fleet)
-    raise_fence(worker)
+    raise_fence(fleet, worker)
     successor = fleet.open(name, 2, lease_ends_at=0)
-    succeed_worker(successor, worker)
+    succeed_worker(fleet, successor, worker)
     assert successor.fence > worker.fence
 
 
@@ -177,7 +192,7 @@
     fleet = create_fleet()
     worker = open_worker(fleet)
     successor = fleet.open('w', 2, lease_ends_at=0)
-    succeed_worker(successor, worker)
+    succeed_worker(fleet, successor, worker)
     ends = apply_report(successor, report_of(successor), now=1)
     assert list_endings(ends) == [RunEnding.not_started]
 
@@ -188,7 +203,7 @@
     fleet = create_fleet()
     worker = open_worker(fleet)
     successor = fleet.open('w', 2, lease_ends_at=0)
-    succeed_worker(successor, worker)
+    succeed_worker(fleet, successor, worker)
     running = report_of(successor, running=[RunningRow(task=TASK, run=1)])
     assert not apply_report(successor, running, now=1)
     assert successor.unexpected_runs_by_task == {TASK: 1}
@@ -201,6 +216,6 @@
     fleet = create_fleet()
     worker = open_worker(fleet)
     successor = fleet.open('w', 2, lease_ends_at=0)
-    succeed_worker(successor, worker)
+    succeed_worker(fleet, successor, worker)
     ends = give_up_all_runs(successor)
     assert list_endings(ends) == [RunEnding.not_started]
--- a/tests/sessions/batch_fakes.py
+++ b/tests/sessions/batch_fakes.py
@@ -231,6 +231,7 @@
         # How long a notice of the leader takes.
         self.notice_delay_seconds = LATENCY_SECONDS
         self.incarnation = ''
+        self._processes = 0
         self._fleet = fleet
         self._port = FakePort(fleet, worker)
         self.reconciler = self._start_process()
@@ -242,7 +243,8 @@
         self.reconciler = self._start_process()
 
     def _start_process(self) -> RunReconciler:
-        self.incarnation = f'{self.name}/{self._fleet.clock.seconds()}'
+        self._processes += 1
+        self.incarnation = f'{self.name}/{self._processes}'
         return RunReconciler(self._port, self, self._fleet.clock)
 
     def announce_draining(self) -> None:
--- /dev/null
+++ b/tests/sessions/test_worker_fences.py
@@ -0,0 +1,65 @@
+"""Test that a worker gets work, and no run twice, when its fence changes."""
+
+import pytest
+
+from tests.sessions.batch_fakes import BatchFleet, create_step
+from tests.sessions.test_start_orders import (
+    LATE_SECONDS,
+    choose_worker,
+    find_starts,
+    start_with_faults,
+)
+from wasabiturn.messages.kinds import JobState
+from wasabiturn.standins.batch_worker import Fault, SimulatedWork
+
+
+def lead_the_same_term_again(fleet: BatchFleet) -> None:
+    """End the term as after a failed commit; the next tick begins it again."""
+    fleet.leader._stop_leading()
+
+
+def test_leader_of_the_same_term_does_not_end_an_open_start() -> None:
+    fleet = BatchFleet(workers=2)
+    start_with_faults(fleet, Fault.late)
+    fleet.run(0.05)
+    lead_the_same_term_again(fleet)
+    fleet.run(LATE_SECONDS + 5)
+    assert len(find_starts(fleet)) == 1
+
+
+@pytest.mark.parametrize('restarts', [0, 3])
+def test_worker_follows_the_leader_of_the_same_term(restarts: int) -> None:
+    fleet = BatchFleet(workers=1)
+    fleet.run(30)
+    for _ in range(restarts):
+        fleet.agents[0].restart()
+        fleet.run(2)
+    lead_the_same_term_again(fleet)
+    fleet.run(2)
+    fleet.submit('a', [create_step(1)], SimulatedWork(1))
+    fleet.run_until('a', JobState.done, seconds=10)
+
+
+def test_agent_that_restarts_twice_does_not_settle_open_orders() -> None:
+    fleet = BatchFleet(workers=2)
+    agent = start_with_faults(fleet, Fault.late, Fault.refused)
+    agent.restart()
+    fleet.run(0.05)
+    agent.restart()
+    agent.announce()
+    fleet.run(LATE_SECONDS + 5)
+    assert len(find_starts(fleet)) == 1
+
+
+def test_worker_serves_soon_after_its_runs_were_given_up() -> None:
+    fleet = BatchFleet(workers=1)
+    fleet.run(1)
+    (agent,) = fleet.agents
+    agent.worker.next_faults = [Fault.dropped] * 3
+    fleet.submit('a', [create_step(1)], SimulatedWork(1))
+    fleet.run(0.2)
+    agent.worker.refuses_holds = True
+    fleet.run(9)
+    agent.worker.refuses_holds = False
+    # A hold and a report each for the old fence and the new one, and the work.
+    fleet.run_until('a', JobState.done, seconds=4)
--- a/wasabiturn/batch/fences.py
+++ b/wasabiturn/batch/fences.py
@@ -1,13 +1,13 @@
-"""Fencing tokens of the leader's orders to one worker.
+"""Fencing tokens of the leader's orders to each worker.
 
 A worker carries out no order with a lower token than it has seen. A token is
-the term of the leader and, below it, a count for one worker. The leader raises
-the count whenever an order may be out that it no longer knows of. Once the
-worker has listed its runs under the raised token, every older order is void,
-and what is missing from that list has neither started nor ever will.
+the term of the leader and, below it, a count. The leader gives a worker the
+next token whenever an order may be out that it no longer knows of. Once the
+worker has listed its runs under that token, each older order is void for this
+incarnation, and what the list lacks has neither started nor ever will.
 """
 
-from wasabiturn.batch.fleet import Worker
+from wasabiturn.batch.fleet import Fleet, Worker
 
 # Leaves 23 bits for terms below 2**53, up to which every reader of JSON
 # represents integers exactly.
@@ -19,23 +19,33 @@
     return term << COUNT_BITS
 
 
-def succeed_worker(worker: Worker, predecessor: Worker) -> None:
-    """Give the successor of an incarnation a higher token.
+def next_fence(term: int, newest_fence: int) -> int:
+    """Return the lowest token with which an instance begins to lead.
 
-    Their agent ignores lower tokens than it has seen. If both have the same
-    name, orders to the predecessor may still reach the worker, so its list
-    decides about the predecessor's runs as well.
+    ``newest_fence`` is the highest one that it gave before, 0 if none. It may
+    lead the same term more than once.
     """
-    worker.fence = max(worker.fence, predecessor.fence + 1)
-    if worker.name == predecessor.name:
-        worker.predecessors.extend((*predecessor.predecessors, predecessor))
-        predecessor.predecessors = []
+    return max(first_fence(term), newest_fence + 1)
 
 
-def raise_fence(worker: Worker) -> None:
+def raise_fence(fleet: Fleet, worker: Worker) -> None:
     """Make all orders to ``worker`` void that are out.
 
     The worker gets no new orders until it has listed its runs again.
     """
-    worker.fence += 1
+    fleet.newest_fence += 1
+    worker.fence = fleet.newest_fence
     worker.is_reconciled = False
+
+
+def succeed_worker(fleet: Fleet, worker: Worker, predecessor: Worker) -> None:
+    """Give the successor of an incarnation a higher token.
+
+    Their agent ignores lower tokens than it has seen. If both have the same
+    name, orders to the predecessor may still reach the worker, so its list
+    decides about the predecessor's runs as well.
+    """
+    raise_fence(fleet, worker)
+    if worker.name == predecessor.name:
+        worker.predecessors.extend((*predecessor.predecessors, predecessor))
+        predecessor.predecessors = []
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -20,8 +20,8 @@
 
 NEVER = float('-inf')
 UNKNOWN = float('inf')
-# How long after it was sent a worker may carry out an order that it left
-# unanswered.
+# How long after the agent was last heard a new incarnation of its worker may
+# carry out an order that was left unanswered.
 ORDER_LIFETIME_SECONDS = 15.0
 # Share of its declared CPU that a lasting task is expected to use.
 LASTING_CPU_USE = 0.55
@@ -41,7 +41,8 @@
     # The worker has reported that it has the run.
     is_confirmed: bool = False
     # By then no order to start the run can be carried out any more, not even by
-    # a new incarnation of the worker, which has seen no fencing token.
+    # a new incarnation of the worker, which has seen no fencing token. UNKNOWN
+    # while orders are sent, NEVER once all were answered.
     orders_end_at: float = UNKNOWN
     # Newest report of the run.
     row: RunningRow | None = None
@@ -51,18 +52,20 @@
     # The run stalls and is to be stopped; its task moves to another worker.
     is_stop_requested: bool = False
 
-    def confirm(self, has_unanswered_order: bool, now: float) -> None:
+    def confirm(self, now: float) -> None:
         """Record that the run has started; no further order is sent."""
         self.is_confirmed = True
         self.task.job.has_begun = True
         self.limit_orders(now)
-        if not has_unanswered_order:
-            self.orders_end_at = NEVER
 
-    def limit_orders(self, now: float) -> None:
-        """Record that no further order to start the run is sent."""
+    def settle_orders(self) -> None:
+        """Record that all orders to start the run were answered."""
+        self.orders_end_at = NEVER
+
+    def limit_orders(self, last_sent_at: float) -> None:
+        """Record that no order was sent after ``last_sent_at``."""
         self.orders_end_at = min(
-            self.orders_end_at, now + ORDER_LIFETIME_SECONDS
+            self.orders_end_at, last_sent_at + ORDER_LIFETIME_SECONDS
         )
 
 
@@ -191,9 +194,14 @@
 @final
 @attrs.define
 class Fleet:
-    """Incarnations of workers by name and time of birth."""
+    """Incarnations of workers by name and time of birth.
+
+    ``fence`` is the token of workers for which none was raised.
+    """
 
     fence: int
+    # Highest token that was given to a worker.
+    newest_fence: int = attrs.field(init=False)
     workers_by_incarnation: dict[tuple[str, int], Worker] = attrs.field(
         factory=dict
     )
@@ -204,6 +212,10 @@
     reporting_by_agent: dict[str, Worker] = attrs.field(factory=dict)
     reporting_by_name: dict[str, Worker] = attrs.field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        """Start raised tokens above that of all other workers."""
+        self.newest_fence = self.fence
+
     def is_reporting(self, worker: Worker, agent: str) -> bool:
         """Return whether no other incarnation reported after ``worker``.
 
--- /dev/null
+++ b/wasabiturn/batch/lost_runs.py
@@ -0,0 +1,70 @@
+"""Runs that went with the incarnation or the lease of their worker."""
+
+from wasabiturn.batch.fences import raise_fence
+from wasabiturn.batch.fleet import Allocation, Fleet, Worker
+from wasabiturn.messages.batch import EndRun
+from wasabiturn.messages.kinds import RunEnding
+
+
+def find_expired_workers(fleet: Fleet, now: float) -> list[Worker]:
+    """Return the workers with runs whose leases have all expired."""
+    return [
+        worker
+        for worker in fleet.workers_by_incarnation.values()
+        if worker.allocations_by_task and now >= worker.lease_ends_at
+    ]
+
+
+def give_up_runs(fleet: Fleet, worker: Worker, now: float) -> list[EndRun]:
+    """Mark a worker gone; return ends of the runs that are certainly over.
+
+    Its incarnation or its lease has ended, or nothing listens at its address.
+    A run with an order that a new incarnation of the same name may carry out
+    is over only once that one has listed its runs, or the order has expired.
+    """
+    if not worker.is_gone:
+        worker.is_gone = True
+        raise_fence(fleet, worker)
+    ends: list[EndRun] = []
+    for allocation in worker.allocations_by_task.values():
+        allocation.limit_orders(now)
+        if now >= allocation.orders_end_at:
+            ends.append(lost_end(allocation))
+    return ends
+
+
+def give_up_all_runs(worker: Worker) -> list[EndRun]:
+    """Mark a worker gone whose name no order can reach any more."""
+    worker.is_gone = True
+    return [
+        lost_end(allocation)
+        for each in (worker, *worker.predecessors)
+        for allocation in each.allocations_by_task.values()
+    ]
+
+
+def lost_end(allocation: Allocation) -> EndRun:
+    """Return the end of a run that is over without a listed end."""
+    if not allocation.is_confirmed:
+        return not_started_end(allocation)
+    return EndRun(
+        task=allocation.task.name,
+        run=allocation.run,
+        ending=RunEnding.lost,
+        checkpoint=_checkpoint_of(allocation),
+    )
+
+
+def not_started_end(allocation: Allocation) -> EndRun:
+    """Return the end of a run that never began."""
+    return EndRun(
+        task=allocation.task.name,
+        run=allocation.run,
+        ending=RunEnding.not_started,
+    )
+
+
+def _checkpoint_of(allocation: Allocation) -> str:
+    if allocation.row is None or not allocation.task.step.checkpoints:
+        return ''
+    return allocation.row.checkpoint
--- a/wasabiturn/batch/reports.py
+++ b/wasabiturn/batch/reports.py
@@ -10,9 +10,14 @@
 
 from collections.abc import Iterator
 
-from wasabiturn.batch.fences import raise_fence
-from wasabiturn.batch.fleet import Allocation, Fleet, Worker
-from wasabiturn.messages.batch import EndedRow, EndRun, WorkerReport
+from wasabiturn.batch.fleet import Allocation, Worker
+from wasabiturn.batch.lost_runs import lost_end, not_started_end
+from wasabiturn.messages.batch import (
+    EndedRow,
+    EndRun,
+    StartResult,
+    WorkerReport,
+)
 from wasabiturn.messages.kinds import RunEnding, StartOutcome
 
 # After this many consecutive failures a worker gets no new tasks for a time
@@ -43,43 +48,6 @@
     return ends
 
 
-def give_up_runs(worker: Worker, now: float) -> list[EndRun]:
-    """Mark a worker gone; return ends of the runs that are certainly over.
-
-    Its incarnation or its lease has ended, or nothing listens at its address.
-    A run with an order that a new incarnation of the same name may carry out
-    is over only once that one has listed its runs, or the order has expired.
-    """
-    if not worker.is_gone:
-        worker.is_gone = True
-        raise_fence(worker)
-    ends: list[EndRun] = []
-    for allocation in worker.allocations_by_task.values():
-        allocation.limit_orders(now)
-        if now >= allocation.orders_end_at:
-            ends.append(_lost_end(allocation))
-    return ends
-
-
-def give_up_all_runs(worker: Worker) -> list[EndRun]:
-    """Mark a worker gone whose name no order can reach any more."""
-    worker.is_gone = True
-    return [
-        _lost_end(allocation)
-        for each in (worker, *worker.predecessors)
-        for allocation in each.allocations_by_task.values()
-    ]
-
-
-def find_expired_workers(fleet: Fleet, now: float) -> list[Worker]:
-    """Return the workers with runs whose leases have all expired."""
-    return [
-        worker
-        for worker in fleet.workers_by_incarnation.values()
-        if worker.allocations_by_task and now >= worker.lease_ends_at
-    ]
-
-
 def _apply_listing(
     worker: Worker, report: WorkerReport, now: float
 ) -> list[EndRun]:
@@ -104,7 +72,8 @@
         if allocation is None or allocation.run != row.run:
             worker.unexpected_runs_by_task[row.task] = row.run
             continue
-        allocation.confirm(has_unanswered_order=True, now=now)
+        if not allocation.is_confirmed:
+            allocation.confirm(now)
         allocation.row = row
 
 
@@ -134,7 +103,7 @@
     for each in (worker, *worker.predecessors):
         for allocation in each.allocations_by_task.values():
             if (allocation.task.name, allocation.run) not in listed:
-                yield _lost_end(allocation)
+                yield lost_end(allocation)
 
 
 def _apply_start_results(
@@ -147,34 +116,17 @@
         if allocation is None or allocation.run != result.run:
             continue
         if result.result is StartOutcome.refused:
-            yield _not_started_end(allocation)
+            yield not_started_end(allocation)
         elif result.result is StartOutcome.started:
-            allocation.confirm(result.has_unanswered_order, now)
-
-
-def _lost_end(allocation: Allocation) -> EndRun:
-    if not allocation.is_confirmed:
-        return _not_started_end(allocation)
-    return EndRun(
-        task=allocation.task.name,
-        run=allocation.run,
-        ending=RunEnding.lost,
-        checkpoint=_checkpoint_of(allocation),
-    )
+            _confirm_start(allocation, result, now)
 
 
-def _not_started_end(allocation: Allocation) -> EndRun:
-    return EndRun(
-        task=allocation.task.name,
-        run=allocation.run,
-        ending=RunEnding.not_started,
-    )
-
-
-def _checkpoint_of(allocation: Allocation) -> str:
-    if allocation.row is None or not allocation.task.step.checkpoints:
-        return ''
-    return allocation.row.checkpoint
+def _confirm_start(
+    allocation: Allocation, result: StartResult, now: float
+) -> None:
+    allocation.confirm(now)
+    if not result.has_unanswered_order:
+        allocation.settle_orders()
 
 
 def _track_failures(worker: Worker, end: EndRun, now: float) -> None:
--- a/wasabiturn/process/agent/runs/port.py
+++ b/wasabiturn/process/agent/runs/port.py
@@ -93,8 +93,9 @@
     """Calls to one worker; each fails with ``PlatformError``.
 
     An order that fails with an error other than those of this module may have
-    been carried out, or may be carried out later. ``fence`` is the term of the
-    leader; a worker refuses calls with a lower one than it has seen.
+    been carried out, or may be carried out later. ``fence`` is the leader's
+    token for this worker, which refuses calls with a lower one than it has
+    seen.
     """
 
     def hold(
--- a/wasabiturn/process/control/batch/leader.py
+++ b/wasabiturn/process/control/batch/leader.py
@@ -1,9 +1,9 @@
 """Scheduling of queues' jobs by a control instance while it is the leader.
 
 A new leader works on a copy of the committed state. It gives work to a worker
-only once that worker has listed its runs under the new leader's fence, which
-is its term. It gives up runs of workers that it has not heard from only when
-their leases have expired.
+only once that worker has listed its runs under a fence of the new leader. It
+gives up runs of workers that it has not heard from only when their leases have
+expired.
 """
 
 from typing import final
@@ -11,6 +11,7 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.python.failure import Failure
 
+from wasabiturn.batch.fences import next_fence
 from wasabiturn.connection.calls import CallError
 from wasabiturn.connection.dispatch import Dispatch
 from wasabiturn.connection.link import Link
@@ -51,6 +52,7 @@
         self._lease_ms = lease_ms
         self._leader_term: LeaderTerm | None = None
         self._is_taking_over = False
+        self._newest_fence = 0
         self._ticker = Ticker(self._tick, context.reactor)
         self._register_handlers(dispatch)
         replica.on_restored.append(self._stop_leading)
@@ -102,6 +104,7 @@
 
     def _stop_leading(self) -> None:
         if self._leader_term is not None:
+            self._newest_fence = self._leader_term.fleet.newest_fence
             self._leader_term.close()
             self._leader_term = None
 
@@ -127,6 +130,9 @@
                 replica=self._replica,
                 clock=self._clock,
                 lease_ms=self._lease_ms,
+                fence=next_fence(
+                    self._replica.member_status().term, self._newest_fence
+                ),
                 on_failure=self._stop_leading,
             )
 
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -5,7 +5,6 @@
 from typing import Any, final
 
 from wasabiturn.batch import BatchState, dump_batch_state, load_batch_state
-from wasabiturn.batch.fences import first_fence
 from wasabiturn.batch.fleet import Fleet, Worker
 from wasabiturn.batch.forecast import Forecasts
 from wasabiturn.batch.interference import (
@@ -13,9 +12,9 @@
     restore_interference,
 )
 from wasabiturn.batch.jobs import Task
+from wasabiturn.batch.lost_runs import find_expired_workers, give_up_runs
 from wasabiturn.batch.ordering import Moment
 from wasabiturn.batch.planning import plan_moves, plan_starts
-from wasabiturn.batch.reports import find_expired_workers, give_up_runs
 from wasabiturn.batch.sharing import set_pace
 from wasabiturn.connection.link import Link
 from wasabiturn.messages.batch import (
@@ -60,16 +59,20 @@
         replica: Replica,
         clock: Any,
         lease_ms: int,
+        fence: int,
         on_failure: Callable[[], None],
     ) -> None:
-        """Take over; reserve capacity for the runs in the committed state."""
+        """Take over; reserve capacity for the runs in the committed state.
+
+        ``fence`` is above all tokens of earlier terms.
+        """
         now = float(clock.seconds())
         self.lease_ms = lease_ms
         self.links_by_incarnation: dict[tuple[str, int], Link] = {}
         self._replica = replica
         self._clock = clock
         self._committed_starts: set[tuple[str, int]] = set()
-        self.fleet = Fleet(fence=first_fence(replica.member_status().term))
+        self.fleet = Fleet(fence=fence)
         batch_state = _copy_batch_state(replica.state.batch)
         for task in batch_state.active_by_name.values():
             self._reserve_capacity(task)
@@ -120,7 +123,7 @@
     def give_up_runs(self, worker: Worker, reason: str, now: float) -> None:
         """Give up the runs of a worker that are certainly over."""
         was_gone = worker.is_gone
-        ends = give_up_runs(worker, now)
+        ends = give_up_runs(self.fleet, worker, now)
         if not was_gone:
             self._send_orders((worker.name, worker.born_ms))
         self.store_lost_runs(worker, ends, reason, now)
--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -2,8 +2,9 @@
 
 from wasabiturn.batch.completions import complete_newest_run
 from wasabiturn.batch.fences import raise_fence, succeed_worker
-from wasabiturn.batch.fleet import NEVER, Worker
-from wasabiturn.batch.reports import apply_report, give_up_all_runs
+from wasabiturn.batch.fleet import NEVER, Fleet, Worker
+from wasabiturn.batch.lost_runs import give_up_all_runs
+from wasabiturn.batch.reports import apply_report
 from wasabiturn.batch.sharing import adjust_pace
 from wasabiturn.batch.worker_metrics import highest_tail
 from wasabiturn.connection.calls import CallError
@@ -106,17 +107,17 @@
     worker = leader_term.fleet.find(report.worker, report.born_ms)
     if worker is None or not leader_term.fleet.is_reporting(worker, agent):
         worker = _take_over_from_others(leader_term, agent, report, now)
-    _follow_agent(worker, link.peer.incarnation)
+    _follow_agent(leader_term.fleet, worker, link.peer.incarnation)
     leader_term.links_by_incarnation[worker.name, worker.born_ms] = link
     return worker
 
 
-def _follow_agent(worker: Worker, incarnation: str) -> None:
+def _follow_agent(fleet: Fleet, worker: Worker, incarnation: str) -> None:
     """Make orders void that an earlier process of the agent may have sent."""
     if worker.agent_incarnation == incarnation:
         return
     if worker.agent_incarnation:
-        raise_fence(worker)
+        raise_fence(fleet, worker)
         _log.event(
             'agent has restarted',
             worker=worker.name,
@@ -173,7 +174,7 @@
     else:
         ends = give_up_all_runs(worker)
         leader_term.store_lost_runs(worker, ends, 'other worker', now)
-    succeed_worker(successor, worker)
+    succeed_worker(leader_term.fleet, successor, worker)
 
 
 def _store_ends(
