Give up runs of an earlier term with the lease of their worker

Found by the review of the fences. A new leader does not know which orders of the earlier term were answered, and waited 15 s beyond the lease for each: a run at work on a worker that was lost together with the leader moved after 23.1 s instead of 8.1 s, a lasting task as well. An unanswered order was waited for from the time at which the lease was over, not from the last one that the agent can have sent.

Runs of an earlier term now end with the lease, as before, unless a new incarnation under the same name lists its runs earlier. The 15 s count from the last word of the agent.

Not covered by that: a leader that changes while an order is unanswered, and a worker that is silent beyond its lease and was restarted under its name. test_run_of_a_worker_lost_with_the_leader_moves_after_its_lease failed before.

--- a/tests/sessions/test_worker_fences.py
+++ b/tests/sessions/test_worker_fences.py
@@ -12,6 +12,9 @@
 from wasabiturn.messages.kinds import JobState
 from wasabiturn.standins.batch_worker import Fault, SimulatedWork
 
+# A lease of 6 s, 3 % and 0.2 s more, the change of the leader, and two reports.
+SILENT_WORKER_SECONDS = 9.0
+
 
 def lead_the_same_term_again(fleet: BatchFleet) -> None:
     """End the term as after a failed commit; the next tick begins it again."""
@@ -51,6 +54,25 @@
     assert len(find_starts(fleet)) == 1
 
 
+@pytest.mark.parametrize('lasting', [True, False])
+def test_run_of_a_worker_lost_with_the_leader_moves_after_its_lease(
+    lasting: bool,
+) -> None:
+    fleet = BatchFleet(workers=2)
+    fleet.run(1)
+    choose_worker(fleet, 1)
+    fleet.submit('a', [create_step(1, lasting=lasting)], SimulatedWork(200))
+    fleet.run(20)
+    choose_worker(fleet, 2)
+    agent = fleet.agents[0]
+    agent.is_partitioned = True
+    agent.worker.crash()
+    lost_at = fleet.clock.seconds()
+    fleet.change_leader(1.5)
+    fleet.run(lost_at + SILENT_WORKER_SECONDS - fleet.clock.seconds())
+    assert len(find_starts(fleet)) == 2
+
+
 def test_worker_serves_soon_after_its_runs_were_given_up() -> None:
     fleet = BatchFleet(workers=1)
     fleet.run(1)
--- a/wasabiturn/batch/lost_runs.py
+++ b/wasabiturn/batch/lost_runs.py
@@ -27,7 +27,8 @@
         raise_fence(fleet, worker)
     ends: list[EndRun] = []
     for allocation in worker.allocations_by_task.values():
-        allocation.limit_orders(now)
+        last_sent_at = max(worker.heard_at, allocation.started_at)
+        allocation.limit_orders(last_sent_at)
         if now >= allocation.orders_end_at:
             ends.append(lost_end(allocation))
     return ends
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -76,6 +76,7 @@
         batch_state = _copy_batch_state(replica.state.batch)
         for task in batch_state.active_by_name.values():
             self._reserve_capacity(task)
+            self._limit_restored_orders(task)
             self._committed_starts.add((task.name, task.run))
         self.fleet.invalidate_paces(now)
         self.interference = restore_interference(batch_state.pressures, now)
@@ -174,6 +175,16 @@
         )
         worker.allocate(task, now)
 
+    def _limit_restored_orders(self, task: Task) -> None:
+        """Give up a run of an earlier term with the lease of its worker.
+
+        The state does not tell which orders were answered; most were.
+        """
+        worker = self.fleet.worker_of(task)
+        if worker is not None:
+            allocation = worker.allocations_by_task[task.name]
+            allocation.orders_end_at = worker.lease_ends_at
+
     def _release_capacity(self, task: Task) -> None:
         worker = self.fleet.worker_of(task)
         self._committed_starts.discard((task.name, task.run))
