Conclude nothing from what a truncated list lacks

Found by the review of the fences: a worker returns 500 ended runs at a time. A run whose end was not among them was taken for one that never started, at a restart of the agent or at a change of the leader, and begun again after its end ('run 2 started after the acknowledged end', 500 ends before it; 499 pass).

A list with that many ends counts as truncated: its rows are applied, a worker is reconciled with the first list that is whole, and no stop counts as having come before its run. Seen only in a test.

test_truncated_list_does_not_end_a_missing_run failed before.

--- a/tests/batch/test_reports.py
+++ b/tests/batch/test_reports.py
@@ -112,6 +112,16 @@
     assert worker.is_reconciled
 
 
+def test_truncated_list_does_not_end_a_missing_run() -> None:
+    fleet = create_fleet()
+    worker = open_worker(fleet)
+    raise_fence(fleet, worker)
+    assert not apply_report(worker, report_of(worker, truncated=True), now=1)
+    assert not worker.is_reconciled
+    ends = apply_report(worker, report_of(worker), now=2)
+    assert list_endings(ends) == [RunEnding.not_started]
+
+
 def test_run_with_an_open_order_is_not_given_up_with_the_lease() -> None:
     fleet = create_fleet()
     worker = open_worker(fleet)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -9,7 +9,11 @@
 from wasabiturn.platform.fields import InvalidBodyError
 from wasabiturn.platform.jobs import decode_job
 from wasabiturn.platform.routing import decode_routing
-from wasabiturn.platform.workers import decode_identity, decode_listing
+from wasabiturn.platform.workers import (
+    MAX_LISTED_ENDS,
+    decode_identity,
+    decode_listing,
+)
 
 ROUTE = {
     'name': 'r-1',
@@ -172,3 +176,11 @@
     body = {'born': 1, 'clock_ms': 2, 'running': [], 'ended': []} | fields
     with pytest.raises(InvalidBodyError):
         decode_listing(encode(body))
+
+
+@pytest.mark.parametrize('ends', [MAX_LISTED_ENDS - 1, MAX_LISTED_ENDS])
+def test_a_list_with_the_most_ends_may_lack_others(ends: int) -> None:
+    rows = [[number, 'a.0.0.2', 1, 'done', ''] for number in range(ends)]
+    body = {'born': 1, 'clock_ms': 2, 'running': [], 'ended': rows}
+    listing = decode_listing(encode(body))
+    assert listing.is_truncated is (ends == MAX_LISTED_ENDS)
--- a/wasabiturn/batch/reports.py
+++ b/wasabiturn/batch/reports.py
@@ -56,7 +56,7 @@
     ]
     _match_running_rows(worker, report, now)
     ends = [_to_end(row) for row in _new_ends(worker, report)]
-    if not worker.is_reconciled:
+    if not worker.is_reconciled and not report.truncated:
         worker.is_reconciled = True
         worker.is_gone = False
         ends.extend(_end_missing_runs(worker, report))
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -344,6 +344,7 @@
     running: list[RunningRow] = attrs.field(factory=list)
     ended: list[EndedRow] = attrs.field(factory=list)
     results: list[StartResult] = attrs.field(factory=list)
+    truncated: bool = False
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -204,6 +204,7 @@
   14: list<RunningRow> running,
   15: list<EndedRow> ended,
   16: list<StartResult> results,
+  17: bool truncated,       // more ended runs than the lists have
 }
 
 struct StartOrder {
--- a/wasabiturn/platform/workers.py
+++ b/wasabiturn/platform/workers.py
@@ -18,6 +18,8 @@
 _RACK_PREFIX = 'r'
 # Optional column: latency or CPU use of the run, see ``RunningRow.figure``.
 _FIGURE_COLUMN = 4
+# A worker lists at most this many ended runs at a time.
+MAX_LISTED_ENDS = 500
 _ENDINGS_BY_NAME = MappingProxyType(
     {
         'done': RunEnding.done,
@@ -72,13 +74,15 @@
     """
     fields = decode_object(body)
     try:
+        ended = [_decode_ended(row) for row in read_list(fields, 'ended')]
         return RunListing(
             born_ms=read_int(fields, 'born'),
             clock_ms=read_int(fields, 'clock_ms'),
             running=[
                 _decode_running(row) for row in read_list(fields, 'running')
             ],
-            ended=[_decode_ended(row) for row in read_list(fields, 'ended')],
+            ended=ended,
+            is_truncated=len(ended) >= MAX_LISTED_ENDS,
         )
     except (TypeError, ValueError, LookupError) as error:
         raise InvalidBodyError(
--- a/wasabiturn/process/agent/runs/port.py
+++ b/wasabiturn/process/agent/runs/port.py
@@ -64,12 +64,16 @@
 @final
 @attrs.frozen
 class RunListing:
-    """Runs of a worker when its own clock showed ``clock_ms``."""
+    """Runs of a worker when its own clock showed ``clock_ms``.
+
+    A truncated list lacks ended runs, which come once others are acknowledged.
+    """
 
     born_ms: int
     clock_ms: int
     running: list[RunningRow]
     ended: list[EndedRow]
+    is_truncated: bool = False
 
 
 @final
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -275,6 +275,7 @@
             refuses=self._is_connection_refused,
             running=listing.running if listing else [],
             ended=listing.ended if listing else [],
+            truncated=listing is not None and listing.is_truncated,
             results=self._sender.table.list_results(),
         )
 
--- a/wasabiturn/process/agent/runs/starts.py
+++ b/wasabiturn/process/agent/runs/starts.py
@@ -150,6 +150,8 @@
         for key, holds_before in list(self.confirmed_stops.items()):
             if sent_holds <= holds_before or key in running:
                 continue
+            if listing.is_truncated and key not in ended:
+                continue
             self.confirmed_stops.pop(key)
             if key not in ended:
                 self._record_refusal(key)
