--- a/wasabiturn/process/agent/runs/starts.py
+++ b/wasabiturn/process/agent/runs/starts.py
@@ -147,13 +147,22 @@
         ended = {(row.task, row.run) for row in listing.ended}
         for key in (running | ended) & self.starts_by_run.keys():
             self.starts_by_run[key].outcome = StartOutcome.started
+        self._settle_stops(listing, running, ended, sent_holds)
+
+    def _settle_stops(
+        self,
+        listing: RunListing,
+        running: set[RunKey],
+        ended: set[RunKey],
+        sent_holds: int,
+    ) -> None:
         for key, holds_before in list(self.confirmed_stops.items()):
             if sent_holds <= holds_before or key in running:
                 continue
-            if listing.is_truncated and key not in ended:
-                continue
-            self.confirmed_stops.pop(key)
-            if key not in ended:
+            if key in ended:
+                self.confirmed_stops.pop(key)
+            elif not listing.is_truncated:
+                self.confirmed_stops.pop(key)
                 self._record_refusal(key)
 
     def _record_refusal(self, key: RunKey) -> None:
