Order no start while a change of its task is being committed

What callers saw: one task of a service or job runs on two workers at the same time, or a task that isn't idempotent is begun twice, after the leader was lost or a commit was slow.

Cause: a heartbeat that arrives between the proposal of a plan and its commit was answered from a table that is ahead of the committed state, or behind what was proposed. - The planned assignment is put into the table at once, so its start was ordered before it was committed. If the leader is lost, the next one finds the task waiting and assigns the same attempt number to another worker. - A lost attempt stays assigned in the table until its loss is committed, so a worker that is heard again got a new permit to start it. After the commit the task starts elsewhere as well.

Ruled out: reports of the agent that are being committed (an attempt it ended isn't started again by the same incarnation, and another one is only asked to adopt); renewed leases of lost running attempts (the worker has ended them by its own clock before the leader counts them as lost).

Why it works: while a command is in flight, its tasks are held instead of started. A hold starts nothing, stops nothing and keeps the lease of a run that was reported meanwhile. The set is kept by the publisher, not by the table, because a change of role rebuilds the table while the command is still open.

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -357,7 +357,7 @@
         worker = register_worker(table, received, sequence).ok
         learn_from_heartbeat(table, worker, received, sequence)
         evaluate_reports(table, worker, received.attempts, sequence)
-        pack(Orders(orders=list_orders(table, worker, sequence)))
+        pack(Orders(orders=list_orders(table, worker, (), sequence)))
     each = (time.process_time() - began) / heartbeat_count
     print(f'heartbeat with {tasks} tasks, packed and unpacked:', end=' ')
     print(f'{each * 1e6:.0f} us; {len(pack(heartbeat))} bytes')
--- a/tests/sessions/placement_fakes.py
+++ b/tests/sessions/placement_fakes.py
@@ -126,7 +126,8 @@
 class FakeReplica:
     """One member of a group whose members share a single state.
 
-    A command is applied ``COMMIT_SECONDS`` after it was submitted.
+    A command is applied ``commit_seconds`` of the cluster after it was
+    submitted.
     """
 
     def __init__(self, name: str, cluster: 'Cluster') -> None:
@@ -145,7 +146,9 @@
             return fail(NotLeaderError(None))
         done: Deferred[Outcome] = Deferred()
         clock = self.cluster.clock
-        clock.callLater(COMMIT_SECONDS, self._commit, command, done)
+        clock.callLater(
+            self.cluster.commit_seconds, self._commit, command, done
+        )
         return done
 
     def _commit(self, command: Command, done: Deferred[Outcome]) -> None:
@@ -402,6 +405,7 @@
         control_count: int = 2,
     ) -> None:
         self.clock = Clock()
+        self.commit_seconds = COMMIT_SECONDS
         self.network = Network(self.clock)
         self.state = create_state()
         self.lines: list[str] = []
--- a/tests/sessions/test_placement.py
+++ b/tests/sessions/test_placement.py
@@ -32,7 +32,7 @@
 def test_new_leader_waits_and_goes_on(snapshot: SnapshotAssertion) -> None:
     cluster = create_cluster()
     cluster.put_job('cut', tasks=2, run_seconds=8)
-    cluster.advance(0.1)
+    cluster.advance(0.15)
     cluster.set_leader(None)
     cluster.advance(1)
     cluster.set_leader('c2')
--- a/wasabiturn/process/control/order_publisher.py
+++ b/wasabiturn/process/control/order_publisher.py
@@ -21,6 +21,8 @@
 
     def __init__(self, replica: Replica) -> None:
         """Create a publisher that knows no links yet."""
+        # Tasks with a change that is being committed; none of them is started.
+        self.proposed_tasks: set[str] = set()
         self._replica = replica
         self._serial = 0
         self._links_by_worker: dict[str, Link] = {}
@@ -51,7 +53,7 @@
             sequence=worker.sequence,
             revision=self._replica.state.revision,
             may_start=may_start(table, worker),
-            orders=list_orders(table, worker, now),
+            orders=list_orders(table, worker, self.proposed_tasks, now),
             permit_seconds=PERMIT_SECONDS,
             lease_seconds=TASK_LEASE_SECONDS,
             serial=self._serial,
--- a/wasabiturn/process/control/scheduler.py
+++ b/wasabiturn/process/control/scheduler.py
@@ -169,6 +169,7 @@
 
     def _propose(self, planned: Plan) -> None:
         self._is_proposing = True
+        self._publisher.proposed_tasks.update(planned.transitions_by_task)
         update = UpdateTasks(
             transitions=list(planned.transitions_by_task.values()),
             surplus_services=planned.surplus_services,
@@ -181,8 +182,12 @@
         )
         submitted.addErrback(self._log_failure)
 
-    def _handle_outcome(self, outcome: Outcome, planned: Plan) -> None:
+    def _finish_proposing(self) -> None:
         self._is_proposing = False
+        self._publisher.proposed_tasks.clear()
+
+    def _handle_outcome(self, outcome: Outcome, planned: Plan) -> None:
+        self._finish_proposing()
         table = self._table
         if table is None:
             return
@@ -193,7 +198,7 @@
         self._schedule_plan()
 
     def _handle_submit_failure(self, failure: Failure) -> None:
-        self._is_proposing = False
+        self._finish_proposing()
         self._table = None
         self._log_failure(failure)
 
--- a/wasabiturn/version/placement/orders.py
+++ b/wasabiturn/version/placement/orders.py
@@ -1,5 +1,7 @@
 """Orders to an agent, derived from the committed state of its tasks."""
 
+from collections.abc import Collection
+
 from wasabiturn.messages.kinds import Kind, OrderAction, TaskState
 from wasabiturn.messages.session import Order
 from wasabiturn.messages.state import TaskSpec
@@ -20,14 +22,22 @@
 def list_orders(
     table: PlacementTable,
     worker: Worker,
+    proposed_tasks: Collection[str],
     now: float,
 ) -> list[Order]:
-    """Return an order for each attempt that the worker should hold."""
-    return [
-        _create_order(table, worker, task, now)
-        for task in worker.charges_by_task
-        if task in table.specs_by_task
-    ]
+    """Return an order for each attempt that the worker should hold.
+
+    ``proposed_tasks`` have a change that is not committed yet. They are not
+    started: the change may be their assignment or take it back.
+    """
+    orders = []
+    for task in worker.charges_by_task:
+        if task in table.specs_by_task:
+            action = _choose_action(table, worker, task, now)
+            if action is OrderAction.start and task in proposed_tasks:
+                action = OrderAction.hold
+            orders.append(_create_order(table, task, action))
+    return orders
 
 
 def may_start(table: PlacementTable, worker: Worker) -> bool:
@@ -36,16 +46,24 @@
     return worker.reconciled and not worker.leaving and not is_out
 
 
-def _create_order(
+def _choose_action(
     table: PlacementTable,
     worker: Worker,
     task: str,
     now: float,
-) -> Order:
+) -> OrderAction:
     spec = table.specs_by_task[task]
-    action = _actions_by_state[spec.state]
     if spec.incarnation != worker.incarnation:
-        action = _action_for_earlier_incarnation(table, spec, now)
+        return _action_for_earlier_incarnation(table, spec, now)
+    return _actions_by_state[spec.state]
+
+
+def _create_order(
+    table: PlacementTable,
+    task: str,
+    action: OrderAction,
+) -> Order:
+    spec = table.specs_by_task[task]
     if action is OrderAction.start:
         return _create_start_order(table, task, spec)
     return Order(
