Take no failure of the worker's server for a refused start

What callers saw, or would see: a task runs on two workers, after its first worker began it and then answered the start with a status of 500 or more.

Cause: the worker client read every status from 400 on as "refused, not carried out". The agent reports such an attempt as refused, so the leader starts the next attempt elsewhere at once, while the first runs on until the agent's next listing and the leader's next orders stop it, or until its lease ends if the agent is cut off. A server that fails after it began, or a gateway whose answer comes too late, answers like that.

Shown before by test_start_with_a_lost_answer_is_not_taken_for_refused, 4 failed of 4 (500, 502, 503, 504): the run is active, the error says it was refused.

Ruled out: a second refusal after a repeated start (one incarnation of an agent sends a start once, Twisted doesn't repeat a POST, and a new incarnation is only asked to adopt); a start executed late (the worker checks its end of permit).

Why it works: the outcome of such a start is now open, as that of one without an answer. The listing decides: present means running, absent after the end of the permit, at most 1 s, means that it will not start.

--- a/tests/connection/test_worker.py
+++ b/tests/connection/test_worker.py
@@ -6,6 +6,7 @@
 from twisted.internet.address import IPv4Address
 from twisted.internet.defer import Deferred
 from twisted.internet.testing import MemoryReactorClock
+from twisted.web.resource import Resource
 
 from tests.connection.fakes import PipeTransport
 from wasabiturn.connection.worker import WorkerClient, create_worker_client
@@ -59,6 +60,22 @@
             self.connections.append(tuple(map(_connect, sides)))
 
 
+class BrokenGateway(Resource):
+    """Carries requests out, then loses the answers."""
+
+    isLeaf = True  # noqa: N815 - name given by twisted.web
+
+    def __init__(self, behind: Any, status: int) -> None:
+        super().__init__()
+        self.behind = behind
+        self.status = status
+
+    def render(self, request: Any) -> bytes:
+        self.behind.render(request)
+        request.setResponseCode(self.status)
+        return b'{"error": "the answer is lost"}'
+
+
 def _connect(protocol: Any) -> tuple[Any, PipeTransport]:
     transport = PipeTransport()
     protocol.makeConnection(transport)
@@ -136,6 +153,18 @@
         harness.wait_for(older)
 
 
+@pytest.mark.parametrize('status', [500, 502, 503, 504])
+def test_start_with_a_lost_answer_is_not_taken_for_refused(status: int) -> None:
+    harness = Harness()
+    harness.wait_for(harness.client.fetch_listing())
+    resource = harness.site.resource
+    harness.site.resource = BrokenGateway(resource, status)
+    with pytest.raises(PlatformError) as raised:
+        harness.wait_for(harness.client.start(create_request(0)))
+    assert len(harness.worker.runs.running()) == 1
+    assert not isinstance(raised.value, RefusedByPlatformError)
+
+
 def test_call_fails_when_the_worker_does_not_answer() -> None:
     harness = Harness()
     failures: list[Any] = []
--- a/wasabiturn/connection/worker.py
+++ b/wasabiturn/connection/worker.py
@@ -31,6 +31,7 @@
 # A worker's clock is less than 2 % slower than the clock of this process.
 MAX_CLOCK_DRIFT = 0.02
 MIN_HTTP_ERROR_STATUS = 400
+MIN_HTTP_SERVER_ERROR_STATUS = 500
 
 
 @final
@@ -203,6 +204,9 @@
         raise PlatformError(
             f'answer of the worker is not JSON: {error}'
         ) from error
+    # The worker may have carried out the request before it failed.
+    if code >= MIN_HTTP_SERVER_ERROR_STATUS:
+        raise PlatformError(f'the worker answered with status {code}')
     if code >= MIN_HTTP_ERROR_STATUS:
         raise RefusedByPlatformError(str(answer.get('error', code)))
     return answer
