Send no claim again that was reported as not run

What callers saw, or would see: a booking with an idempotency key is made twice.

Cause: an agent refuses a keyed request as not run, for example without a backend server, and the entry records its claim as not run. If that record fails without a certain outcome, the entry looks the key up, finds its own claim still open and sends the request again under the same claim. The agent runs it. The first record is carried out late: the key counts as not run, the answer isn't kept beside it, and a resend claims the key anew and runs a second time.

How likely: the record is tried for 30 s, so it needs a caller that waits longer or an error of the leader that ends the call at once, and a late record. Seen only in the tests.

Ruled out: a late or repeated claim call (it may win the key again, but nobody sends under it, and the agent refuses it for good); a late record after the key was claimed by another claim (the claim's id doesn't match); a claim that the agent had admitted (it is refused for good).

Why it works: the entry forgets its claim when it reports it as not run. An open record of it is treated as that of another holder: the agent is asked, refuses the claim for good, and only then is the key claimed anew.

--- a/tests/process/entry/fakes.py
+++ b/tests/process/entry/fakes.py
@@ -74,7 +74,10 @@
 class FakeRequest:
     """Request that an agent received, with the agent's end of its stream."""
 
-    def __init__(self, head: RequestHead, stream: Stream) -> None:
+    def __init__(
+        self, head: RequestHead, stream: Stream, core: 'AgentCore'
+    ) -> None:
+        self.core = core
         self.head = head
         self.stream = stream
         self.body = b''
@@ -150,7 +153,7 @@
         self.claims = AgentClaims()
 
     def serve(self, link: Link, head: RequestHead, stream: Stream) -> None:
-        request = FakeRequest(head, stream)
+        request = FakeRequest(head, stream, self)
         verdict = None
         if head.claim_id:
             verdict = self.claims.admit(ClaimId(head.claim_id))
@@ -236,7 +239,9 @@
     """Session whose leader applies commands at once.
 
     Calls fail with ``failure`` if it is set. If ``held_replies`` is a list,
-    each call adds a Deferred to it, for the test to fire.
+    each call adds a Deferred to it, for the test to fire. If ``held_answers``
+    is a list, records of outcomes fail at once, and are kept in it until the
+    test has them carried out late.
     """
 
     def __init__(self) -> None:
@@ -246,6 +251,7 @@
         self.failure: FailureCode | None = None
         self.state = create_state()
         self.held_replies: list[Deferred[Any]] | None = None
+        self.held_answers: list[Any] | None = None
 
     def start(self) -> None:
         pass
@@ -265,6 +271,9 @@
     ) -> Deferred[Any]:
         if self.failure is FailureCode.unavailable:
             return fail(CallError(self.failure, 'no leader'))
+        if method is Method.record_answer and self.held_answers is not None:
+            self.held_answers.append(message)
+            return fail(self.create_error(FailureCode.outcome_unknown))
         reply = self._run(method, message)
         if self.failure is not None:
             return fail(CallError(self.failure, 'no answer'))
@@ -277,6 +286,12 @@
             return waiting
         return succeed(reply)
 
+    def release_answers(self) -> None:
+        """Carry out the records that got no answer."""
+        held_answers, self.held_answers = self.held_answers or [], None
+        for message in held_answers:
+            self._run(Method.record_answer, message)
+
     def create_error(self, code: FailureCode) -> CallError:
         return CallError(code, 'no answer')
 
--- a/tests/process/entry/test_keyed.py
+++ b/tests/process/entry/test_keyed.py
@@ -4,10 +4,11 @@
 
 import pytest
 
-from tests.process.entry.fakes import EntryHarness
+from tests.process.entry.fakes import EntryHarness, FakeRequest
 from wasabiturn.ids import ClaimId
 from wasabiturn.messages.kinds import FailureCode, Verdict
 from wasabiturn.messages.state import Header
+from wasabiturn.request.agent_claims import AgentClaims
 
 KEYED = (
     'POST /standdesk/confirm HTTP/1.1\r\nHost: x\r\n'
@@ -167,6 +168,46 @@
     assert caller.received == OK
 
 
+def refuse_with_unanswered_record(harness: EntryHarness) -> FakeRequest:
+    """Refuse the only request, and answer no record of that for a while."""
+    (request,) = harness.requests()
+    harness.session.held_answers = []
+    # A refusal without a backend server leaves no trace of the claim.
+    request.core.claims = AgentClaims()
+    request.refuse(Verdict.not_run, 'no backend server of the service is here')
+    harness.pump()
+    harness.advance(0.3)
+    return request
+
+
+def test_claim_given_up_as_not_run_is_never_sent_again(
+    harness: EntryHarness,
+) -> None:
+    harness.call(KEYED)
+    refuse_with_unanswered_record(harness)
+    harness.advance(0.5)
+    harness.session.held_answers = None
+    harness.advance(1)
+    first, second = harness.requests()
+    assert first.head.claim_id != second.head.claim_id
+
+
+def test_late_record_of_a_refusal_does_not_release_a_request_that_runs(
+    harness: EntryHarness,
+    other: EntryHarness,
+) -> None:
+    caller = harness.call(KEYED)
+    first = refuse_with_unanswered_record(harness)
+    harness.session.release_answers()
+    harness.advance(0.3)
+    second = next(each for each in harness.requests() if each is not first)
+    second.answer(b'ok', 200, LENGTH_2)
+    harness.pump()
+    assert caller.received == OK
+    assert other.call(KEYED).received == OK
+    assert len(harness.requests()) == 2
+
+
 def test_claim_names_the_incarnation_of_the_link_peer(
     harness: EntryHarness,
 ) -> None:
--- a/wasabiturn/process/entry/keyed.py
+++ b/wasabiturn/process/entry/keyed.py
@@ -4,6 +4,8 @@
 from http import HTTPStatus
 from typing import Any, final
 
+import attrs
+
 from wasabiturn.connection.calls import CallError
 from wasabiturn.ids import InstanceName
 from wasabiturn.messages.kinds import ClaimState, FailureCode
@@ -243,7 +245,10 @@
         budget = self._router.find_budget(self._request.service_name)
         if not may_retry(unanswered, budget, now):
             self._refuse(refusal)
-        self._resolver.record_outcome(self._claim, ClaimState.not_run)
+        given_up = self._claim
+        # The record may be made late, so the claim must not be sent again.
+        self._claim = attrs.evolve(given_up, claim_id='')
+        self._resolver.record_outcome(given_up, ClaimState.not_run)
 
     def _expire(self) -> None:
         status = HTTPStatus.GATEWAY_TIMEOUT
