Let an agent back in whose dead predecessor was heard late

What callers saw, or would see: after a restart of an agent close to a change of leader, a worker is silent for the rest of the leader's term though its agent runs: its tasks are stopped when their leases end and start elsewhere, from the beginning or as outcome unknown.

Cause: the leader refuses incarnations that were replaced, and what it knows of them ends with its term. A new leader that hears the new agent first and then a late heartbeat of the dead one takes the dead one for the successor, and refuses the living one for good.

Leases and permits are counted for each incarnation, past ones too, and a start is ordered only to the incarnation that it was assigned to.

Why it works: a replaced incarnation is refused only while the present one is heard.

--- a/tests/process/control/test_scheduler.py
+++ b/tests/process/control/test_scheduler.py
@@ -66,3 +66,20 @@
     cluster.advance(5)
     assert cluster.faults == []
     assert [worker for worker, _ in cluster.running()] == ['w2']
+
+
+def test_late_heartbeat_of_a_dead_agent_does_not_shut_its_successor_out() -> (
+    None
+):
+    cluster = create_cluster()
+    cluster.put_job('cut', run_seconds=30)
+    cluster.advance(1)
+    assert cluster.task('cut.0').worker == 'w1'
+    cluster.network.extra_seconds = 3
+    cluster.advance(1)
+    cluster.restart_agent('w1')
+    cluster.network.extra_seconds = 0
+    cluster.set_leader('c2')
+    cluster.advance(20)
+    assert cluster.fresh_starts['cut.0'] == 1
+    assert [worker for worker, _ in cluster.running()] == ['w1']
--- a/wasabiturn/version/placement/heartbeats.py
+++ b/wasabiturn/version/placement/heartbeats.py
@@ -28,10 +28,13 @@
     """Create or update the worker that sent ``heartbeat``.
 
     Return an error if its incarnation was replaced, or if a heartbeat with a
-    higher sequence number has already arrived.
+    higher sequence number has already arrived. A replaced incarnation takes
+    over again once the present one is silent: a new leader may have heard the
+    last heartbeat of a dead agent after the first one of its successor.
     """
     worker = table.get_or_create_worker(heartbeat.agent)
-    if heartbeat.incarnation in worker.past_incarnations:
+    is_replaced = heartbeat.incarnation in worker.past_incarnations
+    if is_replaced and worker.has_recent_heartbeat(now):
         return Error('a newer incarnation of this agent was heard')
     if worker.incarnation != heartbeat.incarnation:
         _replace_incarnation(worker, heartbeat.incarnation)
@@ -104,6 +107,7 @@
 def _replace_incarnation(worker: Worker, incarnation: str) -> None:
     if worker.incarnation:
         worker.past_incarnations.add(worker.incarnation)
+    worker.past_incarnations.discard(incarnation)
     worker.incarnation = incarnation
     worker.sequence = 0
 
