List two ways of one task running twice that stay open

Found by the review of the fences, and shown by tests: an order without an answer is carried out by a new incarnation of a worker under the same name, between its birth and its first list, after the run was taken back with a stop (or a list) of the incarnation before, or after another name had been at the same agent in between.

--- a/tests/sessions/test_worker_fences.py
+++ b/tests/sessions/test_worker_fences.py
@@ -85,3 +85,32 @@
     agent.worker.refuses_holds = False
     # A hold and a report each for the old fence and the new one, and the work.
     fleet.run_until('a', JobState.done, seconds=4)
+
+
+def test_revoked_start_does_not_begin_in_the_next_life() -> None:
+    fleet = BatchFleet(workers=2)
+    agent = start_with_faults(fleet, Fault.late, Fault.refused)
+    agent.worker.keeps_late_orders = True
+    late_at = fleet.start_orders[0].at + LATE_SECONDS
+    fleet.run(3)
+    assert len(find_starts(fleet)) == 1
+    fleet.run(late_at - 0.5 - fleet.clock.seconds())
+    agent.worker.start_incarnation()
+    fleet.run(LATE_SECONDS)
+    assert len(find_starts(fleet)) == 1
+
+
+def test_order_to_a_replaced_name_does_not_begin_when_the_name_returns() -> (
+    None
+):
+    fleet = BatchFleet(workers=2)
+    agent = start_with_faults(fleet, Fault.late)
+    agent.worker.keeps_late_orders = True
+    late_at = fleet.start_orders[0].at + LATE_SECONDS
+    fleet.run(0.3)
+    agent.worker.start_incarnation('other')
+    agent.announce()
+    fleet.run(late_at - 0.5 - fleet.clock.seconds())
+    agent.worker.start_incarnation('worker-1')
+    fleet.run(LATE_SECONDS)
+    assert len(find_starts(fleet)) == 1
