Revert "End a task when an older run of it has completed"

A worker was cut off from 16.9 to 22.4 s, its runs were given up with its lease at 23.07 and started elsewhere, and it then listed them as done. The completion of the older runs ended the newer ones at 23.628, and their room was given to others before the newer runs had been stopped (23.635 and later).

As before, the end of an older run is passed over and the newer one goes on. That keeps the rule on two runs here, since the lease had lapsed in between. The room would have to stay allocated until the newer run's end is listed; not done. Ruled out: fences, results without a list (neither acted on that worker).

--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -1,6 +1,5 @@
 """Handling of agents' worker reports, which are answered with orders."""
 
-from wasabiturn.batch.completions import complete_newest_run
 from wasabiturn.batch.fences import raise_fence, succeed_worker
 from wasabiturn.batch.fleet import NEVER, Fleet, Worker
 from wasabiturn.batch.lost_runs import give_up_all_runs
@@ -36,12 +35,7 @@
     """
     worker = _register_worker(leader_term, link, report, now)
     was_gone = worker.is_gone
-    batch_state = leader_term.pipeline.batch_state
-    ends = [
-        complete_newest_run(batch_state, end)
-        for end in apply_report(worker, report, now)
-    ]
-    _store_ends(leader_term, worker, ends)
+    _store_ends(leader_term, worker, apply_report(worker, report, now))
     if was_gone and not worker.is_gone:
         _log.event(
             'worker lists its runs again after they were given up',
