Withdraw starts that wait while their data centre is taken out

Cause: a start that was decided before stays ordered until it is confirmed, and waits behind orders that are slow or unanswered; nothing looked at the mark again.

A start in a data centre that is out, and not confirmed 2 s after its decision, is no longer ordered and is stopped; its task is placed elsewhere once the stop is certain. Confirmed runs go on, as the users ask.

test_no_order_is_sent_to_a_data_centre_long_after_it_was_taken_out failed before (starts up to 5 s after the mark).

--- a/tests/sessions/test_start_orders.py
+++ b/tests/sessions/test_start_orders.py
@@ -2,6 +2,7 @@
 
 from tests.sessions.batch_fakes import BatchFleet, FakeAgent, create_step
 from wasabiturn.messages.batch import BatchChange, DataCentreMark
+from wasabiturn.messages.kinds import JobState
 from wasabiturn.process.agent.runs.lease import START_PERMIT_SECONDS
 from wasabiturn.standins.batch_worker import Fault, SimulatedWork
 
@@ -205,3 +206,24 @@
     fleet.run(2)
     sent = [order.task for order in fleet.start_orders]
     assert sent.count(TASK) == 1
+
+
+def test_no_order_is_sent_to_a_data_centre_long_after_it_was_taken_out() -> (
+    None
+):
+    fleet = BatchFleet(workers=2)
+    fleet.run(1)
+    choose_worker(fleet, 1)
+    agent = fleet.agents[0]
+    agent.worker.order_delay_seconds = 0.5
+    fleet.submit('a', [create_step(30, millicores=100)], SimulatedWork(1))
+    fleet.run(0.1)
+    choose_worker(fleet, 2)
+    out_at = fleet.clock.seconds()
+    fleet.run_until('a', JobState.done, seconds=20)
+    late = [
+        order
+        for order in fleet.start_orders
+        if order.worker == 'worker-1' and order.at > out_at + 3
+    ]
+    assert not late
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -5,7 +5,7 @@
 from typing import Any, final
 
 from wasabiturn.batch import BatchState, dump_batch_state, load_batch_state
-from wasabiturn.batch.fleet import Fleet, Worker
+from wasabiturn.batch.fleet import Allocation, Fleet, Worker
 from wasabiturn.batch.forecast import Forecasts
 from wasabiturn.batch.interference import (
     list_pressure_records,
@@ -16,6 +16,7 @@
 from wasabiturn.batch.ordering import Moment
 from wasabiturn.batch.planning import plan_moves, plan_starts
 from wasabiturn.batch.sharing import set_pace
+from wasabiturn.batch.withdrawals import find_withdrawn_starts
 from wasabiturn.connection.link import Link
 from wasabiturn.messages.batch import (
     BatchChange,
@@ -113,7 +114,7 @@
             return
         for worker in find_expired_workers(self.fleet, now):
             self.give_up_runs(worker, 'lease expired', now)
-        self._move_stalled_runs(now)
+        self._stop_unwanted_runs(now)
         self.fleet.remove_superseded()
         self.interference.drop_decayed(now)
         self._forecasts.drop_outdated(now)
@@ -201,7 +202,7 @@
         if records and records != self.pipeline.batch_state.pressures:
             self.pipeline.add(BatchChange(pressures=records))
 
-    def _move_stalled_runs(self, now: float) -> None:
+    def _stop_unwanted_runs(self, now: float) -> None:
         moves = plan_moves(
             self.pipeline.batch_state,
             self.fleet,
@@ -209,14 +210,20 @@
             now,
         )
         for allocation in moves:
-            allocation.is_stop_requested = True
-            _log.decision(
-                'moves run',
-                task=allocation.task.name,
-                run=allocation.run,
-                worker=allocation.task.worker,
-            )
-            self._send_orders((allocation.task.worker, allocation.task.born_ms))
+            self._request_stop(allocation, 'moves run')
+        withdrawn = find_withdrawn_starts(
+            self.fleet, self.pipeline.batch_state.out_data_centres, now
+        )
+        for allocation in withdrawn:
+            self._request_stop(allocation, 'withdraws start')
+
+    def _request_stop(self, allocation: Allocation, decision: str) -> None:
+        allocation.is_stop_requested = True
+        task = allocation.task
+        _log.decision(
+            decision, task=task.name, run=allocation.run, worker=task.worker
+        )
+        self._send_orders((task.worker, task.born_ms))
 
     def _forget_ended_jobs(self) -> None:
         batch_state = self.pipeline.batch_state
