--- a/tests/sessions/test_start_orders.py
+++ b/tests/sessions/test_start_orders.py
@@ -34,6 +34,18 @@
     return agent
 
 
+def start_while_holds_fail(fleet: BatchFleet) -> FakeAgent:
+    """Have a task sent to the first worker, which lists no runs."""
+    fleet.run(1)
+    choose_worker(fleet, 1)
+    agent = fleet.agents[0]
+    agent.worker.refuses_holds = True
+    fleet.run(1.1)
+    fleet.submit('a', [create_step(1)], LONG_WORK)
+    fleet.run(0.3)
+    return agent
+
+
 def find_starts(fleet: BatchFleet) -> list[tuple[int, str]]:
     """Return the run number and the worker of each start of the task."""
     return [(run, name) for _, task, run, name in fleet.run_starts]
@@ -81,13 +93,7 @@
 
 def test_answered_start_is_not_sent_again_while_holds_fail() -> None:
     fleet = BatchFleet(workers=2)
-    fleet.run(1)
-    choose_worker(fleet, 1)
-    (agent, _) = fleet.agents
-    agent.worker.refuses_holds = True
-    fleet.run(1.1)
-    fleet.submit('a', [create_step(1)], LONG_WORK)
-    fleet.run(0.3)
+    start_while_holds_fail(fleet)
     fleet.submit('b', [create_step(1)], LONG_WORK)
     fleet.run(0.3)
     sent = [order.task for order in fleet.start_orders]
@@ -96,13 +102,7 @@
 
 def test_refusal_of_a_repeated_order_does_not_end_a_run() -> None:
     fleet = BatchFleet(workers=2)
-    fleet.run(1)
-    choose_worker(fleet, 1)
-    (agent, _) = fleet.agents
-    agent.worker.refuses_holds = True
-    fleet.run(1.1)
-    fleet.submit('a', [create_step(1)], LONG_WORK)
-    fleet.run(0.3)
+    agent = start_while_holds_fail(fleet)
     # Orders from before the next list arrive after it.
     agent.notice_delay_seconds = 2
     fleet.submit('b', [create_step(1)], LONG_WORK)
