Take note of the end of a run that was passed over

A run that was given up with the lease of its worker, and that the worker then listed as done, let the newer run go on to its end: work done twice. One listed as failed didn't count as an attempt, so a task could be started once more than its queue allows.

Cause: the end of a run was ignored unless the run was the newest of its task and went on.

Now a completion is kept in the task (TaskRecord 13). The newer run is no longer ordered, and is stopped; whatever its end, the task is done with it, and its room stays charged until then. A failure counts once, also if a new leader stores the same end again: the newest run of which one was counted is kept (TaskRecord 14). Gangs and lasting tasks are passed over as before: an older end of one member tells nothing about a gang that was started anew.

--- a/wasabiturn/batch/apply.py
+++ b/wasabiturn/batch/apply.py
@@ -4,7 +4,8 @@
 of a change checks the run that it names, so a repeated change has no effect.
 """
 
-from wasabiturn.batch.jobs import Job, Task, create_job
+from wasabiturn.batch.jobs import Task, create_job
+from wasabiturn.batch.run_ends import end_passed_run, finish_or_requeue
 from wasabiturn.batch.state import BatchState
 from wasabiturn.messages.batch import (
     AcceptJob,
@@ -98,14 +99,16 @@
 
 def _end_run(batch_state: BatchState, end: EndRun) -> None:
     task = batch_state.tasks_by_name.get(end.task)
-    if task is None or task.run != end.run:
+    if task is None or end.run > task.run:
         return
-    if task.state is BatchTaskState.active:
+    is_newest = end.run == task.run
+    if is_newest and task.state is BatchTaskState.active:
         task.is_bound = task.is_bound or end.has_open_order
         batch_state.end_run(task)
-    elif _is_late_completion(task, end):
+    elif is_newest and _is_late_completion(task, end):
         task.job.waiting_tasks -= 1
     else:
+        end_passed_run(batch_state, task, end)
         return
     if end.ending is not RunEnding.not_started:
         task.job.has_begun = True
@@ -114,51 +117,10 @@
     if task.job.is_final:
         batch_state.drop_task(task)
     else:
-        _finish_or_requeue(batch_state, task, end)
+        finish_or_requeue(batch_state, task, end)
 
 
 def _is_late_completion(task: Task, end: EndRun) -> bool:
     """Return whether a run that was declared lost did complete."""
     is_waiting = task.state is BatchTaskState.waiting
     return is_waiting and end.ending is RunEnding.done and not task.step.lasting
-
-
-def _finish_or_requeue(
-    batch_state: BatchState, task: Task, end: EndRun
-) -> None:
-    if end.ending is RunEnding.done and not task.step.lasting:
-        _finish_task(batch_state, task)
-        return
-    if end.ending is RunEnding.failed and not task.step.lasting:
-        task.failures += 1
-        if task.failures >= task.job.accepted.terms.attempts:
-            _fail_task(batch_state, task)
-            return
-    task.state = BatchTaskState.waiting
-    task.part.waiting_by_name[task.name] = task
-    task.job.waiting_tasks += 1
-
-
-def _finish_task(batch_state: BatchState, task: Task) -> None:
-    task.mark_done()
-    if task.step.gang:
-        _finish_gang_members(batch_state, task)
-    job = task.job
-    if not any(part.unfinished_tasks for part in job.parts_by_key.values()):
-        batch_state.close_job(job, JobState.done)
-
-
-def _finish_gang_members(batch_state: BatchState, task: Task) -> None:
-    """Finish the other members; the end of one completes the gang."""
-    for other in list(task.job.tasks_by_name.values()):
-        if other.part is not task.part or other.run != task.run:
-            continue
-        if other.state is BatchTaskState.active:
-            batch_state.end_run(other)
-            other.mark_done()
-
-
-def _fail_task(batch_state: BatchState, task: Task) -> None:
-    job: Job = task.job
-    task.state = BatchTaskState.dropped
-    batch_state.close_job(job, JobState.failed)
--- a/wasabiturn/batch/dump.py
+++ b/wasabiturn/batch/dump.py
@@ -55,6 +55,8 @@
         agent=task.agent,
         is_bound=task.is_bound,
         is_settled=task.is_settled,
+        is_completed=task.is_completed,
+        failed_run=task.failed_run,
     )
 
 
@@ -81,6 +83,8 @@
     task.agent = record.agent
     task.is_bound = record.is_bound
     task.is_settled = record.is_settled
+    task.is_completed = record.is_completed
+    task.failed_run = record.failed_run
     if record.state is BatchTaskState.active:
         batch_state.begin_run(task)
     elif record.state is BatchTaskState.done:
--- a/wasabiturn/batch/jobs.py
+++ b/wasabiturn/batch/jobs.py
@@ -36,6 +36,10 @@
     checkpoint: str = ''
     is_bound: bool = False
     is_settled: bool = False
+    # An older run than the newest has ended ``done``.
+    is_completed: bool = False
+    # Newest run of which a failure was counted.
+    failed_run: int = 0
 
     @property
     def job(self) -> 'Job':
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -207,6 +207,8 @@
     agent: str = ''
     is_bound: bool = False
     is_settled: bool = False
+    is_completed: bool = False
+    failed_run: int = 0
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -123,6 +123,8 @@
   8: string agent,
   9: bool is_bound,         // an order to start it at worker was open
   12: bool is_settled,      // all orders to start the newest run were answered
+  13: bool is_completed,    // an older run than the newest has ended done
+  14: i64 failed_run,       // newest run of which a failure was counted
 }
 
 struct JobRecord {
--- a/wasabiturn/process/control/batch/orders.py
+++ b/wasabiturn/process/control/batch/orders.py
@@ -69,7 +69,7 @@
     stops.extend(
         StopOrder(task=allocation.task.name, run=allocation.run)
         for allocation in worker.allocations_by_task.values()
-        if allocation.task.job.is_final or allocation.is_stop_requested
+        if _is_unwanted(allocation)
     )
     return stops
 
@@ -90,9 +90,13 @@
 
 
 def _awaits_start(allocation: Allocation) -> bool:
-    if allocation.is_confirmed or allocation.is_stop_requested:
-        return False
-    return not allocation.task.job.is_final
+    return not allocation.is_confirmed and not _is_unwanted(allocation)
+
+
+def _is_unwanted(allocation: Allocation) -> bool:
+    task = allocation.task
+    is_over = task.job.is_final or task.is_completed
+    return is_over or allocation.is_stop_requested
 
 
 def _checkpoint_of(task: Task) -> str:
