Wait for the last order that a silent agent may have sent

A start whose worker and agent were silent was given up 15 s after the last report. The agent may send it for two more seconds on the permission of that report, and a run that an order begins just before it expires goes on under its lease, at a new incarnation that the leader has not heard of.

Cause: the lifetime was counted from the report, and its end was taken for the end of what the order had begun.

Now it is counted from the end of the permission, and the task is bound when the run is given up, so that it is released like others: by a list of the worker, or a lease later. What was ruled out: keeping the run itself for longer (the room that it holds at a dead worker is of no use, but its job looks as if it ran).

--- a/tests/sessions/test_bound_tasks.py
+++ b/tests/sessions/test_bound_tasks.py
@@ -86,6 +86,23 @@
     assert fleet.find_workers_by_task()[TASK] == ['worker-2']
 
 
+def test_order_that_a_silent_agent_sent_last_is_waited_for() -> None:
+    fleet = BatchFleet(workers=2)
+    agent = start_with_faults(fleet, Fault.dropped, Fault.dropped, Fault.late)
+    agent.worker.keeps_late_orders = True
+    agent.worker.late_delay_seconds = ORDER_LIFETIME_SECONDS - 0.5
+    agent.is_partitioned = True
+    fleet.run(2)
+    agent.worker.crash()
+    late_at = fleet.start_orders[2].at + ORDER_LIFETIME_SECONDS - 0.5
+    fleet.run(late_at - 0.1 - fleet.clock.seconds())
+    agent.worker.start_incarnation()
+    fleet.run(LEASE_SECONDS)
+    assert find_starts(fleet) == [(1, 'worker-1')]
+    fleet.run(REACTION_SECONDS)
+    assert fleet.find_workers_by_task()[TASK] == ['worker-2']
+
+
 def test_order_to_a_replaced_name_is_waited_for() -> None:
     fleet = BatchFleet(workers=2)
     agent = start_with_faults(fleet, Fault.late)
--- a/tests/sessions/test_start_orders.py
+++ b/tests/sessions/test_start_orders.py
@@ -3,7 +3,7 @@
 from tests.sessions.batch_fakes import BatchFleet, FakeAgent, create_step
 from wasabiturn.messages.batch import BatchChange, DataCentreMark
 from wasabiturn.messages.kinds import JobState
-from wasabiturn.process.agent.runs.lease import START_PERMIT_SECONDS
+from wasabiturn.messages.limits import START_PERMIT_SECONDS
 from wasabiturn.standins.batch_worker import Fault, SimulatedWork
 
 TASK = 'a.0.0.0'
--- a/wasabiturn/batch/bindings.py
+++ b/wasabiturn/batch/bindings.py
@@ -12,7 +12,7 @@
 
 from collections.abc import Iterator
 
-from wasabiturn.batch.fleet import UNKNOWN, Fleet, Worker
+from wasabiturn.batch.fleet import NEVER, UNKNOWN, Fleet, Worker
 from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.state import BatchState
 from wasabiturn.messages.batch import StartRun
@@ -26,11 +26,12 @@
 def bind_task(
     fleet: Fleet, task: Task, orders_end_at: float, now: float
 ) -> None:
-    """Bind a task until its orders have expired, unless they have."""
+    """Bind a task until its orders have expired, and it is released."""
+    if orders_end_at == NEVER:
+        return
     until = min(orders_end_at, now + ORDER_LIFETIME_SECONDS)
-    known_until = fleet.bound_until_by_task.get(task.name, now)
-    if until > known_until:
-        fleet.bound_until_by_task[task.name] = until
+    known_until = fleet.bound_until_by_task.get(task.name, NEVER)
+    fleet.bound_until_by_task[task.name] = max(until, known_until)
 
 
 def restore_bindings(fleet: Fleet, batch_state: BatchState, now: float) -> None:
--- a/wasabiturn/batch/lost_runs.py
+++ b/wasabiturn/batch/lost_runs.py
@@ -1,9 +1,10 @@
 """Runs that went with the incarnation or the lease of their worker."""
 
 from wasabiturn.batch.fences import raise_fence
-from wasabiturn.batch.fleet import Allocation, Fleet, Worker
+from wasabiturn.batch.fleet import NEVER, Allocation, Fleet, Worker
 from wasabiturn.messages.batch import EndRun
 from wasabiturn.messages.kinds import RunEnding
+from wasabiturn.messages.limits import START_PERMIT_SECONDS
 
 
 def find_expired_workers(fleet: Fleet, now: float) -> list[Worker]:
@@ -21,16 +22,19 @@
     Its incarnation or its lease has ended, or nothing listens at its address.
     A run with an order that a new incarnation of the same name may carry out
     is over only once that one has listed its runs, or the order has expired.
+    Its task is bound even then: the order may have begun a run just before.
     """
     if not worker.is_gone:
         worker.is_gone = True
         raise_fence(fleet, worker)
     ends: list[EndRun] = []
     for allocation in worker.allocations_by_task.values():
-        last_sent_at = max(worker.heard_at, allocation.started_at)
-        allocation.limit_orders(last_sent_at)
+        last_order_at = max(worker.heard_at, allocation.started_at)
+        allocation.limit_orders(last_order_at + START_PERMIT_SECONDS)
         if not allocation.has_open_order(now):
-            ends.append(lost_end(allocation, now))
+            end = lost_end(allocation, now)
+            end.has_open_order = allocation.orders_end_at != NEVER
+            ends.append(end)
     return ends
 
 
--- a/wasabiturn/messages/limits.py
+++ b/wasabiturn/messages/limits.py
@@ -2,3 +2,5 @@
 
 # An order that has no answer after this time is not carried out any more.
 ORDER_LIFETIME_SECONDS = 15.0
+# An agent sends starts only if the leader answered a report sent this recently.
+START_PERMIT_SECONDS = 2.0
--- a/wasabiturn/process/agent/runs/lease.py
+++ b/wasabiturn/process/agent/runs/lease.py
@@ -8,12 +8,11 @@
 
 import attrs
 
+from wasabiturn.messages.limits import START_PERMIT_SECONDS
 from wasabiturn.process.agent.runs.port import RunListing
 
 # A worker's clock may run 2 % slow.
 SLOWEST_CLOCK_RATE = 0.98
-# Starts are sent only if the leader answered a report sent this recently.
-START_PERMIT_SECONDS = 2.0
 NEVER = float('-inf')
 _MS = 1000
 
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -202,7 +202,8 @@
         self._committed_starts.discard((task.name, task.run))
         if worker is not None:
             orders_end_at = worker.release(task)
-            bind_task(self.fleet, task, orders_end_at, self._now())
+            if task.is_bound:
+                bind_task(self.fleet, task, orders_end_at, self._now())
 
     def _store_pressures(self, now: float) -> None:
         """Store the interference estimates for the next leader."""
