Count an order without an answer as carried out once its run is listed

Cause: an order stayed open for its lifetime even if a list showed that it had begun the run. An order is carried out once, and most runs have a single one.

Now the first list with a run settles the oldest order for it that has no answer, unless another was answered as started: what began the run is not known then. A list of a later incarnation settles it as the answer of one does: the run is kept until the leader has that list under a raised fence.

--- a/wasabiturn/process/agent/runs/open_orders.py
+++ b/wasabiturn/process/agent/runs/open_orders.py
@@ -4,12 +4,14 @@
 the same name may carry them out, and what the leader still orders.
 """
 
+from collections.abc import Iterator
 from typing import Any, final
 
 import attrs
 
 from wasabiturn.messages.batch import OpenOrder, OpenOrders, StartOrder
 from wasabiturn.messages.limits import ORDER_LIFETIME_SECONDS
+from wasabiturn.process.agent.runs.port import RunListing, WorkerIdentity
 
 _MS = 1000
 
@@ -19,14 +21,17 @@
 class SentOrder:
     """One order that was sent to the worker of a name.
 
-    ``is_answered`` is set if a later incarnation of that name answered it.
+    ``is_answered`` is set if a later incarnation of that name answered it or
+    lists its run. ``is_spare`` is set once it is known what has begun the run.
     """
 
     task: str
     run: int
     worker: str
+    born_ms: int
     sent_at: float
     is_answered: bool = False
+    is_spare: bool = False
 
 
 @final
@@ -39,12 +44,13 @@
         self._begun_at = clock.seconds()
         self._sent_orders: list[SentOrder] = []
 
-    def record(self, order: StartOrder, worker: str) -> SentOrder:
+    def record(self, order: StartOrder, identity: WorkerIdentity) -> SentOrder:
         """Record an order that is sent now."""
         sent_order = SentOrder(
             task=order.task,
             run=order.run,
-            worker=worker,
+            worker=identity.worker,
+            born_ms=identity.born_ms,
             sent_at=self._clock.seconds(),
         )
         self._sent_orders.append(sent_order)
@@ -55,6 +61,45 @@
         if sent_order in self._sent_orders:
             self._sent_orders.remove(sent_order)
 
+    def settle_started(self, sent_order: SentOrder) -> None:
+        """Remove an order to which the worker answered that it has the run.
+
+        This order or another one has begun the run, so a list tells no more.
+        """
+        self.settle(sent_order)
+        self._mark_spare(sent_order.task, sent_order.run)
+
+    def record_successor_answer(self, sent_order: SentOrder) -> None:
+        """Record that a later incarnation of the name has the run."""
+        sent_order.is_answered = True
+        self._mark_spare(sent_order.task, sent_order.run)
+
+    def settle_listed(self, listing: RunListing) -> None:
+        """Settle the orders that have begun the listed runs.
+
+        An order is carried out once. Of several without an answer, the oldest
+        is settled: the others end later.
+        """
+        listed = [(row.task, row.run) for row in listing.running]
+        listed.extend((row.task, row.run) for row in listing.ended)
+        for task, run in listed:
+            oldest = next(self._find(task, run), None)
+            if oldest is None or oldest.is_spare:
+                continue
+            if oldest.born_ms == listing.born_ms:
+                self.settle_started(oldest)
+            else:
+                self.record_successor_answer(oldest)
+
+    def _find(self, task: str, run: int) -> Iterator[SentOrder]:
+        for sent_order in self._sent_orders:
+            if (sent_order.task, sent_order.run) == (task, run):
+                yield sent_order
+
+    def _mark_spare(self, task: str, run: int) -> None:
+        for sent_order in self._find(task, run):
+            sent_order.is_spare = True
+
     def describe(self) -> OpenOrders:
         """Return the orders that are open now."""
         now = self._clock.seconds()
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -188,6 +188,7 @@
             self._send_hold_later(identity)
             return
         self._sender.grants.record_clock(listing, self._clock.seconds())
+        self._open_orders.settle_listed(listing)
         self._is_connection_refused = False
         self._is_listing_current = True
         if _is_newest(listing, hold.fence, self._listing, self._listing_fence):
--- a/wasabiturn/process/agent/runs/start_sender.py
+++ b/wasabiturn/process/agent/runs/start_sender.py
@@ -90,7 +90,7 @@
             return succeed(None)
         start.record_order()
         open_orders = self._channel.open_orders
-        sent_order = open_orders.record(start.order, identity.worker)
+        sent_order = open_orders.record(start.order, identity)
         exposition.start_orders.labels('sent').inc()
         _log.decision('sends start', **start.describe())
         now = self._channel.clock.seconds()
@@ -106,7 +106,7 @@
             (start, sent_order),
         )
 
-    def _record_answer(self, start: Start, sent_order: SentOrder) -> None:
+    def _settle_refused(self, start: Start, sent_order: SentOrder) -> None:
         start.unanswered_orders -= 1
         self._channel.open_orders.settle(sent_order)
 
@@ -118,10 +118,11 @@
         sent_clock_ms: int,
     ) -> None:
         if clock_ms >= sent_clock_ms:
-            self._record_answer(start, sent_order)
+            start.unanswered_orders -= 1
+            self._channel.open_orders.settle_started(sent_order)
         else:
             # Its clock started anew: another incarnation has the run.
-            sent_order.is_answered = True
+            self._channel.open_orders.record_successor_answer(sent_order)
             _log.event(
                 'a new incarnation answered a start',
                 **start.describe(),
@@ -142,15 +143,15 @@
     ) -> None:
         error = failure.value
         if isinstance(error, OrderRefusedError):
-            self._record_answer(start, sent_order)
+            self._settle_refused(start, sent_order)
             self._handle_refusal(start, error.reason)
         elif isinstance(error, OtherIncarnationError):
             # No order reaches the incarnation that it names any more.
-            self._record_answer(start, sent_order)
+            self._settle_refused(start, sent_order)
             start.unanswered_orders = 0
             self._refuse(start, 'the worker has another incarnation')
         elif isinstance(error, WorkerNotListeningError):
-            self._record_answer(start, sent_order)
+            self._settle_refused(start, sent_order)
             self._handle_closed_port(start)
         else:
             exposition.start_orders.labels('unanswered').inc()
