Release a bound task once nothing listens at its worker

While its agent says that nothing listens, no run that a late order began goes on there either.

Evidence: test_task_is_released_once_nothing_listens_after_the_lifetime.

--- a/tests/batch/test_bindings.py
+++ b/tests/batch/test_bindings.py
@@ -170,6 +170,21 @@
     assert release_tasks(fleet, batch_state, LEASE_SECONDS, now=11)
 
 
+def test_task_is_released_once_nothing_listens_after_the_lifetime() -> None:
+    worker = create_worker('w', refuses=True)
+    worker.agent = 'a'
+    worker.is_reconciled = False
+    fleet = create_fleet(worker)
+    batch_state = create_bound_state(step(1))
+    batch_state.tasks_by_name[TASK].agent = 'a'
+    fleet.record_reporting(worker)
+    bind(fleet, batch_state, until=10)
+    worker.heard_at = 10
+    assert not release_tasks(fleet, batch_state, LEASE_SECONDS, now=11)
+    worker.heard_at = 11
+    assert release_tasks(fleet, batch_state, LEASE_SECONDS, now=11)
+
+
 def test_bound_task_waits_for_its_worker_without_holding_up_others() -> None:
     fleet = create_fleet(create_worker('v'))
     batch_state = create_bound_state(
--- a/wasabiturn/batch/bindings.py
+++ b/wasabiturn/batch/bindings.py
@@ -99,14 +99,15 @@
     """Return whether no late order has begun a run that goes on.
 
     Told by a list, from after the orders expired, of the worker that is now
-    where the orders were sent.
+    where the orders were sent, or by its agent if nothing listens there.
     """
     worker = fleet.reporting_by_agent.get(task.agent)
-    if worker is None or not worker.is_reconciled:
+    if worker is None or worker.heard_at < until + LIST_AGE_SECONDS:
         return False
-    if not worker.report.listed or worker.heard_at < until + LIST_AGE_SECONDS:
-        return False
-    return task.name not in worker.unexpected_runs_by_task
+    if worker.report.refuses:
+        return True
+    is_listed = worker.is_reconciled and worker.report.listed
+    return is_listed and task.name not in worker.unexpected_runs_by_task
 
 
 def _may_have_lease(
--- a/wasabiturn/process/control/batch/bound_tasks.py
+++ b/wasabiturn/process/control/batch/bound_tasks.py
@@ -4,6 +4,7 @@
 from wasabiturn.batch.bindings import find_resumed_runs, release_tasks
 from wasabiturn.batch.fleet import Fleet, Worker
 from wasabiturn.messages.batch import BatchChange, EndRun
+from wasabiturn.messages.kinds import BatchTaskState
 from wasabiturn.process import exposition
 from wasabiturn.process.control.batch.pipeline import Pipeline
 from wasabiturn.utils.logs import create_component_log
@@ -20,6 +21,8 @@
         until = fleet.bound_until_by_task.get(end.task)
         if task is None or until is None or not end.has_open_order:
             continue
+        if task.state is not BatchTaskState.waiting:
+            continue
         exposition.bound_tasks.labels('bound').inc()
         _log.decision(
             'task is bound to a worker name',
