--- a/wasabiturn/batch/lost_runs.py
+++ b/wasabiturn/batch/lost_runs.py
@@ -1,9 +1,10 @@
 """Runs that went with the incarnation or the lease of their worker."""
 
 from wasabiturn.batch.fences import raise_fence
-from wasabiturn.batch.fleet import Allocation, Fleet, Worker
+from wasabiturn.batch.fleet import NEVER, Allocation, Fleet, Worker
 from wasabiturn.messages.batch import EndRun
 from wasabiturn.messages.kinds import RunEnding
+from wasabiturn.messages.limits import START_PERMIT_SECONDS
 
 
 def find_expired_workers(fleet: Fleet, now: float) -> list[Worker]:
@@ -21,47 +22,53 @@
     Its incarnation or its lease has ended, or nothing listens at its address.
     A run with an order that a new incarnation of the same name may carry out
     is over only once that one has listed its runs, or the order has expired.
+    Its task is bound even then: the order may have begun a run just before.
     """
     if not worker.is_gone:
         worker.is_gone = True
         raise_fence(fleet, worker)
     ends: list[EndRun] = []
     for allocation in worker.allocations_by_task.values():
-        last_sent_at = max(worker.heard_at, allocation.started_at)
-        allocation.limit_orders(last_sent_at)
-        if now >= allocation.orders_end_at:
-            ends.append(lost_end(allocation))
+        last_order_at = max(worker.heard_at, allocation.started_at)
+        allocation.limit_orders(last_order_at + START_PERMIT_SECONDS)
+        if not allocation.has_open_order(now):
+            end = lost_end(allocation, now)
+            end.has_open_order = allocation.orders_end_at != NEVER
+            ends.append(end)
     return ends
 
 
-def give_up_all_runs(worker: Worker) -> list[EndRun]:
-    """Mark a worker gone whose name no order can reach any more."""
+def give_up_all_runs(worker: Worker, now: float) -> list[EndRun]:
+    """Mark a worker gone that has been replaced by one of another name.
+
+    A task with an open order is bound to the old name, which may return.
+    """
     worker.is_gone = True
     return [
-        lost_end(allocation)
-        for each in (worker, *worker.predecessors)
-        for allocation in each.allocations_by_task.values()
+        lost_end(allocation, now) for allocation in worker.list_allocations()
     ]
 
 
-def lost_end(allocation: Allocation) -> EndRun:
+def lost_end(allocation: Allocation, now: float) -> EndRun:
     """Return the end of a run that is over without a listed end."""
     if not allocation.is_confirmed:
-        return not_started_end(allocation)
+        return not_started_end(allocation, now)
     return EndRun(
         task=allocation.task.name,
         run=allocation.run,
         ending=RunEnding.lost,
         checkpoint=_checkpoint_of(allocation),
+        has_open_order=allocation.has_open_order(now),
     )
 
 
-def not_started_end(allocation: Allocation) -> EndRun:
+def not_started_end(allocation: Allocation, now: float) -> EndRun:
     """Return the end of a run that never began."""
     return EndRun(
         task=allocation.task.name,
         run=allocation.run,
         ending=RunEnding.not_started,
+        has_open_order=allocation.has_open_order(now),
     )
 
 
