--- a/wasabiturn/standins/batch_worker.py
+++ b/wasabiturn/standins/batch_worker.py
@@ -153,6 +153,14 @@
         )
         self._reset_incarnation()
 
+    def change_capacity(self, **sizes: Any) -> None:
+        """Shrink or grow; the next announcement says so.
+
+        ``sizes`` are fields of the identity. What runs goes on, and no start
+        is refused for want of room.
+        """
+        self.identity = attrs.evolve(self.identity, **sizes)
+
     def hold(
         self, identity: WorkerIdentity, hold: HoldRequest
     ) -> Deferred[RunListing]:
