Agents report a changed capacity at once

What callers would see: a worker grows again, and work that waits for it starts up to a second later than it could; a worker shrinks, and the leader goes on choosing starts for the former capacity for as long (each of them then has to be withdrawn, or brings the worker over its capacity).

Cause: RunReconciler.announce reported a changed draining state only; a new capacity went along with the next report, which follows a hold of 0.5 to 1 s. A change of the capacity is now treated as one of the draining state.

Test (failed before: one of four waiting tasks ran 0.2 s after the announcement): test_work_that_waited_starts_as_soon_as_the_worker_has_grown

--- a/wasabiturn/process/agent/runs/port.py
+++ b/wasabiturn/process/agent/runs/port.py
@@ -60,6 +60,11 @@
         """Return the key of this incarnation: its name and creation time."""
         return self.worker, self.born_ms
 
+    @property
+    def capacity(self) -> tuple[int, int, int]:
+        """Return millicores, memory in MB, and accelerators."""
+        return self.millicores, self.memory_mb, self.accelerators
+
 
 @final
 @attrs.frozen
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -82,13 +82,8 @@
             )
             self._begin_incarnation()
             self._send_hold(FIRST_HOLD_WAIT_MS)
-        elif known.is_draining != identity.is_draining:
-            _log.event(
-                'worker changed its draining state', worker=identity.worker
-            )
-            self._sender.update_identity(identity)
-            self._send_starts()
-            self._send_report()
+        else:
+            self._follow_changes(known, identity)
 
     def close(self) -> None:
         """Stop sending holds; runs continue until their lease expires."""
@@ -114,6 +109,25 @@
         if has_acknowledged_all(self._listing, self._acknowledged_end):
             self._hold_delay.finish()
 
+    def _follow_changes(
+        self, known: WorkerIdentity, identity: WorkerIdentity
+    ) -> None:
+        """Report what changes where runs may start without delay."""
+        if (
+            known.capacity == identity.capacity
+            and known.is_draining == identity.is_draining
+        ):
+            return
+        _log.event(
+            'worker changed its capacity or draining state',
+            worker=identity.worker,
+            capacity=identity.capacity,
+            is_draining=identity.is_draining,
+        )
+        self._sender.update_identity(identity)
+        self._send_starts()
+        self._send_report()
+
     def _begin_incarnation(self) -> None:
         self._hold_delay.cancel()
         self._listing = None
