Withdraw unconfirmed starts from a worker that has shrunk

What callers would see: LIMIT broken, a worker that doesn't guard its capacity is brought over it, seconds after it shrank. 30 tasks are ordered on a worker whose orders take 1 s; it shrinks from 4000 to 500 millicores 0.1 s later; from 4.5 s after the change on, 18 more starts brought it to 3000.

Cause: has_room looks at the newest report when a start is chosen, and nobody looks again. A start that was chosen before, and waits behind slow orders or for an answer, was named in each of the next orders and sent.

Change: when a report says that more is allocated than the worker has left, the leader stops ordering the unconfirmed starts that take the scarce resource and has them stopped, as with those of a data centre that was taken out; they count as not started, which is no attempt. Runs that have begun go on.

Ruled out: withdrawing the newest, as many as are too many. The worker may carry out the others first and the withdrawn ones all the same, before their stop, and what is being stopped still counts. And only when not reconciled no start is withdrawn: none is ordered then, and the first list settles them.

Tests (failed before): test_start_that_waits_behind_slow_orders_follows_the_capacity, test_order_without_an_answer_does_not_start_on_a_shrunk_worker.

--- a/tests/sessions/test_capacity_changes.py
+++ b/tests/sessions/test_capacity_changes.py
@@ -2,11 +2,13 @@
 
 from tests.sessions.batch_fakes import (
     ANNOUNCE_INTERVAL_SECONDS,
+    LATENCY_SECONDS,
     BatchFleet,
     FakeAgent,
     create_step,
 )
-from wasabiturn.standins.batch_worker import SimulatedWork
+from wasabiturn.messages.kinds import JobState, RunEnding
+from wasabiturn.standins.batch_worker import Fault, SimulatedWork
 
 LONG_WORK = SimulatedWork(20)
 # From an announcement to the next start: a report, a plan and a commit.
@@ -34,3 +36,74 @@
     agent.announce()
     fleet.run(REACTION_SECONDS)
     assert count_running(agent, 'a') == 4
+
+
+def test_start_that_waits_behind_slow_orders_follows_the_capacity() -> None:
+    fleet, agent = begin_with_one_worker()
+    agent.worker.order_delay_seconds = 1.0
+    fleet.submit('a', [create_step(30, millicores=100)], LONG_WORK)
+    fleet.run(0.1)
+    agent.worker.change_capacity(millicores=500)
+    fleet.run(15)
+    assert 0 < count_running(agent, 'a') <= 15
+
+
+def test_order_without_an_answer_does_not_start_on_a_shrunk_worker() -> None:
+    fleet, agent = begin_with_one_worker()
+    agent.worker.late_delay_seconds = 7.0
+    agent.worker.next_faults = [Fault.late, *[Fault.dropped] * 3]
+    fleet.submit('a', [create_step(1, millicores=3000)], LONG_WORK)
+    fleet.run(0.3)
+    agent.worker.change_capacity(millicores=2000)
+    fleet.run(12)
+    assert count_running(agent, 'a') == 0
+
+
+def test_withdrawn_start_is_no_failed_attempt_and_gets_done() -> None:
+    fleet, agent = begin_with_one_worker()
+    for _ in range(4):
+        agent.worker.order_delay_seconds = 1.0
+        fleet.submit('a', [create_step(20, millicores=200)], SimulatedWork(1))
+        fleet.run(0.1)
+        agent.worker.change_capacity(millicores=400)
+        fleet.run(2 * ANNOUNCE_INTERVAL_SECONDS)
+        agent.worker.change_capacity(millicores=4000)
+        fleet.run(2 * ANNOUNCE_INTERVAL_SECONDS)
+    agent.worker.order_delay_seconds = LATENCY_SECONDS
+    fleet.run_until('a', JobState.done, seconds=10)
+
+
+def test_runs_go_on_when_their_worker_shrinks_below_them() -> None:
+    fleet, agent = begin_with_one_worker()
+    fleet.submit('a', [create_step(4, lasting=True)], SimulatedWork(1000))
+    fleet.run(1)
+    agent.worker.change_capacity(millicores=500, memory_mb=50)
+    fleet.run(20)
+    assert count_running(agent, 'a') == 4
+    assert not fleet.run_ends
+
+
+def test_job_larger_than_the_shrunk_worker_does_not_block_others() -> None:
+    fleet, agent = begin_with_one_worker()
+    agent.worker.change_capacity(millicores=1000, memory_mb=300)
+    fleet.run(2 * ANNOUNCE_INTERVAL_SECONDS)
+    fleet.submit('large', [create_step(1, millicores=2000)])
+    fleet.submit('wide', [create_step(1, millicores=100, memory_mb=400)])
+    fleet.submit('small', [create_step(3, millicores=300)])
+    fleet.run_until('small', JobState.done, seconds=3)
+
+
+def test_lasting_task_returns_when_the_worker_has_grown_again() -> None:
+    fleet, agent = begin_with_one_worker()
+    fleet.submit(
+        'a',
+        [create_step(2, lasting=True)],
+        SimulatedWork(3, RunEnding.failed),
+    )
+    fleet.run(1)
+    agent.worker.change_capacity(millicores=1000)
+    fleet.run(5)
+    assert count_running(agent, 'a') == 1
+    agent.worker.change_capacity(millicores=4000)
+    fleet.run(ANNOUNCE_INTERVAL_SECONDS + REACTION_SECONDS)
+    assert count_running(agent, 'a') == 2
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -15,6 +15,7 @@
 from wasabiturn.messages.batch import (
     BatchChange,
     RunningRow,
+    Step,
     WorkerReport,
 )
 
@@ -165,6 +166,16 @@
             and self.accelerators + accelerator_count <= report.accelerators
         )
 
+    def is_short_for(self, step: Step) -> bool:
+        """Return whether more is charged than there is of what a task takes."""
+        report = self.report
+        takes_millicores = step.millicores and not step.fills
+        return bool(
+            (takes_millicores and self.millicores > report.millicores)
+            or (step.memory_mb and self.memory_mb > report.memory_mb)
+            or (step.accelerators and self.accelerators > report.accelerators)
+        )
+
     def unused_millicores(self) -> float:
         """Return the CPU that is expected to be left for all filling tasks."""
         used = self.millicores - (1 - LASTING_CPU_USE) * self.lasting_millicores
--- a/wasabiturn/batch/withdrawals.py
+++ b/wasabiturn/batch/withdrawals.py
@@ -1,8 +1,11 @@
-"""Starts that were ordered in a data centre before it was taken out."""
+"""Starts that were chosen before their data centre or worker changed.
+
+The data centre was taken out, or the capacity of the worker has shrunk.
+"""
 
 from collections.abc import Iterator
 
-from wasabiturn.batch.fleet import Allocation, Fleet
+from wasabiturn.batch.fleet import Allocation, Fleet, Worker
 
 # A start that is not confirmed after this time waits for its worker.
 CONFIRMATION_SECONDS = 2.0
@@ -18,11 +21,27 @@
         if worker.report.data_centre not in out_data_centres:
             continue
         for allocation in worker.allocations_by_task.values():
-            if _awaits_confirmation(allocation, now):
+            if (
+                _awaits_confirmation(allocation)
+                and now >= allocation.started_at + CONFIRMATION_SECONDS
+            ):
                 yield allocation
 
 
-def _awaits_confirmation(allocation: Allocation, now: float) -> bool:
-    if allocation.is_confirmed or allocation.is_stop_requested:
-        return False
-    return now >= allocation.started_at + CONFIRMATION_SECONDS
+def find_starts_without_room(worker: Worker) -> Iterator[Allocation]:
+    """Yield the starts that take more of a resource than the worker has.
+
+    Those are all that take it: the worker may carry them out in any order, and
+    what it is told to stop still takes its share until it has ended.
+    """
+    if not worker.is_reconciled or worker.has_room(0, 0, 0):
+        return
+    for allocation in worker.allocations_by_task.values():
+        if _awaits_confirmation(allocation) and worker.is_short_for(
+            allocation.task.step
+        ):
+            yield allocation
+
+
+def _awaits_confirmation(allocation: Allocation) -> bool:
+    return not allocation.is_confirmed and not allocation.is_stop_requested
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -30,6 +30,7 @@
 from wasabiturn.process import exposition
 from wasabiturn.process.control.batch.orders import create_orders
 from wasabiturn.process.control.batch.pipeline import Pipeline
+from wasabiturn.process.control.batch.stops import mark_to_stop
 from wasabiturn.utils.logs import create_component_log
 from wasabiturn.version.replica import Replica
 
@@ -218,11 +219,8 @@
             self._request_stop(allocation, 'withdraws start')
 
     def _request_stop(self, allocation: Allocation, decision: str) -> None:
-        allocation.is_stop_requested = True
+        mark_to_stop(allocation, decision)
         task = allocation.task
-        _log.decision(
-            decision, task=task.name, run=allocation.run, worker=task.worker
-        )
         self._send_orders((task.worker, task.born_ms))
 
     def _forget_ended_jobs(self) -> None:
--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -17,6 +17,7 @@
 from wasabiturn.messages.kinds import FailureCode
 from wasabiturn.process import exposition
 from wasabiturn.process.control.batch.leader_term import LeaderTerm
+from wasabiturn.process.control.batch.stops import withdraw_starts_without_room
 from wasabiturn.utils.logs import create_component_log
 
 _log = create_component_log('workers')
@@ -45,6 +46,7 @@
         )
     if report.refuses:
         leader_term.give_up_runs(worker, 'nothing listens', now)
+    withdraw_starts_without_room(worker)
     _adjust_pace(leader_term, worker, now)
     return leader_term.orders_for(
         worker, _grant_lease(leader_term, worker, report, now)
