Agents send no start to a shrunk worker before the leader knows of it

What callers would see: LIMIT broken by an agent that is cut from the leader. Sent up to 1.5 s (a beat) and 2 s after the change, and carried out 1.2 s later by a slow worker, such a start would begin 4.7 s after the change; 4.5 s are allowed.

Change: when its worker announces less of anything, the agent takes back its permission to start; only the answer to a report that names no more than the worker has now gives it again. In this answer the leader has withdrawn what has no room left. Where there is room for all, starts go on after that answer.

Ruled out: sizes in the start orders, with which the agent could look for itself: the agent doesn't know what else is charged, and the leader does.

Test (failed before): test_agent_cut_from_the_leader_sends_no_start_to_a_shrunk_worker; beside it test_starts_go_on_after_a_shrink_that_leaves_room_for_them.

--- a/tests/sessions/test_capacity_changes.py
+++ b/tests/sessions/test_capacity_changes.py
@@ -107,3 +107,28 @@
     agent.worker.change_capacity(millicores=4000)
     fleet.run(ANNOUNCE_INTERVAL_SECONDS + REACTION_SECONDS)
     assert count_running(agent, 'a') == 2
+
+
+def test_agent_cut_from_the_leader_sends_no_start_to_a_shrunk_worker() -> None:
+    fleet, agent = begin_with_one_worker()
+    agent.worker.order_delay_seconds = 0.5
+    fleet.submit('a', [create_step(30, millicores=100)], LONG_WORK)
+    fleet.run(0.1)
+    agent.is_partitioned = True
+    agent.worker.change_capacity(millicores=500)
+    agent.announce()
+    shrunk_at = fleet.clock.seconds()
+    fleet.run(4)
+    assert not [each for each in fleet.start_orders if each.at > shrunk_at]
+
+
+def test_starts_go_on_after_a_shrink_that_leaves_room_for_them() -> None:
+    fleet, agent = begin_with_one_worker()
+    agent.worker.order_delay_seconds = 0.5
+    fleet.submit('a', [create_step(9, millicores=100)], LONG_WORK)
+    fleet.run(0.1)
+    agent.worker.change_capacity(millicores=3000)
+    agent.announce()
+    fleet.run(2)
+    assert count_running(agent, 'a') == 9
+    assert {run for _, _, run, _ in fleet.run_starts} == {1}
--- a/wasabiturn/process/agent/runs/lease.py
+++ b/wasabiturn/process/agent/runs/lease.py
@@ -48,16 +48,22 @@
         elapsed_ms = (now - self.clock_read_at) * SLOWEST_CLOCK_RATE * _MS
         return self.clock_ms + int(elapsed_ms)
 
-    def extend(self, sent_at: float, sent_clock_ms: int, lease_ms: int) -> None:
-        """Extend the lease by a grant requested at ``sent_at``.
-
-        ``sent_clock_ms`` is the worker's clock at that time, 0 if unknown.
-        """
-        if not lease_ms:
-            return
+    def allow_starts(self, sent_at: float) -> None:
+        """Allow starts for a moment after a report was sent at ``sent_at``."""
         self.starts_allowed_until = max(
             self.starts_allowed_until, sent_at + START_PERMIT_SECONDS
         )
+
+    def forbid_starts(self) -> None:
+        """Send no start before a later report is answered."""
+        self.starts_allowed_until = NEVER
+
+    def extend(self, sent_clock_ms: int, lease_ms: int) -> None:
+        """Extend the lease by a grant.
+
+        ``sent_clock_ms`` is the worker's clock when it was requested, 0 if
+        unknown.
+        """
         if sent_clock_ms:
             until_ms = sent_clock_ms + lease_ms
             self.lease_until_ms = max(self.lease_until_ms, until_ms)
--- a/wasabiturn/process/agent/runs/port.py
+++ b/wasabiturn/process/agent/runs/port.py
@@ -65,6 +65,11 @@
         """Return millicores, memory in MB, and accelerators."""
         return self.millicores, self.memory_mb, self.accelerators
 
+    def has_more_than(self, other: 'WorkerIdentity') -> bool:
+        """Return whether it has more of any resource than ``other``."""
+        amounts = zip(self.capacity, other.capacity, strict=True)
+        return any(own > others for own, others in amounts)
+
 
 @final
 @attrs.frozen
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -124,6 +124,9 @@
             capacity=identity.capacity,
             is_draining=identity.is_draining,
         )
+        if known.has_more_than(identity):
+            # The leader chose the starts for the former capacity.
+            self._sender.grants.forbid_starts()
         self._sender.update_identity(identity)
         self._send_starts()
         self._send_report()
@@ -302,12 +305,17 @@
     ) -> None:
         elapsed_seconds = self._clock.seconds() - sent_at
         exposition.report_seconds.observe(elapsed_seconds)
+        current = self._identity
         if (
-            _is_same_life(self._identity, identity)
+            current is not None
+            and current.life == identity.life
             and orders.fence >= self._fence
+            and orders.lease_ms
         ):
             grants = self._sender.grants
-            grants.extend(sent_at, sent_clock_ms, orders.lease_ms)
+            grants.extend(sent_clock_ms, orders.lease_ms)
+            if not identity.has_more_than(current):
+                grants.allow_starts(sent_at)
         self.apply_orders(orders)
 
     def _finish_report(self, nothing: Any) -> None:
