Agents that are cut off revoke late orders to a shrunk worker

What callers would see: LIMIT broken by an order that got no answer and is carried out seconds later, after the worker has shrunk and while its agent is cut from the leader: 3000 of 2000 millicores in use 4.9 s after the change.

Change: until the leader has answered a report that says how much less there is, the agent stops what it ordered and got no answer for, in the way it does when its worker drains. With the leader in reach that answer comes before the next repetition, and orders that still have room are repeated as before.

Test (failed before): test_agent_cut_from_the_leader_revokes_late_orders_of_a_shrunk_worker

--- a/tests/sessions/test_capacity_changes.py
+++ b/tests/sessions/test_capacity_changes.py
@@ -132,3 +132,17 @@
     fleet.run(2)
     assert count_running(agent, 'a') == 9
     assert {run for _, _, run, _ in fleet.run_starts} == {1}
+
+
+def test_agent_cut_from_the_leader_revokes_late_orders_of_a_shrunk_worker() -> (
+    None
+):
+    fleet, agent = begin_with_one_worker()
+    agent.worker.late_delay_seconds = 4.8
+    agent.worker.next_faults = [Fault.late, Fault.dropped]
+    fleet.submit('a', [create_step(1, millicores=3000)], LONG_WORK)
+    fleet.run(0.1)
+    agent.is_partitioned = True
+    agent.worker.change_capacity(millicores=2000)
+    fleet.run(5)
+    assert not fleet.run_starts
--- a/wasabiturn/process/agent/runs/lease.py
+++ b/wasabiturn/process/agent/runs/lease.py
@@ -31,6 +31,8 @@
     clock_read_at: float = NEVER
     lease_until_ms: int = 0
     starts_allowed_until: float = NEVER
+    # The worker has shrunk since the newest report that was answered.
+    has_shrunk: bool = False
 
     def record_clock(self, listing: RunListing, now: float) -> None:
         """Record the worker's clock if the listing is the newest."""
@@ -53,10 +55,12 @@
         self.starts_allowed_until = max(
             self.starts_allowed_until, sent_at + START_PERMIT_SECONDS
         )
+        self.has_shrunk = False
 
-    def forbid_starts(self) -> None:
-        """Send no start before a later report is answered."""
+    def record_shrink(self) -> None:
+        """Allow no start before a report of the shrunk worker is answered."""
         self.starts_allowed_until = NEVER
+        self.has_shrunk = True
 
     def extend(self, sent_clock_ms: int, lease_ms: int) -> None:
         """Extend the lease by a grant.
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -126,7 +126,7 @@
         )
         if known.has_more_than(identity):
             # The leader chose the starts for the former capacity.
-            self._sender.grants.forbid_starts()
+            self._sender.grants.record_shrink()
         self._sender.update_identity(identity)
         self._send_starts()
         self._send_report()
--- a/wasabiturn/process/agent/runs/start_sender.py
+++ b/wasabiturn/process/agent/runs/start_sender.py
@@ -23,6 +23,7 @@
 from wasabiturn.process.agent.runs.port import (
     OrderRefusedError,
     OtherIncarnationError,
+    WorkerIdentity,
     WorkerNotListeningError,
 )
 from wasabiturn.process.agent.runs.starts import RunKey, Start, StartTable
@@ -67,12 +68,22 @@
         if identity is None:
             return
         for start in self._table.list_unsent():
-            if identity.is_draining:
-                self._refuse(start, 'the worker leaves')
+            objection = self._find_objection(start, identity)
+            if objection:
+                self._refuse(start, objection)
             elif self._may_start():
                 start.is_sent = True
                 self._channel.run(self._send, start)
 
+    def _find_objection(self, start: Start, identity: WorkerIdentity) -> str:
+        """Return why the worker must not start a run, empty if it may."""
+        if identity.is_draining:
+            return 'the worker leaves'
+        if start.has_unanswered_order and self._grants.has_shrunk:
+            # Only the leader knows whether there is still room.
+            return 'the worker has shrunk'
+        return ''
+
     def _may_start(self) -> bool:
         return self._grants.may_start(self._channel.clock.seconds())
 
@@ -81,8 +92,9 @@
         if identity is None or not self._table.awaits(start):
             return succeed(None)
         # The orders before this one may have taken long.
-        if identity.is_draining:
-            self._refuse(start, 'the worker leaves')
+        objection = self._find_objection(start, identity)
+        if objection:
+            self._refuse(start, objection)
             return succeed(None)
         if not self._may_start():
             start.is_sent = False
