Forecasts follow the capacity of their worker

What callers would see: for up to 0.2 s after a worker has shrunk, filling tasks are placed beside lasting ones by the shares that they took of the former capacity, and tails rise; after it has grown they are kept away as long.

Cause: a kept forecast was valid while the charges and the sample of the worker were the same; its rises are computed from shares of the worker's CPU.

Test (failed before): test_forecast_follows_the_capacity_of_its_worker

--- a/tests/batch/test_decisions.py
+++ b/tests/batch/test_decisions.py
@@ -237,6 +237,18 @@
     assert forecasts.find(worker, 0.1 + FORECAST_LIFETIME_SECONDS) is not newest
 
 
+def test_forecast_follows_the_capacity_of_its_worker() -> None:
+    worker = create_worker('a')
+    add_lasting_run(worker, figure=50)
+    batch_state = create_batch_state(accept('j', FILLING))
+    add_run(worker, batch_state.tasks_by_name['j.0.0.0'])
+    forecasts = Forecasts(create_known_interference(f=1))
+    (job,) = forecasts.find(worker, 0).jobs
+    worker.report.millicores //= 2
+    (job_after_shrinking,) = forecasts.find(worker, 0).jobs
+    assert job_after_shrinking.load_rise > job.load_rise
+
+
 def test_idle_job_starts_a_task_after_the_idle_limit() -> None:
     worker = create_worker('a')
     add_lasting_run(worker, figure=95)
--- a/wasabiturn/batch/forecast.py
+++ b/wasabiturn/batch/forecast.py
@@ -84,6 +84,8 @@
     created_at: float
     sampled_at: float
     charges: int
+    # Uses are shares of it.
+    worker_millicores: int
 
 
 @final
@@ -119,6 +121,7 @@
                 created_at=now,
                 sampled_at=worker.sampled_at,
                 charges=worker.charges,
+                worker_millicores=worker.report.millicores,
             )
             self._kept_by_incarnation[incarnation] = kept
         return kept.forecast
@@ -127,6 +130,7 @@
 def _is_valid(kept: _KeptForecast, worker: Worker, now: float) -> bool:
     return (
         kept.charges == worker.charges
+        and kept.worker_millicores == worker.report.millicores
         and kept.sampled_at == worker.sampled_at
         and now < kept.created_at + FORECAST_LIFETIME_SECONDS
     )
