A worker that has no CPU left doesn't end all planning

What callers would see: no job of any queue starts any more, while one worker says that its CPU is 0 (shrunk to nothing, or the number left out) and has memory for a filling task that waits.

Cause: a filling task counts no CPU, so the worker had room for it, and its score divided by the size of the worker: ZeroDivisionError, 'planning failed', at each plan. Such a worker now takes no filling tasks.

Test (failed before, with that error): test_worker_without_cpu_gets_no_filling_task_and_blocks_none

--- a/tests/batch/test_decisions.py
+++ b/tests/batch/test_decisions.py
@@ -121,6 +121,12 @@
     assert not plan(batch_state, create_fleet(create_worker('a', **fields)))
 
 
+def test_worker_without_cpu_gets_no_filling_task_and_blocks_none() -> None:
+    batch_state = create_batch_state(accept('j', FILLING), accept('k', step()))
+    fleet = create_fleet(create_worker('a', millicores=0), create_worker('b'))
+    assert plan(batch_state, fleet) == {'j.0.0.0': 'b', 'k.0.0.0': 'b'}
+
+
 def test_required_label_and_max_per_worker_are_respected() -> None:
     wanted = step(6, required_label='special', max_per_worker=2)
     batch_state = create_batch_state(accept('j', wanted))
--- a/wasabiturn/batch/placing.py
+++ b/wasabiturn/batch/placing.py
@@ -148,6 +148,8 @@
     if not worker.has_room(millicores, step.memory_mb, step.accelerators):
         return False
     report = worker.report
+    if step.fills and not report.millicores:
+        return False
     if report.service_name != part.job.accepted.terms.service_name:
         return False
     if step.required_label and step.required_label not in report.labels:
