Runs that a new incarnation may have inherited take room there

Known from reading, not seen: has_room counted what is allocated on the incarnation itself, not on earlier ones of its name whose orders may be carried out there. Today no start is chosen there meanwhile, since the worker isn't reconciled until its first list settles them, and a run that this list has keeps the worker from all work until it has ended. All choices (ranking, gangs, moves) ask has_room.

Test (failed before): test_run_that_a_new_incarnation_may_have_takes_room_there

--- a/tests/batch/test_reports.py
+++ b/tests/batch/test_reports.py
@@ -223,6 +223,18 @@
     assert list_endings(ends) == [RunEnding.stopped]
 
 
+def test_run_that_a_new_incarnation_may_have_takes_room_there() -> None:
+    fleet = create_fleet()
+    worker = open_worker(fleet)
+    (allocation,) = worker.allocations_by_task.values()
+    successor = fleet.open('w', 2, lease_ends_at=0)
+    successor.report = WorkerReport(millicores=1500, memory_mb=1000)
+    succeed_worker(fleet, successor, worker)
+    assert not successor.has_room(1000, 100, 0)
+    worker.release(allocation.task)
+    assert successor.has_room(1000, 100, 0)
+
+
 def test_runs_of_a_replaced_name_end_at_once() -> None:
     fleet = create_fleet()
     worker = open_worker(fleet)
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -158,7 +158,14 @@
         memory_mb: int,
         accelerator_count: int,
     ) -> bool:
-        """Return whether the resources fit beside those already charged."""
+        """Return whether the resources fit beside those already charged.
+
+        What earlier incarnations of the name were ordered to run may run here.
+        """
+        for each in self.predecessors:
+            millicores += each.millicores
+            memory_mb += each.memory_mb
+            accelerator_count += each.accelerators
         report = self.report
         return (
             self.millicores + millicores <= report.millicores
