Gangs start on workers of their own service only

What callers would see: ROUTE broken at a site with several services, a gang started on workers to which no configuration sends its queue.

Cause: gangs are placed by a function of their own, which looked at room and label and not at the service; single tasks are checked in placing.py.

Test (failed before): test_gang_starts_on_workers_of_its_service_only

--- a/tests/batch/test_decisions.py
+++ b/tests/batch/test_decisions.py
@@ -146,6 +146,14 @@
     assert len(plan(batch_state, fleet)) == 11
 
 
+def test_gang_starts_on_workers_of_its_service_only() -> None:
+    batch_state = create_batch_state(accept('j', step(2, gang=True)))
+    other = create_worker('a', service_name='other')
+    assert not plan(batch_state, create_fleet(other))
+    fleet = create_fleet(other, create_worker('b'))
+    assert plan(batch_state, fleet) == {'j.0.0.0': 'b', 'j.0.0.1': 'b'}
+
+
 def test_filling_tasks_prefer_worker_without_lasting_tasks() -> None:
     lasting, free = create_worker('a'), create_worker('b')
     add_lasting_run(lasting, figure=40)
--- a/wasabiturn/batch/gangs.py
+++ b/wasabiturn/batch/gangs.py
@@ -15,7 +15,13 @@
     if any(task.state is not BatchTaskState.waiting for task in tasks):
         return
     run = max((task.run for task in tasks), default=0) + 1
-    for task, worker in _place_members(part, tasks, candidates.workers):
+    service_name = part.job.accepted.terms.service_name
+    workers = [
+        worker
+        for worker in candidates.workers
+        if worker.report.service_name == service_name
+    ]
+    for task, worker in _place_members(part, tasks, workers):
         yield StartRun(
             task=task.name,
             run=run,
