A task without a worker doesn't hold up other services

What callers would see: while the workers of one service are full or have shrunk, jobs of another service whose tasks are as large wait, although their workers are free; each until it has run nothing for 2 s, then one at a time.

Cause: a plan passes over parts that need at least what an earlier part found no worker for; that doesn't follow where their services differ.

Test (failed before): test_task_without_a_worker_does_not_block_other_services

--- a/tests/batch/test_decisions.py
+++ b/tests/batch/test_decisions.py
@@ -127,6 +127,15 @@
     assert plan(batch_state, fleet) == {'j.0.0.0': 'b', 'k.0.0.0': 'b'}
 
 
+def test_task_without_a_worker_does_not_block_other_services() -> None:
+    other = accept('k', step(1))
+    other.accepts[0].terms.service_name = 'other'
+    batch_state = create_batch_state(accept('j', step(1)), other)
+    full = create_worker('a', millicores=0)
+    fleet = create_fleet(full, create_worker('b', service_name='other'))
+    assert plan(batch_state, fleet) == {'k.0.0.0': 'b'}
+
+
 def test_required_label_and_max_per_worker_are_respected() -> None:
     wanted = step(6, required_label='special', max_per_worker=2)
     batch_state = create_batch_state(accept('j', wanted))
--- a/wasabiturn/batch/ordering.py
+++ b/wasabiturn/batch/ordering.py
@@ -57,8 +57,16 @@
     ]
 
 
-def needs_at_least(step: Step, unplaced: Step) -> bool:
-    """Return whether ``step`` cannot fit anywhere if ``unplaced`` did not."""
+def has_no_chance(part: Part, unplaced_part: Part) -> bool:
+    """Return whether a part cannot fit anywhere if another one did not."""
+    if part.job.accepted.terms.service_name != (
+        unplaced_part.job.accepted.terms.service_name
+    ):
+        return False
+    return _needs_at_least(part.step, unplaced_part.step)
+
+
+def _needs_at_least(step: Step, unplaced: Step) -> bool:
     if unplaced.required_label or unplaced.max_per_worker or unplaced.gang:
         return False
     if unplaced.fills is not step.fills or unplaced.lasting is not step.lasting:
--- a/wasabiturn/batch/planning.py
+++ b/wasabiturn/batch/planning.py
@@ -7,12 +7,12 @@
 from wasabiturn.batch.forecast import Forecasts
 from wasabiturn.batch.gangs import start_gang
 from wasabiturn.batch.jobs import Part
-from wasabiturn.batch.ordering import Moment, needs_at_least, order_parts
+from wasabiturn.batch.ordering import Moment, has_no_chance, order_parts
 from wasabiturn.batch.placing import Candidates, choose_worker, find_candidates
 from wasabiturn.batch.ranking import create_ranking
 from wasabiturn.batch.stalls import find_stalled
 from wasabiturn.batch.state import BatchState
-from wasabiturn.messages.batch import StartRun, Step
+from wasabiturn.messages.batch import StartRun
 
 MAX_STARTS_PER_PLAN = 200
 # A filling part without a worker is not tried again for this long.
@@ -76,20 +76,20 @@
     fleet: Fleet,
     now: float,
 ) -> Iterator[StartRun]:
-    unplaced: list[Step] = []
+    unplaced: list[Part] = []
     for part in parts:
         idle_seconds = fleet.idle_seconds(part.job, now)
         candidates.accepts_any_worker = idle_seconds >= MAX_IDLE_SECONDS
         if not candidates.accepts_any_worker and any(
-            needs_at_least(part.step, each) for each in unplaced
+            has_no_chance(part, each) for each in unplaced
         ):
             continue
         if not _is_due(part, fleet, now):
-            unplaced.append(part.step)
+            unplaced.append(part)
             continue
         yield from _start_part(part, candidates)
         if part.waiting_by_name:
-            unplaced.append(part.step)
+            unplaced.append(part)
             fleet.refused_at_by_part[part.name] = now
         else:
             fleet.refused_at_by_part.pop(part.name, None)
