An announcement that can't be reported doesn't silence the agent for good

What callers would see: one heartbeat from another writer, with a capacity of more than 32 bits (or text that isn't valid Unicode), and the worker gets no more work, and its runs lapse, until its agent is restarted.

Cause: encoding the report raised out of RunReconciler._send_report, after it had noted that a report was under way; no later one was sent.

Change: such an error counts as a report that failed.

Test (failed before, with CodecError out of announce): test_agent_goes_on_after_an_announcement_that_cannot_be_reported

--- a/tests/sessions/test_capacity_changes.py
+++ b/tests/sessions/test_capacity_changes.py
@@ -146,3 +146,14 @@
     agent.worker.change_capacity(millicores=2000)
     fleet.run(5)
     assert not fleet.run_starts
+
+
+def test_agent_goes_on_after_an_announcement_that_cannot_be_reported() -> None:
+    fleet, agent = begin_with_one_worker()
+    capacity = agent.worker.identity.millicores
+    agent.worker.change_capacity(millicores=2**40)
+    agent.announce()
+    agent.worker.change_capacity(millicores=capacity)
+    fleet.run(2 * ANNOUNCE_INTERVAL_SECONDS)
+    fleet.submit('a', [create_step(1)])
+    fleet.run_until('a', JobState.done, seconds=3)
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -7,6 +7,7 @@
 
 from typing import Any, final
 
+from twisted.internet.defer import maybeDeferred
 from twisted.python.failure import Failure
 
 from wasabiturn.messages.batch import WorkerOrders, WorkerReport
@@ -262,7 +263,9 @@
         self._is_report_due = False
         now = self._clock.seconds()
         sent_clock_ms = self._sender.grants.estimate_clock_ms(now)
-        reply = self._calls.call(
+        # A report that cannot be encoded must not be the last one.
+        reply = maybeDeferred(
+            self._calls.call,
             Method.worker_report,
             self._create_report(identity),
             WorkerOrders,
