An announcement with an invalid field names no worker

Such an entry is now answered 400 and changes nothing. A capacity of 0 that is said is believed; gpu may be missing, as 0. Negative amounts, other types and missing states were refused before, and have tests now.

The test of the agent's HTTP interface sent a capacity without any number and expected 200. Such an entry is no worker's; it now sends one with numbers, and expects 400 for the former one.

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -139,6 +139,13 @@
         {'labels': 'a'},
         {'service': ''},
         {'seq': None},
+        {'born': 0},
+        {'born': 2**63},
+        {'zone': 5},
+        {'zone': '\ud800'},
+        {'service': '\ud800'},
+        {'labels': [5]},
+        {'labels': ['\ud800']},
     ],
 )
 def test_an_invalid_announcement_is_refused(
@@ -148,6 +155,48 @@
         decode_identity('i-1', encode(ANNOUNCEMENT | fields), 'home')
 
 
+@pytest.mark.parametrize(
+    'capacity',
+    [
+        {},
+        [],
+        'x',
+        5,
+        {'cpu': 16000},
+        {'mem_mb': 32768},
+        *(
+            {'cpu': 16000, 'mem_mb': 32768, 'gpu': 0} | {name: amount}
+            for name in ('cpu', 'mem_mb', 'gpu')
+            for amount in (None, '1', 1.5, -1, True, [], 2**31, 10**400)
+        ),
+    ],
+)
+def test_an_announcement_with_an_invalid_capacity_is_refused(
+    capacity: Any,
+) -> None:
+    body = encode(ANNOUNCEMENT | {'capacity': capacity})
+    with pytest.raises(InvalidBodyError):
+        decode_identity('i-1', body, 'home')
+
+
+@pytest.mark.parametrize('name', ['capacity', 'born', 'service', 'state'])
+def test_an_announcement_without_a_field_is_refused(name: str) -> None:
+    fields = {key: ANNOUNCEMENT[key] for key in ANNOUNCEMENT if key != name}
+    with pytest.raises(InvalidBodyError):
+        decode_identity('i-1', encode(fields), 'home')
+
+
+def test_an_announcement_without_an_id_is_refused() -> None:
+    with pytest.raises(InvalidBodyError):
+        decode_identity('', encode(ANNOUNCEMENT), 'home')
+
+
+def test_a_capacity_may_shrink_to_nothing() -> None:
+    nothing = {'cpu': 0, 'mem_mb': 0, 'gpu': 0}
+    body = encode(ANNOUNCEMENT | {'capacity': nothing})
+    assert decode_identity('i-1', body, 'home').capacity == (0, 0, 0)
+
+
 def test_a_listing_is_decoded() -> None:
     listing = decode_listing(
         encode(
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -256,11 +256,18 @@
 def test_an_announcement_is_passed_to_the_run_manager() -> None:
     manager = FakeRunReconciler()
     agent = AnnouncementHandler(manager, 'dc-a')  # type: ignore[arg-type]
-    body = json.dumps(
-        {'service': 's', 'state': 'ready', 'capacity': {}, 'born': 5, 'seq': 1},
-    ).encode()
+    fields = {
+        'service': 's',
+        'state': 'ready',
+        'capacity': {'cpu': 1000, 'mem_mb': 1000},
+        'born': 5,
+        'seq': 1,
+    }
     path = '/api/Instances.Heartbeat/i-1'
+    body = json.dumps(fields).encode()
     assert send(agent.handle, 'POST', path, body)[0] == 200
+    without_size = json.dumps(fields | {'capacity': {}}).encode()
+    assert send(agent.handle, 'POST', path, without_size)[0] == 400
     assert manager.announced[0].life == ('i-1', 5)
     assert send(agent.handle, 'POST', path, b'\xff')[0] == 400
     assert send(agent.handle, 'POST', '/api/Instances.Deregister/i-1')[0] == 200
--- a/wasabiturn/platform/workers.py
+++ b/wasabiturn/platform/workers.py
@@ -5,6 +5,12 @@
 
 from wasabiturn.messages.batch import EndedRow, RunningRow
 from wasabiturn.messages.kinds import RunEnding
+from wasabiturn.platform.announced_fields import (
+    check_id,
+    check_text,
+    read_birth,
+    read_capacity,
+)
 from wasabiturn.platform.fields import (
     InvalidBodyError,
     decode_object,
@@ -43,24 +49,22 @@
         InvalidBodyError: a field is missing or invalid.
     """
     fields = decode_object(body)
-    capacity = fields.get('capacity')
-    if not isinstance(capacity, dict):
-        raise InvalidBodyError('a worker has no capacity')
+    millicores, memory_mb, accelerators = read_capacity(fields)
     state = read_str(fields, 'state')
     if state not in {'ready', 'draining'}:
         raise InvalidBodyError(f'a worker is {state!r}')
-    labels = tuple(str(label) for label in read_list(fields, 'labels'))
+    labels = tuple(check_text(each) for each in read_list(fields, 'labels'))
     return WorkerIdentity(
-        worker=worker,
-        born_ms=read_int(fields, 'born'),
-        service_name=read_required_str(fields, 'service'),
-        data_centre=str(fields.get('zone') or data_centre),
+        worker=check_id(worker),
+        born_ms=read_birth(fields),
+        service_name=check_text(read_required_str(fields, 'service')),
+        data_centre=check_text(read_str(fields, 'zone')) or data_centre,
         # One label names the rack; the others name the worker's kind.
         rack=next((each for each in labels if _is_rack(each)), ''),
         labels=labels,
-        millicores=read_int(capacity, 'cpu'),
-        memory_mb=read_int(capacity, 'mem_mb'),
-        accelerators=read_int(capacity, 'gpu'),
+        millicores=millicores,
+        memory_mb=memory_mb,
+        accelerators=accelerators,
         is_draining=state == 'draining',
         sequence=read_int(fields, 'seq'),
     )
