A withdrawn start takes its gang along

What callers would see: GANG broken or room wasted. One member of a gang is withdrawn (its worker has shrunk, or its data centre was taken out); the others wait for it until the worker ends them alone, and only then does the gang start again.

Change: the starts and runs of the gang with the same number are stopped with it; the whole gang starts again under a new number when it has room. The functions that mark and announce stops are in process/control/batch/stops.py.

Not changed: a member that its worker refuses still leaves the others alone.

Test (failed before): test_gang_with_a_withdrawn_member_starts_again_as_a_whole

--- a/tests/sessions/test_capacity_changes.py
+++ b/tests/sessions/test_capacity_changes.py
@@ -157,3 +157,20 @@
     fleet.run(2 * ANNOUNCE_INTERVAL_SECONDS)
     fleet.submit('a', [create_step(1)])
     fleet.run_until('a', JobState.done, seconds=3)
+
+
+def test_gang_with_a_withdrawn_member_starts_again_as_a_whole() -> None:
+    fleet = BatchFleet(workers=2)
+    fleet.run(1.75)
+    worker = fleet.agents[0].worker
+    worker.next_faults = [Fault.dropped] * 4
+    gang = create_step(2, gang=True, millicores=3000)
+    fleet.submit('a', [gang], LONG_WORK)
+    fleet.run(0.3)
+    worker.change_capacity(millicores=2000)
+    fleet.run(2 * ANNOUNCE_INTERVAL_SECONDS)
+    assert not fleet.find_workers_by_task()
+    worker.change_capacity(millicores=4000)
+    fleet.run(2 * ANNOUNCE_INTERVAL_SECONDS)
+    assert len(fleet.find_workers_by_task()) == 2
+    assert {run for _, _, run, _ in fleet.run_starts[-2:]} == {2}
--- a/wasabiturn/batch/withdrawals.py
+++ b/wasabiturn/batch/withdrawals.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 
 from wasabiturn.batch.fleet import Allocation, Fleet, Worker
+from wasabiturn.batch.jobs import Task
 
 # A start that is not confirmed after this time waits for its worker.
 CONFIRMATION_SECONDS = 2.0
@@ -43,5 +44,23 @@
             yield allocation
 
 
+def list_gang(fleet: Fleet, allocation: Allocation) -> list[Allocation]:
+    """Return the runs of a gang that wait for a withdrawn start, and that."""
+    task = allocation.task
+    if not task.step.gang:
+        return [allocation]
+    members = [
+        _find_allocation(fleet, each)
+        for each in task.part.open_tasks()
+        if each.run == allocation.run
+    ]
+    return [each for each in members if each and not each.is_stop_requested]
+
+
+def _find_allocation(fleet: Fleet, task: Task) -> Allocation | None:
+    worker = fleet.worker_of(task)
+    return worker.allocations_by_task.get(task.name) if worker else None
+
+
 def _awaits_confirmation(allocation: Allocation) -> bool:
     return not allocation.is_confirmed and not allocation.is_stop_requested
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -5,7 +5,7 @@
 from typing import Any, final
 
 from wasabiturn.batch import BatchState, dump_batch_state, load_batch_state
-from wasabiturn.batch.fleet import Allocation, Fleet, Worker
+from wasabiturn.batch.fleet import Fleet, Worker
 from wasabiturn.batch.forecast import Forecasts
 from wasabiturn.batch.interference import (
     list_pressure_records,
@@ -30,7 +30,7 @@
 from wasabiturn.process import exposition
 from wasabiturn.process.control.batch.orders import create_orders
 from wasabiturn.process.control.batch.pipeline import Pipeline
-from wasabiturn.process.control.batch.stops import mark_to_stop
+from wasabiturn.process.control.batch.stops import mark_to_stop, withdraw_starts
 from wasabiturn.utils.logs import create_component_log
 from wasabiturn.version.replica import Replica
 
@@ -128,7 +128,7 @@
         was_gone = worker.is_gone
         ends = give_up_runs(self.fleet, worker, now)
         if not was_gone:
-            self._send_orders((worker.name, worker.born_ms))
+            self.send_orders((worker.name, worker.born_ms))
         self.store_lost_runs(worker, ends, reason, now)
 
     def store_lost_runs(
@@ -211,17 +211,13 @@
             now,
         )
         for allocation in moves:
-            self._request_stop(allocation, 'moves run')
+            mark_to_stop(allocation, 'moves run')
+            self.send_orders((allocation.task.worker, allocation.task.born_ms))
         withdrawn = find_withdrawn_starts(
             self.fleet, self.pipeline.batch_state.out_data_centres, now
         )
-        for allocation in withdrawn:
-            self._request_stop(allocation, 'withdraws start')
-
-    def _request_stop(self, allocation: Allocation, decision: str) -> None:
-        mark_to_stop(allocation, decision)
-        task = allocation.task
-        self._send_orders((task.worker, task.born_ms))
+        for incarnation in withdraw_starts(self.fleet, withdrawn):
+            self.send_orders(incarnation)
 
     def _forget_ended_jobs(self) -> None:
         batch_state = self.pipeline.batch_state
@@ -276,9 +272,10 @@
             if _advance_committed_end(worker, change):
                 incarnations_to_notify.add(incarnation)
         for incarnation in incarnations_to_notify:
-            self._send_orders(incarnation)
+            self.send_orders(incarnation)
 
-    def _send_orders(self, incarnation: tuple[str, int]) -> None:
+    def send_orders(self, incarnation: tuple[str, int]) -> None:
+        """Send its current orders to an incarnation with a link."""
         worker = self.fleet.workers_by_incarnation.get(incarnation)
         link = self.links_by_incarnation.get(incarnation)
         if worker is not None and link is not None:
--- a/wasabiturn/process/control/batch/stops.py
+++ b/wasabiturn/process/control/batch/stops.py
@@ -1,7 +1,9 @@
 """Runs that the leader tells a worker to stop."""
 
-from wasabiturn.batch.fleet import Allocation, Worker
-from wasabiturn.batch.withdrawals import find_starts_without_room
+from collections.abc import Iterable
+
+from wasabiturn.batch.fleet import Allocation, Fleet
+from wasabiturn.batch.withdrawals import list_gang
 from wasabiturn.utils.logs import create_component_log
 
 _log = create_component_log('queues')
@@ -16,7 +18,14 @@
     )
 
 
-def withdraw_starts_without_room(worker: Worker) -> None:
-    """Withdraw starts from a worker whose capacity has shrunk."""
-    for allocation in find_starts_without_room(worker):
-        mark_to_stop(allocation, 'withdraws start')
+def withdraw_starts(
+    fleet: Fleet, starts: Iterable[Allocation]
+) -> set[tuple[str, int]]:
+    """Withdraw starts, with their gangs; return the workers to be told."""
+    incarnations_to_notify: set[tuple[str, int]] = set()
+    for start in list(starts):
+        for allocation in list_gang(fleet, start):
+            mark_to_stop(allocation, 'withdraws start')
+            task = allocation.task
+            incarnations_to_notify.add((task.worker, task.born_ms))
+    return incarnations_to_notify
--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -5,6 +5,7 @@
 from wasabiturn.batch.lost_runs import give_up_all_runs
 from wasabiturn.batch.reports import apply_report
 from wasabiturn.batch.sharing import adjust_pace
+from wasabiturn.batch.withdrawals import find_starts_without_room
 from wasabiturn.batch.worker_metrics import highest_tail
 from wasabiturn.connection.calls import CallError
 from wasabiturn.connection.link import Link
@@ -17,7 +18,7 @@
 from wasabiturn.messages.kinds import FailureCode
 from wasabiturn.process import exposition
 from wasabiturn.process.control.batch.leader_term import LeaderTerm
-from wasabiturn.process.control.batch.stops import withdraw_starts_without_room
+from wasabiturn.process.control.batch.stops import withdraw_starts
 from wasabiturn.utils.logs import create_component_log
 
 _log = create_component_log('workers')
@@ -46,7 +47,7 @@
         )
     if report.refuses:
         leader_term.give_up_runs(worker, 'nothing listens', now)
-    withdraw_starts_without_room(worker)
+    _withdraw_starts_without_room(leader_term, worker)
     _adjust_pace(leader_term, worker, now)
     return leader_term.orders_for(
         worker, _grant_lease(leader_term, worker, report, now)
@@ -76,6 +77,17 @@
     return leader_term.lease_ms
 
 
+def _withdraw_starts_without_room(
+    leader_term: LeaderTerm, worker: Worker
+) -> None:
+    """Withdraw starts if the worker has shrunk; its answer has the stops."""
+    withdrawn = withdraw_starts(
+        leader_term.fleet, find_starts_without_room(worker)
+    )
+    for incarnation in withdrawn - {(worker.name, worker.born_ms)}:
+        leader_term.send_orders(incarnation)
+
+
 def _adjust_pace(leader_term: LeaderTerm, worker: Worker, now: float) -> None:
     """Set the pace of filling images; log which stall or resume."""
     before = set(worker.stalled_at_by_image)
