Agents repeat a stop that failed until the leader withdraws it

What callers would see: LIMIT broken (and work of cancelled jobs that goes on).

Change: a stop that failed is repeated after 0.2 s, like a start, while the newest orders name it and no new fence makes it void.

--- a/tests/sessions/test_capacity_changes.py
+++ b/tests/sessions/test_capacity_changes.py
@@ -174,3 +174,18 @@
     fleet.run(2 * ANNOUNCE_INTERVAL_SECONDS)
     assert len(fleet.find_workers_by_task()) == 2
     assert {run for _, _, run, _ in fleet.run_starts[-2:]} == {2}
+
+
+def test_agent_cut_from_the_leader_repeats_a_stop_that_failed() -> None:
+    fleet, agent = begin_with_one_worker()
+    agent.worker.late_delay_seconds = 4.8
+    agent.worker.next_faults = [Fault.late, Fault.dropped]
+    fleet.submit('a', [create_step(1, millicores=3000)], LONG_WORK)
+    fleet.run(0.1)
+    agent.worker.next_faults += [Fault.refused]
+    agent.worker.change_capacity(millicores=2000)
+    agent.announce()
+    fleet.run(0.05)
+    agent.is_partitioned = True
+    fleet.run(6)
+    assert not fleet.run_starts
--- a/wasabiturn/process/agent/runs/sender.py
+++ b/wasabiturn/process/agent/runs/sender.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from typing import Any, final
 
+from twisted.python.failure import Failure
+
 from wasabiturn.messages.batch import StopOrder, WorkerOrders
 from wasabiturn.messages.kinds import StartOutcome
 from wasabiturn.process import exposition
@@ -16,7 +18,10 @@
     WorkerIdentity,
     WorkerPort,
 )
-from wasabiturn.process.agent.runs.start_sender import StartSender
+from wasabiturn.process.agent.runs.start_sender import (
+    RETRY_SECONDS,
+    StartSender,
+)
 from wasabiturn.process.agent.runs.starts import RunKey, StartTable
 from wasabiturn.utils.logs import create_component_log
 
@@ -50,6 +55,8 @@
             on_revoked=self._confirm_stop,
         )
         self._on_stop_confirmed = on_stop_confirmed
+        # Those in the newest orders, and those sent without an answer yet.
+        self._ordered_stops: set[RunKey] = set()
         self._pending_stops: set[RunKey] = set()
         self._newest_orders = 0
         self._sent_holds = 0
@@ -58,6 +65,7 @@
         """Discard the starts that were ordered before ``fence``."""
         self._channel.fence = fence
         self._newest_orders = 0
+        self._ordered_stops.clear()
         self.table.drop_superseded(fence)
 
     def close(self) -> None:
@@ -78,6 +86,9 @@
             return
         if orders.number >= self._newest_orders:
             self._newest_orders = orders.number
+            self._ordered_stops = {
+                (each.task, each.run) for each in orders.stops
+            }
             self._accept_starts(orders)
         for stop in orders.stops:
             self._send_stop(identity, stop)
@@ -126,9 +137,19 @@
         _log.decision('stops run', task=order.task, run=order.run)
         sent = self._channel.send_stop(identity, order)
         sent.addCallback(lambda _: self._confirm_stop(key))
-        sent.addErrback(log_order_failure)
+        sent.addErrback(self._handle_stop_failure, order)
         sent.addBoth(lambda _: self._pending_stops.discard(key))
 
+    def _handle_stop_failure(self, failure: Failure, order: StopOrder) -> None:
+        """Repeat the stop; the leader may be out of reach."""
+        log_order_failure(failure)
+        self._channel.clock.callLater(RETRY_SECONDS, self._repeat_stop, order)
+
+    def _repeat_stop(self, order: StopOrder) -> None:
+        identity = self._channel.identity
+        if identity and (order.task, order.run) in self._ordered_stops:
+            self._send_stop(identity, order)
+
     def _confirm_stop(self, key: RunKey) -> None:
         self.table.confirmed_stops[key] = self._sent_holds
         if not self._pending_stops - {key}:
