A report that was overtaken doesn't bring back the former capacity

Known from reading, not seen: an agent sends a report when the one before had no answer within 1 s; the earlier one may still come, from a link that was held up, after one on another link. The leader then believed the former capacity (or that a draining worker stays) until the next report, up to 1 s, chose starts for it, and the agent, whose newer report was answered, sent them.

Change: reports carry the number of the announcement (WorkerReport 19); the leader keeps what the newest one says. A report without a number, as from an agent of an earlier version, is believed as before. The adapter refuses numbers that no message can hold.

Test (failed before, without the check in apply_report: 4000, not 500): test_report_that_was_overtaken_does_not_bring_back_the_capacity

--- a/tests/batch/test_reports.py
+++ b/tests/batch/test_reports.py
@@ -71,6 +71,18 @@
     assert first_fence(TERM) < worker.fence < first_fence(TERM + 1)
 
 
+def test_report_that_was_overtaken_does_not_bring_back_the_capacity() -> None:
+    worker = open_worker(create_fleet())
+    newer = report_of(worker, sequence=5, millicores=500, leaving=True)
+    older = report_of(worker, sequence=4, millicores=4000)
+    for report in (newer, older):
+        apply_report(worker, report, now=1)
+    assert (worker.report.millicores, worker.report.leaving) == (500, True)
+    grown = report_of(worker, sequence=6, millicores=4000)
+    apply_report(worker, grown, now=1)
+    assert worker.report.millicores == 4000
+
+
 def test_refusal_counts_in_a_report_without_a_current_list() -> None:
     fleet = create_fleet()
     worker = open_worker(fleet)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -139,6 +139,7 @@
         {'labels': 'a'},
         {'service': ''},
         {'seq': None},
+        {'seq': 2**63},
         {'born': 0},
         {'born': 2**63},
         {'zone': 5},
--- a/wasabiturn/batch/reports.py
+++ b/wasabiturn/batch/reports.py
@@ -10,6 +10,8 @@
 
 from collections.abc import Iterator
 
+import attrs
+
 from wasabiturn.batch.fleet import Allocation, Worker
 from wasabiturn.batch.lost_runs import lost_end, not_started_end
 from wasabiturn.messages.batch import (
@@ -37,7 +39,7 @@
     The results of starts count without a current list as well: they are the
     worker's own answers.
     """
-    worker.report = report
+    worker.report = _keep_newer_announcement(worker.report, report)
     worker.heard_at = now
     if report.fence != worker.fence:
         return []
@@ -48,6 +50,25 @@
     return ends
 
 
+def _keep_newer_announcement(
+    known: WorkerReport, report: WorkerReport
+) -> WorkerReport:
+    """Return the report with what the newest announcement says.
+
+    A report that was under way on another link may arrive after a newer one.
+    """
+    if not 0 < report.sequence < known.sequence:
+        return report
+    return attrs.evolve(
+        report,
+        millicores=known.millicores,
+        memory_mb=known.memory_mb,
+        accelerators=known.accelerators,
+        leaving=known.leaving,
+        sequence=known.sequence,
+    )
+
+
 def _apply_listing(
     worker: Worker, report: WorkerReport, now: float
 ) -> list[EndRun]:
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -345,6 +345,7 @@
     ended: list[EndedRow] = attrs.field(factory=list)
     results: list[StartResult] = attrs.field(factory=list)
     truncated: bool = False
+    sequence: int = 0
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -205,6 +205,7 @@
   15: list<EndedRow> ended,
   16: list<StartResult> results,
   17: bool truncated,       // more ended runs than the lists have
+  19: i64 sequence,         // of the announcement that the capacity is from
 }
 
 struct StartOrder {
--- a/wasabiturn/platform/announced_fields.py
+++ b/wasabiturn/platform/announced_fields.py
@@ -11,7 +11,7 @@
 # Messages about workers hold amounts in 32 bits, one of them for the sign.
 AMOUNT_BITS = 31
 # Every reader of JSON represents integers of that size exactly.
-TIME_BITS = 53
+EXACT_BITS = 53
 
 
 def read_capacity(fields: dict[str, Any]) -> tuple[int, int, int]:
@@ -39,11 +39,23 @@
         InvalidBodyError: it is missing or invalid.
     """
     born_ms = read_int(fields, 'born')
-    if not born_ms or born_ms.bit_length() > TIME_BITS:
+    if not born_ms or born_ms.bit_length() > EXACT_BITS:
         raise InvalidBodyError('a worker has no time of birth')
     return born_ms
 
 
+def read_sequence(fields: dict[str, Any]) -> int:
+    """Return the number of an announcement.
+
+    Raises:
+        InvalidBodyError: it is invalid.
+    """
+    sequence = read_int(fields, 'seq')
+    if sequence.bit_length() > EXACT_BITS:
+        raise InvalidBodyError('seq is too large')
+    return sequence
+
+
 def check_id(worker: str) -> str:
     """Return the id of a worker if there is one.
 
--- a/wasabiturn/platform/workers.py
+++ b/wasabiturn/platform/workers.py
@@ -10,6 +10,7 @@
     check_text,
     read_birth,
     read_capacity,
+    read_sequence,
 )
 from wasabiturn.platform.fields import (
     InvalidBodyError,
@@ -66,7 +67,7 @@
         memory_mb=memory_mb,
         accelerators=accelerators,
         is_draining=state == 'draining',
-        sequence=read_int(fields, 'seq'),
+        sequence=read_sequence(fields),
     )
 
 
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -290,6 +290,7 @@
             memory_mb=identity.memory_mb,
             accelerators=identity.accelerators,
             leaving=identity.is_draining,
+            sequence=identity.sequence,
             fence=self._listing_fence,
             listed=listing is not None and self._is_listing_current,
             refuses=self._is_connection_refused,
