A withdrawn start that was never sent needs no stop at the worker

What callers would see: tasks that were ordered on a worker which takes 1 s for an order, and shrinks by just more than is free, come back late. 30 tasks of 100 millicores, 4000 shrunk to 2900 after 0.1 s: the 29 that have room all run 22 s after the shrink, the first of them after 13 s.

Cause: the agent sent a stop for each of the 27 starts that it had not sent yet, three at a time, before any of them could be chosen again.

Change: a start of which no order was sent (under this fence, by this process; an earlier one's are void after the first list) is refused by the agent itself.

--- a/tests/sessions/test_capacity_changes.py
+++ b/tests/sessions/test_capacity_changes.py
@@ -189,3 +189,15 @@
     agent.is_partitioned = True
     fleet.run(6)
     assert not fleet.run_starts
+
+
+def test_withdrawn_starts_that_were_not_sent_need_no_slow_stops() -> None:
+    fleet, agent = begin_with_one_worker()
+    agent.worker.order_delay_seconds = 1.0
+    fleet.submit('a', [create_step(30, millicores=100)], LONG_WORK)
+    fleet.run(0.1)
+    agent.worker.change_capacity(millicores=2900)
+    agent.announce()
+    # Three orders at a time; those that were out are stopped and sent again.
+    fleet.run(14)
+    assert count_running(agent, 'a') == 29
--- a/wasabiturn/process/agent/runs/sender.py
+++ b/wasabiturn/process/agent/runs/sender.py
@@ -132,6 +132,9 @@
         if start is not None and start.outcome is StartOutcome.refused:
             # It will never start, and the next report says so.
             return
+        if start is not None and start.was_never_sent:
+            self._starts.withdraw(start)
+            return
         self._pending_stops.add(key)
         self.table.starts_by_run.pop(key, None)
         _log.decision('stops run', task=order.task, run=order.run)
--- a/wasabiturn/process/agent/runs/start_sender.py
+++ b/wasabiturn/process/agent/runs/start_sender.py
@@ -75,6 +75,10 @@
                 start.is_sent = True
                 self._channel.run(self._send, start)
 
+    def withdraw(self, start: Start) -> None:
+        """Refuse a start that was never sent; the worker needs no stop."""
+        self._record_refusal(start, 'withdrawn before it was sent')
+
     def _find_objection(self, start: Start, identity: WorkerIdentity) -> str:
         """Return why the worker must not start a run, empty if it may."""
         if identity.is_draining:
--- a/wasabiturn/process/agent/runs/starts.py
+++ b/wasabiturn/process/agent/runs/starts.py
@@ -40,6 +40,11 @@
         """Return whether the worker may still carry an order out."""
         return self.unanswered_orders > 0
 
+    @property
+    def was_never_sent(self) -> bool:
+        """Return whether the worker knows nothing of the pending start."""
+        return self.outcome is StartOutcome.pending and not self.order_count
+
     @property
     def is_open(self) -> bool:
         """Return whether an order may still settle the pending start."""
