--- a/tests/sessions/batch_fakes.py
+++ b/tests/sessions/batch_fakes.py
@@ -24,6 +24,7 @@
     capacity_of,
     size_of,
 )
+from tests.sessions.process_pauses import Gate, GatedClock
 from wasabiturn.connection.calls import CallError
 from wasabiturn.connection.dispatch import Dispatch
 from wasabiturn.messages.batch import (
@@ -170,15 +171,21 @@
 
     def _deliver(self, message_class: type, packed: bytes) -> None:
         if not self._agent.is_partitioned:
-            self._agent.reconciler.apply_orders(unpack(message_class, packed))
+            self._agent.gate.run(
+                self._agent.reconciler.apply_orders,
+                unpack(message_class, packed),
+            )
 
 
 class FakePort:
     """Port of one agent process to its worker; closed, it sends nothing."""
 
-    def __init__(self, fleet: 'BatchFleet', worker: StandInBatchWorker) -> None:
+    def __init__(
+        self, fleet: 'BatchFleet', worker: StandInBatchWorker, gate: Gate
+    ) -> None:
         self._fleet = fleet
         self._worker = worker
+        self._gate = gate
         self._is_closed = False
 
     def close(self) -> None:
@@ -222,7 +229,9 @@
     def _send(
         self, call: Callable[..., Deferred[Any]], *arguments: Any
     ) -> Deferred[Any]:
-        return Deferred() if self._is_closed else call(*arguments)
+        if self._is_closed:
+            return Deferred()
+        return self._gate.forward(call(*arguments))
 
 
 class FakeAgent:
@@ -242,19 +251,27 @@
         self.incarnation = ''
         self._processes = 0
         self._fleet = fleet
-        self._port = FakePort(fleet, worker)
         self.reconciler = self._start_process()
 
     def restart(self) -> None:
         self.reconciler.close()
         self._port.close()
-        self._port = FakePort(self._fleet, self.worker)
         self.reconciler = self._start_process()
 
+    def pause(self) -> None:
+        """Halt the process; it goes on with ``resume``, or restarts."""
+        self.gate.pause()
+
+    def resume(self) -> None:
+        self.gate.resume()
+
     def _start_process(self) -> RunReconciler:
         self._processes += 1
         self.incarnation = f'{self.name}/{self._processes}'
-        return RunReconciler(self._port, self, self._fleet.clock)
+        self.gate = Gate()
+        self._port = FakePort(self._fleet, self.worker, self.gate)
+        clock = GatedClock(self._fleet.clock, self.gate)
+        return RunReconciler(self._port, self, clock)
 
     def announce_draining(self) -> None:
         identity = self.worker.identity
@@ -268,7 +285,7 @@
                 identity,
                 sequence=identity.sequence + 1,
             )
-            self.reconciler.announce(self.worker.identity)
+            self.gate.run(self.reconciler.announce, self.worker.identity)
 
     def call(
         self,
@@ -286,7 +303,7 @@
             type(message),
             pending_reply,
         )
-        return pending_reply
+        return self.gate.forward(pending_reply)
 
     def _deliver_call(
         self,
