--- a/tests/batch/test_decisions.py
+++ b/tests/batch/test_decisions.py
@@ -121,6 +121,21 @@
     assert not plan(batch_state, create_fleet(create_worker('a', **fields)))
 
 
+def test_worker_without_cpu_gets_no_filling_task_and_blocks_none() -> None:
+    batch_state = create_batch_state(accept('j', FILLING), accept('k', step()))
+    fleet = create_fleet(create_worker('a', millicores=0), create_worker('b'))
+    assert plan(batch_state, fleet) == {'j.0.0.0': 'b', 'k.0.0.0': 'b'}
+
+
+def test_task_without_a_worker_does_not_block_other_services() -> None:
+    other = accept('k', step(1))
+    other.accepts[0].terms.service_name = 'other'
+    batch_state = create_batch_state(accept('j', step(1)), other)
+    full = create_worker('a', millicores=0)
+    fleet = create_fleet(full, create_worker('b', service_name='other'))
+    assert plan(batch_state, fleet) == {'k.0.0.0': 'b'}
+
+
 def test_required_label_and_max_per_worker_are_respected() -> None:
     wanted = step(6, required_label='special', max_per_worker=2)
     batch_state = create_batch_state(accept('j', wanted))
@@ -140,6 +155,14 @@
     assert len(plan(batch_state, fleet)) == 11
 
 
+def test_gang_starts_on_workers_of_its_service_only() -> None:
+    batch_state = create_batch_state(accept('j', step(2, gang=True)))
+    other = create_worker('a', service_name='other')
+    assert not plan(batch_state, create_fleet(other))
+    fleet = create_fleet(other, create_worker('b'))
+    assert plan(batch_state, fleet) == {'j.0.0.0': 'b', 'j.0.0.1': 'b'}
+
+
 def test_filling_tasks_prefer_worker_without_lasting_tasks() -> None:
     lasting, free = create_worker('a'), create_worker('b')
     add_lasting_run(lasting, figure=40)
@@ -237,6 +260,18 @@
     assert forecasts.find(worker, 0.1 + FORECAST_LIFETIME_SECONDS) is not newest
 
 
+def test_forecast_follows_the_capacity_of_its_worker() -> None:
+    worker = create_worker('a')
+    add_lasting_run(worker, figure=50)
+    batch_state = create_batch_state(accept('j', FILLING))
+    add_run(worker, batch_state.tasks_by_name['j.0.0.0'])
+    forecasts = Forecasts(create_known_interference(f=1))
+    (job,) = forecasts.find(worker, 0).jobs
+    worker.report.millicores //= 2
+    (job_after_shrinking,) = forecasts.find(worker, 0).jobs
+    assert job_after_shrinking.load_rise > job.load_rise
+
+
 def test_idle_job_starts_a_task_after_the_idle_limit() -> None:
     worker = create_worker('a')
     add_lasting_run(worker, figure=95)
--- a/tests/batch/test_reports.py
+++ b/tests/batch/test_reports.py
@@ -77,6 +77,18 @@
     assert first_fence(TERM) < worker.fence < first_fence(TERM + 1)
 
 
+def test_report_that_was_overtaken_does_not_bring_back_the_capacity() -> None:
+    worker = open_worker(create_fleet())
+    newer = report_of(worker, sequence=5, millicores=500, leaving=True)
+    older = report_of(worker, sequence=4, millicores=4000)
+    for report in (newer, older):
+        apply_report(worker, report, now=1)
+    assert (worker.report.millicores, worker.report.leaving) == (500, True)
+    grown = report_of(worker, sequence=6, millicores=4000)
+    apply_report(worker, grown, now=1)
+    assert worker.report.millicores == 4000
+
+
 def test_refusal_counts_in_a_report_without_a_current_list() -> None:
     fleet = create_fleet()
     worker = open_worker(fleet)
@@ -229,6 +241,18 @@
     assert list_endings(ends) == [RunEnding.stopped]
 
 
+def test_run_that_a_new_incarnation_may_have_takes_room_there() -> None:
+    fleet = create_fleet()
+    worker = open_worker(fleet)
+    (allocation,) = worker.allocations_by_task.values()
+    successor = fleet.open('w', 2, lease_ends_at=0)
+    successor.report = WorkerReport(millicores=1500, memory_mb=1000)
+    succeed_worker(fleet, successor, worker)
+    assert not successor.has_room(1000, 100, 0)
+    worker.release(allocation.task)
+    assert successor.has_room(1000, 100, 0)
+
+
 def test_runs_of_a_replaced_name_end_at_once() -> None:
     fleet = create_fleet()
     worker = open_worker(fleet)
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -15,6 +15,7 @@
 from wasabiturn.messages.batch import (
     BatchChange,
     RunningRow,
+    Step,
     WorkerReport,
 )
 from wasabiturn.messages.limits import ORDER_LIFETIME_SECONDS
@@ -167,7 +168,14 @@
         memory_mb: int,
         accelerator_count: int,
     ) -> bool:
-        """Return whether the resources fit beside those already charged."""
+        """Return whether the resources fit beside those already charged.
+
+        What earlier incarnations of the name were ordered to run may run here.
+        """
+        for each in self.predecessors:
+            millicores += each.millicores
+            memory_mb += each.memory_mb
+            accelerator_count += each.accelerators
         report = self.report
         return (
             self.millicores + millicores <= report.millicores
@@ -183,6 +191,16 @@
             for allocation in each.allocations_by_task.values()
         ]
 
+    def is_short_for(self, step: Step) -> bool:
+        """Return whether more is charged than there is of what a task takes."""
+        report = self.report
+        takes_millicores = step.millicores and not step.fills
+        return bool(
+            (takes_millicores and self.millicores > report.millicores)
+            or (step.memory_mb and self.memory_mb > report.memory_mb)
+            or (step.accelerators and self.accelerators > report.accelerators)
+        )
+
     def unused_millicores(self) -> float:
         """Return the CPU that is expected to be left for all filling tasks."""
         used = self.millicores - (1 - LASTING_CPU_USE) * self.lasting_millicores
--- a/wasabiturn/batch/gangs.py
+++ b/wasabiturn/batch/gangs.py
@@ -3,6 +3,8 @@
 from collections import Counter
 from collections.abc import Iterator
 
+import attrs
+
 from wasabiturn.batch.fleet import Worker
 from wasabiturn.batch.jobs import Part, Task
 from wasabiturn.batch.placing import Candidates, may_start_at
@@ -16,7 +18,14 @@
     if any(task.state is not BatchTaskState.waiting for task in tasks):
         return
     run = max((task.run for task in tasks), default=0) + 1
-    for task, worker in _place_members(part, tasks, candidates):
+    service_name = part.job.accepted.terms.service_name
+    workers = [
+        worker
+        for worker in candidates.workers
+        if worker.report.service_name == service_name
+    ]
+    of_service = attrs.evolve(candidates, workers=workers)
+    for task, worker in _place_members(part, tasks, of_service):
         yield StartRun(
             task=task.name,
             run=run,
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -385,6 +385,7 @@
     results: list[StartResult] = attrs.field(factory=list)
     truncated: bool = False
     open_orders: OpenOrders | None = None
+    sequence: int = 0
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -233,6 +233,7 @@
   16: list<StartResult> results,
   17: bool truncated,       // more ended runs than the lists have
   18: optional OpenOrders open_orders,
+  19: i64 sequence,         // of the announcement that the capacity is from
 }
 
 struct StartOrder {
--- a/wasabiturn/process/agent/runs/lease.py
+++ b/wasabiturn/process/agent/runs/lease.py
@@ -30,6 +30,8 @@
     clock_read_at: float = NEVER
     lease_until_ms: int = 0
     starts_allowed_until: float = NEVER
+    # The worker has shrunk since the newest report that was answered.
+    has_shrunk: bool = False
 
     def record_clock(self, listing: RunListing, now: float) -> None:
         """Record the worker's clock if the listing is the newest."""
@@ -47,16 +49,24 @@
         elapsed_ms = (now - self.clock_read_at) * SLOWEST_CLOCK_RATE * _MS
         return self.clock_ms + int(elapsed_ms)
 
-    def extend(self, sent_at: float, sent_clock_ms: int, lease_ms: int) -> None:
-        """Extend the lease by a grant requested at ``sent_at``.
-
-        ``sent_clock_ms`` is the worker's clock at that time, 0 if unknown.
-        """
-        if not lease_ms:
-            return
+    def allow_starts(self, sent_at: float) -> None:
+        """Allow starts for a moment after a report was sent at ``sent_at``."""
         self.starts_allowed_until = max(
             self.starts_allowed_until, sent_at + START_PERMIT_SECONDS
         )
+        self.has_shrunk = False
+
+    def record_shrink(self) -> None:
+        """Allow no start before a report of the shrunk worker is answered."""
+        self.starts_allowed_until = NEVER
+        self.has_shrunk = True
+
+    def extend(self, sent_clock_ms: int, lease_ms: int) -> None:
+        """Extend the lease by a grant.
+
+        ``sent_clock_ms`` is the worker's clock when it was requested, 0 if
+        unknown.
+        """
         if sent_clock_ms:
             until_ms = sent_clock_ms + lease_ms
             self.lease_until_ms = max(self.lease_until_ms, until_ms)
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -7,6 +7,7 @@
 
 from typing import Any, final
 
+from twisted.internet.defer import maybeDeferred
 from twisted.python.failure import Failure
 
 from wasabiturn.messages.batch import WorkerOrders, WorkerReport
@@ -84,13 +85,8 @@
             )
             self._begin_incarnation()
             self._send_hold(FIRST_HOLD_WAIT_MS)
-        elif known.is_draining != identity.is_draining:
-            _log.event(
-                'worker changed its draining state', worker=identity.worker
-            )
-            self._sender.update_identity(identity)
-            self._send_starts()
-            self._send_report()
+        else:
+            self._follow_changes(known, identity)
 
     def close(self) -> None:
         """Stop sending holds; runs continue until their lease expires."""
@@ -116,6 +112,28 @@
         if has_acknowledged_all(self._listing, self._acknowledged_end):
             self._hold_delay.finish()
 
+    def _follow_changes(
+        self, known: WorkerIdentity, identity: WorkerIdentity
+    ) -> None:
+        """Report what changes where runs may start without delay."""
+        if (
+            known.capacity == identity.capacity
+            and known.is_draining == identity.is_draining
+        ):
+            return
+        _log.event(
+            'worker changed its capacity or draining state',
+            worker=identity.worker,
+            capacity=identity.capacity,
+            is_draining=identity.is_draining,
+        )
+        if known.has_more_than(identity):
+            # The leader chose the starts for the former capacity.
+            self._sender.grants.record_shrink()
+        self._sender.update_identity(identity)
+        self._send_starts()
+        self._send_report()
+
     def _begin_incarnation(self) -> None:
         self._hold_delay.cancel()
         self._listing = None
@@ -249,7 +267,9 @@
         self._is_report_due = False
         now = self._clock.seconds()
         sent_clock_ms = self._sender.grants.estimate_clock_ms(now)
-        reply = self._calls.call(
+        # A report that cannot be encoded must not be the last one.
+        reply = maybeDeferred(
+            self._calls.call,
             Method.worker_report,
             self._create_report(identity),
             WorkerOrders,
@@ -274,6 +294,7 @@
             memory_mb=identity.memory_mb,
             accelerators=identity.accelerators,
             leaving=identity.is_draining,
+            sequence=identity.sequence,
             fence=self._listing_fence,
             listed=listing is not None and self._is_listing_current,
             refuses=self._is_connection_refused,
@@ -293,12 +314,17 @@
     ) -> None:
         elapsed_seconds = self._clock.seconds() - sent_at
         exposition.report_seconds.observe(elapsed_seconds)
+        current = self._identity
         if (
-            _is_same_life(self._identity, identity)
+            current is not None
+            and current.life == identity.life
             and orders.fence >= self._fence
+            and orders.lease_ms
         ):
             grants = self._sender.grants
-            grants.extend(sent_at, sent_clock_ms, orders.lease_ms)
+            grants.extend(sent_clock_ms, orders.lease_ms)
+            if not identity.has_more_than(current):
+                grants.allow_starts(sent_at)
         self.apply_orders(orders)
 
     def _finish_report(self, nothing: Any) -> None:
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -6,7 +6,7 @@
 
 from wasabiturn.batch import BatchState, dump_batch_state, load_batch_state
 from wasabiturn.batch.bindings import bind_task, restore_bindings
-from wasabiturn.batch.fleet import Allocation, Fleet, Worker
+from wasabiturn.batch.fleet import Fleet, Worker
 from wasabiturn.batch.forecast import Forecasts
 from wasabiturn.batch.interference import (
     list_pressure_records,
@@ -15,9 +15,8 @@
 from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.lost_runs import find_expired_workers, give_up_runs
 from wasabiturn.batch.ordering import Moment
-from wasabiturn.batch.planning import plan_moves, plan_starts
+from wasabiturn.batch.planning import plan_starts
 from wasabiturn.batch.sharing import set_pace
-from wasabiturn.batch.withdrawals import find_withdrawn_starts
 from wasabiturn.connection.link import Link
 from wasabiturn.messages.batch import (
     BatchChange,
@@ -35,6 +34,7 @@
 )
 from wasabiturn.process.control.batch.orders import create_orders
 from wasabiturn.process.control.batch.pipeline import Pipeline
+from wasabiturn.process.control.batch.stops import stop_unwanted_runs
 from wasabiturn.utils.logs import create_component_log
 from wasabiturn.version.replica import Replica
 
@@ -140,7 +140,7 @@
         was_gone = worker.is_gone
         ends = give_up_runs(self.fleet, worker, now)
         if not was_gone:
-            self._send_orders((worker.name, worker.born_ms))
+            self.send_orders((worker.name, worker.born_ms))
         self.store_lost_runs(worker, ends, reason, now)
 
     def store_lost_runs(
@@ -216,27 +216,11 @@
             self.pipeline.add(BatchChange(pressures=records))
 
     def _stop_unwanted_runs(self, now: float) -> None:
-        moves = plan_moves(
-            self.pipeline.batch_state,
-            self.fleet,
-            self._forecasts,
-            now,
-        )
-        for allocation in moves:
-            self._request_stop(allocation, 'moves run')
-        withdrawn = find_withdrawn_starts(
-            self.fleet, self.pipeline.batch_state.out_data_centres, now
-        )
-        for allocation in withdrawn:
-            self._request_stop(allocation, 'withdraws start')
-
-    def _request_stop(self, allocation: Allocation, decision: str) -> None:
-        allocation.is_stop_requested = True
-        task = allocation.task
-        _log.decision(
-            decision, task=task.name, run=allocation.run, worker=task.worker
+        incarnations = stop_unwanted_runs(
+            self.pipeline.batch_state, self.fleet, self._forecasts, now
         )
-        self._send_orders((task.worker, task.born_ms))
+        for incarnation in incarnations:
+            self.send_orders(incarnation)
 
     def _forget_ended_jobs(self) -> None:
         batch_state = self.pipeline.batch_state
@@ -291,9 +275,10 @@
             if _advance_committed_end(worker, change):
                 incarnations_to_notify.add(incarnation)
         for incarnation in incarnations_to_notify:
-            self._send_orders(incarnation)
+            self.send_orders(incarnation)
 
-    def _send_orders(self, incarnation: tuple[str, int]) -> None:
+    def send_orders(self, incarnation: tuple[str, int]) -> None:
+        """Send its current orders to an incarnation with a link."""
         worker = self.fleet.workers_by_incarnation.get(incarnation)
         link = self.links_by_incarnation.get(incarnation)
         if worker is not None and link is not None:
