Send a request on no more once backend servers crash under it

What callers saw: one idempotent request that crashes the backend server which gets it took down up to four of them (MAX_ATTEMPTS), as long as the retry budget lasted; the requests beside it were lost with each.

Cause: the agent told a crash as it tells one cut connection, and the entry counted attempts only. Nobody knew which request was to blame.

Now the agent opens a connection when it loses one under a request. If it is refused, the server has crashed: it is out of the choice at once (before: from the next request that was refused there), and the answer to each entry says whether its request is the only suspect. The entry counts the crashes and sends them along, so that the next agent knows earlier suspects; it keeps suspects apart. After two crashes as the only suspect, or three, the caller gets 502 unknown with the reason.

Ruled out: non-idempotent requests, keyed or not, are sent on only if they certainly did not run, and a resend with the key is told the outcome; one server each (tests). Hedges add none: only a first attempt is hedged. Cuts, servers that leave, agents out of service and refused connections before a request was passed on are no crash (tests).

--- a/wasabiturn/connection/backend.py
+++ b/wasabiturn/connection/backend.py
@@ -105,6 +105,13 @@
             self.reap(now, FRESH_IDLE_LIMIT_SECONDS)
         if self.idle:
             return succeed(self.idle.pop())
+        return self.connect()
+
+    def connect(self) -> Deferred[BackendConnection]:
+        """Open a connection, even if one is idle; wait while at the limit.
+
+        Fails with ``BackendConnectError``.
+        """
         if len(self.open) + self.connecting >= self.limit:
             waiter: Deferred[BackendConnection] = Deferred()
             self.waiters.append(waiter)
--- a/wasabiturn/messages/kinds.py
+++ b/wasabiturn/messages/kinds.py
@@ -177,6 +177,19 @@
     unknown = 2
 
 
+@final
+class CrashSuspicion(enum.IntEnum):
+    """Whether a request may have crashed its backend server.
+
+    ``shared``: other requests in flight are as likely to have done so;
+    ``only``: the request is the only suspect.
+    """
+
+    none = 0
+    shared = 1
+    only = 2
+
+
 @final
 class EntryKind(enum.IntEnum):
     """Type of an entry of the replicated log."""
--- a/wasabiturn/messages/session.py
+++ b/wasabiturn/messages/session.py
@@ -12,6 +12,7 @@
 from wasabiturn.messages.kinds import (
     AgentClaimState,
     AttemptState,
+    CrashSuspicion,
     OrderAction,
     Verdict,
 )
@@ -258,6 +259,7 @@
     claim_id: str = ''
     claim_key: str = ''
     caller: str = ''
+    crashes: int = 0
 
 
 @bind(_idl)
@@ -286,6 +288,9 @@
     retry_after_ms: float = 0.0
     reason: str = ''
     load: LoadReport = attrs.field(factory=LoadReport)
+    crash: CrashSuspicion = attrs.field(
+        default=CrashSuspicion.none, converter=CrashSuspicion
+    )
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/session.thrift
+++ b/wasabiturn/messages/wire/session.thrift
@@ -144,6 +144,7 @@
   9: string claim_id,
   10: string claim_key,
   11: string caller,
+  12: i32 crashes,          // backend servers that crashed under earlier attempts
 }
 
 struct LoadReport {
@@ -163,6 +164,7 @@
   4: double retry_after_ms,
   5: string reason,
   6: LoadReport load,
+  7: i32 crash,             // CrashSuspicion
 }
 
 struct RefuseClaim {
--- a/wasabiturn/process/agent/availability.py
+++ b/wasabiturn/process/agent/availability.py
@@ -67,6 +67,7 @@
             return
         _log.event('acceptance of new work changed', closed_because=reason)
         self.request_server.closed_because = reason
+        self.backends.is_closed = bool(reason)
         self.record_builder.leaving = bool(reason)
         if reason:
             for backend in self.backends.all_backends():
--- a/wasabiturn/process/agent/backends.py
+++ b/wasabiturn/process/agent/backends.py
@@ -5,15 +5,18 @@
 from typing import Any, final
 
 import attrs
+from twisted.internet.defer import Deferred, succeed
 
 from wasabiturn.connection.backend import IDLE_LIMIT_SECONDS, BackendPool
 from wasabiturn.connection.endpoint import parse_endpoint
 from wasabiturn.ids import ClaimId, ServiceName, Ticket
+from wasabiturn.messages.kinds import CrashSuspicion
 from wasabiturn.messages.session import (
     BackendRecord,
     LoadReport,
     ServiceReport,
 )
+from wasabiturn.process.agent.crash_diagnosis import CrashDiagnosis
 from wasabiturn.request.admission import (
     SlotTable,
     apply,
@@ -30,6 +33,7 @@
 from wasabiturn.request.agent_claims import AgentClaims
 from wasabiturn.request.estimates import RecentTimes, ServiceTimes
 from wasabiturn.request.served import (
+    IN_FLIGHT_PHASES,
     Phase,
     ServedRequest,
     describe_awaited_answer,
@@ -56,9 +60,13 @@
     claims: AgentClaims
     clock: Any
     announced_at: float
+    diagnosis: CrashDiagnosis
+    # Whether the agent accepts no new work.
+    is_closed: Callable[[], bool]
     answer_times: ServiceTimes = attrs.field(factory=ServiceTimes)
     recent_times: RecentTimes = attrs.field(factory=RecentTimes)
     answered: int = 0
+    crashes: int = 0
     # When the newest request that has been answered was sent.
     newest_answered: float = 0.0
     expired: bool = False
@@ -103,6 +111,34 @@
         for callback in self.on_change:
             callback()
 
+    def diagnose_loss(self, request: ServedRequest) -> Deferred[CrashSuspicion]:
+        """Find out whether the backend server crashed under ``request``."""
+        if self.record.leaving or self.is_closed():
+            return succeed(CrashSuspicion.none)
+        in_flight = {
+            ticket: each.head.crashes
+            for ticket, each in self.requests_by_ticket.items()
+            if each.phase in IN_FLIGHT_PHASES
+        }
+        return self.diagnosis.diagnose(request.ticket, in_flight)
+
+    def handle_crash(self, crashes_by_ticket: dict[Ticket, int]) -> None:
+        """Stop using a backend server that crashed."""
+        self.crashes += 1
+        _log.decision(
+            'backend server crashed',
+            service=self.record.service_name,
+            address=self.record.address,
+            requests=[
+                each.head.request_id
+                for ticket, each in self.requests_by_ticket.items()
+                if ticket in crashes_by_ticket
+            ],
+            suspects=sum(1 for each in crashes_by_ticket.values() if each),
+            chosen='unreachable',
+        )
+        self.mark_unreachable()
+
     def observe_answer(self, seconds: float) -> None:
         """Record the seconds from sending a request to its answer's head."""
         self.answered += 1
@@ -208,6 +244,8 @@
 
     reactor: Any
     claims: AgentClaims = attrs.field(factory=AgentClaims)
+    # Whether the agent accepts no new work.
+    is_closed: bool = False
     on_change: list[Callable[[], None]] = attrs.field(factory=list)
     _backends_by_key: dict[tuple[str, str], LocalBackend] = attrs.field(
         factory=dict,
@@ -292,15 +330,19 @@
             limit=record.connections,
             reactor=self.reactor,
         )
-        return LocalBackend(
+        backend = LocalBackend(
             record=record,
             pool=pool,
+            diagnosis=CrashDiagnosis(pool),
+            is_closed=lambda: self.is_closed,
             table=create_slot_table(record.slots, record.connections),
             claims=self.claims,
             clock=self.reactor,
             announced_at=now,
             on_change=self.on_change,
         )
+        backend.diagnosis.on_crash = backend.handle_crash
+        return backend
 
     def _notify_changed(self) -> None:
         for callback in self.on_change:
--- a/wasabiturn/process/agent/metrics.py
+++ b/wasabiturn/process/agent/metrics.py
@@ -17,6 +17,7 @@
             sink.gauge(f'{prefix}.waiting', report.waiting)
             sink.gauge(f'{prefix}.slots', report.slots)
             sink.gauge(f'{prefix}.answered', backend.answered)
+            sink.gauge(f'{prefix}.crashes', backend.crashes)
             sink.gauge(f'{prefix}.p95_ms', report.p95_ms)
 
     return Sampler(context, sample)
--- a/wasabiturn/process/entry/attempt.py
+++ b/wasabiturn/process/entry/attempt.py
@@ -43,9 +43,13 @@
         candidate: Candidate,
         owner: AttemptOwner,
         started: float,
+        *,
+        is_suspect: bool = False,
     ) -> None:
         """Create an attempt; ``open`` sends it."""
         self.number = number
+        # Whether a backend server crashed under an earlier attempt.
+        self.is_suspect = is_suspect
         self.candidate = candidate
         self.started = started
         # Whether the agent may have received the request.
--- a/wasabiturn/process/entry/attempts.py
+++ b/wasabiturn/process/entry/attempts.py
@@ -6,6 +6,7 @@
 import attrs
 
 from wasabiturn.ids import InstanceName
+from wasabiturn.messages.kinds import CrashSuspicion
 from wasabiturn.messages.session import RequestHead
 from wasabiturn.process.entry.attempt import Attempt, AttemptOwner
 from wasabiturn.process.entry.router import Router
@@ -19,6 +20,7 @@
 )
 from wasabiturn.request.retry import UnansweredRequest, may_hedge, may_retry
 from wasabiturn.request.routing import Candidate, may_take_hedge
+from wasabiturn.request.suspects import may_send_on
 
 _MS_PER_SECOND = 1000
 
@@ -46,12 +48,15 @@
     # Whether it is certain that no finished attempt ran.
     certainly_not_run: bool = True
     sent_count: int = 0
+    # Backend servers that crashed under the request.
+    crashes: int = 0
+    newest_suspicion: CrashSuspicion = CrashSuspicion.none
     active: list[Attempt] = attrs.field(factory=list)
     _tried: set[InstanceName] = attrs.field(factory=set)
 
     def send_to_chosen(self) -> bool:
         """Send to an agent that the router chooses; false if not sent."""
-        chosen = self.router.choose(self.request, self._tried)
+        chosen = self.router.choose(self.request, self._tried, self.crashes)
         return chosen is not None and self.send(chosen.candidate)
 
     def hedge(self) -> None:
@@ -71,9 +76,14 @@
             return False
         self.sent_count += 1
         attempt = Attempt(
-            self.sent_count, candidate, self.owner, self.router.now()
+            self.sent_count,
+            candidate,
+            self.owner,
+            self.router.now(),
+            is_suspect=self.crashes > 0,
         )
         self.active.append(attempt)
+        candidate.suspects += attempt.is_suspect
         record_sent(candidate.load, attempt.started)
         attempt.open(link, self._create_head(attempt))
         for chunk in self.body.chunks:
@@ -101,8 +111,16 @@
         """Return whether any attempt may have run the request."""
         return not self.certainly_not_run or bool(self.active)
 
+    def record_crash(self, suspicion: CrashSuspicion) -> None:
+        """Count a backend server that crashed under an attempt."""
+        if suspicion is not CrashSuspicion.none:
+            self.crashes += 1
+            self.newest_suspicion = suspicion
+
     def may_retry(self) -> bool:
         """Return whether to retry; if so, charge the retry budget."""
+        if not may_send_on(self.crashes, self.newest_suspicion):
+            return False
         unanswered = UnansweredRequest(
             idempotent=self.request.idempotency.idempotent,
             certainly_not_run=self.certainly_not_run,
@@ -115,6 +133,12 @@
 
     def refuse(self, reason: str, retry_after: float | None) -> Refusal:
         """Create a refusal whose outcome covers all attempts."""
+        if not may_send_on(self.crashes, self.newest_suspicion):
+            self.router.record_given_up(self.request, self.crashes)
+            reason = (
+                f'{self.crashes} backend servers crashed under the request; '
+                'it is not sent on'
+            )
         if self.may_have_run():
             return refuse_unknown(HTTPStatus.BAD_GATEWAY, reason)
         return refuse_not_run(
@@ -127,6 +151,7 @@
         """Remove a finished attempt from the load of its agent."""
         if attempt in self.active:
             self.active.remove(attempt)
+            attempt.candidate.suspects -= attempt.is_suspect
             record_done(attempt.candidate.load)
             self.router.pool.close_unused_links()
 
@@ -151,4 +176,5 @@
             claim_id=self.claim.claim_id,
             claim_key=self.claim.key,
             caller=request.caller,
+            crashes=self.crashes,
         )
--- a/wasabiturn/process/entry/exchange.py
+++ b/wasabiturn/process/entry/exchange.py
@@ -113,6 +113,7 @@
         self._attempts.release(attempt)
         if head.verdict is Verdict.unknown:
             self._attempts.certainly_not_run = False
+            self._attempts.record_crash(head.crash)
             record_failure(attempt.candidate.health, now)
         self._retry_or_refuse(head.reason, head.retry_after_ms / _MS_PER_SECOND)
 
--- a/wasabiturn/process/entry/program.py
+++ b/wasabiturn/process/entry/program.py
@@ -56,6 +56,7 @@
             DataCentre(instance.data_centre),
             reactor,
             random,
+            context.metrics,
         )
         self._readiness = Readiness(session, reactor)
         self._claims = ClaimCalls(
--- a/wasabiturn/process/entry/router.py
+++ b/wasabiturn/process/entry/router.py
@@ -1,6 +1,7 @@
 """Choice of agents for all requests of one entry."""
 
 from collections import defaultdict
+from collections.abc import Sequence
 from random import Random
 from typing import Any, final
 
@@ -9,8 +10,14 @@
 from wasabiturn.process.entry.agents import AgentPool
 from wasabiturn.request.inbound import InboundRequest
 from wasabiturn.request.retry import LatencyWindow, RetryBudget
-from wasabiturn.request.routing import Candidate, Choice, choose_agent
+from wasabiturn.request.routing import (
+    Candidate,
+    Choice,
+    choose_agent,
+    prefer_without_suspects,
+)
 from wasabiturn.utils.logs import create_component_log
+from wasabiturn.utils.metrics import Metrics, NoMetrics
 
 _log = create_component_log('entry')
 
@@ -25,9 +32,11 @@
         data_centre: DataCentre,
         reactor: Any,
         random: Random,
+        metrics: Metrics | None = None,
     ) -> None:
         """Create the router of the entry in ``data_centre``."""
         self.pool = pool
+        self._metrics: Metrics = metrics or NoMetrics()
         self._data_centre = data_centre
         self.reactor = reactor
         self._random = random
@@ -46,12 +55,20 @@
         self,
         request: InboundRequest,
         tried: set[InstanceName],
+        crashes: int = 0,
     ) -> Choice | None:
-        """Choose an agent, preferring those not in ``tried``."""
+        """Choose an agent, preferring those not in ``tried``.
+
+        ``crashes`` are the backend servers that crashed under the request.
+        """
         candidates = self.pool.find_candidates(request.service_name)
-        untried = [each for each in candidates if each.name not in tried]
+        preferred: Sequence[Candidate] = [
+            each for each in candidates if each.name not in tried
+        ]
+        if crashes:
+            preferred = prefer_without_suspects(preferred)
         chosen = choose_agent(
-            untried or candidates,
+            preferred or candidates,
             self._data_centre,
             self._random,
             self.now(),
@@ -69,6 +86,7 @@
             request=request.request_id,
             service=request.service_name,
             tried=sorted(tried),
+            crashes=crashes,
             seconds_by_agent={
                 score.name: round(score.seconds, 6)
                 for score in chosen.ok.scores
@@ -77,6 +95,17 @@
         )
         return chosen.ok
 
+    def record_given_up(self, request: InboundRequest, crashes: int) -> None:
+        """Record that a request is not sent on because of crashes."""
+        _log.decision(
+            'request not sent on: it is suspected of crashing backend servers',
+            request=request.request_id,
+            service=request.service_name,
+            crashes=crashes,
+            chosen='refused',
+        )
+        self._metrics.incr('requests.given_up_after_crashes')
+
     def has_candidate(self, service_name: ServiceName) -> bool:
         """Return whether any agent of a service is reachable."""
         candidates = self.pool.find_candidates(service_name)
--- a/wasabiturn/request/reply.py
+++ b/wasabiturn/request/reply.py
@@ -6,7 +6,7 @@
 
 from wasabiturn.connection.streams import CHUNK_BYTES, Stream
 from wasabiturn.messages.codec import pack
-from wasabiturn.messages.kinds import Verdict
+from wasabiturn.messages.kinds import CrashSuspicion, Verdict
 from wasabiturn.messages.session import LoadReport, ResponseHead
 
 MS_PER_SECOND = 1000
@@ -57,13 +57,23 @@
             ),
         )
 
-    def fail(self, reason: str, load: LoadReport) -> None:
+    def fail(
+        self,
+        reason: str,
+        load: LoadReport,
+        crash: CrashSuspicion = CrashSuspicion.none,
+    ) -> None:
         """Report that no complete answer will follow."""
         if self.started:
             self.stream.reset(reason)
             return
         self._send_only_head(
-            ResponseHead(verdict=Verdict.unknown, reason=reason, load=load),
+            ResponseHead(
+                verdict=Verdict.unknown,
+                reason=reason,
+                load=load,
+                crash=crash,
+            ),
         )
 
     def _send_only_head(self, head: ResponseHead) -> None:
--- a/wasabiturn/request/routing.py
+++ b/wasabiturn/request/routing.py
@@ -40,6 +40,8 @@
     load: AgentLoad
     health: AgentHealth
     reachable: bool = True
+    # Requests of this entry at the agent that are suspected of a crash.
+    suspects: int = 0
 
 
 @final
@@ -114,6 +116,20 @@
     )
 
 
+def prefer_without_suspects(
+    candidates: Sequence[Candidate],
+) -> Sequence[Candidate]:
+    """Return the agents for a request that is suspected of a crash.
+
+    If a suspect is alone of its kind at a backend server, the next crash
+    tells whether it is the cause.
+    """
+    without_suspects = [
+        each for each in candidates if each.reachable and not each.suspects
+    ]
+    return without_suspects or candidates
+
+
 def may_take_hedge(choice: Choice) -> bool:
     """Return whether the compared agents have free slots for a hedge."""
     total = sum(score.utilization for score in choice.scores)
--- a/wasabiturn/request/served.py
+++ b/wasabiturn/request/served.py
@@ -4,6 +4,7 @@
 from typing import Any, Protocol, cast, final
 
 import attrs
+from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Protocol as BodyReceiver
 from twisted.python.failure import Failure
 from twisted.web.client import Response, ResponseDone
@@ -15,6 +16,7 @@
 )
 from wasabiturn.connection.streams import Stream
 from wasabiturn.ids import Ticket
+from wasabiturn.messages.kinds import CrashSuspicion
 from wasabiturn.messages.session import LoadReport, RequestHead
 from wasabiturn.request.backend_messages import (
     InvalidRequestError,
@@ -50,6 +52,10 @@
     over = 'over'
 
 
+# Phases in which the backend server may be working on a request.
+IN_FLIGHT_PHASES = frozenset((Phase.sent, Phase.answering, Phase.detached))
+
+
 class BackendSlots(Protocol):
     """Interface of the backend server that a request runs on."""
 
@@ -67,6 +73,11 @@
     def mark_unreachable(self) -> None:
         """Stop using the backend server until it announces itself again."""
 
+    def diagnose_loss(
+        self, request: 'ServedRequest'
+    ) -> Deferred[CrashSuspicion]:
+        """Find out whether the backend server crashed under ``request``."""
+
     def observe_answer(self, seconds: float) -> None:
         """Record the time from sending a request to the response head."""
 
@@ -150,7 +161,7 @@
         if self.phase is Phase.detached:
             self.abort('abandoned for too long')
         elif self.phase in {Phase.sent, Phase.answering}:
-            self._fail_reply('deadline has passed')
+            self.reply.fail('deadline has passed', self.slots.load_report())
             self._detach()
         else:
             self.refuse('deadline has passed')
@@ -162,9 +173,11 @@
         elif self.phase is not Phase.detached:
             self._finish(ran=False)
 
-    def abort(self, reason: str) -> None:
+    def abort(
+        self, reason: str, crash: CrashSuspicion = CrashSuspicion.none
+    ) -> None:
         """Fail the reply and close the connection to the backend server."""
-        self._fail_reply(reason)
+        self.reply.fail(reason, self.slots.load_report(), crash)
         if self.connection is not None:
             self.connection.drop()
         self._finish(ran=True)
@@ -217,13 +230,24 @@
         if self.reply.start(head):
             self.phase = Phase.answering
         else:
-            self._fail_reply('headers of the answer are too large')
+            self.reply.fail(
+                'headers of the answer are too large', self.slots.load_report()
+            )
             self._detach()
 
     def _failed(self, failure: Failure) -> None:
         """Abort a request that the backend server will not answer."""
-        if self.phase in {Phase.sent, Phase.answering, Phase.detached}:
-            self.abort(f'connection to the backend failed: {failure.value!r}')
+        reason = f'connection to the backend failed: {failure.value!r}'
+        if self.phase is Phase.sent:
+            diagnosed = self.slots.diagnose_loss(self)
+            diagnosed.addCallback(self._lose, reason)
+        elif self.phase in {Phase.answering, Phase.detached}:
+            self.abort(reason)
+
+    def _lose(self, crash: CrashSuspicion, reason: str) -> None:
+        """Abort the request, unless it has ended during the diagnosis."""
+        if self.phase in {Phase.sent, Phase.detached}:
+            self.abort(reason, crash)
 
     def download_received(self, chunk: bytes) -> None:
         """Forward part of the answer."""
@@ -254,10 +278,6 @@
         if self.download is not None:
             self.download.resumeProducing()
 
-    def _fail_reply(self, reason: str) -> None:
-        """Tell the entry that no complete answer will follow."""
-        self.reply.fail(reason, self.slots.load_report())
-
     def _finish(self, ran: bool) -> None:
         if self.phase is not Phase.over:
             self.phase = Phase.over
