Call a start lost if its worker restarted after the order

What callers saw: a task that is not idempotent (a booking, a conversion) ran twice. Its start got no answer, the worker began it and crashed; after the restart the worker did not list it, the agent reported "the platform did not start it", and the leader queued it again.

Cause: a list without the attempt proves that it never started only if the worker still knows what it started before. The agent took any later list for that proof.

Now the listing names the worker's incarnation, which changes when it loses its runs. If it differs from the one known at the order, the attempt is reported as lost: idempotent tasks and replicas are queued again, others are left with an unknown outcome.

Ruled out: an agent that restarts asks to adopt, and reports the loss as such; a refusal by the worker's own answer is certain. A worker without an incarnation is treated as before, which leaves the fault there.

--- a/tests/sessions/placement_fakes.py
+++ b/tests/sessions/placement_fakes.py
@@ -512,6 +512,11 @@
             self._log(f'kill agent {name}')
             self.agents[name].kill()
 
+    def crash_worker(self, name: str) -> None:
+        """Restart a worker at once; it loses its runs and all it knew."""
+        self._log(f'crash worker {name}')
+        self.workers[name].restart()
+
     def freeze(self, name: str) -> None:
         """Hold messages to ``name``, and its timers, until ``thaw``."""
         self._log(f'freeze {name}')
--- a/wasabiturn/connection/worker_messages.py
+++ b/wasabiturn/connection/worker_messages.py
@@ -46,12 +46,17 @@
 @final
 @attrs.frozen
 class Listing:
-    """Capacity, runs and usage of a worker; ``now`` is read from its clock."""
+    """Capacity, runs and usage of a worker; ``now`` is read from its clock.
+
+    The worker changes its ``incarnation`` whenever it loses its runs; it is
+    empty if the worker does not give one.
+    """
 
     now: float
     capacity: Capacity
     runs: tuple[Run, ...]
     usage: tuple[Usage, ...]
+    incarnation: str = ''
 
 
 @final
--- a/wasabiturn/process/agent/attempt_orders.py
+++ b/wasabiturn/process/agent/attempt_orders.py
@@ -161,6 +161,7 @@
             throttle=order.throttle,
             start_until=grant.start_until,
             lease_until=grant.lease_until,
+            worker_incarnation=table.worker_incarnation,
         ),
     )
     return [StartRun(_create_run_request(order, grant))]
--- a/wasabiturn/process/agent/attempt_table.py
+++ b/wasabiturn/process/agent/attempt_table.py
@@ -65,6 +65,8 @@
     checkpointed_lease_until: float = 0.0
     # Older listings do not show the present state yet.
     state_since: float = 0.0
+    # Incarnation of the worker that was last listed before the start order.
+    worker_incarnation: str = ''
     # Heartbeat that first reported the end of the attempt; 0 if none did.
     reported_sequence: int = 0
 
@@ -111,6 +113,7 @@
     capacity: Capacity = attrs.field(factory=Capacity)
     # Time when the newest listing was requested.
     listed_at: float = float('-inf')
+    worker_incarnation: str = ''
     # Whether starts are allowed: the worker is listed, and no start that an
     # earlier incarnation of the agent requested can still take place.
     reconciled: bool = False
@@ -203,6 +206,7 @@
     """Apply the worker's listing, which was requested at ``requested_at``."""
     table.capacity = listing.capacity
     table.listed_at = max(table.listed_at, requested_at)
+    table.worker_incarnation = listing.incarnation
     earlier_permits_end = latest_expiry(table.started_at, PERMIT_SECONDS)
     if requested_at > earlier_permits_end:
         table.reconciled = True
@@ -212,7 +216,7 @@
     listed = {each.task: each.attempt for each in listing.runs}
     for tracked in table.tracked_by_task.values():
         if listed.get(tracked.task, 0) < tracked.attempt:
-            _apply_absence(tracked, requested_at)
+            _apply_absence(tracked, listing, requested_at)
     _resolve_adoptions(table, listed, requested_at)
     return actions
 
@@ -256,16 +260,31 @@
     tracked.checkpoint = run.checkpoint or tracked.checkpoint
 
 
-def _apply_absence(tracked: TrackedAttempt, requested_at: float) -> None:
+def _apply_absence(
+    tracked: TrackedAttempt,
+    listing: Listing,
+    requested_at: float,
+) -> None:
     if tracked.state is AttemptState.starting:
         if requested_at > tracked.start_until:
-            tracked.end(AttemptState.refused, 'the platform did not start it')
+            _end_absent_start(tracked, listing)
     elif tracked.state is AttemptState.running and _is_newer(
         tracked, requested_at
     ):
         tracked.end(AttemptState.lost, 'the worker does not list it')
 
 
+def _end_absent_start(tracked: TrackedAttempt, listing: Listing) -> None:
+    """End an attempt whose start got no answer and is not listed.
+
+    A worker that has restarted since may have run it before.
+    """
+    if tracked.worker_incarnation == listing.incarnation:
+        tracked.end(AttemptState.refused, 'the platform did not start it')
+    else:
+        tracked.end(AttemptState.lost, 'the worker restarted after the order')
+
+
 def _is_newer(tracked: TrackedAttempt, requested_at: float) -> bool:
     return requested_at > tracked.state_since
 
--- a/wasabiturn/standins/worker.py
+++ b/wasabiturn/standins/worker.py
@@ -9,6 +9,7 @@
 from contextlib import ExitStack
 from pathlib import Path
 from typing import Annotated, Any, final
+from uuid import uuid4
 
 import attrs
 import cattrs
@@ -60,6 +61,7 @@
         of a run.
         """
         self.capacity = capacity
+        self.incarnation = uuid4().hex
         self.runs = RunTable(clock, interference_by_pair, self._record_run)
         self._clock = clock
         self._lag_seconds = usage_lag_seconds
@@ -77,11 +79,18 @@
         if self._sampler.running:
             self._sampler.stop()
 
+    def restart(self) -> None:
+        """Lose all runs and all memory of them, as a crash does."""
+        self.runs.clear()
+        self._usage.clear()
+        self.incarnation = uuid4().hex
+
     def describe(self) -> dict[str, Any]:
         """Return the body of the response to ``GET /v1/state``."""
         self.runs.refresh()
         return {
             'now': self.runs.now(),
+            'incarnation': self.incarnation,
             'capacity': attrs.asdict(self.capacity),
             'runs': [
                 _describe_run(run) for run in self.runs.runs_by_name.values()
--- a/wasabiturn/standins/worker_runs.py
+++ b/wasabiturn/standins/worker_runs.py
@@ -171,6 +171,12 @@
         if run is not None and run.state is not AttemptState.running:
             self.runs_by_name.pop(name)
 
+    def clear(self) -> None:
+        """Lose every run and what is known of earlier ones."""
+        self.runs_by_name.clear()
+        self.newest_attempt_by_task.clear()
+        self._reschedule()
+
     def refresh(self) -> None:
         """Update progress, and end runs that are complete or have expired."""
         self._update_progress()
