--- a/tests/request/test_suspects.py
+++ b/tests/request/test_suspects.py
@@ -4,7 +4,7 @@
 
 from wasabiturn.ids import Ticket
 from wasabiturn.messages.kinds import CrashSuspicion
-from wasabiturn.request.suspects import assess_suspicion, may_send_on
+from wasabiturn.request.suspects import assess_suspicion, may_run_again
 
 FIRST = Ticket(1)
 SECOND = Ticket(2)
@@ -43,4 +43,4 @@
 def test_request_is_given_up_after_two_or_three_crashes(
     crashes: int, newest: CrashSuspicion, expected: bool
 ) -> None:
-    assert may_send_on(crashes, newest) is expected
+    assert may_run_again(crashes, newest) is expected
--- a/wasabiturn/messages/kinds.py
+++ b/wasabiturn/messages/kinds.py
@@ -179,10 +179,10 @@
 
 @final
 class CrashSuspicion(enum.IntEnum):
-    """Whether a request may have crashed its backend server.
+    """Whether a request or a task may have crashed the server it ran on.
 
-    ``shared``: other requests in flight are as likely to have done so;
-    ``only``: the request is the only suspect.
+    ``shared``: others that ran there are as likely to have done so;
+    ``only``: it is the only suspect.
     """
 
     none = 0
--- a/wasabiturn/process/entry/attempts.py
+++ b/wasabiturn/process/entry/attempts.py
@@ -20,7 +20,7 @@
 )
 from wasabiturn.request.retry import UnansweredRequest, may_hedge, may_retry
 from wasabiturn.request.routing import Candidate, may_take_hedge
-from wasabiturn.request.suspects import may_send_on
+from wasabiturn.request.suspects import may_run_again
 
 _MS_PER_SECOND = 1000
 
@@ -119,7 +119,7 @@
 
     def may_retry(self) -> bool:
         """Return whether to retry; if so, charge the retry budget."""
-        if not may_send_on(self.crashes, self.newest_suspicion):
+        if not may_run_again(self.crashes, self.newest_suspicion):
             return False
         unanswered = UnansweredRequest(
             idempotent=self.request.idempotency.idempotent,
@@ -133,7 +133,7 @@
 
     def refuse(self, reason: str, retry_after: float | None) -> Refusal:
         """Create a refusal whose outcome covers all attempts."""
-        if not may_send_on(self.crashes, self.newest_suspicion):
+        if not may_run_again(self.crashes, self.newest_suspicion):
             self.router.record_given_up(self.request, self.crashes)
             reason = (
                 f'{self.crashes} backend servers crashed under the request; '
--- a/wasabiturn/request/suspects.py
+++ b/wasabiturn/request/suspects.py
@@ -1,42 +1,44 @@
-"""Requests that are suspected of crashing the backend servers they ran on.
+"""Requests and tasks suspected of crashing the servers they ran on.
 
-After a crash, each request in flight at the backend server is a suspect. A
-later crash tells more: of the requests that were in flight, the one with the
-most earlier crashes is the likely cause.
+After a crash, everything that ran on the server is a suspect. A later crash
+tells more: of what ran there, the suspect with the most earlier crashes is the
+likely cause.
 """
 
 from collections.abc import Mapping
+from typing import TypeVar
 
-from wasabiturn.ids import Ticket
 from wasabiturn.messages.kinds import CrashSuspicion
 
-# Crashes under a request after which it is not sent on, if it was the only
-# suspect of the newest one.
+# Crashes after which a suspect is given up, if it was the only one of the
+# newest crash.
 MAX_CRASHES_OF_ONLY_SUSPECT = 2
-# Crashes under a request after which it is not sent on in any case.
+# Crashes after which a suspect is given up in any case.
 MAX_CRASHES = 3
 
+SuspectName = TypeVar('SuspectName')
+
 
 def assess_suspicion(
-    ticket: Ticket,
-    crashes_by_ticket: Mapping[Ticket, int],
+    suspect: SuspectName,
+    crashes_by_suspect: Mapping[SuspectName, int],
 ) -> CrashSuspicion:
-    """Return the suspicion of a request after a crash.
+    """Return the suspicion of ``suspect`` after a crash.
 
-    ``crashes_by_ticket`` has the earlier crashes under each request that was
-    in flight, ``ticket`` included.
+    ``crashes_by_suspect`` has the earlier crashes under each request or task
+    that ran on the server, ``suspect`` included.
     """
-    most = max(crashes_by_ticket.values())
-    suspects = [
-        each for each, crashes in crashes_by_ticket.items() if crashes == most
+    most = max(crashes_by_suspect.values())
+    likely = [
+        each for each, crashes in crashes_by_suspect.items() if crashes == most
     ]
-    if suspects == [ticket]:
+    if likely == [suspect]:
         return CrashSuspicion.only
     return CrashSuspicion.shared
 
 
-def may_send_on(crashes: int, newest: CrashSuspicion) -> bool:
-    """Return whether a request may be sent to another backend server.
+def may_run_again(crashes: int, newest: CrashSuspicion) -> bool:
+    """Return whether a request or task may be given to another server.
 
     ``crashes`` have happened under it; ``newest`` is its suspicion after the
     newest of them.
