--- a/wasabiturn/process/agent/attempt_manager.py
+++ b/wasabiturn/process/agent/attempt_manager.py
@@ -23,6 +23,7 @@
     ServiceReport,
     UsageReport,
 )
+from wasabiturn.process.agent.attempt_listing import apply_listing
 from wasabiturn.process.agent.attempt_orders import apply_orders
 from wasabiturn.process.agent.attempt_runner import (
     ActionRunner,
@@ -32,7 +33,6 @@
 from wasabiturn.process.agent.attempt_table import (
     ENDED_STATES,
     AttemptTable,
-    apply_listing,
     check_leases,
     confirm_start,
     create_attempt_table,
