Give up a job's task after its workers crashed under it

What users saw: a declared idempotent task that crashes the worker it runs on was placed for ever: 98 attempts in a minute, each on the same worker, which took its neighbours' work down each time.

Cause: a crash ends as "lost", and losses count nowhere; max_failures counts attempts that the worker reports as failed. Quarantine doesn't see losses either. While nothing listens at a worker, an assigned start hung there, because the agent took no starts and said nothing.

Now the agent knows a crash (the connection is refused, or the listing has another incarnation), marks the attempts that may have caused it, and refuses starts while nothing listens, so that they go elsewhere. The worker is stored in the task (`crashed_workers`, replicated), so that the count outlives leaders, agents and workers. A suspect is placed apart from other suspects and from where it crashed. The task fails with a reason after two crashes on two workers as the most suspect, or three.

Ruled out: leases that end in silence, evictions, agents that restart, and attempts of a minute or more don't count; replicas of services are counted and never given up. Non-idempotent tasks stay outcome_unknown after the first crash, as before.

--- a/tests/connection/test_worker.py
+++ b/tests/connection/test_worker.py
@@ -3,9 +3,11 @@
 from typing import Any
 
 import pytest
+from twisted.internet import error as tcp_errors
 from twisted.internet.address import IPv4Address
 from twisted.internet.defer import Deferred
 from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure
 from twisted.web.resource import Resource
 
 from tests.connection.fakes import PipeTransport
@@ -14,6 +16,7 @@
     RefusedByPlatformError,
     RunName,
     RunRequest,
+    WorkerDownError,
 )
 from wasabiturn.exceptions import PlatformError
 from wasabiturn.messages.kinds import AttemptState, Kind
@@ -171,3 +174,14 @@
     harness.client.fetch_listing().addErrback(failures.append)
     harness.reactor.advance(2.1)
     assert failures[0].check(PlatformError)
+
+
+def test_worker_where_nothing_listens_is_down() -> None:
+    harness = Harness()
+    failed: list[Any] = []
+    harness.client.fetch_listing().addErrback(failed.append)
+    factory = harness.reactor.tcpClients[0][2]
+    error = tcp_errors.ConnectionRefusedError(string='refused')
+    factory.clientConnectionFailed(None, Failure(error))
+    harness.reactor.advance(0.5)
+    assert failed[0].check(WorkerDownError)
--- a/tests/sessions/placement_fakes.py
+++ b/tests/sessions/placement_fakes.py
@@ -21,6 +21,7 @@
     RefusedByPlatformError,
     RunName,
     RunRequest,
+    WorkerDownError,
 )
 from wasabiturn.exceptions import PlatformError
 from wasabiturn.messages.codec import pack, unpack
@@ -327,7 +328,10 @@
 
         def arrive() -> None:
             try:
+                self._check_listens()
                 value = operation()
+            except WorkerDownError as error:
+                self._send_result(finish, done.errback, error)
             except RunRefusedError as refusal:
                 self._send_result(
                     finish,
@@ -346,6 +350,10 @@
         network.send(self.agent, self.name, arrive)
         return done
 
+    def _check_listens(self) -> None:
+        if self.agent in self.cluster.down_workers:
+            raise WorkerDownError('nothing listens')
+
     def _send_result(self, finish: Any, settle: Any, value: Any) -> None:
         self.cluster.network.send(
             self.name,
@@ -423,6 +431,7 @@
         self.workers: dict[str, StandInWorker] = {}
         self.agents: dict[str, Agent] = {}
         self.last_incarnation = 0
+        self.down_workers: set[str] = set()
         for name, data_centre in data_centres.items():
             self.workers[name] = self._create_worker(name, data_centre)
             self.start_agent(name)
@@ -512,10 +521,16 @@
             self._log(f'kill agent {name}')
             self.agents[name].kill()
 
-    def crash_worker(self, name: str) -> None:
-        """Restart a worker at once; it loses its runs and all it knew."""
+    def crash_worker(self, name: str, down_seconds: float = 0) -> None:
+        """Restart a worker; it loses its runs and all it knew.
+
+        Nothing listens there for ``down_seconds``.
+        """
         self._log(f'crash worker {name}')
         self.workers[name].restart()
+        if down_seconds:
+            self.down_workers.add(name)
+            self.clock.callLater(down_seconds, self.down_workers.discard, name)
 
     def freeze(self, name: str) -> None:
         """Hold messages to ``name``, and its timers, until ``thaw``."""
--- a/wasabiturn/connection/worker.py
+++ b/wasabiturn/connection/worker.py
@@ -11,6 +11,7 @@
 
 import attrs
 import cattrs
+from twisted.internet import error as tcp_errors
 from twisted.internet.defer import Deferred
 from twisted.web.client import Agent, HTTPConnectionPool, readBody
 from twisted.web.http_headers import Headers
@@ -21,6 +22,7 @@
     RefusedByPlatformError,
     RunName,
     RunRequest,
+    WorkerDownError,
 )
 from wasabiturn.exceptions import PlatformError
 from wasabiturn.messages.kinds import AttemptState, Kind
@@ -215,6 +217,8 @@
 def _convert_error(failure: Any) -> Any:
     if failure.check(PlatformError):
         return failure
+    if failure.check(tcp_errors.ConnectionRefusedError):
+        raise WorkerDownError('nothing listens') from failure.value
     raise PlatformError(repr(failure.value)) from failure.value
 
 
--- a/wasabiturn/connection/worker_messages.py
+++ b/wasabiturn/connection/worker_messages.py
@@ -13,6 +13,11 @@
     """The platform refused a request and did not carry it out."""
 
 
+@final
+class WorkerDownError(RefusedByPlatformError):
+    """Nothing listens at the worker, so no byte of the request was sent."""
+
+
 @final
 @attrs.frozen
 class Run:
--- a/wasabiturn/messages/session.py
+++ b/wasabiturn/messages/session.py
@@ -162,6 +162,9 @@
     checkpoint: str = ''
     reason: str = ''
     run_seconds: float = 0.0
+    crash: CrashSuspicion = attrs.field(
+        default=CrashSuspicion.none, converter=CrashSuspicion
+    )
 
 
 @bind(_idl)
--- a/wasabiturn/messages/state.py
+++ b/wasabiturn/messages/state.py
@@ -110,6 +110,8 @@
     task_kind: str = ''
     idempotent: bool = False
     urgent: bool = False
+    # Workers that crashed under the task, one for each crash.
+    crashed_workers: list[str] = attrs.field(factory=list)
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/session.thrift
+++ b/wasabiturn/messages/wire/session.thrift
@@ -78,6 +78,7 @@
   4: string checkpoint,
   5: string reason,
   6: double run_seconds,
+  7: i32 crash,             // CrashSuspicion
 }
 
 struct UsageReport {
--- a/wasabiturn/messages/wire/state.thrift
+++ b/wasabiturn/messages/wire/state.thrift
@@ -60,6 +60,7 @@
   13: string task_kind,
   14: bool idempotent,
   15: bool urgent,
+  16: list<string> crashed_workers,  // one for each crash under the task
 }
 
 struct Resource {
--- a/wasabiturn/process/agent/attempt_listing.py
+++ b/wasabiturn/process/agent/attempt_listing.py
@@ -1,19 +1,23 @@
 """Application of the worker's listings to the attempts of an agent."""
 
 from wasabiturn.connection.worker_messages import Listing, Run, RunName
-from wasabiturn.messages.kinds import AttemptState
+from wasabiturn.messages.kinds import AttemptState, CrashSuspicion
 from wasabiturn.process.agent.attempt_actions import Action, StopRun
 from wasabiturn.process.agent.attempt_table import (
     ENDED_STATES,
     AttemptTable,
     TrackedAttempt,
 )
+from wasabiturn.request.suspects import assess_suspicion
 from wasabiturn.version.placement.periods import (
     PERMIT_SECONDS,
     TASK_LEASE_SECONDS,
     latest_expiry,
 )
 
+# An attempt that has run for this long does not crash its worker.
+CLEARED_AFTER_SECONDS = 60.0
+
 
 def apply_listing(
     table: AttemptTable,
@@ -22,8 +26,8 @@
 ) -> list[Action]:
     """Apply the worker's listing, which was requested at ``requested_at``."""
     table.capacity = listing.capacity
+    table.is_worker_down = False
     table.listed_at = max(table.listed_at, requested_at)
-    table.worker_incarnation = listing.incarnation
     earlier_permits_end = latest_expiry(table.started_at, PERMIT_SECONDS)
     if requested_at > earlier_permits_end:
         table.reconciled = True
@@ -31,6 +35,9 @@
     for run in listing.runs:
         actions.extend(_apply_run(table, run, requested_at))
     listed = {each.task: each.attempt for each in listing.runs}
+    if table.worker_incarnation not in {'', listing.incarnation}:
+        _suspect_absent(table, listed, requested_at)
+    table.worker_incarnation = listing.incarnation
     for tracked in table.tracked_by_task.values():
         if listed.get(tracked.task, 0) < tracked.attempt:
             _apply_absence(tracked, listing, requested_at)
@@ -38,6 +45,37 @@
     return actions
 
 
+def apply_worker_down(table: AttemptTable, now: float) -> None:
+    """Apply that nothing listens at the worker: it has crashed."""
+    table.reconciled = False
+    table.is_worker_down = True
+    _suspect_absent(table, {}, now)
+
+
+def _suspect_absent(
+    table: AttemptTable,
+    listed: dict[str, int],
+    requested_at: float,
+) -> None:
+    """Record which attempts may have crashed the worker.
+
+    An attempt that had run for ``CLEARED_AFTER_SECONDS`` is no suspect.
+    """
+    suspects = {
+        tracked.task: tracked
+        for tracked in table.tracked_by_task.values()
+        if tracked.state not in ENDED_STATES
+        and tracked.crash is CrashSuspicion.none
+        and listed.get(tracked.task, 0) < tracked.attempt
+        and requested_at - tracked.ordered_at < CLEARED_AFTER_SECONDS
+    }
+    crashes_by_task = {
+        task: tracked.crashes for task, tracked in suspects.items()
+    }
+    for task, tracked in suspects.items():
+        tracked.crash = assess_suspicion(task, crashes_by_task)
+
+
 def _apply_run(
     table: AttemptTable,
     run: Run,
@@ -57,6 +95,7 @@
                 state=AttemptState.unknown,
                 size=run.size,
                 lease_until=latest_expiry(requested_at, TASK_LEASE_SECONDS),
+                ordered_at=requested_at,
             ),
         )
     _update(table.tracked_by_task[run.task], run, requested_at)
@@ -73,6 +112,7 @@
     elif tracked.state is not run.state:
         tracked.state = run.state
         tracked.state_since = requested_at
+    tracked.crash = CrashSuspicion.none
     tracked.run_seconds = run.run_seconds
     tracked.checkpoint = run.checkpoint or tracked.checkpoint
 
--- a/wasabiturn/process/agent/attempt_manager.py
+++ b/wasabiturn/process/agent/attempt_manager.py
@@ -14,7 +14,11 @@
 from wasabiturn.connection.dispatch import Dispatch
 from wasabiturn.connection.link import Link
 from wasabiturn.connection.worker import create_worker_client
-from wasabiturn.connection.worker_messages import Listing, RunName
+from wasabiturn.connection.worker_messages import (
+    Listing,
+    RunName,
+    WorkerDownError,
+)
 from wasabiturn.exceptions import ProcessError
 from wasabiturn.messages.kinds import AttemptState, Method
 from wasabiturn.messages.session import (
@@ -23,7 +27,10 @@
     ServiceReport,
     UsageReport,
 )
-from wasabiturn.process.agent.attempt_listing import apply_listing
+from wasabiturn.process.agent.attempt_listing import (
+    apply_listing,
+    apply_worker_down,
+)
 from wasabiturn.process.agent.attempt_orders import apply_orders
 from wasabiturn.process.agent.attempt_runner import (
     ActionRunner,
@@ -167,9 +174,15 @@
         self._is_polling = True
         fetched = self._platform.fetch_listing()
         fetched.addCallback(self._apply_listing, self._now())
+        fetched.addErrback(self._handle_worker_down)
         fetched.addErrback(log_failure)
         fetched.addBoth(self._finish_poll)
 
+    def _handle_worker_down(self, failure: Failure) -> Failure:
+        if failure.check(WorkerDownError) and not self._is_leaving:
+            apply_worker_down(self._table, self._now())
+        return failure
+
     def _finish_poll(self, nothing: Any) -> None:
         self._is_polling = False
 
--- a/wasabiturn/process/agent/attempt_orders.py
+++ b/wasabiturn/process/agent/attempt_orders.py
@@ -145,7 +145,12 @@
     grant: _Grant,
     now: float,
 ) -> list[Action]:
-    if now >= grant.start_until or not table.reconciled or order.spec is None:
+    if now >= grant.start_until or order.spec is None:
+        return []
+    if table.is_worker_down:
+        _track_ended(table, order, AttemptState.refused, 'worker is down')
+        return []
+    if not table.reconciled:
         return []
     spec = order.spec
     if not table.has_room(spec.size):
@@ -161,7 +166,9 @@
             throttle=order.throttle,
             start_until=grant.start_until,
             lease_until=grant.lease_until,
+            ordered_at=now,
             worker_incarnation=table.worker_incarnation,
+            crashes=len(spec.crashed_workers),
         ),
     )
     return [StartRun(_create_run_request(order, grant))]
--- a/wasabiturn/process/agent/attempt_table.py
+++ b/wasabiturn/process/agent/attempt_table.py
@@ -9,7 +9,7 @@
 import attrs
 
 from wasabiturn.connection.worker_messages import RunName
-from wasabiturn.messages.kinds import AttemptState
+from wasabiturn.messages.kinds import AttemptState, CrashSuspicion
 from wasabiturn.messages.session import AttemptReport
 from wasabiturn.messages.state import Capacity
 from wasabiturn.process.agent.attempt_actions import Action, CheckpointRun
@@ -55,12 +55,18 @@
     throttle: float = FULL_SPEED
     start_until: float = 0.0
     lease_until: float = 0.0
+    # When the start was ordered, or when an attempt to adopt was first listed.
+    ordered_at: float = 0.0
     # Lease end for which a checkpoint was last requested.
     checkpointed_lease_until: float = 0.0
     # Older listings do not show the present state yet.
     state_since: float = 0.0
     # Incarnation of the worker that was last listed before the start order.
     worker_incarnation: str = ''
+    # Crashes of workers under earlier attempts of the task.
+    crashes: int = 0
+    # Suspicion of the attempt after a crash of this worker.
+    crash: CrashSuspicion = CrashSuspicion.none
     # Heartbeat that first reported the end of the attempt; 0 if none did.
     reported_sequence: int = 0
 
@@ -85,6 +91,7 @@
             checkpoint=self.checkpoint,
             reason=self.reason,
             run_seconds=self.run_seconds,
+            crash=self.crash,
         )
 
 
@@ -108,6 +115,8 @@
     # Time when the newest listing was requested.
     listed_at: float = float('-inf')
     worker_incarnation: str = ''
+    # Whether nothing listened at the worker when it was last called.
+    is_worker_down: bool = False
     # Whether starts are allowed: the worker is listed, and no start that an
     # earlier incarnation of the agent requested can still take place.
     reconciled: bool = False
--- a/wasabiturn/process/control/metrics.py
+++ b/wasabiturn/process/control/metrics.py
@@ -32,10 +32,13 @@
 def _sample_tasks(sink: Metrics, replica: Replica) -> None:
     count_by_state: Counter[TaskState] = Counter()
     evictions = 0
+    crashes = 0
     for task in replica.state.resources_by_kind[Kind.task].values():
         if task.task_spec is not None:
             count_by_state[task.task_spec.state] += 1
             evictions += task.task_spec.evictions
+            crashes += len(task.task_spec.crashed_workers)
     for state in TaskState:
         sink.gauge(f'tasks.{state.name}', count_by_state[state])
     sink.gauge('tasks.evictions', evictions)
+    sink.gauge('tasks.crashes', crashes)
--- a/wasabiturn/version/placement/choice.py
+++ b/wasabiturn/version/placement/choice.py
@@ -21,6 +21,7 @@
     is_within_slowdown_limit,
 )
 from wasabiturn.version.placement.lifecycle import HOLDING_STATES
+from wasabiturn.version.placement.suspicion_cost import suspicion_cost
 from wasabiturn.version.placement.table import PlacementTable
 from wasabiturn.version.placement.workers import Worker
 
@@ -205,6 +206,8 @@
     if settings.interference_weight:
         interference = expected_interference_cost(table, request.spec, worker)
         cost += settings.interference_weight * interference
+    if request.spec.crashed_workers:
+        cost += suspicion_cost(request.spec, worker)
     if replicas:
         same_data_centre_count = replicas.get(worker.data_centre, 0)
         same_rack_count = replicas.get(_rack_key(worker), 0)
--- a/wasabiturn/version/placement/learning.py
+++ b/wasabiturn/version/placement/learning.py
@@ -45,7 +45,15 @@
     """Learn from the end of an attempt before the end is committed."""
     spec = table.specs_by_task[task]
     quarantine = table.learned.quarantine
-    if next_spec.state is TaskState.finished:
+    if next_spec.crashed_workers != spec.crashed_workers:
+        planned.record(
+            'worker crashed under task',
+            chosen=next_spec.state.name,
+            task=task,
+            attempt=spec.attempt,
+            crashed_workers=list(next_spec.crashed_workers),
+        )
+    elif next_spec.state is TaskState.finished:
         quarantine.record_success(spec.worker, spec.owner)
     elif _is_failure(spec, next_spec):
         quarantined = quarantine.record_failure(spec.worker, spec.owner, now)
--- a/wasabiturn/version/placement/lifecycle.py
+++ b/wasabiturn/version/placement/lifecycle.py
@@ -9,9 +9,15 @@
 
 import attrs
 
-from wasabiturn.messages.kinds import AttemptState, Kind, TaskState
+from wasabiturn.messages.kinds import (
+    AttemptState,
+    CrashSuspicion,
+    Kind,
+    TaskState,
+)
 from wasabiturn.messages.session import AttemptReport
 from wasabiturn.messages.state import TaskSpec
+from wasabiturn.request.suspects import MAX_CRASHES, may_run_again
 
 # States in which a task is charged to a worker.
 HOLDING_STATES = frozenset(
@@ -29,6 +35,9 @@
         TaskState.cancelled,
     ),
 )
+_WAITING = TaskState.waiting
+# States in which the end of a task's worker is not the work of its drain.
+_CRASHING_STATES = frozenset((TaskState.assigned, TaskState.running))
 _REPORT_IGNORED_STATES = TERMINAL_STATES | {TaskState.impossible}
 _MAX_REASON_CHARACTERS = 200
 
@@ -64,6 +73,30 @@
     return attrs.evolve(spec, state=TaskState.outcome_unknown, reason=reason)
 
 
+def apply_crash(
+    lost: TaskSpec, worker: str, suspicion: CrashSuspicion
+) -> TaskSpec:
+    """Return the spec of a lost task after ``worker`` crashed under it.
+
+    A task of a job is given up once the crashes tell that it is their cause;
+    a bad worker that crashes again is no evidence against the task.
+    """
+    crashed_workers = [*lost.crashed_workers, worker][-MAX_CRASHES:]
+    counted = attrs.evolve(lost, crashed_workers=crashed_workers)
+    if worker in lost.crashed_workers:
+        suspicion = CrashSuspicion.shared
+    if lost.owner_kind is Kind.service:
+        return counted
+    if may_run_again(len(crashed_workers), suspicion):
+        return counted
+    names = ', '.join(crashed_workers)
+    return attrs.evolve(
+        counted,
+        state=TaskState.failed,
+        reason=f'given up: its workers crashed under it: {names}',
+    )
+
+
 def requeue(spec: TaskSpec, reason: str) -> TaskSpec:
     """Return ``spec`` reset to wait for its next attempt."""
     return attrs.evolve(
@@ -163,7 +196,12 @@
     report: AttemptReport,
     policy: FailurePolicy,
 ) -> TaskSpec | None:
-    return apply_loss(spec, f'lost on {spec.worker}: {report.reason}')
+    lost = apply_loss(spec, f'lost on {spec.worker}: {report.reason}')
+    if lost is None or report.crash is CrashSuspicion.none:
+        return lost
+    if spec.state not in _CRASHING_STATES or lost.state is not _WAITING:
+        return lost
+    return apply_crash(lost, spec.worker, report.crash)
 
 
 _ReportHandler = Callable[
--- a/wasabiturn/version/placement/workers.py
+++ b/wasabiturn/version/placement/workers.py
@@ -40,6 +40,8 @@
     leaving: bool = False
     # Attempts that were assigned and are not known to run yet.
     starting: int = 0
+    # Tasks under which a worker has crashed before.
+    suspects: int = 0
     charges_by_task: dict[str, Capacity] = attrs.field(factory=dict)
     counts_by_kind: dict[str, int] = attrs.field(factory=dict)
     service_counts_by_kind: dict[str, int] = attrs.field(factory=dict)
@@ -65,6 +67,7 @@
         """Charge ``size`` for ``task``, which must not be charged yet."""
         self.charges_by_task[task] = size
         self.free = subtract(self.free, size)
+        self.suspects += bool(spec.crashed_workers)
         _adjust_count(self.counts_by_kind, spec.task_kind, 1)
         if spec.owner_kind is Kind.service:
             _adjust_count(self.service_counts_by_kind, spec.task_kind, 1)
@@ -72,6 +75,7 @@
     def release(self, task: str, spec: TaskSpec) -> None:
         """Release the charge of ``task``."""
         self.free = add(self.free, self.charges_by_task.pop(task))
+        self.suspects -= bool(spec.crashed_workers)
         _adjust_count(self.counts_by_kind, spec.task_kind, -1)
         if spec.owner_kind is Kind.service:
             _adjust_count(self.service_counts_by_kind, spec.task_kind, -1)
