Pass over an announcement sent before that of leaving

What callers saw: a request was given to a backend server that had announced its leave.

Cause: announcements carry no number. One that was sent before the leave and arrives after it (another connection, a slow read) put the server back into use, and into the directory, until its next announcement.

Now an announcement of the same incarnation without `leaving` is passed over for 2 s after one with it. A server that stays after all repeats it each second and is used again; a new incarnation is used at once.

Ruled out: the directory of control numbers the agents' records, and a server that has gone refuses the connection, which is certain not to run.

--- a/wasabiturn/process/agent/backends.py
+++ b/wasabiturn/process/agent/backends.py
@@ -43,6 +43,8 @@
 from wasabiturn.utils.logs import create_component_log
 
 MILLISECONDS = 1000
+# How long after an announcement of leaving an older one may still arrive.
+LATE_ANNOUNCEMENT_SECONDS = 2.0
 P95 = 0.95
 P99 = 0.99
 
@@ -70,6 +72,8 @@
     # When the newest request that has been answered was sent.
     newest_answered: float = 0.0
     expired: bool = False
+    # When leaving was last announced.
+    left_at: float = 0.0
     on_change: list[Callable[[], None]] = attrs.field(factory=list)
     requests_by_ticket: dict[Ticket, ServedRequest] = attrs.field(factory=dict)
 
@@ -170,11 +174,20 @@
             answered=self.recent_times.count(now),
         )
 
+    def is_outdated(self, record: BackendRecord, now: float) -> bool:
+        """Return whether an announcement may be older than that of leaving."""
+        if record.leaving or record.incarnation != self.record.incarnation:
+            return False
+        seconds_since = now - self.left_at
+        return self.record.leaving and seconds_since < LATE_ANNOUNCEMENT_SECONDS
+
     def update_record(self, record: BackendRecord, now: float) -> None:
         """Apply a repeated announcement of this backend server."""
         if record.incarnation != self.record.incarnation or record.leaving:
             self.pool.close_idle()
         self.record = record
+        if record.leaving:
+            self.left_at = now
         self.announced_at = now
         self.expired = False
         self.pool.limit = record.connections
@@ -261,6 +274,8 @@
             self._backends_by_key[key] = self._create(record, now)
             self._notify_changed()
             return
+        if backend.is_outdated(record, now):
+            return
         is_changed = backend.record != record or backend.expired
         backend.update_record(record, now)
         if is_changed:
@@ -339,6 +354,7 @@
             claims=self.claims,
             clock=self.reactor,
             announced_at=now,
+            left_at=now,
             on_change=self.on_change,
         )
         backend.diagnosis.on_crash = backend.handle_crash
