Keep the agent's heartbeats and polls going after an error

What users saw: after one unexpected error in a heartbeat or a poll, an agent sent no more of them until it was restarted; its attempts ran out of their leases and it got no work.

Cause: both ran in a bare LoopingCall, which ends at the first error. A poll that failed at once also left the mark that one was in progress.

Ruled out: errors while an answer is handled were logged before, and the calls went on.

Evidence: test_agent_goes_on_after_a_failed_heartbeat failed before (the task stayed waiting). Ticker is what the other programs use.

--- a/wasabiturn/process/agent/attempt_manager.py
+++ b/wasabiturn/process/agent/attempt_manager.py
@@ -7,8 +7,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol, final
 
-from twisted.internet.defer import Deferred, succeed
-from twisted.internet.task import LoopingCall
+from twisted.internet.defer import Deferred, maybeDeferred, succeed
 from twisted.python.failure import Failure
 
 from wasabiturn.connection.dispatch import Dispatch
@@ -46,6 +45,7 @@
 )
 from wasabiturn.process.daemon import Context
 from wasabiturn.utils.logs import create_component_log
+from wasabiturn.utils.ticker import Ticker
 from wasabiturn.version.placement.periods import HEARTBEAT_INTERVAL_SECONDS
 
 POLL_INTERVAL_SECONDS = 0.25
@@ -94,8 +94,9 @@
             self._handle_started,
             self._handle_refused,
         )
-        self._heartbeat_loop = self._create_loop(self._send_heartbeat)
-        self._poll_loop = self._create_loop(self._poll)
+        reactor = context.reactor
+        self._heartbeat_loop = Ticker(self._send_heartbeat, reactor)
+        self._poll_loop = Ticker(self._poll, reactor)
         dispatch.handle(Method.orders, Orders, self._handle_orders)
 
     def start(self) -> None:
@@ -123,11 +124,6 @@
     def _now(self) -> float:
         return float(self._context.reactor.seconds())
 
-    def _create_loop(self, step: Callable[[], None]) -> LoopingCall:
-        loop = LoopingCall(step)
-        loop.clock = self._context.reactor
-        return loop
-
     def _send_heartbeat(self) -> None:
         for action in check_leases(self._table, self._now()):
             self._runner.carry_out(action)
@@ -172,7 +168,7 @@
         if self._is_polling:
             return
         self._is_polling = True
-        fetched = self._platform.fetch_listing()
+        fetched = maybeDeferred(self._platform.fetch_listing)
         fetched.addCallback(self._apply_listing, self._now())
         fetched.addErrback(self._handle_worker_down)
         fetched.addErrback(log_failure)
