Read a worker's texts so that messages can hold them

What users saw: one run whose reason or checkpoint holds a lone surrogate (JSON's "\ud800") kept its agent from sending any heartbeat while the run was listed, so all its attempts ran out of their leases.

Cause: such a text can be read from JSON and can't be packed as UTF-8.

Ruled out: callers' headers are read as latin-1 and announcements name only letters, digits, dots, dashes and underscores. Not covered: numbers of a listing beyond 64 bits.

Evidence: test_agent_goes_on_after_a_reason_that_no_message_can_hold failed before with CodecError in the heartbeat.

--- a/wasabiturn/connection/worker.py
+++ b/wasabiturn/connection/worker.py
@@ -181,6 +181,11 @@
     AttemptState,
     lambda raw, _: AttemptState[raw],
 )
+# Messages can't hold the lone surrogates that JSON may bring.
+_converter.register_structure_hook(
+    str,
+    lambda raw, _: str(raw).encode('utf-8', 'replace').decode(),
+)
 
 
 def read_listing(answer: Any) -> Listing:
