Count the time waited for a claim from when that claim was seen

What callers saw: a resend was told "its answer is lost" although the request was running and its answer about to be recorded; and a request that was on its way was refused by its agent, which had just been asked by a waiting resend to refuse its claim.

Cause: the resolver kept the times of the first claim it had met on the key. After that one was settled and another entry had claimed anew, the time for the agent to see the request (0.5 s), to record its answer (2 s) and to come back (3 s) counted as over at once.

Ruled out: nothing ran twice, since a refused claim stays refused and a recorded answer replaces an unknown one.

--- a/wasabiturn/process/entry/claim_resolver.py
+++ b/wasabiturn/process/entry/claim_resolver.py
@@ -57,7 +57,9 @@
         self._on_step = on_step
         self._on_failure = on_failure
         self._timers = Timers(router.reactor)
-        self._claim_seen_at: float | None = None
+        # Newest claim that was seen; the times are of this claim only.
+        self._seen_claim_id: str | None = None
+        self._claim_seen_at: float = 0
         self._first_asked_at: float | None = None
         self._stopped = False
 
@@ -66,11 +68,13 @@
         self._stopped = True
         self._timers.cancel()
 
-    def waited_seconds(self) -> float:
+    def waited_seconds(self, claim_id: str) -> float:
         """Return the time since another claim on the key was first seen."""
         now = self._router.now()
-        if self._claim_seen_at is None:
+        if self._seen_claim_id != claim_id:
+            self._seen_claim_id = claim_id
             self._claim_seen_at = now
+            self._first_asked_at = None
         return now - self._claim_seen_at
 
     def schedule_look_up(self) -> None:
@@ -150,7 +154,7 @@
         failure.trap(CallError)
         if self._stopped:
             return
-        if self._claim_seen_at is None:
+        if self._seen_claim_id is None:
             self._on_failure(failure.value)
         else:
             self.schedule_look_up()
--- a/wasabiturn/process/entry/keyed.py
+++ b/wasabiturn/process/entry/keyed.py
@@ -151,7 +151,7 @@
         if record is None:
             self._execute_step(ClaimAnew())
             return
-        waited_seconds = self._resolver.waited_seconds()
+        waited_seconds = self._resolver.waited_seconds(record.claim.claim_id)
         step = decide_on_record(record, self._claim.claim_id, waited_seconds)
         _log.decision(
             'next step chosen from the record of a claim',
