--- a/wasabiturn/process/agent/request_server.py
+++ b/wasabiturn/process/agent/request_server.py
@@ -16,7 +16,8 @@
     RequestHead,
     ResponseHead,
 )
-from wasabiturn.process.agent.backends import Backends, LocalBackend
+from wasabiturn.process.agent.backends import Backends
+from wasabiturn.process.agent.local_backend import LocalBackend
 from wasabiturn.request.served import create_served_request
 from wasabiturn.utils.logs import create_component_log
 
