--- a/wasabiturn/connection/worker_messages.py
+++ b/wasabiturn/connection/worker_messages.py
@@ -13,6 +13,11 @@
     """The platform refused a request and did not carry it out."""
 
 
+@final
+class WorkerDownError(RefusedByPlatformError):
+    """Nothing listens at the worker, so no byte of the request was sent."""
+
+
 @final
 @attrs.frozen
 class Run:
@@ -46,12 +51,17 @@
 @final
 @attrs.frozen
 class Listing:
-    """Capacity, runs and usage of a worker; ``now`` is read from its clock."""
+    """Capacity, runs and usage of a worker; ``now`` is read from its clock.
+
+    The worker changes its ``incarnation`` whenever it loses its runs; it is
+    empty if the worker does not give one.
+    """
 
     now: float
     capacity: Capacity
     runs: tuple[Run, ...]
     usage: tuple[Usage, ...]
+    incarnation: str = ''
 
 
 @final
--- a/wasabiturn/process/agent/attempt_manager.py
+++ b/wasabiturn/process/agent/attempt_manager.py
@@ -7,14 +7,17 @@
 from collections.abc import Callable
 from typing import Any, Protocol, final
 
-from twisted.internet.defer import Deferred, succeed
-from twisted.internet.task import LoopingCall
+from twisted.internet.defer import Deferred, maybeDeferred, succeed
 from twisted.python.failure import Failure
 
 from wasabiturn.connection.dispatch import Dispatch
 from wasabiturn.connection.link import Link
 from wasabiturn.connection.worker import create_worker_client
-from wasabiturn.connection.worker_messages import Listing, RunName
+from wasabiturn.connection.worker_messages import (
+    Listing,
+    RunName,
+    WorkerDownError,
+)
 from wasabiturn.exceptions import ProcessError
 from wasabiturn.messages.kinds import AttemptState, Method
 from wasabiturn.messages.session import (
@@ -23,6 +26,10 @@
     ServiceReport,
     UsageReport,
 )
+from wasabiturn.process.agent.attempt_listing import (
+    apply_listing,
+    apply_worker_down,
+)
 from wasabiturn.process.agent.attempt_orders import apply_orders
 from wasabiturn.process.agent.attempt_runner import (
     ActionRunner,
@@ -32,13 +39,13 @@
 from wasabiturn.process.agent.attempt_table import (
     ENDED_STATES,
     AttemptTable,
-    apply_listing,
     check_leases,
     confirm_start,
     create_attempt_table,
 )
 from wasabiturn.process.daemon import Context
 from wasabiturn.utils.logs import create_component_log
+from wasabiturn.utils.ticker import Ticker
 from wasabiturn.version.placement.periods import HEARTBEAT_INTERVAL_SECONDS
 
 POLL_INTERVAL_SECONDS = 0.25
@@ -87,8 +94,9 @@
             self._handle_started,
             self._handle_refused,
         )
-        self._heartbeat_loop = self._create_loop(self._send_heartbeat)
-        self._poll_loop = self._create_loop(self._poll)
+        reactor = context.reactor
+        self._heartbeat_loop = Ticker(self._send_heartbeat, reactor)
+        self._poll_loop = Ticker(self._poll, reactor)
         dispatch.handle(Method.orders, Orders, self._handle_orders)
 
     def start(self) -> None:
@@ -116,11 +124,6 @@
     def _now(self) -> float:
         return float(self._context.reactor.seconds())
 
-    def _create_loop(self, step: Callable[[], None]) -> LoopingCall:
-        loop = LoopingCall(step)
-        loop.clock = self._context.reactor
-        return loop
-
     def _send_heartbeat(self) -> None:
         for action in check_leases(self._table, self._now()):
             self._runner.carry_out(action)
@@ -165,11 +168,17 @@
         if self._is_polling:
             return
         self._is_polling = True
-        fetched = self._platform.fetch_listing()
+        fetched = maybeDeferred(self._platform.fetch_listing)
         fetched.addCallback(self._apply_listing, self._now())
+        fetched.addErrback(self._handle_worker_down)
         fetched.addErrback(log_failure)
         fetched.addBoth(self._finish_poll)
 
+    def _handle_worker_down(self, failure: Failure) -> Failure:
+        if failure.check(WorkerDownError) and not self._is_leaving:
+            apply_worker_down(self._table, self._now())
+        return failure
+
     def _finish_poll(self, nothing: Any) -> None:
         self._is_polling = False
 
--- a/wasabiturn/process/agent/attempt_table.py
+++ b/wasabiturn/process/agent/attempt_table.py
@@ -8,21 +8,15 @@
 
 import attrs
 
-from wasabiturn.connection.worker_messages import Listing, Run, RunName
-from wasabiturn.messages.kinds import AttemptState
+from wasabiturn.connection.worker_messages import RunName
+from wasabiturn.messages.kinds import AttemptState, CrashSuspicion
 from wasabiturn.messages.session import AttemptReport
 from wasabiturn.messages.state import Capacity
-from wasabiturn.process.agent.attempt_actions import (
-    Action,
-    CheckpointRun,
-    StopRun,
-)
+from wasabiturn.process.agent.attempt_actions import Action, CheckpointRun
 from wasabiturn.version.placement.capacity import add, fits
 from wasabiturn.version.placement.periods import (
     DRIFT_SHARE,
-    PERMIT_SECONDS,
     TASK_LEASE_SECONDS,
-    latest_expiry,
 )
 
 REMEMBERED_HEARTBEATS = 64
@@ -61,10 +55,18 @@
     throttle: float = FULL_SPEED
     start_until: float = 0.0
     lease_until: float = 0.0
+    # When the start was ordered, or when an attempt to adopt was first listed.
+    ordered_at: float = 0.0
     # Lease end for which a checkpoint was last requested.
     checkpointed_lease_until: float = 0.0
     # Older listings do not show the present state yet.
     state_since: float = 0.0
+    # Incarnation of the worker that was last listed before the start order.
+    worker_incarnation: str = ''
+    # Crashes of workers under earlier attempts of the task.
+    crashes: int = 0
+    # Suspicion of the attempt after a crash of this worker.
+    crash: CrashSuspicion = CrashSuspicion.none
     # Heartbeat that first reported the end of the attempt; 0 if none did.
     reported_sequence: int = 0
 
@@ -89,6 +91,7 @@
             checkpoint=self.checkpoint,
             reason=self.reason,
             run_seconds=self.run_seconds,
+            crash=self.crash,
         )
 
 
@@ -111,6 +114,9 @@
     capacity: Capacity = attrs.field(factory=Capacity)
     # Time when the newest listing was requested.
     listed_at: float = float('-inf')
+    worker_incarnation: str = ''
+    # Whether nothing listened at the worker when it was last called.
+    is_worker_down: bool = False
     # Whether starts are allowed: the worker is listed, and no start that an
     # earlier incarnation of the agent requested can still take place.
     reconciled: bool = False
@@ -193,95 +199,3 @@
 def create_attempt_table(now: float) -> AttemptTable:
     """Create the empty table of an agent that started at ``now``."""
     return AttemptTable(started_at=now)
-
-
-def apply_listing(
-    table: AttemptTable,
-    listing: Listing,
-    requested_at: float,
-) -> list[Action]:
-    """Apply the worker's listing, which was requested at ``requested_at``."""
-    table.capacity = listing.capacity
-    table.listed_at = max(table.listed_at, requested_at)
-    earlier_permits_end = latest_expiry(table.started_at, PERMIT_SECONDS)
-    if requested_at > earlier_permits_end:
-        table.reconciled = True
-    actions: list[Action] = []
-    for run in listing.runs:
-        actions.extend(_apply_run(table, run, requested_at))
-    listed = {each.task: each.attempt for each in listing.runs}
-    for tracked in table.tracked_by_task.values():
-        if listed.get(tracked.task, 0) < tracked.attempt:
-            _apply_absence(tracked, requested_at)
-    _resolve_adoptions(table, listed, requested_at)
-    return actions
-
-
-def _apply_run(
-    table: AttemptTable,
-    run: Run,
-    requested_at: float,
-) -> list[Action]:
-    tracked = table.tracked_by_task.get(run.task)
-    newest = table.newest_attempt_by_task.get(run.task, 0)
-    if run.attempt < newest:
-        if run.state in ENDED_STATES:
-            return []
-        return [StopRun(RunName(task=run.task, attempt=run.attempt))]
-    if tracked is None or run.attempt > tracked.attempt:
-        table.track(
-            TrackedAttempt(
-                task=run.task,
-                attempt=run.attempt,
-                state=AttemptState.unknown,
-                size=run.size,
-                lease_until=latest_expiry(requested_at, TASK_LEASE_SECONDS),
-            ),
-        )
-    _update(table.tracked_by_task[run.task], run, requested_at)
-    return []
-
-
-def _update(tracked: TrackedAttempt, run: Run, requested_at: float) -> None:
-    if tracked.state in ENDED_STATES and tracked.state is not AttemptState.lost:
-        return
-    if run.state in ENDED_STATES:
-        tracked.end(run.state, run.reason)
-    elif tracked.state is AttemptState.lost:
-        return
-    elif tracked.state is not run.state:
-        tracked.state = run.state
-        tracked.state_since = requested_at
-    tracked.run_seconds = run.run_seconds
-    tracked.checkpoint = run.checkpoint or tracked.checkpoint
-
-
-def _apply_absence(tracked: TrackedAttempt, requested_at: float) -> None:
-    if tracked.state is AttemptState.starting:
-        if requested_at > tracked.start_until:
-            tracked.end(AttemptState.refused, 'the platform did not start it')
-    elif tracked.state is AttemptState.running and _is_newer(
-        tracked, requested_at
-    ):
-        tracked.end(AttemptState.lost, 'the worker does not list it')
-
-
-def _is_newer(tracked: TrackedAttempt, requested_at: float) -> bool:
-    return requested_at > tracked.state_since
-
-
-def _resolve_adoptions(
-    table: AttemptTable,
-    listed: dict[str, int],
-    requested_at: float,
-) -> None:
-    for task, (attempt, ordered_at) in list(table.adoptions_by_task.items()):
-        if requested_at <= ordered_at:
-            continue
-        table.adoptions_by_task.pop(task)
-        if task not in table.tracked_by_task and task not in listed:
-            tracked = TrackedAttempt(
-                task=task, attempt=attempt, state=AttemptState.lost
-            )
-            tracked.reason = 'the worker does not list it'
-            table.track(tracked)
