Tell of a closed port with the results of all starts to it

What callers saw: after a crash the tasks of a dead worker waited longer than needed, and those chosen for it next were refused there one by one.

Cause: a start that hit a closed port was reported as refused, without telling that nothing listens, so the leader chose the same worker for the same tasks again every 20 ms until a hold, sent 0.2 s after the one that broke, was refused too. The report that said so raised the fencing token, which voids the results of starts that were still under way: their runs were kept until the worker was back.

Now a start that finds the port closed refuses all that wait with it, and the next report tells both. A hold that breaks is repeated at once. The leader ends runs whose start it never ordered, and raises the token only when all starts have results, or after 0.1 s.

Ruled out: counting results under an older token in general.

--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -40,6 +40,8 @@
     started_at: float
     # The worker has reported that it has the run.
     is_confirmed: bool = False
+    # Its start has been among the orders to the worker.
+    is_ordered: bool = True
     # By then no order to start the run can be carried out any more, not even by
     # a new incarnation of the worker, which has seen no fencing token. UNKNOWN
     # while orders are sent, NEVER once all were answered.
@@ -93,6 +95,8 @@
     # Its runs were declared lost; it gets no lease and no new runs until it
     # lists its runs under the token that was raised for this.
     is_gone: bool = False
+    # Since when its agent reports that nothing listens.
+    refuses_since: float | None = None
     # A newer incarnation has reported.
     is_superseded: bool = False
     # By then all runs under leases of this leader or an earlier one have ended.
--- a/wasabiturn/batch/lost_runs.py
+++ b/wasabiturn/batch/lost_runs.py
@@ -5,6 +5,9 @@
 from wasabiturn.messages.batch import EndRun
 from wasabiturn.messages.kinds import RunEnding
 
+# How long results of starts are awaited from where nothing listens.
+RESULTS_SECONDS = 0.1
+
 
 def find_expired_workers(fleet: Fleet, now: float) -> list[Worker]:
     """Return the workers with runs whose leases have all expired."""
@@ -15,6 +18,21 @@
     ]
 
 
+def awaits_results(worker: Worker, now: float) -> bool:
+    """Return whether its agent is about to tell which starts were refused.
+
+    Results no longer count once the token of the worker was raised.
+    """
+    if worker.is_gone or worker.refuses_since is None:
+        return False
+    if now >= worker.refuses_since + RESULTS_SECONDS:
+        return False
+    return any(
+        each.is_ordered and not each.is_confirmed
+        for each in worker.allocations_by_task.values()
+    )
+
+
 def give_up_runs(fleet: Fleet, worker: Worker, now: float) -> list[EndRun]:
     """Mark a worker gone; return ends of the runs that are certainly over.
 
@@ -22,14 +40,14 @@
     A run with an order that a new incarnation of the same name may carry out
     is over only once that one has listed its runs, or the order has expired.
     """
-    if not worker.is_gone:
+    if not worker.is_gone and not awaits_results(worker, now):
         worker.is_gone = True
         raise_fence(fleet, worker)
     ends: list[EndRun] = []
     for allocation in worker.allocations_by_task.values():
         last_sent_at = max(worker.heard_at, allocation.started_at)
         allocation.limit_orders(last_sent_at)
-        if now >= allocation.orders_end_at:
+        if now >= allocation.orders_end_at or not allocation.is_ordered:
             ends.append(lost_end(allocation))
     return ends
 
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -34,6 +34,9 @@
 FIRST_HOLD_WAIT_MS = 50
 SHARED_HOLD_WAIT_MS = 500
 HOLD_RETRY_SECONDS = 0.2
+# The first retry after a hold that failed: a crashed worker's port is closed.
+FIRST_HOLD_RETRY_SECONDS = 0.005
+CLOSED_PORT_REPORT_SECONDS = 0.01
 REPORT_TIMEOUT_SECONDS = 1.0
 NO_FENCE = -1
 
@@ -60,6 +63,7 @@
         self._is_reporting = False
         self._is_report_due = False
         self._is_connection_refused = False
+        self._is_closed_port_report_due = False
         self._is_listing_current = False
         self._sent_holds = 0
         self._hold_delay = HoldDelay(clock, self._send_next_hold)
@@ -131,7 +135,8 @@
         return OrderSender(
             port=self._port,
             clock=self._clock,
-            on_start_refused=self._send_report,
+            on_start_outcome=self._send_report,
+            on_closed_port=self._handle_closed_port,
             on_stop_confirmed=lambda: self._send_hold(0),
         )
 
@@ -182,7 +187,7 @@
             # itself yet.
             self._is_listing_current = False
             self._sender.close()
-            self._send_hold_later(identity)
+            self._send_hold_later(identity, HOLD_RETRY_SECONDS)
             return
         self._sender.grants.record_clock(listing, self._clock.seconds())
         self._is_connection_refused = False
@@ -217,22 +222,43 @@
         _log.event(
             'hold on worker failed', worker=identity.worker, error=str(error)
         )
+        retry_seconds = (
+            FIRST_HOLD_RETRY_SECONDS
+            if self._is_listing_current
+            else HOLD_RETRY_SECONDS
+        )
         self._is_listing_current = False
         self._is_connection_refused = isinstance(error, WorkerNotListeningError)
         # A worker that refuses the fence knows a newer leader than this agent
         # does; the reply to a report tells the agent about it.
         self._send_report()
         if hold.wait_ms:
-            self._send_hold_later(identity)
+            self._send_hold_later(identity, retry_seconds)
         elif hold.fence == self._fence and self._listing_fence != self._fence:
             self._clock.callLater(HOLD_RETRY_SECONDS, self._send_hold, 0)
 
-    def _send_hold_later(self, identity: WorkerIdentity) -> None:
+    def _handle_closed_port(self) -> None:
+        """Report that nothing listens, once starts in flight are refused."""
+        self._is_connection_refused = True
+        self._is_listing_current = False
+        if not self._is_closed_port_report_due:
+            self._is_closed_port_report_due = True
+            self._clock.callLater(
+                CLOSED_PORT_REPORT_SECONDS, self._report_closed_port
+            )
+
+    def _report_closed_port(self) -> None:
+        self._is_closed_port_report_due = False
+        self._send_report()
+
+    def _send_hold_later(
+        self, identity: WorkerIdentity, seconds: float
+    ) -> None:
         def send_again() -> None:
             if _is_same_life(self._identity, identity):
                 self._send_hold(HOLD_WAIT_MS)
 
-        self._clock.callLater(HOLD_RETRY_SECONDS, send_again)
+        self._clock.callLater(seconds, send_again)
 
     def _send_report(self) -> None:
         if self._is_reporting:
--- a/wasabiturn/process/agent/runs/sender.py
+++ b/wasabiturn/process/agent/runs/sender.py
@@ -31,12 +31,14 @@
         self,
         port: WorkerPort,
         clock: Any,
-        on_start_refused: Callable[[], None],
+        on_start_outcome: Callable[[], None],
+        on_closed_port: Callable[[], None],
         on_stop_confirmed: Callable[[], None],
     ) -> None:
         """Create the sender.
 
-        ``on_start_refused`` is called for each start that was refused,
+        ``on_start_outcome`` is called for each outcome to report at once,
+        ``on_closed_port`` for each start that found the worker's port closed,
         ``on_stop_confirmed`` once no other stop awaits confirmation.
         """
         self.grants = Grants()
@@ -46,7 +48,8 @@
             channel=self._channel,
             table=self.table,
             grants=self.grants,
-            on_refused=on_start_refused,
+            on_outcome=on_start_outcome,
+            on_closed_port=on_closed_port,
             on_revoked=self._confirm_stop,
         )
         self._on_stop_confirmed = on_stop_confirmed
--- a/wasabiturn/process/agent/runs/start_sender.py
+++ b/wasabiturn/process/agent/runs/start_sender.py
@@ -33,6 +33,7 @@
 # this run, or the lease in the order had expired.
 REASON_RUN_OUTDATED = 'old'
 REASON_LEASE_EXPIRED = 'late'
+CLOSED_PORT = 'nothing listens at the worker'
 FULL_PERCENT = 100
 
 _log = create_component_log('runs')
@@ -47,18 +48,21 @@
         channel: WorkerChannel,
         table: StartTable,
         grants: Grants,
-        on_refused: Callable[[], None],
+        on_outcome: Callable[[], None],
+        on_closed_port: Callable[[], None],
         on_revoked: Callable[[RunKey], None],
     ) -> None:
         """Create the sender.
 
-        ``on_refused`` is called for each start that was refused,
+        ``on_outcome`` is called for each outcome to report at once,
+        ``on_closed_port`` for each start that found the worker's port closed,
         ``on_revoked`` with each run whose start the worker was told to forget.
         """
         self._channel = channel
         self._table = table
         self._grants = grants
-        self._on_refused = on_refused
+        self._on_outcome = on_outcome
+        self._on_closed_port = on_closed_port
         self._on_revoked = on_revoked
 
     def send_starts(self) -> None:
@@ -160,7 +164,10 @@
             # A new incarnation of the worker may carry that order out.
             self._retry_later(start)
         else:
-            self._refuse(start, 'nothing listens at the worker')
+            self._record_refusal(start, CLOSED_PORT)
+        for unsent in self._table.list_without_orders():
+            self._record_refusal(unsent, CLOSED_PORT)
+        self._on_closed_port()
 
     def _retry_later(self, start: Start) -> None:
         self._channel.clock.callLater(RETRY_SECONDS, self._retry, start)
@@ -178,6 +185,7 @@
             self._revoke(start)
         else:
             self._record_refusal(start, reason)
+            self._on_outcome()
 
     def _revoke(self, start: Start) -> None:
         """Stop a run whose start is uncertain, so that it never begins.
@@ -205,4 +213,3 @@
         start.reason = reason
         exposition.start_orders.labels('refused').inc()
         _log.decision('start refused', **start.describe(), reason=reason)
-        self._on_refused()
--- a/wasabiturn/process/agent/runs/starts.py
+++ b/wasabiturn/process/agent/runs/starts.py
@@ -99,6 +99,15 @@
             if start.outcome is StartOutcome.pending and not start.is_sent
         ]
 
+    def list_without_orders(self) -> list[Start]:
+        """Return the pending starts for which no order can be carried out."""
+        return [
+            start
+            for start in self.starts_by_run.values()
+            if start.outcome is StartOutcome.pending
+            and not start.has_unanswered_order
+        ]
+
     def list_results(self) -> list[StartResult]:
         """Return the results of the starts that are no longer pending."""
         return [
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -175,6 +175,7 @@
             agent=task.agent,
         )
         worker.allocate(task, now)
+        worker.allocations_by_task[task.name].is_ordered = False
 
     def _limit_restored_orders(self, task: Task) -> None:
         """Give up a run of an earlier term with the lease of its worker.
@@ -185,6 +186,7 @@
         if worker is not None:
             allocation = worker.allocations_by_task[task.name]
             allocation.orders_end_at = worker.lease_ends_at
+            allocation.is_ordered = True
 
     def _release_capacity(self, task: Task) -> None:
         worker = self.fleet.worker_of(task)
--- a/wasabiturn/process/control/batch/orders.py
+++ b/wasabiturn/process/control/batch/orders.py
@@ -46,8 +46,9 @@
 def create_start_order(
     worker: Worker, allocation: Allocation, now: float
 ) -> StartOrder:
-    """Return the order that starts a run, and record the pace in it."""
+    """Return the order that starts a run; record it and the pace in it."""
     task = allocation.task
+    allocation.is_ordered = True
     if task.step.fills:
         allocation.ordered_percent = target_percent(worker, allocation)
         allocation.pace_ordered_at = now
--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -43,6 +43,7 @@
             fence=worker.fence,
             running=len(report.running),
         )
+    _follow_refusals(worker, report, now)
     if report.refuses:
         leader_term.give_up_runs(worker, 'nothing listens', now)
     _adjust_pace(leader_term, worker, now)
@@ -51,6 +52,13 @@
     )
 
 
+def _follow_refusals(worker: Worker, report: WorkerReport, now: float) -> None:
+    if not report.refuses:
+        worker.refuses_since = None
+    elif worker.refuses_since is None:
+        worker.refuses_since = now
+
+
 def _grant_lease(
     leader_term: LeaderTerm,
     worker: Worker,
