Stand-in: tasks that crash the workers that start them

The stand-in of a worker played crashes of its own only, so no session could show a task that crashes each worker that starts it.

A simulated run may crash its worker some time after its start; the fleet of the sessions brings the worker back after 3 s, under a new name or its own. The fleet also ends the other members of a gang when one is lost, as the platform does, and checks two things more: a task that crashes workers is started at most twice more after the third crash, and a job only fails if one of its tasks has failed or two workers crashed under it.

--- a/tests/sessions/batch_fakes.py
+++ b/tests/sessions/batch_fakes.py
@@ -5,9 +5,12 @@
 - a task never has two simultaneous runs, on one worker or on several;
 - a task isn't started again after it is done;
 - a step doesn't start before the steps that it waits for are done;
-- no worker exceeds its CPU capacity.
+- no worker exceeds its CPU capacity;
+- a task that crashes workers isn't started a third time more after the third;
+- a job only fails if one of its tasks has failed, or workers crashed under it.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -66,6 +69,10 @@
 CLOCK_STEP_SECONDS = 0.01
 ANNOUNCE_INTERVAL_SECONDS = 1.5
 LEASE_MS = 6000
+# A worker that a task crashed is back after this time.
+REBIRTH_SECONDS = 3.0
+MAX_CRASHES = 3
+MAX_STARTS_AFTER_CRASHES = 2
 HOST = 'callers.example'
 PREFIX = '/queue/'
 
@@ -317,6 +324,14 @@
         # Faults of the next orders; used before random faults.
         self.next_faults: list[Fault] = []
         self.work_by_job: dict[str, SimulatedWork] = {}
+        # Work of single tasks that differs from that of their jobs.
+        self.work_by_task: dict[str, SimulatedWork] = {}
+        # A worker that a task crashed comes back under its name.
+        self.keeps_names = False
+        # Crashes that each task caused, and crashes under it of any cause.
+        self.caused_crashes: Counter[str] = Counter()
+        self.crashes_by_task: Counter[str] = Counter()
+        self.starts_after_crashes: Counter[str] = Counter()
         self.violations: list[str] = []
         self.done_tasks: set[str] = set()
         # End time of each task acknowledged as done, except lasting tasks.
@@ -362,6 +377,9 @@
             lambda task, run: self._record_start(worker, task, run),
         )
         worker.on_end.append(self._record_end)
+        worker.on_task_crash.append(
+            lambda task, _: self._record_task_crash(agent, task)
+        )
         worker.on_acknowledged.append(self._record_acknowledged_end)
         return agent
 
@@ -474,6 +492,7 @@
                 for agent in getattr(self, 'agents', ()):
                     agent.announce()
             self.clock.advance(CLOCK_STEP_SECONDS)
+        self._check_failed_jobs()
         assert not self.violations, self.violations
 
     def run_until(self, job_id: str, state: JobState, seconds: float) -> float:
@@ -497,6 +516,8 @@
         return workers_by_task
 
     def _choose_work(self, order: StartOrder) -> SimulatedWork:
+        if order.task in self.work_by_task:
+            return self.work_by_task[order.task]
         return self.work_by_job[order.task.partition('.')[0]]
 
     def _choose_fault(self) -> Fault:
@@ -529,9 +550,36 @@
                 f'{task} run {run} started on {name} beside an earlier run'
             )
         self._active_runs.add((task, run))
+        self._check_crashes(task)
         self._check_step_order(task)
         self._check_capacity(worker)
 
+    def _check_crashes(self, task: str) -> None:
+        if self.caused_crashes[task] < MAX_CRASHES:
+            return
+        self.starts_after_crashes[task] += 1
+        if self.starts_after_crashes[task] > MAX_STARTS_AFTER_CRASHES:
+            self.violations.append(
+                f'{task} started again after its crashes of workers'
+            )
+
+    def _check_failed_jobs(self) -> None:
+        for job in self.replica.state.batch.jobs_by_id.values():
+            if job.state is JobState.failed and not self._may_fail(job.job_id):
+                self.violations.append(f'{job.job_id} failed without cause')
+
+    def _may_fail(self, job_id: str) -> bool:
+        prefix = f'{job_id}.'
+        if any(
+            task.startswith(prefix) and ending is RunEnding.failed
+            for _, task, _, ending in self.run_ends
+        ):
+            return True
+        return any(
+            task.startswith(prefix) and crashes > 1
+            for task, crashes in self.crashes_by_task.items()
+        )
+
     def _check_step_order(self, task: str) -> None:
         job, occurrence, step_index, _ = task.split('.')
         steps = self._steps_by_job[job]
@@ -557,9 +605,32 @@
     def _record_end(self, task: str, run: int, ending: RunEnding) -> None:
         self.run_ends.append((self.clock.seconds(), task, run, ending))
         self._active_runs.discard((task, run))
+        if ending is RunEnding.lost:
+            self.crashes_by_task[task] += 1
+            self.clock.callLater(0.05, self._break_gang, task, run)
         if ending is RunEnding.done:
             self.done_tasks.add(task)
 
+    def _break_gang(self, lost_task: str, run: int) -> None:
+        """End the other members of a gang of which one was lost."""
+        job, occurrence, step_index, _ = lost_task.split('.')
+        if not self._steps_by_job[job][int(step_index)].gang:
+            return
+        prefix = f'{job}.{occurrence}.{step_index}.'
+        for agent in self.agents:
+            for each in list(agent.worker.runs_by_task.values()):
+                if each.task.startswith(prefix) and each.run == run:
+                    agent.worker.break_run(each)
+
+    def _record_task_crash(self, agent: FakeAgent, task: str) -> None:
+        self.caused_crashes[task] += 1
+        self.clock.callLater(REBIRTH_SECONDS, self._bring_back, agent)
+
+    def _bring_back(self, agent: FakeAgent) -> None:
+        if not agent.worker.is_up:
+            name = f'{agent.name}-at-{self.clock.seconds():.2f}'
+            agent.worker.start_incarnation('' if self.keeps_names else name)
+
     def _is_lasting(self, task: str) -> bool:
         """Return whether a task is restarted however it ends."""
         job, _, step_index, _ = task.split('.')
--- a/wasabiturn/standins/batch_worker.py
+++ b/wasabiturn/standins/batch_worker.py
@@ -52,10 +52,15 @@
 @final
 @attrs.define
 class SimulatedWork:
-    """Duration of a simulated run, and how it ends."""
+    """Duration of a simulated run, and how it ends.
+
+    A run that crashes its worker does so ``crash_after_seconds`` after its
+    start.
+    """
 
     seconds: float
     ending: RunEnding = RunEnding.done
+    crash_after_seconds: float | None = None
 
 
 @final
@@ -112,6 +117,8 @@
         self.is_up = True
         self.on_begin: list[Callable[[str, int], None]] = []
         self.on_end: list[Callable[[str, int, RunEnding], None]] = []
+        # Called with the task and the run that crash the worker.
+        self.on_task_crash: list[Callable[[str, int], None]] = []
         # Called with an acknowledged end and the time of the end.
         self.on_acknowledged: list[Callable[[EndedRow, float], None]] = []
         self.runs_by_task: dict[str, StandInBatchRun] = {}
@@ -135,6 +142,11 @@
             pending.reply.errback(PlatformError('worker crashed'))
         self._pending_holds.clear()
 
+    def break_run(self, run: StandInBatchRun) -> None:
+        """End an active run, as another member of its gang was lost."""
+        run.timer.cancel()
+        self._end(run, RunEnding.broken)
+
     def start_incarnation(self, name: str = '') -> None:
         """Start a new incarnation, crashing the present one if it is up.
 
@@ -317,9 +329,20 @@
             work.ending,
         )
         self.runs_by_task[order.task] = run
+        if work.crash_after_seconds is not None:
+            self._clock.callLater(
+                work.crash_after_seconds, self._crash_by_task, run
+            )
         for callback in self.on_begin:
             callback(run.task, run.run)
 
+    def _crash_by_task(self, run: StandInBatchRun) -> None:
+        if self.runs_by_task.get(run.task) is not run:
+            return
+        for callback in self.on_task_crash:
+            callback(run.task, run.run)
+        self.crash()
+
     def _stop(self, order: StopOrder, fence: int) -> None:
         self._check_fence(fence)
         max_refused_run = self._max_refused_run_by_task.get(order.task, 0)
