Give up tasks that crash the workers that start them

What callers saw: one task crashed nearly every worker, over and over. Jobs beside it were started up to 17 times and came late or never, and the task was started on and on after three crashes.

Cause: a crash ended all runs of the worker as lost, which says nothing of their tasks, so all of them were started together on the next worker.

Now the leader judges each crash. Suspects are the runs that had not yet worked for 0.5 s, with starts that may have begun without an answer; a suspect starts only on a worker where all else is proven, and nothing starts beside it. Its next crash shows which task it was; the other suspects of the same crash are cleared. A job fails if a worker crashes with its task as the only suspect for the second time (the third for a lasting task), at once after the start as the time before; a task that does so later needs three crashes, and without proof five. Counts are in the replicated state.

Ruled out: giving up after two crashes alone. So crashes count together only if they come as long after the start.

--- /dev/null
+++ b/tests/batch/test_crashes.py
@@ -0,0 +1,269 @@
+"""Tests of who is blamed for the crash of a worker, and what follows."""
+
+import pytest
+
+from tests.batch.jobs_fakes import (
+    accept,
+    add_run,
+    create_batch_state,
+    create_worker,
+    end,
+    start,
+    step,
+)
+from wasabiturn.batch import (
+    BatchState,
+    apply_batch_change,
+    dump_batch_state,
+    load_batch_state,
+)
+from wasabiturn.batch.crashes import (
+    MAX_BLAMED_SECONDS,
+    PROOF_SECONDS,
+    SLOW_PROOF_SECONDS,
+    Crash,
+    judge_crash,
+)
+from wasabiturn.batch.fleet import Worker
+from wasabiturn.batch.verdicts import (
+    COMMON_CAUSE_SECONDS,
+    MAX_CRASHES,
+    CrashLog,
+)
+from wasabiturn.messages.batch import (
+    BatchChange,
+    BatchDump,
+    EndRun,
+    GiveUp,
+    TaskRecord,
+)
+from wasabiturn.messages.codec import pack, unpack
+from wasabiturn.messages.kinds import CrashRole, JobState, RunEnding
+
+NOW = 100.0
+QUICK = 0.01
+
+
+def create_state(tasks: int) -> BatchState:
+    return create_batch_state(accept('j', step(tasks)))
+
+
+def add_runs(
+    worker: Worker, batch_state: BatchState, **worked_seconds: float
+) -> None:
+    """Add runs of tasks of ``j`` that were confirmed so long ago."""
+    for name, seconds in worked_seconds.items():
+        task = batch_state.tasks_by_name[f'j.0.0.{name[1:]}']
+        add_run(worker, task)
+        worker.allocations_by_task[task.name].confirm(NOW - seconds)
+
+
+def judge(worker: Worker) -> tuple[Crash, dict[str, CrashRole]]:
+    crash = judge_crash(worker, heard_at=NOW, now=NOW)
+    roles = {
+        name: allocation.crash_role
+        for name, allocation in worker.allocations_by_task.items()
+    }
+    return crash, roles
+
+
+def crash_end(task: str, role: CrashRole, run: int = 1) -> BatchChange:
+    return BatchChange(
+        ends=[EndRun(task=task, run=run, crash_role=role)],
+    )
+
+
+def count_crashes(batch_state: BatchState, crashes: int) -> None:
+    for run in range(1, crashes + 1):
+        apply_batch_change(batch_state, start('j.0.0.0', run))
+        change = crash_end('j.0.0.0', CrashRole.suspect, run)
+        apply_batch_change(batch_state, change)
+
+
+def test_unproven_runs_are_the_suspects() -> None:
+    batch_state, worker = create_state(2), create_worker('w')
+    add_runs(worker, batch_state, t0=PROOF_SECONDS, t1=QUICK)
+    _, roles = judge(worker)
+    assert roles == {
+        'j.0.0.0': CrashRole.none,
+        'j.0.0.1': CrashRole.suspect,
+    }
+
+
+def test_runs_are_bystanders_if_all_are_proven() -> None:
+    batch_state, worker = create_state(2), create_worker('w')
+    add_runs(worker, batch_state, t0=PROOF_SECONDS, t1=MAX_BLAMED_SECONDS)
+    _, roles = judge(worker)
+    assert roles == {
+        'j.0.0.0': CrashRole.bystander,
+        'j.0.0.1': CrashRole.none,
+    }
+
+
+def test_unanswered_start_is_a_possible_cause() -> None:
+    batch_state, worker = create_state(2), create_worker('w')
+    add_runs(worker, batch_state, t0=QUICK)
+    add_run(worker, batch_state.tasks_by_name['j.0.0.1'])
+    crash, roles = judge(worker)
+    assert roles['j.0.0.1'] is CrashRole.possible
+    assert len(crash.suspects) == 2
+
+
+def test_start_that_was_not_ordered_is_no_cause() -> None:
+    batch_state, worker = create_state(1), create_worker('w')
+    add_run(worker, batch_state.tasks_by_name['j.0.0.0'])
+    worker.allocations_by_task['j.0.0.0'].is_ordered = False
+    crash, _ = judge(worker)
+    assert not crash.suspects
+
+
+def test_run_of_an_earlier_leader_is_no_cause() -> None:
+    batch_state, worker = create_state(1), create_worker('w')
+    add_run(worker, batch_state.tasks_by_name['j.0.0.0'])
+    worker.allocations_by_task['j.0.0.0'].is_restored = True
+    crash, _ = judge(worker)
+    assert not crash.suspects
+
+
+def test_run_counts_as_proven_up_to_when_its_agent_was_heard() -> None:
+    batch_state, worker = create_state(1), create_worker('w')
+    add_runs(worker, batch_state, t0=5)
+    crash = judge_crash(worker, heard_at=NOW - 4.9, now=NOW)
+    assert len(crash.suspects) == 1
+
+
+def test_repeated_crashes_take_a_longer_proof() -> None:
+    batch_state, worker = create_state(1), create_worker('w')
+    count_crashes(batch_state, 2)
+    add_runs(worker, batch_state, t0=SLOW_PROOF_SECONDS - 0.1)
+    crash, _ = judge(worker)
+    assert crash.culprit == 'j.0.0.0'
+
+
+def test_crashes_and_suspicion_survive_a_snapshot() -> None:
+    batch_state = create_state(2)
+    count_crashes(batch_state, 1)
+    dump = unpack(BatchDump, pack(dump_batch_state(batch_state)))
+    task = load_batch_state(dump).tasks_by_name['j.0.0.0']
+    assert (task.crashes, task.is_suspect) == (1, True)
+    assert 'j.0.0.0' in load_batch_state(dump).suspects_by_name
+
+
+def test_record_without_crashes_loads() -> None:
+    record = unpack(TaskRecord, pack(TaskRecord(name='j.0.0.0', run=1)))
+    assert not record.crashes
+    assert not record.is_suspect
+
+
+def test_repeated_end_counts_once() -> None:
+    batch_state = create_state(1)
+    apply_batch_change(batch_state, start('j.0.0.0'))
+    for _ in range(2):
+        apply_batch_change(
+            batch_state, crash_end('j.0.0.0', CrashRole.bystander)
+        )
+    assert batch_state.tasks_by_name['j.0.0.0'].crashes == 1
+
+
+def test_run_that_ends_by_itself_ends_the_suspicion() -> None:
+    batch_state = create_state(1)
+    count_crashes(batch_state, 1)
+    apply_batch_change(batch_state, start('j.0.0.0', 2))
+    apply_batch_change(batch_state, end('j.0.0.0', 2, RunEnding.failed))
+    assert not batch_state.suspects_by_name
+    assert not batch_state.tasks_by_name['j.0.0.0'].crashes
+
+
+def test_giving_up_a_task_fails_its_job_and_drops_its_tasks() -> None:
+    batch_state = create_state(3)
+    count_crashes(batch_state, 2)
+    apply_batch_change(batch_state, start('j.0.0.1'))
+    give_up = BatchChange(give_ups=[GiveUp(task='j.0.0.0', reason='r')])
+    apply_batch_change(batch_state, give_up)
+    assert batch_state.jobs_by_id['j'].state is JobState.failed
+    assert set(batch_state.tasks_by_name) == {'j.0.0.1'}
+    assert not batch_state.suspects_by_name
+
+
+def crash_again(
+    batch_state: BatchState, crash_log: CrashLog, worked_seconds: float = QUICK
+) -> None:
+    """Let a worker crash with the task alone, and record it."""
+    task = batch_state.tasks_by_name['j.0.0.0']
+    apply_batch_change(batch_state, start('j.0.0.0', task.run + 1))
+    worker = create_worker('w')
+    add_runs(worker, batch_state, t0=worked_seconds)
+    crash, roles = judge(worker)
+    crash_log.record(crash)
+    apply_batch_change(
+        batch_state, crash_end('j.0.0.0', roles['j.0.0.0'], task.run)
+    )
+
+
+def decide(
+    batch_state: BatchState, crash_log: CrashLog, seconds: float
+) -> list[str]:
+    return [
+        give_up.task for give_up in crash_log.decide(batch_state, NOW + seconds)
+    ]
+
+
+def test_second_crash_alone_gives_a_task_up_after_a_moment() -> None:
+    batch_state, crash_log = create_state(2), CrashLog()
+    count_crashes(batch_state, 1)
+    crash_again(batch_state, crash_log)
+    assert not decide(batch_state, crash_log, 0)
+    assert crash_log.undecided_by_task
+    given_up = decide(batch_state, crash_log, COMMON_CAUSE_SECONDS)
+    assert given_up == ['j.0.0.0']
+
+
+def test_first_crash_gives_no_task_up() -> None:
+    batch_state, crash_log = create_state(2), CrashLog()
+    crash_again(batch_state, crash_log)
+    assert not decide(batch_state, crash_log, COMMON_CAUSE_SECONDS)
+    assert not crash_log.undecided_by_task
+
+
+def test_crash_some_time_after_the_start_is_no_proof() -> None:
+    batch_state, crash_log = create_state(2), CrashLog()
+    count_crashes(batch_state, 1)
+    crash_again(batch_state, crash_log, worked_seconds=0.4)
+    assert not decide(batch_state, crash_log, COMMON_CAUSE_SECONDS)
+
+
+@pytest.mark.parametrize('data_centre', ['dc', 'other'])
+def test_crash_beside_another_one_is_no_proof(data_centre: str) -> None:
+    batch_state, crash_log = create_state(2), CrashLog()
+    count_crashes(batch_state, 1)
+    crash_again(batch_state, crash_log)
+    other = create_worker('o', data_centre=data_centre)
+    add_runs(other, batch_state, t1=5)
+    crash_log.record(judge(other)[0])
+    given_up = decide(batch_state, crash_log, COMMON_CAUSE_SECONDS)
+    assert bool(given_up) is (data_centre == 'other')
+
+
+def test_many_crashes_give_a_task_up_at_once() -> None:
+    batch_state, crash_log = create_state(2), CrashLog()
+    count_crashes(batch_state, MAX_CRASHES - 1)
+    crash_again(batch_state, crash_log, worked_seconds=1)
+    assert decide(batch_state, crash_log, 0) == ['j.0.0.0']
+
+
+def test_culprit_clears_the_other_suspects_of_its_earlier_crash() -> None:
+    batch_state, crash_log = create_state(3), CrashLog()
+    worker = create_worker('w')
+    for index in range(3):
+        apply_batch_change(batch_state, start(f'j.0.0.{index}'))
+    add_runs(worker, batch_state, t0=QUICK, t1=QUICK, t2=5)
+    crash_log.record(judge(worker)[0])
+    for index in range(2):
+        change = crash_end(f'j.0.0.{index}', CrashRole.suspect)
+        apply_batch_change(batch_state, change)
+    apply_batch_change(batch_state, start('j.0.0.0', 2))
+    alone = create_worker('a')
+    add_runs(alone, batch_state, t0=QUICK)
+    crash = judge(alone)[0]
+    assert crash.culprit == 'j.0.0.0'
+    assert crash_log.find_cleared(batch_state, crash) == ['j.0.0.1']
--- /dev/null
+++ b/tests/batch/test_isolation.py
@@ -0,0 +1,171 @@
+"""Tests of where suspects are placed, and what they keep others from."""
+
+from tests.batch.jobs_fakes import (
+    accept,
+    add_run,
+    create_batch_state,
+    create_fleet,
+    create_worker,
+    step,
+)
+from tests.batch.test_decisions import NOW, plan
+from wasabiturn.batch import BatchState, apply_batch_change
+from wasabiturn.batch.crashes import PROOF_SECONDS
+from wasabiturn.batch.fleet import Fleet, Worker
+from wasabiturn.batch.isolation import MAX_GANG_WAIT_SECONDS
+from wasabiturn.batch.ordering import Moment
+from wasabiturn.messages.batch import BatchChange
+
+
+def create_workers(count: int) -> list[Worker]:
+    return [create_worker(f'w{number}') for number in range(count)]
+
+
+def suspect(batch_state: BatchState, *names: str) -> None:
+    for name in names:
+        task = batch_state.tasks_by_name[name]
+        task.run = 1
+        task.crashes = 1
+        batch_state.mark_suspect(task)
+
+
+def later(seconds: float) -> Moment:
+    return Moment(now=NOW.now + seconds, wall_ms=NOW.wall_ms)
+
+
+def add_other_run(
+    worker: Worker, job: str, worked_seconds: float | None
+) -> None:
+    batch_state = create_batch_state(accept(job, step(1)))
+    task = batch_state.tasks_by_name[f'{job}.0.0.0']
+    add_run(worker, task)
+    if worked_seconds is not None:
+        worker.allocations_by_task[task.name].confirm(NOW.now - worked_seconds)
+
+
+def confirm(fleet: Fleet, task: str) -> None:
+    for worker in fleet.workers_by_incarnation.values():
+        if task in worker.allocations_by_task:
+            worker.allocations_by_task[task].confirm(NOW.now)
+
+
+def test_each_suspect_starts_alone_on_half_of_the_workers() -> None:
+    batch_state = create_batch_state(accept('j', step(4)))
+    suspect(batch_state, *[f'j.0.0.{index}' for index in range(4)])
+    placed = plan(batch_state, create_fleet(*create_workers(4)))
+    assert len(placed) == len(set(placed.values())) == 2
+
+
+def test_suspect_starts_also_where_there_is_one_worker() -> None:
+    batch_state = create_batch_state(accept('j', step(1)))
+    suspect(batch_state, 'j.0.0.0')
+    assert plan(batch_state, create_fleet(*create_workers(1)))
+
+
+def test_nothing_starts_beside_a_suspect_until_it_is_proven() -> None:
+    batch_state = create_batch_state(accept('j', step(1)))
+    suspect(batch_state, 'j.0.0.0')
+    fleet = create_fleet(*create_workers(2))
+    (alone,) = plan(batch_state, fleet).values()
+    confirm(fleet, 'j.0.0.0')
+    apply_batch_change(batch_state, accept('k', step(4)))
+    assert alone not in plan(batch_state, fleet).values()
+    apply_batch_change(batch_state, accept('l', step(12)))
+    placed = plan(batch_state, fleet, later(PROOF_SECONDS))
+    assert alone in placed.values()
+
+
+def test_suspect_goes_where_the_least_work_would_be_lost() -> None:
+    workers = create_workers(3)
+    add_other_run(workers[0], 'a', worked_seconds=9)
+    add_other_run(workers[1], 'b', worked_seconds=None)
+    workers[0].allocations_by_task['a.0.0.0'].started_at = -9
+    add_other_run(workers[2], 'c', worked_seconds=2)
+    workers[2].allocations_by_task['c.0.0.0'].started_at = -2
+    batch_state = create_batch_state(accept('j', step(1)))
+    suspect(batch_state, 'j.0.0.0')
+    placed = plan(batch_state, create_fleet(*workers))
+    assert placed == {'j.0.0.0': 'w2'}
+
+
+def test_worker_is_reserved_until_its_runs_are_proven() -> None:
+    workers = create_workers(2)
+    for worker in workers:
+        add_other_run(worker, f'of-{worker.name}', worked_seconds=0)
+    batch_state = create_batch_state(accept('j', step(1)))
+    suspect(batch_state, 'j.0.0.0')
+    fleet = create_fleet(*workers)
+    assert not plan(batch_state, fleet)
+    ((reserved, _),) = fleet.isolation.reserved
+    apply_batch_change(batch_state, accept('k', step(2)))
+    placed = plan(batch_state, fleet, later(0.1))
+    assert placed.keys() == {'k.0.0.0', 'k.0.0.1'}
+    assert reserved not in placed.values()
+    placed = plan(batch_state, fleet, later(PROOF_SECONDS))
+    assert placed == {'j.0.0.0': reserved}
+
+
+def test_waiting_suspect_holds_up_no_task_of_its_step() -> None:
+    workers = create_workers(2)
+    for worker in workers:
+        add_other_run(worker, f'of-{worker.name}', worked_seconds=0)
+    batch_state = create_batch_state(accept('j', step(3)), accept('k', step(1)))
+    suspect(batch_state, 'j.0.0.0')
+    placed = plan(batch_state, create_fleet(*workers))
+    assert placed.keys() == {'j.0.0.1', 'j.0.0.2', 'k.0.0.0'}
+
+
+def test_suspect_that_is_to_be_decided_on_waits() -> None:
+    batch_state = create_batch_state(accept('j', step(1)))
+    suspect(batch_state, 'j.0.0.0')
+    fleet = create_fleet(*create_workers(2))
+    fleet.isolation.held_tasks = {'j.0.0.0'}
+    assert not plan(batch_state, fleet)
+
+
+def test_newest_start_is_tried_first() -> None:
+    batch_state = create_batch_state(accept('j', step(3)))
+    names = [f'j.0.0.{index}' for index in range(3)]
+    suspect(batch_state, *names)
+    fleet = create_fleet(*create_workers(2))
+    for position, name in enumerate(names):
+        fleet.isolation.rank_by_task[name] = (1, position)
+    assert list(plan(batch_state, fleet)) == ['j.0.0.2']
+
+
+def test_suspect_respects_what_its_step_requires() -> None:
+    wanted = step(1, required_label='special')
+    batch_state = create_batch_state(accept('j', wanted))
+    suspect(batch_state, 'j.0.0.0')
+    workers = [*create_workers(2), create_worker('s', labels=['special'])]
+    placed = plan(batch_state, create_fleet(*workers))
+    assert placed == {'j.0.0.0': 's'}
+
+
+def test_suspect_members_of_a_gang_start_on_workers_of_their_own() -> None:
+    batch_state = create_batch_state(accept('j', step(5, gang=True)))
+    suspect(batch_state, 'j.0.0.0', 'j.0.0.1')
+    placed = plan(batch_state, create_fleet(*create_workers(4)))
+    assert len(placed) == 5
+    alone = {placed['j.0.0.0'], placed['j.0.0.1']}
+    others = {placed[f'j.0.0.{index}'] for index in (2, 3, 4)}
+    assert len(alone) == 2
+    assert not alone & others
+
+
+def test_gang_that_finds_no_such_workers_starts_after_a_while() -> None:
+    batch_state = create_batch_state(accept('j', step(2, gang=True)))
+    suspect(batch_state, 'j.0.0.0', 'j.0.0.1')
+    (worker,) = create_workers(1)
+    fleet = create_fleet(worker)
+    assert not plan(batch_state, fleet)
+    worker.heard_at = NOW.now + MAX_GANG_WAIT_SECONDS
+    assert len(plan(batch_state, fleet, later(MAX_GANG_WAIT_SECONDS))) == 2
+
+
+def test_cleared_suspect_starts_beside_others() -> None:
+    batch_state = create_batch_state(accept('j', step(2)))
+    suspect(batch_state, 'j.0.0.0', 'j.0.0.1')
+    apply_batch_change(batch_state, BatchChange(cleared=['j.0.0.0', 'j.0.0.1']))
+    placed = plan(batch_state, create_fleet(*create_workers(1)))
+    assert len(placed) == 2
--- a/wasabiturn/batch/apply.py
+++ b/wasabiturn/batch/apply.py
@@ -6,6 +6,11 @@
 
 from wasabiturn.batch.jobs import Job, Task, create_job
 from wasabiturn.batch.state import BatchState
+from wasabiturn.batch.suspicions import (
+    clear_task,
+    count_crash,
+    give_up_task,
+)
 from wasabiturn.messages.batch import (
     AcceptJob,
     BatchChange,
@@ -35,6 +40,10 @@
         _delete_job(batch_state, job_id)
     if change.pressures:
         batch_state.pressures = list(change.pressures)
+    for give_up in change.give_ups:
+        give_up_task(batch_state, give_up)
+    for task_name in change.cleared:
+        clear_task(batch_state, task_name)
 
 
 def _apply_routing(batch_state: BatchState, routing: Routing) -> None:
@@ -98,6 +107,7 @@
         task.job.has_begun = True
     if end.checkpoint:
         task.checkpoint = end.checkpoint
+    count_crash(batch_state, task, end)
     if task.job.is_final:
         batch_state.drop_task(task)
     else:
--- /dev/null
+++ b/wasabiturn/batch/crashes.py
@@ -0,0 +1,197 @@
+"""Which tasks a crash of their worker may be due to.
+
+A task may crash each worker that starts it. After a crash the *suspects* are
+the runs that had not yet worked for long enough to be *proven*, including those
+whose start may have begun without an answer. If all runs were proven, the crash
+counts against each, as a task may also crash its worker late. Conclusions from
+silence alone are no crash.
+"""
+
+from typing import final
+
+import attrs
+
+from wasabiturn.batch.fleet import Allocation, Fleet, Worker
+from wasabiturn.batch.jobs import Task
+from wasabiturn.batch.state import BatchState
+from wasabiturn.batch.suspicions import REPEATED_CRASHES
+from wasabiturn.messages.kinds import BatchTaskState, CrashRole
+
+# A run that has worked for so long is proven; the second figure holds for a
+# task with repeated crashes, which may come late.
+PROOF_SECONDS = 0.5
+SLOW_PROOF_SECONDS = 3.0
+# Beyond this number of crashes a proof takes as long as any blame.
+CRASHES_OF_LONGEST_PROOF = 3
+# A crash does not count against a run that had worked for longer.
+MAX_BLAMED_SECONDS = 10.0
+# A crash so soon after a start is hardly chance.
+QUICK_SECONDS = 0.05
+# An agent that was heard within this time reports a crash at once.
+REPORT_INTERVAL_SECONDS = 1.5
+_MS = 1000
+
+
+@final
+@attrs.frozen
+class Suspicion:
+    """A run that may have crashed its worker.
+
+    ``crashes_before`` counted against its task before. ``is_alike`` tells
+    that the newest of them came as long after its start.
+    """
+
+    task: str
+    run: int
+    crashes_before: int
+    is_alike: bool
+
+
+@final
+@attrs.frozen
+class Crash:
+    """Crash of a worker; its suspects come oldest start first.
+
+    ``culprit`` is a task that already was a suspect and the only one there, or
+    empty. ``is_quick`` tells that the crash came right after its start.
+    """
+
+    worker: str
+    data_centre: str
+    at: float
+    suspects: tuple[Suspicion, ...]
+    bystanders: tuple[str, ...]
+    culprit: str
+    is_quick: bool
+
+
+def judge_crash(worker: Worker, heard_at: float, now: float) -> Crash:
+    """Record the role of each run in the crash of its worker.
+
+    ``heard_at`` is when the agent was heard before it told of the crash.
+    """
+    worker.crashed_at = now
+    crashed_at = now
+    if heard_at < now - REPORT_INTERVAL_SECONDS:
+        crashed_at = heard_at
+    allocations = [
+        each
+        for each in worker.allocations_by_task.values()
+        if each.is_confirmed or _is_possible(each)
+    ]
+    suspects = [each for each in allocations if not is_proven(each, crashed_at)]
+    for allocation in allocations:
+        allocation.crash_role = _find_role(allocation, suspects, crashed_at)
+        worked_seconds = _worked_seconds(allocation, crashed_at)
+        allocation.worked_ms = int(max(worked_seconds, 0) * _MS)
+    return Crash(
+        worker=worker.name,
+        data_centre=worker.report.data_centre,
+        at=now,
+        suspects=tuple(_create_suspicion(each) for each in suspects),
+        bystanders=tuple(
+            each.task.name
+            for each in allocations
+            if each.crash_role is CrashRole.bystander
+        ),
+        culprit=_find_culprit(suspects),
+        is_quick=_is_quick(suspects, crashed_at),
+    )
+
+
+def forget_crash(worker: Worker) -> None:
+    """Withdraw the crash of an incarnation that still lists its runs."""
+    worker.crashed_at = None
+    for allocation in worker.allocations_by_task.values():
+        allocation.crash_role = CrashRole.none
+
+
+def find_proven_suspects(
+    batch_state: BatchState, fleet: Fleet, now: float
+) -> list[str]:
+    """Return the suspects that have worked long enough to be cleared."""
+    return [
+        task.name
+        for task in batch_state.suspects_by_name.values()
+        if task.state is BatchTaskState.active
+        and (worker := fleet.worker_of(task)) is not None
+        and _is_cleared(worker.allocations_by_task.get(task.name), now)
+    ]
+
+
+def proof_seconds(task: Task) -> float:
+    """Return how long a run of a task must work to be proven."""
+    if task.crashes >= CRASHES_OF_LONGEST_PROOF:
+        return MAX_BLAMED_SECONDS
+    if task.crashes >= REPEATED_CRASHES:
+        return SLOW_PROOF_SECONDS
+    return PROOF_SECONDS
+
+
+def is_proven(allocation: Allocation, now: float) -> bool:
+    """Return whether a run has worked for long enough to be trusted."""
+    return _worked_seconds(allocation, now) >= proof_seconds(allocation.task)
+
+
+def _is_cleared(allocation: Allocation | None, now: float) -> bool:
+    if allocation is None:
+        return False
+    seconds = proof_seconds(allocation.task)
+    if allocation.task.crashes >= REPEATED_CRASHES:
+        seconds = MAX_BLAMED_SECONDS
+    return _worked_seconds(allocation, now) >= seconds
+
+
+def _worked_seconds(allocation: Allocation, now: float) -> float:
+    if allocation.confirmed_at is None:
+        return 0
+    return now - allocation.confirmed_at
+
+
+def _is_possible(allocation: Allocation) -> bool:
+    """Return whether a run without confirmation may have crashed its worker.
+
+    Most runs of an earlier leader had worked for long.
+    """
+    if allocation.is_restored:
+        return allocation.task.is_suspect
+    return allocation.is_ordered
+
+
+def _find_role(
+    allocation: Allocation, suspects: list[Allocation], crashed_at: float
+) -> CrashRole:
+    if not allocation.is_confirmed and not _find_culprit(suspects):
+        return CrashRole.possible
+    if allocation in suspects:
+        return CrashRole.suspect
+    if suspects:
+        return CrashRole.none
+    if _worked_seconds(allocation, crashed_at) >= MAX_BLAMED_SECONDS:
+        return CrashRole.none
+    return CrashRole.bystander
+
+
+def _find_culprit(suspects: list[Allocation]) -> str:
+    if len(suspects) != 1:
+        return ''
+    task = suspects[0].task
+    return task.name if task.is_suspect else ''
+
+
+def _create_suspicion(allocation: Allocation) -> Suspicion:
+    task = allocation.task
+    difference_ms = abs(allocation.worked_ms - task.worked_ms)
+    return Suspicion(
+        task=task.name,
+        run=allocation.run,
+        crashes_before=task.crashes,
+        is_alike=task.crashes > 0 and difference_ms <= QUICK_SECONDS * _MS,
+    )
+
+
+def _is_quick(suspects: list[Allocation], crashed_at: float) -> bool:
+    return bool(suspects) and all(
+        each.is_confirmed and _worked_seconds(each, crashed_at) <= QUICK_SECONDS
+        for each in suspects
+    )
--- a/wasabiturn/batch/dump.py
+++ b/wasabiturn/batch/dump.py
@@ -53,6 +53,10 @@
         failures=task.failures,
         checkpoint=task.checkpoint,
         agent=task.agent,
+        crashes=task.crashes,
+        is_suspect=task.is_suspect,
+        late_crashes=task.late_crashes,
+        worked_ms=task.worked_ms,
     )
 
 
@@ -77,6 +81,11 @@
     task.failures = record.failures
     task.checkpoint = record.checkpoint
     task.agent = record.agent
+    task.crashes = record.crashes
+    task.late_crashes = record.late_crashes
+    task.worked_ms = record.worked_ms
+    if record.is_suspect:
+        batch_state.mark_suspect(task)
     if record.state is BatchTaskState.active:
         batch_state.begin_run(task)
     elif record.state is BatchTaskState.done:
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -11,12 +11,14 @@
 
 import attrs
 
+from wasabiturn.batch.isolation_state import IsolationState
 from wasabiturn.batch.jobs import Job, Task
 from wasabiturn.messages.batch import (
     BatchChange,
     RunningRow,
     WorkerReport,
 )
+from wasabiturn.messages.kinds import CrashRole
 
 NEVER = float('-inf')
 UNKNOWN = float('inf')
@@ -40,8 +42,14 @@
     started_at: float
     # The worker has reported that it has the run.
     is_confirmed: bool = False
+    confirmed_at: float | None = None
+    # An earlier leader started it.
+    is_restored: bool = False
     # Its start has been among the orders to the worker.
     is_ordered: bool = True
+    # What the crash of its worker tells of its task.
+    crash_role: CrashRole = CrashRole.none
+    worked_ms: int = 0
     # By then no order to start the run can be carried out any more, not even by
     # a new incarnation of the worker, which has seen no fencing token. UNKNOWN
     # while orders are sent, NEVER once all were answered.
@@ -57,6 +65,8 @@
     def confirm(self, now: float) -> None:
         """Record that the run has started; no further order is sent."""
         self.is_confirmed = True
+        if self.confirmed_at is None:
+            self.confirmed_at = now
         self.task.job.has_begun = True
         self.limit_orders(now)
 
@@ -97,6 +107,8 @@
     is_gone: bool = False
     # Since when its agent reports that nothing listens.
     refuses_since: float | None = None
+    # When its crash was noticed.
+    crashed_at: float | None = None
     # A newer incarnation has reported.
     is_superseded: bool = False
     # By then all runs under leases of this leader or an earlier one have ended.
@@ -215,6 +227,7 @@
     # The incarnation that reported last, by its agent and by its name.
     reporting_by_agent: dict[str, Worker] = attrs.field(factory=dict)
     reporting_by_name: dict[str, Worker] = attrs.field(factory=dict)
+    isolation: IsolationState = attrs.field(factory=IsolationState)
 
     def __attrs_post_init__(self) -> None:
         """Start raised tokens above that of all other workers."""
--- a/wasabiturn/batch/gangs.py
+++ b/wasabiturn/batch/gangs.py
@@ -33,17 +33,18 @@
     """Return workers for all members, in one rack if one has room."""
     for rack in sorted({worker.report.rack for worker in workers}):
         on_rack = [each for each in workers if each.report.rack == rack]
-        placed = _fit_all(part.step, tasks, on_rack)
+        placed = fit_all(part.step, tasks, on_rack)
         if placed:
             return placed
-    return _fit_all(part.step, tasks, workers)
+    return fit_all(part.step, tasks, workers)
 
 
-def _fit_all(
+def fit_all(
     step: Step,
     tasks: list[Task],
     workers: list[Worker],
 ) -> list[tuple[Task, Worker]]:
+    """Return a worker for each task, or nothing if there isn't one for all."""
     placed: list[tuple[Task, Worker]] = []
     waiting = list(tasks)
     limit = step.max_per_worker or len(tasks)
--- a/wasabiturn/batch/jobs.py
+++ b/wasabiturn/batch/jobs.py
@@ -32,6 +32,13 @@
     agent: str = ''
     failures: int = 0
     checkpoint: str = ''
+    # Crashes of workers that count against it; see ``crashes.py``. The late
+    # ones came after a run had worked; ``worked_ms`` is of the newest.
+    crashes: int = 0
+    late_crashes: int = 0
+    worked_ms: int = 0
+    # It starts only in isolation; see ``isolation.py``.
+    is_suspect: bool = False
 
     @property
     def job(self) -> 'Job':
--- a/wasabiturn/batch/lost_runs.py
+++ b/wasabiturn/batch/lost_runs.py
@@ -65,12 +65,16 @@
 def lost_end(allocation: Allocation) -> EndRun:
     """Return the end of a run that is over without a listed end."""
     if not allocation.is_confirmed:
-        return not_started_end(allocation)
+        end = not_started_end(allocation)
+        end.crash_role = allocation.crash_role
+        return end
     return EndRun(
         task=allocation.task.name,
         run=allocation.run,
         ending=RunEnding.lost,
         checkpoint=_checkpoint_of(allocation),
+        crash_role=allocation.crash_role,
+        worked_ms=allocation.worked_ms,
     )
 
 
--- a/wasabiturn/batch/placing.py
+++ b/wasabiturn/batch/placing.py
@@ -87,7 +87,7 @@
 
     ``counts`` has the active tasks of the part by worker, if they are limited.
     """
-    if not _can_take(part, worker, counts):
+    if not can_take(part, worker, counts):
         return UNSUITABLE
     step = part.step
     size = worker.report.millicores
@@ -142,7 +142,8 @@
     )
 
 
-def _can_take(part: Part, worker: Worker, counts: dict[str, int]) -> bool:
+def can_take(part: Part, worker: Worker, counts: dict[str, int]) -> bool:
+    """Return whether a worker has room for a task and may run it."""
     step = part.step
     millicores = 0 if step.fills else step.millicores
     if not worker.has_room(millicores, step.memory_mb, step.accelerators):
--- a/wasabiturn/batch/planning.py
+++ b/wasabiturn/batch/planning.py
@@ -6,6 +6,7 @@
 from wasabiturn.batch.fleet import Allocation, Fleet
 from wasabiturn.batch.forecast import Forecasts
 from wasabiturn.batch.gangs import start_gang
+from wasabiturn.batch.isolation import start_suspects
 from wasabiturn.batch.jobs import Part
 from wasabiturn.batch.ordering import Moment, needs_at_least, order_parts
 from wasabiturn.batch.placing import Candidates, choose_worker, find_candidates
@@ -38,8 +39,13 @@
         forecasts,
         moment.now,
     )
+    yield from start_suspects(batch_state, fleet, candidates, moment)
     if candidates.workers:
-        parts = order_parts(batch_state, moment)
+        parts = [
+            part
+            for part in order_parts(batch_state, moment)
+            if _has_ordinary(part)
+        ]
         started = _start_parts(parts, candidates, fleet, moment.now)
         yield from islice(started, MAX_STARTS_PER_PLAN)
 
@@ -88,7 +94,7 @@
             unplaced.append(part.step)
             continue
         yield from _start_part(part, candidates)
-        if part.waiting_by_name:
+        if _has_ordinary(part):
             unplaced.append(part.step)
             fleet.refused_at_by_part[part.name] = now
         else:
@@ -112,7 +118,10 @@
         yield from start_gang(part, candidates)
         return
     ranking = create_ranking(part, candidates)
-    for task in list(part.waiting_by_name.values()):
+    tasks = list(part.waiting_by_name.values())
+    for task in tasks:
+        if task.is_suspect:
+            continue
         worker = ranking.choose(task)
         if worker is None:
             return
@@ -129,3 +138,14 @@
             ranking = create_ranking(part, candidates)
         else:
             ranking.record_start(worker)
+
+
+def _has_ordinary(part: Part) -> bool:
+    """Return whether waiting tasks may start beside others.
+
+    A gang waits for its suspects, which ``isolation.py`` places.
+    """
+    tasks = part.waiting_by_name.values()
+    if part.step.gang:
+        return bool(tasks) and not any(task.is_suspect for task in tasks)
+    return not all(task.is_suspect for task in tasks)
--- a/wasabiturn/batch/state.py
+++ b/wasabiturn/batch/state.py
@@ -26,6 +26,7 @@
     open_jobs_by_id: dict[str, Job] = attrs.field(factory=dict)
     tasks_by_name: dict[str, Task] = attrs.field(factory=dict)
     active_by_name: dict[str, Task] = attrs.field(factory=dict)
+    suspects_by_name: dict[str, Task] = attrs.field(factory=dict)
     pressures: list[PressureRecord] = attrs.field(factory=list)
     on_start: Callable[[Task], None] | None = None
     on_end: Callable[[Task], None] | None = None
@@ -78,9 +79,20 @@
             if task.state is not BatchTaskState.active:
                 self.drop_task(task)
 
+    def mark_suspect(self, task: Task) -> None:
+        """Have ``task`` start in isolation only."""
+        task.is_suspect = True
+        self.suspects_by_name[task.name] = task
+
+    def clear_suspect(self, task: Task) -> None:
+        """Let ``task`` start beside others again."""
+        task.is_suspect = False
+        self.suspects_by_name.pop(task.name, None)
+
     def drop_task(self, task: Task) -> None:
         """Remove a task that will not run again."""
         task.state = BatchTaskState.dropped
         task.job.tasks_by_name.pop(task.name, None)
         task.part.waiting_by_name.pop(task.name, None)
         self.tasks_by_name.pop(task.name, None)
+        self.suspects_by_name.pop(task.name, None)
--- /dev/null
+++ b/wasabiturn/batch/verdicts.py
@@ -0,0 +1,159 @@
+"""Whether tasks are given up for the crashes of the workers that ran them.
+
+A task is given up when workers crash while it is the only suspect there, each
+as long after its start as the one before. Crashes of other workers at the same
+time tell that the cause may be another one, so this verdict waits a moment. A
+task that is suspected of many crashes is given up in any case.
+"""
+
+from collections.abc import Iterator
+from typing import final
+
+import attrs
+
+from wasabiturn.batch.crashes import Crash, Suspicion
+from wasabiturn.batch.jobs import Task
+from wasabiturn.batch.state import BatchState
+from wasabiturn.batch.suspicions import REPEATED_CRASHES
+from wasabiturn.messages.batch import GiveUp
+from wasabiturn.messages.kinds import BatchTaskState
+
+# Crashes after which a task is given up if it is the only suspect of the newest
+# one, which came as long after its start as the one before: at once, or later.
+QUICK_CRASHES = 2
+ALIKE_CRASHES = 3
+# Crashes after which a suspect is given up without proof. Callers expect that
+# it is started at most twice more after the third.
+MAX_CRASHES = 5
+# Crashes in one data centre within this time may have one cause.
+COMMON_CAUSE_SECONDS = 0.5
+MAX_REMEMBERED_CRASHES = 500
+
+
+@final
+@attrs.define
+class CrashLog:
+    """Crashes that the leader has seen, and the suspects to decide on."""
+
+    crashes: list[Crash] = attrs.field(factory=list)
+    newest_by_task: dict[str, Crash] = attrs.field(factory=dict)
+    undecided_by_task: dict[str, tuple[Crash, Suspicion]] = attrs.field(
+        factory=dict
+    )
+
+    def record(self, crash: Crash) -> None:
+        """Record a crash; its suspects are to be decided on."""
+        self.crashes = [*self.crashes[-MAX_REMEMBERED_CRASHES:], crash]
+        for suspicion in crash.suspects:
+            self.newest_by_task[suspicion.task] = crash
+            self.undecided_by_task[suspicion.task] = (crash, suspicion)
+
+    def find_cleared(self, batch_state: BatchState, crash: Crash) -> list[str]:
+        """Return the tasks that a crash clears of suspicion.
+
+        They were suspected only of an earlier crash that is now put down to
+        another task. To be called before the crash is recorded.
+        """
+        earlier = self.newest_by_task.get(crash.culprit)
+        if earlier is None:
+            return []
+        others = [
+            batch_state.suspects_by_name.get(suspicion.task)
+            for suspicion in earlier.suspects
+            if self.newest_by_task[suspicion.task] is earlier
+            and suspicion.task != crash.culprit
+        ]
+        return [
+            task.name
+            for task in others
+            if task is not None and task.crashes < REPEATED_CRASHES
+        ]
+
+    def decide(self, batch_state: BatchState, now: float) -> Iterator[GiveUp]:
+        """Yield the tasks to give up.
+
+        To be called once the ends of the runs are recorded. Suspects that
+        can't be decided on yet are kept.
+        """
+        for task_name, (crash, suspicion) in list(
+            self.undecided_by_task.items()
+        ):
+            task = batch_state.tasks_by_name.get(task_name)
+            if task is not None and self._must_wait(
+                task, crash, suspicion, now
+            ):
+                continue
+            self.undecided_by_task.pop(task_name)
+            reason = self._find_reason(task, crash, suspicion)
+            if reason:
+                yield GiveUp(task=task_name, reason=reason)
+
+    def list_workers(self, task: str) -> list[str]:
+        """Return the crashed workers of which a task was a suspect."""
+        return [
+            crash.worker
+            for crash in self.crashes
+            if any(each.task == task for each in crash.suspects)
+        ]
+
+    def forget_unsuspected(self, batch_state: BatchState) -> None:
+        """Forget the crashes of tasks that are no suspects any more."""
+        if len(self.newest_by_task) > MAX_REMEMBERED_CRASHES:
+            self.newest_by_task = {
+                task: crash
+                for task, crash in self.newest_by_task.items()
+                if task in batch_state.suspects_by_name
+                or task in self.undecided_by_task
+            }
+
+    def _must_wait(
+        self, task: Task, crash: Crash, suspicion: Suspicion, now: float
+    ) -> bool:
+        if task.run != suspicion.run:
+            return False
+        if task.state is BatchTaskState.active:
+            # Its run may still begin on the next incarnation of the worker.
+            return True
+        is_over = now >= crash.at + COMMON_CAUSE_SECONDS
+        if is_over or task.crashes >= MAX_CRASHES:
+            return False
+        return task.crashes == _enough_crashes(task, crash, suspicion)
+
+    def _find_reason(
+        self, task: Task | None, crash: Crash, suspicion: Suspicion
+    ) -> str:
+        """Return why a task is given up, empty if it is not."""
+        if task is None or task.run != suspicion.run:
+            return ''
+        if task.crashes <= suspicion.crashes_before:
+            # Its run had not begun.
+            return ''
+        if task.crashes >= MAX_CRASHES:
+            return f'suspected of {task.crashes} crashes of workers'
+        excess = task.crashes - _enough_crashes(task, crash, suspicion)
+        if excess < 0 or (not excess and self._has_common_cause(crash)):
+            return ''
+        return f'the only suspect of the newest of {task.crashes} crashes'
+
+    def _has_common_cause(self, crash: Crash) -> bool:
+        return any(
+            other is not crash
+            and not other.culprit
+            and other.data_centre == crash.data_centre
+            and abs(other.at - crash.at) <= COMMON_CAUSE_SECONDS
+            for other in self.crashes
+        )
+
+
+def _enough_crashes(task: Task, crash: Crash, suspicion: Suspicion) -> int:
+    """Return the number of crashes after which a task is given up.
+
+    A lasting task, which meets more crashes of other causes, is given one more.
+    """
+    if task.name != crash.culprit or task.late_crashes:
+        # What crashes a worker at once would not have worked on another.
+        return MAX_CRASHES
+    if not suspicion.is_alike:
+        return MAX_CRASHES
+    enough = QUICK_CRASHES if crash.is_quick else ALIKE_CRASHES
+    return enough + int(task.step.lasting)
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -11,6 +11,7 @@
 from wasabiturn.messages.idl import load_idl
 from wasabiturn.messages.kinds import (
     BatchTaskState,
+    CrashRole,
     JobAction,
     JobOutcome,
     JobState,
@@ -109,6 +110,20 @@
     run: int = 0
     ending: RunEnding = attrs.field(default=RunEnding.lost, converter=RunEnding)
     checkpoint: str = ''
+    crash_role: CrashRole = attrs.field(
+        default=CrashRole.none, converter=CrashRole
+    )
+    worked_ms: int = 0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class GiveUp:
+    """Give up a task under which workers have crashed; its job fails."""
+
+    task: str = ''
+    reason: str = ''
 
 
 @bind(_idl)
@@ -175,6 +190,8 @@
     starts: list[StartRun] = attrs.field(factory=list)
     forgets: list[str] = attrs.field(factory=list)
     pressures: list[PressureRecord] = attrs.field(factory=list)
+    give_ups: list[GiveUp] = attrs.field(factory=list)
+    cleared: list[str] = attrs.field(factory=list)
 
 
 @bind(_idl)
@@ -193,6 +210,10 @@
     failures: int = 0
     checkpoint: str = ''
     agent: str = ''
+    crashes: int = 0
+    is_suspect: bool = False
+    late_crashes: int = 0
+    worked_ms: int = 0
 
 
 @bind(_idl)
@@ -358,6 +379,7 @@
     payload: str = ''
     checkpoint: str = ''
     percent: int = 100
+    reports_at_once: bool = False
 
 
 @bind(_idl)
--- a/wasabiturn/messages/kinds.py
+++ b/wasabiturn/messages/kinds.py
@@ -227,6 +227,21 @@
     not_started = 7
 
 
+@final
+class CrashRole(enum.IntEnum):
+    """What a crash of its worker tells of the task of a run.
+
+    ``bystander`` counts the crash against the task, ``suspect`` also makes the
+    task a suspect. ``possible`` makes it a suspect without counting the crash,
+    as the run is not known to have begun.
+    """
+
+    none = 0
+    bystander = 1
+    suspect = 2
+    possible = 3
+
+
 @final
 class JobAction(enum.IntEnum):
     """Request of a caller to a queue."""
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -61,6 +61,14 @@
   2: i64 run,
   3: i32 ending,            // RunEnding
   4: string checkpoint,
+  6: i32 crash_role,        // CrashRole
+  7: i32 worked_ms,         // how long the run had worked at the crash
+}
+
+// Gives a task up for the crashes of the workers that ran it; its job fails.
+struct GiveUp {
+  1: string task,
+  2: string reason,
 }
 
 struct Queue {
@@ -102,6 +110,8 @@
   6: list<StartRun> starts,
   7: list<string> forgets,  // ids of ended jobs to remove
   8: list<PressureRecord> pressures, // empty, or all that are known
+  9: list<GiveUp> give_ups,
+  10: list<string> cleared, // tasks that are no suspects any more
 }
 
 struct TaskRecord {
@@ -113,6 +123,10 @@
   6: i32 failures,
   7: string checkpoint,
   8: string agent,
+  10: i32 crashes,          // crashes of workers that count against the task
+  11: bool is_suspect,      // it starts only in isolation
+  12: i32 late_crashes,     // those of the crashes before which a run had worked
+  13: i32 worked_ms,        // how long the run had worked at the newest crash
 }
 
 struct JobRecord {
@@ -213,6 +227,7 @@
   3: string payload,
   4: string checkpoint,
   5: i32 percent,           // initial pace
+  6: bool reports_at_once,  // the agent reports as soon as it is answered
 }
 
 struct StopOrder {
--- a/wasabiturn/process/agent/runs/start_sender.py
+++ b/wasabiturn/process/agent/runs/start_sender.py
@@ -128,6 +128,8 @@
         if order.percent < FULL_PERCENT and identity is not None:
             pace = PaceOrder(order.task, order.run, order.percent)
             self._channel.send_pace(identity, pace)
+        if order.reports_at_once:
+            self._on_outcome()
 
     def _handle_failure(self, failure: Failure, start: Start) -> None:
         error = failure.value
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -28,6 +28,7 @@
 from wasabiturn.messages.codec import pack, unpack
 from wasabiturn.messages.kinds import Method
 from wasabiturn.process import exposition
+from wasabiturn.process.control.batch.crash_watch import CrashWatch
 from wasabiturn.process.control.batch.orders import create_orders
 from wasabiturn.process.control.batch.pipeline import Pipeline
 from wasabiturn.utils.logs import create_component_log
@@ -93,6 +94,7 @@
             on_commit=self._notify_agents,
             on_failure=on_failure,
         )
+        self.crash_watch = CrashWatch(self.fleet, self.pipeline)
         _log.event(
             'leadership taken over',
             fence=self.fleet.fence,
@@ -114,6 +116,7 @@
             return
         for worker in find_expired_workers(self.fleet, now):
             self.give_up_runs(worker, 'lease expired', now)
+        self.crash_watch.review(now)
         self._stop_unwanted_runs(now)
         self.fleet.remove_superseded()
         self.interference.drop_decayed(now)
@@ -148,6 +151,7 @@
             runs=[f'{end.task}/{end.run}' for end in ends],
         )
         self.pipeline.add(BatchChange(ends=ends))
+        self.crash_watch.review(now)
 
     def lease_expiry(self, now: float) -> float:
         """Return when a lease granted at ``now`` has certainly expired."""
@@ -186,6 +190,7 @@
         if worker is not None:
             allocation = worker.allocations_by_task[task.name]
             allocation.orders_end_at = worker.lease_ends_at
+            allocation.is_restored = True
             allocation.is_ordered = True
 
     def _release_capacity(self, task: Task) -> None:
@@ -253,6 +258,10 @@
                 run=start.run,
                 worker=start.worker,
             )
+            if start.task in self.pipeline.batch_state.suspects_by_name:
+                _log.decision(
+                    'isolates suspect', task=start.task, worker=start.worker
+                )
 
     def _set_initial_pace(self, start: StartRun, now: float) -> None:
         """Throttle interfering tasks at once, not after the first samples."""
@@ -274,7 +283,7 @@
         for start in change.starts:
             self._committed_starts.add((start.task, start.run))
             incarnations_to_notify.add((start.worker, start.born_ms))
-        if change.cancels:
+        if change.cancels or change.give_ups:
             incarnations_to_notify.update(self.links_by_incarnation)
         for incarnation, worker in self.fleet.workers_by_incarnation.items():
             if _advance_committed_end(worker, change):
--- a/wasabiturn/process/control/batch/orders.py
+++ b/wasabiturn/process/control/batch/orders.py
@@ -58,6 +58,7 @@
         payload=task.job.accepted.declaration.payload,
         checkpoint=_checkpoint_of(task),
         percent=allocation.ordered_percent,
+        reports_at_once=task.is_suspect,
     )
 
 
--- a/wasabiturn/process/control/batch/pipeline.py
+++ b/wasabiturn/process/control/batch/pipeline.py
@@ -151,6 +151,8 @@
     merged.starts.extend(change.starts)
     merged.forgets.extend(change.forgets)
     merged.pressures = change.pressures or merged.pressures
+    merged.give_ups.extend(change.give_ups)
+    merged.cleared.extend(change.cleared)
 
 
 def _can_merge(merged: BatchChange, change: BatchChange) -> bool:
--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -1,5 +1,6 @@
 """Handling of agents' worker reports, which are answered with orders."""
 
+from wasabiturn.batch.crashes import forget_crash
 from wasabiturn.batch.fences import raise_fence, succeed_worker
 from wasabiturn.batch.fleet import NEVER, Fleet, Worker
 from wasabiturn.batch.lost_runs import give_up_all_runs
@@ -35,8 +36,10 @@
     """
     worker = _register_worker(leader_term, link, report, now)
     was_gone = worker.is_gone
+    heard_at = worker.heard_at
     _store_ends(leader_term, worker, apply_report(worker, report, now))
     if was_gone and not worker.is_gone:
+        forget_crash(worker)
         _log.event(
             'worker lists its runs again after they were given up',
             worker=worker.name,
@@ -45,6 +48,7 @@
         )
     _follow_refusals(worker, report, now)
     if report.refuses:
+        leader_term.crash_watch.record_crash(worker, heard_at, now)
         leader_term.give_up_runs(worker, 'nothing listens', now)
     _adjust_pace(leader_term, worker, now)
     return leader_term.orders_for(
@@ -108,7 +112,7 @@
     agent = link.peer.name
     worker = leader_term.fleet.find(report.worker, report.born_ms)
     if worker is None or not leader_term.fleet.is_reporting(worker, agent):
-        worker = _take_over_from_others(leader_term, agent, report, now)
+        worker = _take_over_from_others(leader_term, link, report, now)
     _follow_agent(leader_term.fleet, worker, link.peer.incarnation)
     leader_term.links_by_incarnation[worker.name, worker.born_ms] = link
     return worker
@@ -131,10 +135,11 @@
 
 def _take_over_from_others(
     leader_term: LeaderTerm,
-    agent: str,
+    link: Link,
     report: WorkerReport,
     now: float,
 ) -> Worker:
+    agent = link.peer.name
     others = [
         other
         for other in leader_term.fleet.workers_by_incarnation.values()
@@ -145,6 +150,7 @@
     worker = leader_term.fleet.open(report.worker, report.born_ms, now)
     for other in others:
         if other is not worker and not other.is_superseded:
+            _judge_end(leader_term, other, link, now)
             _supersede_worker(leader_term, other, worker, now)
     if worker.heard_at == NEVER:
         _log.event('worker registered', worker=worker.name, agent=agent)
@@ -153,6 +159,14 @@
     return worker
 
 
+def _judge_end(
+    leader_term: LeaderTerm, worker: Worker, link: Link, now: float
+) -> None:
+    """Judge the crash of a worker, unless its agent ended as well."""
+    if worker.agent_incarnation in {'', link.peer.incarnation}:
+        leader_term.crash_watch.record_crash(worker, worker.heard_at, now)
+
+
 def _supersede_worker(
     leader_term: LeaderTerm, worker: Worker, successor: Worker, now: float
 ) -> None:
--- a/wasabiturn/process/exposition.py
+++ b/wasabiturn/process/exposition.py
@@ -52,6 +52,16 @@
     ('reason',),
     registry=registry,
 )
+suspects = Counter(
+    'wasabiturn_suspects',
+    'Runs that may have crashed their workers.',
+    registry=registry,
+)
+given_up_tasks = Counter(
+    'wasabiturn_given_up_tasks',
+    'Tasks given up, and their jobs failed, for crashes of workers.',
+    registry=registry,
+)
 commit_seconds = Histogram(
     'wasabiturn_commit_seconds',
     'Time until a change of the book was committed.',
