--- a/tests/sessions/test_batch.py
+++ b/tests/sessions/test_batch.py
@@ -13,7 +13,7 @@
 from wasabiturn.process.agent.runs.hold_delay import (
     ACKNOWLEDGEMENT_WAIT_SECONDS,
 )
-from wasabiturn.process.control.batch import leader_term
+from wasabiturn.process.control.batch import starts
 from wasabiturn.standins.batch_worker import Fault, SimulatedWork
 
 # WASABITURN_SEEDS=1000:200 selects 200 seeds from 1000 on.
@@ -316,7 +316,7 @@
     monkeypatch: pytest.MonkeyPatch, errors: int
 ) -> None:
     fleet = BatchFleet()
-    plan_starts = leader_term.plan_starts
+    plan_starts = starts.plan_starts
     left = [errors]
 
     def fail_at_first(*parts: Any) -> Any:
@@ -325,7 +325,7 @@
             raise ZeroDivisionError('unexpected')
         return plan_starts(*parts)
 
-    monkeypatch.setattr(leader_term, 'plan_starts', fail_at_first)
+    monkeypatch.setattr(starts, 'plan_starts', fail_at_first)
     answer = fleet.submit('j', [create_step(2)])
     assert answer.outcome is JobOutcome.ok
     fleet.run_until('j', JobState.done, 5)
--- a/tests/sessions/test_bound_tasks.py
+++ b/tests/sessions/test_bound_tasks.py
@@ -129,7 +129,11 @@
     fleet.change_leader(1)
     late_at = fleet.start_orders[0].at + LATE_SECONDS
     fleet.run(late_at - 0.1 - fleet.clock.seconds())
+    # Else a hold would tell the new life of a newer fence first.
+    agent.worker.refuses_holds = True
     agent.worker.start_incarnation()
+    fleet.run(0.2)
+    agent.worker.refuses_holds = False
     fleet.run(LATE_SECONDS)
     assert find_starts(fleet) == [(1, 'worker-1')]
 
--- a/wasabiturn/batch/dump.py
+++ b/wasabiturn/batch/dump.py
@@ -57,6 +57,10 @@
         is_settled=task.is_settled,
         is_completed=task.is_completed,
         failed_run=task.failed_run,
+        crashes=task.crashes,
+        is_suspect=task.is_suspect,
+        late_crashes=task.late_crashes,
+        worked_ms=task.worked_ms,
     )
 
 
@@ -85,6 +89,11 @@
     task.is_settled = record.is_settled
     task.is_completed = record.is_completed
     task.failed_run = record.failed_run
+    task.crashes = record.crashes
+    task.late_crashes = record.late_crashes
+    task.worked_ms = record.worked_ms
+    if record.is_suspect:
+        batch_state.mark_suspect(task)
     if record.state is BatchTaskState.active:
         batch_state.begin_run(task)
     elif record.state is BatchTaskState.done:
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from wasabiturn.batch.isolation_state import IsolationState
 from wasabiturn.batch.jobs import Job, Task
 from wasabiturn.messages.batch import (
     BatchChange,
@@ -18,6 +19,7 @@
     Step,
     WorkerReport,
 )
+from wasabiturn.messages.kinds import CrashRole
 from wasabiturn.messages.limits import ORDER_LIFETIME_SECONDS
 
 NEVER = float('-inf')
@@ -39,6 +41,12 @@
     started_at: float
     # The worker has reported that it has the run.
     is_confirmed: bool = False
+    confirmed_at: float | None = None
+    # Its start has been among the orders to the worker.
+    is_ordered: bool = True
+    # What the crash of its worker tells of its task.
+    crash_role: CrashRole = CrashRole.none
+    worked_ms: int = 0
     # By then no order to start the run can be carried out any more, not even by
     # a new incarnation of the worker, which has seen no fencing token. UNKNOWN
     # while orders are sent, NEVER once all were answered.
@@ -55,11 +63,13 @@
 
     def has_open_order(self, now: float) -> bool:
         """Return whether an order to start the run may be carried out."""
-        return now < self.orders_end_at
+        return self.is_ordered and now < self.orders_end_at
 
     def confirm(self, now: float) -> None:
         """Record that the run has started; no further order is sent."""
         self.is_confirmed = True
+        if self.confirmed_at is None:
+            self.confirmed_at = now
         self.task.job.has_begun = True
         self.limit_orders(now)
 
@@ -98,6 +108,10 @@
     # Its runs were declared lost; it gets no lease and no new runs until it
     # lists its runs under the token that was raised for this.
     is_gone: bool = False
+    # Since when its agent reports that nothing listens.
+    refuses_since: float | None = None
+    # When its crash was noticed.
+    crashed_at: float | None = None
     # A newer incarnation has reported.
     is_superseded: bool = False
     # By then all runs under leases of this leader or an earlier one have ended.
@@ -160,7 +174,7 @@
             return NEVER
         self._forget_goal(task)
         self._account(task, -1)
-        return allocation.orders_end_at
+        return allocation.orders_end_at if allocation.is_ordered else NEVER
 
     def has_room(
         self,
@@ -250,6 +264,7 @@
     # Until when each bound task is bound, by the name of the task; see
     # ``wasabiturn/batch/bindings.py``.
     bound_until_by_task: dict[str, float] = attrs.field(factory=dict)
+    isolation: IsolationState = attrs.field(factory=IsolationState)
 
     def __attrs_post_init__(self) -> None:
         """Start raised tokens above that of all other workers."""
@@ -292,6 +307,7 @@
         for worker in self.workers_by_incarnation.values():
             for allocation in worker.allocations_by_task.values():
                 allocation.is_inherited = True
+                allocation.is_ordered = True
                 if allocation.task.is_settled:
                     allocation.settle_orders()
 
--- a/wasabiturn/batch/gangs.py
+++ b/wasabiturn/batch/gangs.py
@@ -7,7 +7,7 @@
 
 from wasabiturn.batch.fleet import Worker
 from wasabiturn.batch.jobs import Part, Task
-from wasabiturn.batch.placing import Candidates, may_start_at
+from wasabiturn.batch.placing import Candidates, create_start, may_start_at
 from wasabiturn.messages.batch import StartRun, Step
 from wasabiturn.messages.kinds import BatchTaskState
 
@@ -26,13 +26,7 @@
     ]
     of_service = attrs.evolve(candidates, workers=workers)
     for task, worker in _place_members(part, tasks, of_service):
-        yield StartRun(
-            task=task.name,
-            run=run,
-            worker=worker.name,
-            born_ms=worker.born_ms,
-            agent=worker.agent,
-        )
+        yield create_start(task, worker, run)
 
 
 def _place_members(
@@ -44,18 +38,19 @@
     workers = candidates.workers
     for rack in sorted({worker.report.rack for worker in workers}):
         on_rack = [each for each in workers if each.report.rack == rack]
-        placed = _fit_all(part.step, tasks, on_rack, candidates)
+        placed = fit_all(part.step, tasks, on_rack, candidates)
         if placed:
             return placed
-    return _fit_all(part.step, tasks, workers, candidates)
+    return fit_all(part.step, tasks, workers, candidates)
 
 
-def _fit_all(
+def fit_all(
     step: Step,
     tasks: list[Task],
     workers: list[Worker],
     candidates: Candidates,
 ) -> list[tuple[Task, Worker]]:
+    """Return a worker for each task, or nothing if there isn't one for all."""
     bound = [task for task in tasks if task.name in candidates.bound_tasks]
     placed = _place_bound(bound, workers, candidates)
     if len(placed) < len(bound):
--- /dev/null
+++ b/wasabiturn/batch/isolation.py
@@ -0,0 +1,117 @@
+"""Placing of suspects: each alone among the unproven runs of its worker.
+
+A task that is suspected of crashing workers starts only on a worker whose other
+runs are proven, and nothing else starts there until it is proven too or has
+ended. A crash then tells which task it was. Workers are reserved for suspects
+that wait, but a part of each service is left to all others.
+"""
+
+from collections.abc import Iterable, Iterator
+
+from wasabiturn.batch.crashes import SLOW_PROOF_SECONDS, is_proven
+from wasabiturn.batch.fleet import Allocation, Fleet, Worker
+from wasabiturn.batch.gang_isolation import start_isolated_gang
+from wasabiturn.batch.isolation_room import IsolationRoom, create_room
+from wasabiturn.batch.isolation_state import IsolationState
+from wasabiturn.batch.jobs import Task
+from wasabiturn.batch.ordering import Moment
+from wasabiturn.batch.placing import Candidates, create_start
+from wasabiturn.batch.state import BatchState
+from wasabiturn.messages.batch import StartRun
+from wasabiturn.messages.kinds import BatchTaskState
+
+# After this time other runs start beside a suspect whose order is unanswered.
+MAX_ISOLATION_SECONDS = 5.0
+
+
+def find_isolating_workers(
+    batch_state: BatchState, fleet: Fleet, now: float
+) -> list[Worker]:
+    """Return the workers with a suspect that isn't proven yet."""
+    return [
+        worker
+        for task in batch_state.suspects_by_name.values()
+        if task.state is BatchTaskState.active
+        and (worker := fleet.worker_of(task)) is not None
+        and _is_isolated(worker.allocations_by_task.get(task.name), now)
+    ]
+
+
+def start_suspects(
+    batch_state: BatchState,
+    fleet: Fleet,
+    candidates: Candidates,
+    moment: Moment,
+) -> Iterator[StartRun]:
+    """Yield starts of suspects; reserve workers for those that must wait.
+
+    Removes the workers from ``candidates`` that take no other new runs.
+    """
+    if not batch_state.suspects_by_name:
+        fleet.isolation.forget_all()
+        return
+    isolating = find_isolating_workers(batch_state, fleet, moment.now)
+    waiting = _list_waiting(batch_state, fleet.isolation, moment)
+    reserved: set[tuple[str, int]] = set()
+    taken: list[Worker] = list(isolating)
+    for service_name, tasks in _group_by_service(waiting).items():
+        room = create_room(service_name, candidates, isolating, fleet, moment)
+        yield from _start_waiting(tasks, room)
+        taken.extend(room.isolating)
+        reserved |= room.reserve(tasks)
+    fleet.isolation.reserved = reserved
+    candidates.workers = [
+        worker
+        for worker in candidates.workers
+        if worker not in taken and (worker.name, worker.born_ms) not in reserved
+    ]
+
+
+def _start_waiting(
+    tasks: list[Task], room: IsolationRoom
+) -> Iterator[StartRun]:
+    seen_gangs: set[str] = set()
+    for task in tasks:
+        if task.step.gang:
+            if task.part.name not in seen_gangs:
+                seen_gangs.add(task.part.name)
+                yield from start_isolated_gang(task.part, room)
+            continue
+        if not room.may_isolate():
+            continue
+        worker = room.choose(task)
+        if worker is not None:
+            room.isolating.append(worker)
+            yield create_start(task, worker, task.run + 1)
+
+
+def _list_waiting(
+    batch_state: BatchState, isolation: IsolationState, moment: Moment
+) -> list[Task]:
+    """Return the suspects that may start now, newest earlier start first."""
+    waiting = [
+        task
+        for task in batch_state.suspects_by_name.values()
+        if task.state is BatchTaskState.waiting
+        and task.name not in isolation.held_tasks
+        and task.part.due_ms <= moment.wall_ms
+        and task.part.is_ready()
+    ]
+    waiting.sort(key=lambda task: isolation.rank(task.name), reverse=True)
+    return waiting
+
+
+def _group_by_service(tasks: Iterable[Task]) -> dict[str, list[Task]]:
+    tasks_by_service: dict[str, list[Task]] = {}
+    for task in tasks:
+        service_name = task.job.accepted.terms.service_name
+        tasks_by_service.setdefault(service_name, []).append(task)
+    return tasks_by_service
+
+
+def _is_isolated(allocation: Allocation | None, now: float) -> bool:
+    if allocation is None or is_proven(allocation, now):
+        return False
+    if allocation.confirmed_at is None:
+        return now < allocation.started_at + MAX_ISOLATION_SECONDS
+    return now < allocation.confirmed_at + SLOW_PROOF_SECONDS
--- /dev/null
+++ b/wasabiturn/batch/isolation_room.py
@@ -0,0 +1,163 @@
+"""Workers of one service, as far as suspects may use them."""
+
+from typing import final
+
+import attrs
+
+from wasabiturn.batch.crashes import is_proven
+from wasabiturn.batch.fleet import Allocation, Fleet, Worker
+from wasabiturn.batch.isolation_state import IsolationState
+from wasabiturn.batch.jobs import Task
+from wasabiturn.batch.ordering import Moment
+from wasabiturn.batch.placing import (
+    UNSUITABLE,
+    Candidates,
+    can_take,
+    count_by_worker,
+    may_start_at,
+    score_worker,
+)
+from wasabiturn.messages.kinds import BatchTaskState
+
+# Share of the workers of a service that suspects use or reserve at a time.
+MAX_SHARE_OF_WORKERS = 0.5
+# Running time for which a run is charged at most: lasting tasks start anew, and
+# others with checkpoints resume.
+LASTING_LOSS_SECONDS = 30.0
+CHECKPOINT_LOSS_SECONDS = 2.0
+_MILLI = 1000
+
+
+@final
+@attrs.define
+class IsolationRoom:
+    """Workers of one service that suspects may use."""
+
+    workers: list[Worker]
+    candidates: Candidates
+    isolation: IsolationState
+    moment: Moment
+    isolating: list[Worker]
+
+    def may_isolate(self, members: int = 1) -> bool:
+        """Return whether enough workers are left to all others."""
+        return len(self.isolating) + members <= self._max_workers()
+
+    def list_free(self) -> list[Worker]:
+        """Return the workers whose runs are all proven."""
+        return [
+            worker
+            for worker in self.workers
+            if worker not in self.isolating and not self._unproven(worker)
+        ]
+
+    def choose(self, task: Task) -> Worker | None:
+        """Return the free worker on which a suspect would cost the least."""
+        counts = count_by_worker(task.part)
+        suitable = [
+            worker
+            for worker in self.list_free()
+            if can_take(task.part, worker, counts)
+            and may_start_at(task, worker, self.candidates)
+        ]
+        return min(
+            suitable,
+            key=lambda worker: self._cost(task, worker, counts),
+            default=None,
+        )
+
+    def reserve(self, tasks: list[Task]) -> set[tuple[str, int]]:
+        """Return the workers to reserve for the suspects that still wait."""
+        waiting = [
+            task
+            for task in tasks
+            if task.state is BatchTaskState.waiting and self._has_worker(task)
+        ]
+        left = self._max_workers() - len(self.isolating)
+        wanted = max(min(len(waiting), left), 0)
+        if not wanted:
+            return set()
+        ranked = sorted(
+            (each for each in self.workers if each not in self.isolating),
+            key=lambda worker: self._reservation_key(waiting[0], worker),
+        )
+        return {(each.name, each.born_ms) for each in ranked[:wanted]}
+
+    def _has_worker(self, task: Task) -> bool:
+        return any(
+            may_start_at(task, worker, self.candidates)
+            for worker in self.workers
+        )
+
+    def _max_workers(self) -> int:
+        return max(int(len(self.workers) * MAX_SHARE_OF_WORKERS), 1)
+
+    def _unproven(self, worker: Worker) -> int:
+        return sum(
+            not is_proven(allocation, self.moment.now)
+            for allocation in worker.allocations_by_task.values()
+        )
+
+    def _cost(
+        self, task: Task, worker: Worker, counts: dict[str, int]
+    ) -> tuple[bool, float]:
+        step = task.step
+        score = score_worker(task.part, worker, self.candidates, counts)
+        cost = lost_work(worker, self.moment.now)
+        if step.preferred_rack and step.preferred_rack != worker.report.rack:
+            cost += step.millicores * step.estimate_ms / _MILLI
+        return score == UNSUITABLE, cost
+
+    def _reservation_key(
+        self, task: Task, worker: Worker
+    ) -> tuple[bool, bool, int, float]:
+        """Return the sort key of a worker to reserve; the best is lowest."""
+        incarnation = (worker.name, worker.born_ms)
+        fits = can_take(task.part, worker, count_by_worker(task.part))
+        return (
+            incarnation not in self.isolation.reserved,
+            not fits,
+            self._unproven(worker),
+            lost_work(worker, self.moment.now),
+        )
+
+
+def create_room(
+    service_name: str,
+    candidates: Candidates,
+    isolating: list[Worker],
+    fleet: Fleet,
+    moment: Moment,
+) -> IsolationRoom:
+    """Return the workers of a service, and which have a suspect already."""
+    return IsolationRoom(
+        workers=[
+            worker
+            for worker in candidates.workers
+            if worker.report.service_name == service_name
+        ],
+        candidates=candidates,
+        isolation=fleet.isolation,
+        moment=moment,
+        isolating=[
+            worker
+            for worker in isolating
+            if worker.report.service_name == service_name
+        ],
+    )
+
+
+def lost_work(worker: Worker, now: float) -> float:
+    """Return the work that a crash of the worker would lose, in core ms."""
+    return sum(
+        _lost_seconds(allocation, now) * allocation.task.step.millicores
+        for allocation in worker.allocations_by_task.values()
+    )
+
+
+def _lost_seconds(allocation: Allocation, now: float) -> float:
+    step = allocation.task.step
+    if step.lasting:
+        return LASTING_LOSS_SECONDS
+    worked = now - allocation.started_at
+    return min(worked, CHECKPOINT_LOSS_SECONDS) if step.checkpoints else worked
--- a/wasabiturn/batch/jobs.py
+++ b/wasabiturn/batch/jobs.py
@@ -40,6 +40,13 @@
     is_completed: bool = False
     # Newest run of which a failure was counted.
     failed_run: int = 0
+    # Crashes of workers that count against it; see ``crashes.py``. The late
+    # ones came after a run had worked; ``worked_ms`` is of the newest.
+    crashes: int = 0
+    late_crashes: int = 0
+    worked_ms: int = 0
+    # It starts only in isolation; see ``isolation.py``.
+    is_suspect: bool = False
 
     @property
     def job(self) -> 'Job':
--- a/wasabiturn/batch/lost_runs.py
+++ b/wasabiturn/batch/lost_runs.py
@@ -6,6 +6,9 @@
 from wasabiturn.messages.kinds import RunEnding
 from wasabiturn.messages.limits import START_PERMIT_SECONDS
 
+# How long results of starts are awaited from where nothing listens.
+RESULTS_SECONDS = 0.1
+
 
 def find_expired_workers(fleet: Fleet, now: float) -> list[Worker]:
     """Return the workers with runs whose leases have all expired."""
@@ -16,6 +19,21 @@
     ]
 
 
+def awaits_results(worker: Worker, now: float) -> bool:
+    """Return whether its agent is about to tell which starts were refused.
+
+    Results no longer count once the token of the worker was raised.
+    """
+    if worker.is_gone or worker.refuses_since is None:
+        return False
+    if now >= worker.refuses_since + RESULTS_SECONDS:
+        return False
+    return any(
+        each.is_ordered and not each.is_confirmed
+        for each in worker.allocations_by_task.values()
+    )
+
+
 def give_up_runs(fleet: Fleet, worker: Worker, now: float) -> list[EndRun]:
     """Mark a worker gone; return ends of the runs that are certainly over.
 
@@ -24,7 +42,7 @@
     is over only once that one has listed its runs, or the order has expired.
     Its task is bound even then: the order may have begun a run just before.
     """
-    if not worker.is_gone:
+    if not worker.is_gone and not awaits_results(worker, now):
         worker.is_gone = True
         raise_fence(fleet, worker)
     ends: list[EndRun] = []
@@ -33,7 +51,9 @@
         allocation.limit_orders(last_order_at + START_PERMIT_SECONDS)
         if not allocation.has_open_order(now):
             end = lost_end(allocation, now)
-            end.has_open_order = allocation.orders_end_at != NEVER
+            end.has_open_order = (
+                allocation.is_ordered and allocation.orders_end_at != NEVER
+            )
             ends.append(end)
     return ends
 
@@ -52,13 +72,17 @@
 def lost_end(allocation: Allocation, now: float) -> EndRun:
     """Return the end of a run that is over without a listed end."""
     if not allocation.is_confirmed:
-        return not_started_end(allocation, now)
+        end = not_started_end(allocation, now)
+        end.crash_role = allocation.crash_role
+        return end
     return EndRun(
         task=allocation.task.name,
         run=allocation.run,
         ending=RunEnding.lost,
         checkpoint=_checkpoint_of(allocation),
         has_open_order=allocation.has_open_order(now),
+        crash_role=allocation.crash_role,
+        worked_ms=allocation.worked_ms,
     )
 
 
--- a/wasabiturn/batch/placing.py
+++ b/wasabiturn/batch/placing.py
@@ -18,7 +18,7 @@
 from wasabiturn.batch.forecast import Forecasts
 from wasabiturn.batch.jobs import Part, Task
 from wasabiturn.batch.state import BatchState
-from wasabiturn.messages.batch import Step
+from wasabiturn.messages.batch import StartRun, Step
 from wasabiturn.messages.kinds import BatchTaskState
 
 # A worker without a report for this long gets no new work.
@@ -82,6 +82,17 @@
     return task.worker == worker.name and not task.failures
 
 
+def create_start(task: Task, worker: Worker, run: int) -> StartRun:
+    """Return the change that starts a run of a task on a worker."""
+    return StartRun(
+        task=task.name,
+        run=run,
+        worker=worker.name,
+        born_ms=worker.born_ms,
+        agent=worker.agent,
+    )
+
+
 def choose_worker(task: Task, candidates: Candidates) -> Worker | None:
     """Return the worker with the best score for ``task``, if any has room."""
     counts = count_by_worker(task.part)
@@ -108,7 +119,7 @@
 
     ``counts`` has the active tasks of the part by worker, if they are limited.
     """
-    if not _can_take(part, worker, counts):
+    if not can_take(part, worker, counts):
         return UNSUITABLE
     step = part.step
     size = worker.report.millicores
@@ -163,7 +174,8 @@
     )
 
 
-def _can_take(part: Part, worker: Worker, counts: dict[str, int]) -> bool:
+def can_take(part: Part, worker: Worker, counts: dict[str, int]) -> bool:
+    """Return whether a worker has room for a task and may run it."""
     step = part.step
     millicores = 0 if step.fills else step.millicores
     if not worker.has_room(millicores, step.memory_mb, step.accelerators):
--- a/wasabiturn/batch/planning.py
+++ b/wasabiturn/batch/planning.py
@@ -6,9 +6,15 @@
 from wasabiturn.batch.fleet import Allocation, Fleet
 from wasabiturn.batch.forecast import Forecasts
 from wasabiturn.batch.gangs import start_gang
+from wasabiturn.batch.isolation import start_suspects
 from wasabiturn.batch.jobs import Part
 from wasabiturn.batch.ordering import Moment, has_no_chance, order_parts
-from wasabiturn.batch.placing import Candidates, choose_worker, find_candidates
+from wasabiturn.batch.placing import (
+    Candidates,
+    choose_worker,
+    create_start,
+    find_candidates,
+)
 from wasabiturn.batch.ranking import create_ranking
 from wasabiturn.batch.stalls import find_stalled
 from wasabiturn.batch.state import BatchState
@@ -39,8 +45,13 @@
         moment.now,
         fleet.bound_until_by_task.keys(),
     )
+    yield from start_suspects(batch_state, fleet, candidates, moment)
     if candidates.workers:
-        parts = order_parts(batch_state, moment)
+        parts = [
+            part
+            for part in order_parts(batch_state, moment)
+            if _has_ordinary(part)
+        ]
         started = _start_parts(parts, candidates, fleet, moment.now)
         yield from islice(started, MAX_STARTS_PER_PLAN)
 
@@ -111,34 +122,46 @@
 
 
 def _waits_for_room(part: Part, candidates: Candidates) -> bool:
-    """Return whether tasks wait that no open order holds back."""
-    held = [name in candidates.bound_tasks for name in part.waiting_by_name]
-    if part.step.gang:
-        return bool(held) and not any(held)
-    return not all(held)
+    """Return whether ordinary tasks wait that no open order holds back."""
+    if not _has_ordinary(part):
+        return False
+    held = [
+        task.name in candidates.bound_tasks
+        for task in part.waiting_by_name.values()
+        if not task.is_suspect
+    ]
+    return not any(held) if part.step.gang else not all(held)
 
 
 def _start_part(part: Part, candidates: Candidates) -> Iterator[StartRun]:
     if part.step.gang:
         yield from start_gang(part, candidates)
         return
+    tasks = [
+        task for task in part.waiting_by_name.values() if not task.is_suspect
+    ]
     ranking = create_ranking(part, candidates)
-    for task in list(part.waiting_by_name.values()):
+    for task in tasks:
         worker = ranking.choose(task)
-        if worker is None:
-            if task.name in candidates.bound_tasks:
-                continue
+        if worker is None and task.name not in candidates.bound_tasks:
             return
-        yield StartRun(
-            task=task.name,
-            run=task.run + 1,
-            worker=worker.name,
-            born_ms=worker.born_ms,
-            agent=worker.agent,
-        )
+        if worker is None:
+            continue
+        yield create_start(task, worker, task.run + 1)
         if candidates.accepts_any_worker:
             # The job is no longer idle.
             candidates.accepts_any_worker = False
             ranking = create_ranking(part, candidates)
         else:
             ranking.record_start(worker)
+
+
+def _has_ordinary(part: Part) -> bool:
+    """Return whether waiting tasks may start beside others.
+
+    A gang waits for its suspects, which ``isolation.py`` places.
+    """
+    tasks = part.waiting_by_name.values()
+    if part.step.gang:
+        return bool(tasks) and not any(task.is_suspect for task in tasks)
+    return not all(task.is_suspect for task in tasks)
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -11,6 +11,7 @@
 from wasabiturn.messages.idl import load_idl
 from wasabiturn.messages.kinds import (
     BatchTaskState,
+    CrashRole,
     JobAction,
     JobOutcome,
     JobState,
@@ -110,6 +111,10 @@
     ending: RunEnding = attrs.field(default=RunEnding.lost, converter=RunEnding)
     checkpoint: str = ''
     has_open_order: bool = False
+    crash_role: CrashRole = attrs.field(
+        default=CrashRole.none, converter=CrashRole
+    )
+    worked_ms: int = 0
 
 
 @bind(_idl)
@@ -122,6 +127,16 @@
     run: int = 0
 
 
+@bind(_idl)
+@final
+@attrs.define
+class GiveUp:
+    """Give up a task under which workers have crashed; its job fails."""
+
+    task: str = ''
+    reason: str = ''
+
+
 @bind(_idl)
 @final
 @attrs.define
@@ -187,6 +202,8 @@
     forgets: list[str] = attrs.field(factory=list)
     pressures: list[PressureRecord] = attrs.field(factory=list)
     settled: list[SettledStart] = attrs.field(factory=list)
+    give_ups: list[GiveUp] = attrs.field(factory=list)
+    cleared: list[str] = attrs.field(factory=list)
 
 
 @bind(_idl)
@@ -209,6 +226,10 @@
     is_settled: bool = False
     is_completed: bool = False
     failed_run: int = 0
+    crashes: int = 0
+    is_suspect: bool = False
+    late_crashes: int = 0
+    worked_ms: int = 0
 
 
 @bind(_idl)
@@ -399,6 +420,7 @@
     payload: str = ''
     checkpoint: str = ''
     percent: int = 100
+    reports_at_once: bool = False
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -62,6 +62,8 @@
   3: i32 ending,            // RunEnding
   4: string checkpoint,
   5: bool has_open_order,   // an order to start it may still be carried out
+  6: i32 crash_role,        // CrashRole
+  7: i32 worked_ms,         // how long the run had worked at the crash
 }
 
 // A run that has begun and that no order can begin again.
@@ -70,6 +72,12 @@
   2: i64 run,
 }
 
+// Gives a task up for the crashes of the workers that ran it; its job fails.
+struct GiveUp {
+  1: string task,
+  2: string reason,
+}
+
 struct Queue {
   1: string name,
   2: string host,
@@ -109,7 +117,9 @@
   6: list<StartRun> starts,
   7: list<string> forgets,  // ids of ended jobs to remove
   8: list<PressureRecord> pressures, // empty, or all that are known
+  9: list<GiveUp> give_ups,
   10: list<SettledStart> settled, // independent of the other fields
+  11: list<string> cleared, // tasks that are no suspects any more
 }
 
 struct TaskRecord {
@@ -122,9 +132,13 @@
   7: string checkpoint,
   8: string agent,
   9: bool is_bound,         // an order to start it at worker was open
+  10: i32 crashes,          // crashes of workers that count against the task
+  11: bool is_suspect,      // it starts only in isolation
   12: bool is_settled,      // all orders to start the newest run were answered
   13: bool is_completed,    // an older run than the newest has ended done
   14: i64 failed_run,       // newest run of which a failure was counted
+  15: i32 late_crashes,     // those of the crashes before which a run had worked
+  16: i32 worked_ms,        // how long the run had worked at the newest crash
 }
 
 struct JobRecord {
@@ -242,6 +256,7 @@
   3: string payload,
   4: string checkpoint,
   5: i32 percent,           // initial pace
+  6: bool reports_at_once,  // the agent reports as soon as it is answered
 }
 
 struct StopOrder {
--- a/wasabiturn/process/control/batch/leader.py
+++ b/wasabiturn/process/control/batch/leader.py
@@ -19,10 +19,8 @@
 from wasabiturn.messages.kinds import FailureCode, Method
 from wasabiturn.messages.link import Nothing
 from wasabiturn.process.control.batch.job_calls import JobCallHandler
-from wasabiturn.process.control.batch.leader_term import (
-    LeaderTerm,
-    wall_clock_ms,
-)
+from wasabiturn.process.control.batch.leader_term import LeaderTerm
+from wasabiturn.process.control.batch.starts import wall_clock_ms
 from wasabiturn.process.control.batch.worker_reports import answer_report
 from wasabiturn.process.daemon import Context
 from wasabiturn.utils.logs import create_component_log
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -1,7 +1,6 @@
 """One term of the queues' leader, which plans runs and sends orders."""
 
-import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Any, final
 
 from wasabiturn.batch import BatchState, dump_batch_state, load_batch_state
@@ -14,15 +13,11 @@
 )
 from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.lost_runs import find_expired_workers, give_up_runs
-from wasabiturn.batch.ordering import Moment
-from wasabiturn.batch.planning import plan_starts
-from wasabiturn.batch.sharing import set_pace
 from wasabiturn.connection.link import Link
 from wasabiturn.messages.batch import (
     BatchChange,
     BatchDump,
     EndRun,
-    StartRun,
     WorkerOrders,
 )
 from wasabiturn.messages.codec import pack, unpack
@@ -32,8 +27,10 @@
     release_bound_tasks,
     report_bound_tasks,
 )
+from wasabiturn.process.control.batch.crash_watch import CrashWatch
 from wasabiturn.process.control.batch.orders import create_orders
 from wasabiturn.process.control.batch.pipeline import Pipeline
+from wasabiturn.process.control.batch.starts import start_planned_runs
 from wasabiturn.process.control.batch.stops import stop_unwanted_runs
 from wasabiturn.utils.logs import create_component_log
 from wasabiturn.version.replica import Replica
@@ -51,11 +48,6 @@
 _log = create_component_log('queues')
 
 
-def wall_clock_ms() -> int:
-    """Return the Unix time in milliseconds; it may jump when set."""
-    return int(time.time() * _MS)
-
-
 @final
 class LeaderTerm:
     """Plans runs on a working copy of the committed state until closed."""
@@ -99,6 +91,7 @@
             on_commit=self._notify_agents,
             on_failure=on_failure,
         )
+        self.crash_watch = CrashWatch(self.fleet, self.pipeline)
         _log.event(
             'leadership taken over',
             fence=self.fleet.fence,
@@ -121,6 +114,7 @@
             return
         for worker in find_expired_workers(self.fleet, now):
             self.give_up_runs(worker, 'lease expired', now)
+        self.crash_watch.review(now)
         self._stop_unwanted_runs(now)
         release_bound_tasks(
             self.fleet,
@@ -161,6 +155,7 @@
             runs=[f'{end.task}/{end.run}' for end in ends],
         )
         self.store_ends(ends)
+        self.crash_watch.review(now)
 
     def store_ends(self, ends: list[EndRun]) -> BatchChange:
         """Commit ends of runs; return the change that they are part of."""
@@ -196,6 +191,7 @@
             agent=task.agent,
         )
         worker.allocate(task, now)
+        worker.allocations_by_task[task.name].is_ordered = False
 
     def _release_capacity(self, task: Task) -> None:
         worker = self.fleet.worker_of(task)
@@ -238,30 +234,7 @@
         now = self._now()
         if not self._replica.holds_lease(now):
             return
-        for start in self._next_starts(now):
-            self.pipeline.add(BatchChange(starts=[start]))
-            self._set_initial_pace(start, now)
-            exposition.runs.labels('started').inc()
-            _log.decision(
-                'starts run',
-                task=start.task,
-                run=start.run,
-                worker=start.worker,
-            )
-
-    def _set_initial_pace(self, start: StartRun, now: float) -> None:
-        """Throttle interfering tasks at once, not after the first samples."""
-        worker = self.fleet.find(start.worker, start.born_ms)
-        if worker is not None and worker.lasting_millicores:
-            set_pace(worker, self.interference, now)
-
-    def _next_starts(self, now: float) -> Iterator[StartRun]:
-        return plan_starts(
-            self.pipeline.batch_state,
-            self.fleet,
-            self._forecasts,
-            Moment(now=now, wall_ms=wall_clock_ms()),
-        )
+        start_planned_runs(self.pipeline, self.fleet, self._forecasts, now)
 
     def _notify_agents(self, change: BatchChange) -> None:
         """Send orders to the agents that a committed change concerns."""
@@ -269,7 +242,7 @@
         for start in change.starts:
             self._committed_starts.add((start.task, start.run))
             incarnations_to_notify.add((start.worker, start.born_ms))
-        if change.cancels:
+        if change.cancels or change.give_ups:
             incarnations_to_notify.update(self.links_by_incarnation)
         for incarnation, worker in self.fleet.workers_by_incarnation.items():
             if _advance_committed_end(worker, change):
--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -1,5 +1,6 @@
 """Handling of agents' worker reports, which are answered with orders."""
 
+from wasabiturn.batch.crashes import forget_crash
 from wasabiturn.batch.fences import raise_fence, succeed_worker
 from wasabiturn.batch.fleet import NEVER, Fleet, Worker
 from wasabiturn.batch.lost_runs import give_up_all_runs
@@ -40,8 +41,10 @@
     worker = _register_worker(leader_term, link, report, now)
     was_gone = worker.is_gone
     was_reconciled = worker.is_reconciled
+    heard_at = worker.heard_at
     _store_ends(leader_term, worker, apply_report(worker, report, now))
     if was_gone and not worker.is_gone:
+        forget_crash(worker)
         _log.event(
             'worker lists its runs again after they were given up',
             worker=worker.name,
@@ -53,7 +56,9 @@
     leader_term.pipeline.add_to_next(
         BatchChange(settled=find_settled_starts(worker, now))
     )
+    _follow_refusals(worker, report, now)
     if report.refuses:
+        leader_term.crash_watch.record_crash(worker, heard_at, now)
         leader_term.give_up_runs(worker, 'nothing listens', now)
     _withdraw_starts_without_room(leader_term, worker)
     _adjust_pace(leader_term, worker, now)
@@ -62,6 +67,13 @@
     )
 
 
+def _follow_refusals(worker: Worker, report: WorkerReport, now: float) -> None:
+    if not report.refuses:
+        worker.refuses_since = None
+    elif worker.refuses_since is None:
+        worker.refuses_since = now
+
+
 def _grant_lease(
     leader_term: LeaderTerm,
     worker: Worker,
@@ -122,7 +134,7 @@
     agent = link.peer.name
     worker = leader_term.fleet.find(report.worker, report.born_ms)
     if worker is None or not leader_term.fleet.is_reporting(worker, agent):
-        worker = _take_over_from_others(leader_term, agent, report, now)
+        worker = _take_over_from_others(leader_term, link, report, now)
     _follow_agent(leader_term.fleet, worker, link.peer.incarnation)
     leader_term.links_by_incarnation[worker.name, worker.born_ms] = link
     return worker
@@ -145,10 +157,11 @@
 
 def _take_over_from_others(
     leader_term: LeaderTerm,
-    agent: str,
+    link: Link,
     report: WorkerReport,
     now: float,
 ) -> Worker:
+    agent = link.peer.name
     others = [
         other
         for other in leader_term.fleet.workers_by_incarnation.values()
@@ -160,6 +173,7 @@
     for other in others:
         if other is not worker and not other.is_superseded:
             _limit_orders(other, agent, report, now)
+            _judge_end(leader_term, other, link, now)
             _supersede_worker(leader_term, other, worker, now)
     if worker.heard_at == NEVER:
         _log.event('worker registered', worker=worker.name, agent=agent)
@@ -177,6 +191,14 @@
         account.limit_all(worker)
 
 
+def _judge_end(
+    leader_term: LeaderTerm, worker: Worker, link: Link, now: float
+) -> None:
+    """Judge the crash of a worker, unless its agent ended as well."""
+    if worker.agent_incarnation in {'', link.peer.incarnation}:
+        leader_term.crash_watch.record_crash(worker, worker.heard_at, now)
+
+
 def _supersede_worker(
     leader_term: LeaderTerm, worker: Worker, successor: Worker, now: float
 ) -> None:
