--- a/tests/batch/test_apply.py
+++ b/tests/batch/test_apply.py
@@ -148,3 +148,26 @@
     assert loaded.tasks_by_name['a.0.0.1'].checkpoint == 'saved'
     job, loaded_job = batch_state.jobs_by_id['a'], loaded.jobs_by_id['a']
     assert job.waiting_tasks == loaded_job.waiting_tasks
+
+
+def test_older_run_completes_a_task_that_waits() -> None:
+    batch_state = create_batch_state(
+        accept('j', step(1)),
+        start('j.0.0.0'),
+        end('j.0.0.0', ending=RunEnding.not_started),
+        start('j.0.0.0', run=2),
+        end('j.0.0.0', run=2, ending=RunEnding.lost),
+        end('j.0.0.0', run=1),
+    )
+    assert batch_state.jobs_by_id['j'].state is JobState.done
+
+
+def test_older_run_of_a_lasting_task_completes_nothing() -> None:
+    batch_state = create_batch_state(
+        accept('j', step(1, lasting=True)),
+        start('j.0.0.0', run=2),
+        end('j.0.0.0', run=2, ending=RunEnding.lost),
+        end('j.0.0.0', run=1),
+    )
+    task = batch_state.tasks_by_name['j.0.0.0']
+    assert task.state is BatchTaskState.waiting
--- a/tests/sessions/test_bound_tasks.py
+++ b/tests/sessions/test_bound_tasks.py
@@ -24,6 +24,8 @@
 REACTION_SECONDS = 3.0
 # A lease of 6 s, 3 % and 0.2 s more.
 LEASE_SECONDS = 6.38
+# Attempts of each task in the routing of the fleet.
+ATTEMPTS = 2
 
 
 def restart_elsewhere(agent: FakeAgent) -> None:
@@ -325,3 +327,42 @@
     agent.worker.start_incarnation()
     fleet.run(1)
     assert len(find_starts(fleet)) == 1
+
+
+def test_failed_run_that_a_late_order_began_counts_as_an_attempt() -> None:
+    fleet = BatchFleet(workers=2)
+    agent = bind_revoked_start(fleet)
+    fleet.work_by_job['a'] = SimulatedWork(0.1, ending=RunEnding.failed)
+    late_at = fleet.start_orders[0].at + LATE_SECONDS
+    fleet.run(late_at - 0.1 - fleet.clock.seconds())
+    agent.worker.start_incarnation()
+    fleet.run(0.3)
+    assert find_starts(fleet) == [(1, 'worker-1')]
+    agent.announce()
+    fleet.run(0.3)
+    open_both_data_centres(fleet)
+    fleet.run_until('a', JobState.failed, seconds=40)
+    assert len(find_starts(fleet)) == ATTEMPTS
+
+
+@pytest.mark.parametrize('changes_leader', [True, False])
+def test_run_that_a_late_order_began_before_the_first_list_is_waited_for(
+    changes_leader: bool,
+) -> None:
+    fleet = BatchFleet(workers=2)
+    # The lease in the order is on the clock of the first life.
+    fleet.run(LATE_SECONDS)
+    agent = start_with_faults(fleet, Fault.late)
+    agent.worker.keeps_late_orders = True
+    agent.worker.refuses_holds = True
+    agent.worker.start_incarnation()
+    agent.announce()
+    fleet.run(LATE_SECONDS + 0.5)
+    assert find_starts(fleet) == [(1, 'worker-1')]
+    if changes_leader:
+        fleet.run(ORDER_LIFETIME_SECONDS - LATE_SECONDS)
+        fleet.change_leader(0.2)
+        # A new leader knows no earlier time of the order than its own start.
+        fleet.run(REACTION_SECONDS)
+    fleet.run(ORDER_LIFETIME_SECONDS + LEASE_SECONDS)
+    assert fleet.find_workers_by_task()[TASK] == ['worker-2']
