The end of a gang member also completes the members that were lost

What callers would see: a job that never ends, with free workers: one member of a gang was lost with its worker and waits, another ends as done (listed in the same moment, or as a late completion). The gang then has a done and a waiting member; it starts with all members waiting only.

Cause: 'the end of one completes the gang' was applied to active members only.

Test (failed before, the job was running for ever): test_end_of_a_gang_member_completes_those_that_were_lost

--- a/tests/batch/test_apply.py
+++ b/tests/batch/test_apply.py
@@ -171,3 +171,18 @@
     )
     task = batch_state.tasks_by_name['j.0.0.0']
     assert task.state is BatchTaskState.waiting
+
+
+def test_end_of_a_gang_member_completes_those_that_were_lost() -> None:
+    lost = RunEnding.lost
+    batch_state = create_batch_state(
+        accept('j', step(3, gang=True)),
+        *(start(f'j.0.0.{index}') for index in range(3)),
+        end('j.0.0.0', ending=lost),
+        end('j.0.0.1', ending=lost),
+        end('j.0.0.0'),
+    )
+    job = batch_state.jobs_by_id['j']
+    assert job.state is JobState.done
+    assert not job.waiting_tasks
+    assert not job.active_tasks
--- a/wasabiturn/batch/run_ends.py
+++ b/wasabiturn/batch/run_ends.py
@@ -78,6 +78,9 @@
         if other.state is BatchTaskState.active:
             batch_state.end_run(other)
             other.mark_done()
+        elif other.state is BatchTaskState.waiting:
+            other.job.waiting_tasks -= 1
+            other.mark_done()
 
 
 def _fail_task(batch_state: BatchState, task: Task) -> None:
