Tasks that wait for a worker name cost no ranking

What callers would see: on large sites late starts, while tasks wait for a name for up to 22 s after a worker went with unanswered orders: each plan ranked all workers for each of their steps, and the rest of 50 ms for filling steps doesn't apply to them.

Cause: the ranking was made before it was known whether any task may start.

A step whose tasks are bound to workers that are there, but have no room, is still ranked at each plan.

Test (failed before): test_tasks_that_wait_for_a_name_cost_no_ranking

--- a/tests/batch/test_bindings.py
+++ b/tests/batch/test_bindings.py
@@ -1,5 +1,7 @@
 """Tests of tasks that are bound to a worker name."""
 
+import pytest
+
 from tests.batch.jobs_fakes import (
     accept,
     create_batch_state,
@@ -14,6 +16,7 @@
     apply_batch_change,
     dump_batch_state,
     load_batch_state,
+    planning,
 )
 from wasabiturn.batch.bindings import (
     bind_task,
@@ -22,6 +25,8 @@
     restore_bindings,
 )
 from wasabiturn.batch.fleet import NEVER, Fleet
+from wasabiturn.batch.jobs import Part
+from wasabiturn.batch.ranking import create_ranking
 from wasabiturn.messages.batch import (
     BatchChange,
     BatchDump,
@@ -233,3 +238,21 @@
     fleet = create_fleet(create_worker('v'))
     bind(fleet, batch_state, FAR_FUTURE)
     assert list(plan(batch_state, fleet)) == ['big.0.0.0']
+
+
+def test_tasks_that_wait_for_a_name_cost_no_ranking(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    ranked: list[Part] = []
+    monkeypatch.setattr(
+        planning,
+        'create_ranking',
+        lambda part, candidates: (
+            ranked.append(part) or create_ranking(part, candidates)
+        ),
+    )
+    batch_state = create_bound_state(step(1), accept('other', step(1)))
+    fleet = create_fleet(create_worker('v'))
+    bind(fleet, batch_state, FAR_FUTURE)
+    assert plan(batch_state, fleet) == {'other.0.0.0': 'v'}
+    assert [part.job.job_id for part in ranked] == ['other']
--- a/wasabiturn/batch/placing.py
+++ b/wasabiturn/batch/placing.py
@@ -50,6 +50,12 @@
     accepts_any_worker: bool = False
     # Names of the tasks that start only where they were last.
     bound_tasks: Collection[str] = ()
+    # Names of the workers.
+    names: Collection[str] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Collect the names once for all tasks."""
+        self.names = {worker.name for worker in self.workers}
 
 
 def find_candidates(
@@ -82,6 +88,13 @@
     return task.worker == worker.name and not task.failures
 
 
+def may_start(task: Task, candidates: Candidates) -> bool:
+    """Return whether no open order keeps a task from all candidates."""
+    if task.name not in candidates.bound_tasks:
+        return True
+    return task.worker in candidates.names and not task.failures
+
+
 def create_start(task: Task, worker: Worker, run: int) -> StartRun:
     """Return the change that starts a run of a task on a worker."""
     return StartRun(
--- a/wasabiturn/batch/planning.py
+++ b/wasabiturn/batch/planning.py
@@ -14,6 +14,7 @@
     choose_worker,
     create_start,
     find_candidates,
+    may_start,
 )
 from wasabiturn.batch.ranking import create_ranking
 from wasabiturn.batch.stalls import find_stalled
@@ -138,8 +139,12 @@
         yield from start_gang(part, candidates)
         return
     tasks = [
-        task for task in part.waiting_by_name.values() if not task.is_suspect
+        task
+        for task in part.waiting_by_name.values()
+        if not task.is_suspect and may_start(task, candidates)
     ]
+    if not tasks:
+        return
     ranking = create_ranking(part, candidates)
     for task in tasks:
         worker = ranking.choose(task)
