A task is released though its worker name moved to another agent

What callers would see: a task that waits for ever (LOST): bound to a name that a worker beside another agent has now, and unable to start there (it failed before, the worker is full, drains or is in a data centre that was taken out).

Cause: without a list of a worker at the agent of the orders, the task waits for the leases of all workers of the name; that of the worker at the other agent is renewed for ever, and its lists were not looked at.

Test (failed before): test_task_is_released_though_its_name_moved_to_another_agent

--- a/tests/batch/test_bindings.py
+++ b/tests/batch/test_bindings.py
@@ -190,6 +190,22 @@
     assert release_tasks(fleet, batch_state, LEASE_SECONDS, now=11)
 
 
+def test_task_is_released_though_its_name_moved_to_another_agent() -> None:
+    worker = create_worker('w')
+    worker.agent = 'b'
+    fleet = create_fleet(worker)
+    fleet.record_reporting(worker)
+    batch_state = create_bound_state(step(1))
+    batch_state.tasks_by_name[TASK].agent = 'a'
+    bind(fleet, batch_state, until=10)
+    worker.heard_at = 20
+    worker.lease_ends_at = 26
+    worker.unexpected_runs_by_task = {TASK: 1}
+    assert not release_tasks(fleet, batch_state, LEASE_SECONDS, now=20)
+    worker.unexpected_runs_by_task = {}
+    assert release_tasks(fleet, batch_state, LEASE_SECONDS, now=20)
+
+
 def test_bound_task_waits_for_its_worker_without_holding_up_others() -> None:
     fleet = create_fleet(create_worker('v'))
     batch_state = create_bound_state(
--- a/wasabiturn/batch/bindings.py
+++ b/wasabiturn/batch/bindings.py
@@ -19,8 +19,8 @@
 from wasabiturn.messages.kinds import BatchTaskState
 from wasabiturn.messages.limits import ORDER_LIFETIME_SECONDS
 
-# A list in a report may be as old as a worker may take to answer a hold.
-LIST_AGE_SECONDS = 1.0
+# A list in a report may be as old as a hold may take, and the way to the leader.
+LIST_AGE_SECONDS = 2.0
 
 
 def bind_task(
@@ -61,7 +61,7 @@
         if task is None:
             fleet.bound_until_by_task.pop(name)
         elif _is_over(fleet, task, until) or not _may_have_lease(
-            fleet, task, until + lease_seconds, now
+            fleet, task, until, lease_seconds, now
         ):
             fleet.bound_until_by_task.pop(name)
             released.append(task)
@@ -98,24 +98,32 @@
 def _is_over(fleet: Fleet, task: Task, until: float) -> bool:
     """Return whether no late order has begun a run that goes on.
 
-    Told by a list, from after the orders expired, of the worker that is now
-    where the orders were sent, or by its agent if nothing listens there.
+    Told by the worker that is now where the orders were sent, or by its agent
+    if nothing listens there.
     """
     worker = fleet.reporting_by_agent.get(task.agent)
     if worker is None or worker.heard_at < until + LIST_AGE_SECONDS:
         return False
-    if worker.report.refuses:
-        return True
-    is_listed = worker.is_reconciled and worker.report.listed
-    return is_listed and task.name not in worker.unexpected_runs_by_task
+    return worker.report.refuses or _lists_no_run(worker, task, until)
+
+
+def _lists_no_run(worker: Worker, task: Task, until: float) -> bool:
+    """Return whether a list from after the orders expired lacks the task."""
+    if not worker.is_reconciled or not worker.report.listed:
+        return False
+    if worker.heard_at < until + LIST_AGE_SECONDS:
+        return False
+    return task.name not in worker.unexpected_runs_by_task
 
 
 def _may_have_lease(
-    fleet: Fleet, task: Task, latest_end: float, now: float
+    fleet: Fleet, task: Task, until: float, lease_seconds: float, now: float
 ) -> bool:
     lease_ends = [
         worker.lease_ends_at
         for worker in fleet.workers_by_incarnation.values()
-        if worker.name == task.worker and not worker.is_superseded
+        if worker.name == task.worker
+        and not worker.is_superseded
+        and not _lists_no_run(worker, task, until)
     ]
-    return now < max([latest_end, *lease_ends])
+    return now < max([until + lease_seconds, *lease_ends])
