Repeated orders don't lengthen the reports

What callers would see: nothing yet; large reports from workers that break off each call. Each order without an answer is repeated after 0.2 s and stood in each report for its lifetime.

Of the orders with the same task, run, worker and is_answered only the newest matters to the leader (batch/open_orders.py takes the newest).

Test (failed before): test_repeated_orders_do_not_lengthen_the_reports

--- a/tests/process/agent/test_open_orders.py
+++ b/tests/process/agent/test_open_orders.py
@@ -103,3 +103,19 @@
     registry.settle_listed(attrs.evolve(LISTING, born_ms=2))
     (order,) = registry.describe().orders
     assert order.is_answered
+
+
+def test_repeated_orders_do_not_lengthen_the_reports() -> None:
+    clock = Clock()
+    registry = OrderRegistry(clock)
+    for _ in range(10):
+        registry.record(ORDER, IDENTITY)
+        clock.advance(0.25)
+    registry.record(ORDER, IDENTITY).is_answered = True
+    registry.record(ORDER, attrs.evolve(IDENTITY, worker='v'))
+    described = registry.describe().orders
+    assert [(each.worker, each.age_ms) for each in described] == [
+        ('w', 250),
+        ('w', 0),
+        ('v', 0),
+    ]
--- a/wasabiturn/process/agent/runs/open_orders.py
+++ b/wasabiturn/process/agent/runs/open_orders.py
@@ -101,13 +101,25 @@
             sent_order.is_spare = True
 
     def describe(self) -> OpenOrders:
-        """Return the orders that are open now."""
+        """Return the orders that are open now.
+
+        Of repeated ones the newest: no other is open for longer.
+        """
         now = self._clock.seconds()
         self._sent_orders = [
             sent_order
             for sent_order in self._sent_orders
             if now < sent_order.sent_at + ORDER_LIFETIME_SECONDS
         ]
+        newest_by_key = {
+            (
+                sent_order.task,
+                sent_order.run,
+                sent_order.worker,
+                sent_order.is_answered,
+            ): sent_order
+            for sent_order in self._sent_orders
+        }
         return OpenOrders(
             known_ms=int((now - self._begun_at) * _MS),
             orders=[
@@ -118,6 +130,6 @@
                     age_ms=int((now - sent_order.sent_at) * _MS),
                     is_answered=sent_order.is_answered,
                 )
-                for sent_order in self._sent_orders
+                for sent_order in newest_by_key.values()
             ],
         )
