A stalled run whose task would be bound is not moved

What callers would see: a filling task stopped beside a lasting one to move it, and started again on the same worker, again until its open order has expired: the restore time and the work since the last checkpoint are lost each time.

Cause: a move was chosen for a run whose first order got no answer (a repeated one did). Its end binds the task to the name that it was to leave.

The tests' builder of runs settles their orders, as those of a run that goes on in practice are; runs built with it had orders open for ever.

Test (failed before): test_stalled_run_that_would_be_bound_is_not_moved

--- a/tests/batch/jobs_fakes.py
+++ b/tests/batch/jobs_fakes.py
@@ -110,3 +110,4 @@
     worker.allocate(task, now=0)
     row = RunningRow(task=task.name, run=task.run, percent=100, figure=figure)
     worker.allocations_by_task[task.name].row = row
+    worker.allocations_by_task[task.name].settle_orders()
--- a/tests/batch/test_bindings.py
+++ b/tests/batch/test_bindings.py
@@ -4,6 +4,7 @@
 
 from tests.batch.jobs_fakes import (
     accept,
+    add_run,
     create_batch_state,
     create_fleet,
     create_worker,
@@ -25,7 +26,10 @@
     restore_bindings,
 )
 from wasabiturn.batch.fleet import NEVER, Fleet
+from wasabiturn.batch.forecast import Forecasts
+from wasabiturn.batch.interference import Interference
 from wasabiturn.batch.jobs import Part
+from wasabiturn.batch.planning import plan_moves
 from wasabiturn.batch.ranking import create_ranking
 from wasabiturn.messages.batch import (
     BatchChange,
@@ -272,3 +276,21 @@
     bind(fleet, batch_state, FAR_FUTURE)
     assert plan(batch_state, fleet) == {'other.0.0.0': 'v'}
     assert [part.job.job_id for part in ranked] == ['other']
+
+
+def test_stalled_run_that_would_be_bound_is_not_moved() -> None:
+    filling = step(1, fills=True, image='f', checkpoints=True)
+    batch_state = create_batch_state(accept('j', filling))
+    worker = create_worker('a')
+    add_run(worker, batch_state.tasks_by_name[TASK])
+    worker.stalled_at_by_image['f'] = 0
+    fleet = create_fleet(worker, create_worker('b'))
+    # Its own worker is no candidate.
+    worker.report.leaving = True
+    allocation = worker.allocations_by_task[TASK]
+    allocation.orders_end_at = 2.4
+    forecasts = Forecasts(Interference())
+    assert not list(plan_moves(batch_state, fleet, forecasts, now=2.3))
+    assert list(plan_moves(batch_state, fleet, forecasts, now=2.4)) == [
+        allocation
+    ]
--- a/wasabiturn/batch/planning.py
+++ b/wasabiturn/batch/planning.py
@@ -72,6 +72,8 @@
         (worker, allocation)
         for worker in workers
         for allocation in find_stalled(worker, now)
+        # An open order would bind the task to this worker.
+        if not allocation.has_open_order(now)
     ]
     if not stalled:
         return
