Keep the count of crashes when their time is known badly

Callers would see workers crash on under one task: its count began anew after a crash that was told late, or that of a run an earlier leader had started. Cause: the working time was taken as exact, and one that differs by over a second from the crash before set the count to 1. Conclusion: for the only suspect, the time that is possible and nearest to the crash before is recorded; whether crashes are alike is still judged by the measured time.

--- a/tests/batch/test_crashes.py
+++ b/tests/batch/test_crashes.py
@@ -25,6 +25,7 @@
     judge_crash,
 )
 from wasabiturn.batch.fleet import Worker
+from wasabiturn.batch.lost_runs import lost_end
 from wasabiturn.batch.verdicts import (
     COMMON_CAUSE_SECONDS,
     MAX_CRASHES,
@@ -267,3 +268,23 @@
     crash = judge(alone)[0]
     assert crash.culprit == 'j.0.0.0'
     assert crash_log.find_cleared(batch_state, crash) == ['j.0.0.1']
+
+
+@pytest.mark.parametrize('is_inherited', [False, True])
+def test_crash_that_is_timed_badly_keeps_the_count(is_inherited: bool) -> None:
+    # Told 1.2 s late, or of a run that an earlier leader had started.
+    batch_state, worker = create_state(1), create_worker('w')
+    count_crashes(batch_state, 3)
+    task = batch_state.tasks_by_name['j.0.0.0']
+    task.worked_ms = 2600 if is_inherited else 220
+    apply_batch_change(batch_state, start('j.0.0.0', 4))
+    add_runs(worker, batch_state, t0=1.4)
+    allocation = worker.allocations_by_task['j.0.0.0']
+    allocation.is_inherited = is_inherited
+    crash = judge_crash(worker, heard_at=NOW - 1.2, now=NOW)
+    assert crash.culprit == 'j.0.0.0'
+    assert not crash.suspects[0].is_alike
+    apply_batch_change(
+        batch_state, BatchChange(ends=[lost_end(allocation, NOW)])
+    )
+    assert task.crashes == 4
--- a/wasabiturn/batch/crashes.py
+++ b/wasabiturn/batch/crashes.py
@@ -84,17 +84,21 @@
         allocation.crash_role = _find_role(allocation, suspects, crashed_at)
         worked_seconds = _worked_seconds(allocation, crashed_at)
         allocation.worked_ms = int(max(worked_seconds, 0) * _MS)
+    suspicions = tuple(_create_suspicion(each) for each in suspects)
+    culprit = _find_culprit(suspects)
+    if culprit and suspects[0].task.crashes:
+        suspects[0].worked_ms = _likeliest_worked_ms(suspects[0], heard_at, now)
     return Crash(
         worker=worker.name,
         data_centre=worker.report.data_centre,
         at=now,
-        suspects=tuple(_create_suspicion(each) for each in suspects),
+        suspects=suspicions,
         bystanders=tuple(
             each.task.name
             for each in allocations
             if each.crash_role is CrashRole.bystander
         ),
-        culprit=_find_culprit(suspects),
+        culprit=culprit,
         is_quick=_is_quick(suspects, crashed_at),
     )
 
@@ -148,6 +152,21 @@
     return now - allocation.confirmed_at
 
 
+def _likeliest_worked_ms(
+    allocation: Allocation, heard_at: float, now: float
+) -> int:
+    """Return the possible working time nearest to that of the crash before.
+
+    A report may come late, and the start may have been noticed late.
+    """
+    shortest_ms = max(_worked_seconds(allocation, heard_at), 0) * _MS
+    longest_ms = (now - allocation.started_at) * _MS
+    worked_ms = max(allocation.task.worked_ms, shortest_ms)
+    if allocation.is_inherited:
+        return int(worked_ms)
+    return int(min(worked_ms, longest_ms))
+
+
 def _is_possible(allocation: Allocation) -> bool:
     """Return whether a run without confirmation may have crashed its worker.
 
