Pass over forgotten suspects when a crash clears others

Cause: find_cleared looks up each suspect of an earlier crash in newest_by_task, from which forget_unsuspected drops those that are no suspects any more. Conclusion: a forgotten suspect is passed over.

--- a/tests/batch/test_crashes.py
+++ b/tests/batch/test_crashes.py
@@ -29,6 +29,7 @@
 from wasabiturn.batch.verdicts import (
     COMMON_CAUSE_SECONDS,
     MAX_CRASHES,
+    MAX_REMEMBERED_CRASHES,
     CrashLog,
 )
 from wasabiturn.messages.batch import (
@@ -288,3 +289,20 @@
         batch_state, BatchChange(ends=[lost_end(allocation, NOW)])
     )
     assert task.crashes == 4
+
+
+def test_forgotten_suspect_of_an_earlier_crash_is_passed_over() -> None:
+    tasks = MAX_REMEMBERED_CRASHES + 1
+    batch_state, crash_log = create_state(tasks), CrashLog()
+    worker = create_worker('w')
+    names = {f't{index}': QUICK for index in range(tasks)}
+    add_runs(worker, batch_state, **names)
+    crash_log.record(judge(worker)[0])
+    crash_log.undecided_by_task.clear()
+    batch_state.mark_suspect(batch_state.tasks_by_name['j.0.0.0'])
+    crash_log.forget_unsuspected(batch_state)
+    alone = create_worker('a')
+    add_runs(alone, batch_state, t0=QUICK)
+    crash = judge(alone)[0]
+    assert crash.culprit == 'j.0.0.0'
+    assert not crash_log.find_cleared(batch_state, crash)
--- a/wasabiturn/batch/verdicts.py
+++ b/wasabiturn/batch/verdicts.py
@@ -60,7 +60,7 @@
         others = [
             batch_state.suspects_by_name.get(suspicion.task)
             for suspicion in earlier.suspects
-            if self.newest_by_task[suspicion.task] is earlier
+            if self.newest_by_task.get(suspicion.task) is earlier
             and suspicion.task != crash.culprit
         ]
         return [
