Reserve only workers that a waiting suspect could use

Callers would see up to half of a service's workers take no new tasks for as long as a suspect waits that no worker can run (label, size), and a suspect that needs a label, or is bound to a name, wait behind new runs on the one worker it could use. Cause: a reservation looked at room of the moment only, after the workers reserved before, and at no label, size or binding if none had room. Conclusion: workers that could never take the suspect aren't reserved for it.

--- a/tests/batch/test_isolation.py
+++ b/tests/batch/test_isolation.py
@@ -169,3 +169,36 @@
     apply_batch_change(batch_state, BatchChange(cleared=['j.0.0.0', 'j.0.0.1']))
     placed = plan(batch_state, create_fleet(*create_workers(1)))
     assert len(placed) == 2
+
+
+def test_no_worker_is_reserved_for_a_suspect_that_fits_none() -> None:
+    wanted = step(2, required_label='special')
+    batch_state = create_batch_state(accept('j', wanted))
+    suspect(batch_state, 'j.0.0.0', 'j.0.0.1')
+    fleet = create_fleet(*create_workers(4))
+    assert not plan(batch_state, fleet)
+    assert not fleet.isolation.reserved
+
+
+def test_worker_that_a_suspect_requires_is_the_one_reserved() -> None:
+    workers = [*create_workers(3), create_worker('s', labels=['special'])]
+    add_other_run(workers[3], 'a', worked_seconds=0)
+    batch_state = create_batch_state(
+        accept('j', step(1, required_label='special', millicores=9500))
+    )
+    suspect(batch_state, 'j.0.0.0')
+    fleet = create_fleet(*workers)
+    assert not plan(batch_state, fleet)
+    assert fleet.isolation.reserved == {('s', 1)}
+
+
+def test_worker_that_a_suspect_is_bound_to_is_the_one_reserved() -> None:
+    workers = create_workers(4)
+    add_other_run(workers[3], 'a', worked_seconds=0)
+    batch_state = create_batch_state(accept('j', step(1)))
+    suspect(batch_state, 'j.0.0.0')
+    batch_state.tasks_by_name['j.0.0.0'].worker = 'w3'
+    fleet = create_fleet(*workers)
+    fleet.bound_until_by_task['j.0.0.0'] = NOW.now + 20
+    assert not plan(batch_state, fleet)
+    assert fleet.isolation.reserved == {('w3', 1)}
--- a/wasabiturn/batch/isolation_room.py
+++ b/wasabiturn/batch/isolation_room.py
@@ -78,15 +78,30 @@
         if not wanted:
             return set()
         ranked = sorted(
-            (each for each in self.workers if each not in self.isolating),
+            (
+                each
+                for each in self.workers
+                if each not in self.isolating
+                and self._may_have(waiting[0], each)
+            ),
             key=lambda worker: self._reservation_key(waiting[0], worker),
         )
         return {(each.name, each.born_ms) for each in ranked[:wanted]}
 
     def _has_worker(self, task: Task) -> bool:
-        return any(
-            may_start_at(task, worker, self.candidates)
-            for worker in self.workers
+        return any(self._may_have(task, worker) for worker in self.workers)
+
+    def _may_have(self, task: Task, worker: Worker) -> bool:
+        """Return whether a suspect could start there once there is room."""
+        step = task.step
+        report = worker.report
+        if step.required_label and step.required_label not in report.labels:
+            return False
+        return (
+            (step.fills or step.millicores <= report.millicores)
+            and step.memory_mb <= report.memory_mb
+            and step.accelerators <= report.accelerators
+            and may_start_at(task, worker, self.candidates)
         )
 
     def _max_workers(self) -> int:
