--- a/wasabiturn/batch/crashes.py
+++ b/wasabiturn/batch/crashes.py
@@ -82,7 +82,7 @@
     suspects = [each for each in allocations if not is_proven(each, crashed_at)]
     for allocation in allocations:
         allocation.crash_role = _find_role(allocation, suspects, crashed_at)
-        worked_seconds = _worked_seconds(allocation, crashed_at)
+        worked_seconds = allocation.worked_seconds(crashed_at)
         allocation.worked_ms = int(max(worked_seconds, 0) * _MS)
     suspicions = tuple(_create_suspicion(each) for each in suspects)
     culprit = _find_culprit(suspects)
@@ -134,7 +134,7 @@
 
 def is_proven(allocation: Allocation, now: float) -> bool:
     """Return whether a run has worked for long enough to be trusted."""
-    return _worked_seconds(allocation, now) >= proof_seconds(allocation.task)
+    return allocation.worked_seconds(now) >= proof_seconds(allocation.task)
 
 
 def _is_cleared(allocation: Allocation | None, now: float) -> bool:
@@ -143,13 +143,7 @@
     seconds = proof_seconds(allocation.task)
     if allocation.task.crashes >= REPEATED_CRASHES:
         seconds = MAX_BLAMED_SECONDS
-    return _worked_seconds(allocation, now) >= seconds
-
-
-def _worked_seconds(allocation: Allocation, now: float) -> float:
-    if allocation.confirmed_at is None:
-        return 0
-    return now - allocation.confirmed_at
+    return allocation.worked_seconds(now) >= seconds
 
 
 def _likeliest_worked_ms(
@@ -159,7 +153,7 @@
 
     A report may come late, and the start may have been noticed late.
     """
-    shortest_ms = max(_worked_seconds(allocation, heard_at), 0) * _MS
+    shortest_ms = max(allocation.worked_seconds(heard_at), 0) * _MS
     longest_ms = (now - allocation.started_at) * _MS
     worked_ms = max(allocation.task.worked_ms, shortest_ms)
     if allocation.is_inherited:
@@ -186,7 +180,7 @@
         return CrashRole.suspect
     if suspects:
         return CrashRole.none
-    if _worked_seconds(allocation, crashed_at) >= MAX_BLAMED_SECONDS:
+    if allocation.worked_seconds(crashed_at) >= MAX_BLAMED_SECONDS:
         return CrashRole.none
     return CrashRole.bystander
 
@@ -211,6 +205,6 @@
 
 def _is_quick(suspects: list[Allocation], crashed_at: float) -> bool:
     return bool(suspects) and all(
-        each.is_confirmed and _worked_seconds(each, crashed_at) <= QUICK_SECONDS
+        each.is_confirmed and each.worked_seconds(crashed_at) <= QUICK_SECONDS
         for each in suspects
     )
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -73,6 +73,10 @@
         self.task.job.has_begun = True
         self.limit_orders(now)
 
+    def worked_seconds(self, now: float) -> float:
+        """Return for how long the run is known to have worked."""
+        return 0 if self.confirmed_at is None else now - self.confirmed_at
+
     def settle_orders(self) -> None:
         """Record that all orders to start the run were answered."""
         self.orders_end_at = NEVER
