Weigh each worker once a plan for all suspects that wait

What callers would see: late starts on large sites for half a second after a crash that left many suspects, at each plan.

Cause: for each suspect the runs of all workers were looked at again, for whether they are proven and for the work that a crash would lose.

--- a/wasabiturn/batch/isolation_room.py
+++ b/wasabiturn/batch/isolation_room.py
@@ -38,6 +38,13 @@
     isolation: IsolationState
     moment: Moment
     isolating: list[Worker]
+    # What was computed in this plan; it holds for the charges of a worker.
+    _unproven_by_state: dict[tuple[str, int, int], int] = attrs.field(
+        factory=dict
+    )
+    _lost_by_state: dict[tuple[str, int, int], float] = attrs.field(
+        factory=dict
+    )
 
     def may_isolate(self, members: int = 1) -> bool:
         """Return whether enough workers are left to all others."""
@@ -45,10 +52,11 @@
 
     def list_free(self) -> list[Worker]:
         """Return the workers whose runs are all proven."""
+        isolating = set(self.isolating)
         return [
             worker
             for worker in self.workers
-            if worker not in self.isolating and not self._unproven(worker)
+            if worker not in isolating and not self._unproven(worker)
         ]
 
     def choose(self, task: Task) -> Worker | None:
@@ -108,17 +116,26 @@
         return max(int(len(self.workers) * MAX_SHARE_OF_WORKERS), 1)
 
     def _unproven(self, worker: Worker) -> int:
-        return sum(
-            not is_proven(allocation, self.moment.now)
-            for allocation in worker.allocations_by_task.values()
-        )
+        key = (worker.name, worker.born_ms, worker.charges)
+        if key not in self._unproven_by_state:
+            self._unproven_by_state[key] = sum(
+                not is_proven(allocation, self.moment.now)
+                for allocation in worker.allocations_by_task.values()
+            )
+        return self._unproven_by_state[key]
+
+    def _lost_work(self, worker: Worker) -> float:
+        key = (worker.name, worker.born_ms, worker.charges)
+        if key not in self._lost_by_state:
+            self._lost_by_state[key] = lost_work(worker, self.moment.now)
+        return self._lost_by_state[key]
 
     def _cost(
         self, task: Task, worker: Worker, counts: dict[str, int]
     ) -> tuple[bool, float]:
         step = task.step
         score = score_worker(task.part, worker, self.candidates, counts)
-        cost = lost_work(worker, self.moment.now)
+        cost = self._lost_work(worker)
         if step.preferred_rack and step.preferred_rack != worker.report.rack:
             cost += step.millicores * step.estimate_ms / _MILLI
         return score == UNSUITABLE, cost
@@ -133,7 +150,7 @@
             incarnation not in self.isolation.reserved,
             not fits,
             self._unproven(worker),
-            lost_work(worker, self.moment.now),
+            self._lost_work(worker),
         )
 
 
