--- a/tests/batch/test_bindings.py
+++ b/tests/batch/test_bindings.py
@@ -172,11 +172,11 @@
     batch_state.tasks_by_name[TASK].agent = 'a'
     fleet.record_reporting(worker)
     bind(fleet, batch_state, until=10)
-    worker.heard_at = 12
+    worker.heard_at = 11
     worker.unexpected_runs_by_task = {TASK: 1}
-    assert not release_tasks(fleet, batch_state, LEASE_SECONDS, now=12)
+    assert not release_tasks(fleet, batch_state, LEASE_SECONDS, now=11)
     worker.unexpected_runs_by_task = {}
-    assert release_tasks(fleet, batch_state, LEASE_SECONDS, now=12)
+    assert release_tasks(fleet, batch_state, LEASE_SECONDS, now=11)
 
 
 def test_task_is_released_once_nothing_listens_after_the_lifetime() -> None:
@@ -188,10 +188,10 @@
     batch_state.tasks_by_name[TASK].agent = 'a'
     fleet.record_reporting(worker)
     bind(fleet, batch_state, until=10)
-    worker.heard_at = 11.5
-    assert not release_tasks(fleet, batch_state, LEASE_SECONDS, now=12)
-    worker.heard_at = 12
-    assert release_tasks(fleet, batch_state, LEASE_SECONDS, now=12)
+    worker.heard_at = 10
+    assert not release_tasks(fleet, batch_state, LEASE_SECONDS, now=11)
+    worker.heard_at = 11
+    assert release_tasks(fleet, batch_state, LEASE_SECONDS, now=11)
 
 
 def test_task_is_released_though_its_name_moved_to_another_agent() -> None:
