--- a/wasabiturn/batch/bindings.py
+++ b/wasabiturn/batch/bindings.py
@@ -19,8 +19,8 @@
 from wasabiturn.messages.kinds import BatchTaskState
 from wasabiturn.messages.limits import ORDER_LIFETIME_SECONDS
 
-# A list in a report is at most as old as a hold and its way to the leader take.
-LIST_AGE_SECONDS = 2.0
+# A list in a report may be as old as a worker may take to answer a hold.
+LIST_AGE_SECONDS = 1.0
 
 
 def bind_task(
--- a/wasabiturn/batch/crashes.py
+++ b/wasabiturn/batch/crashes.py
@@ -153,12 +153,12 @@
 
     A report may come late, and the start may have been noticed late.
     """
-    shortest_ms = max(allocation.worked_seconds(heard_at), 0) * _MS
-    longest_ms = (now - allocation.started_at) * _MS
-    worked_ms = max(allocation.task.worked_ms, shortest_ms)
+    lower_ms = max(allocation.worked_seconds(heard_at), 0) * _MS
+    upper_ms = (now - allocation.started_at) * _MS
+    worked_ms = max(allocation.task.worked_ms, lower_ms)
     if allocation.is_inherited:
         return int(worked_ms)
-    return int(min(worked_ms, longest_ms))
+    return int(min(worked_ms, upper_ms))
 
 
 def _is_possible(allocation: Allocation) -> bool:
