--- a/wasabiturn/batch/bindings.py
+++ b/wasabiturn/batch/bindings.py
@@ -14,6 +14,7 @@
 
 from wasabiturn.batch.fleet import NEVER, UNKNOWN, Fleet, Worker
 from wasabiturn.batch.jobs import Task
+from wasabiturn.batch.placing import create_start
 from wasabiturn.batch.state import BatchState
 from wasabiturn.messages.batch import StartRun
 from wasabiturn.messages.kinds import BatchTaskState
@@ -78,14 +79,10 @@
     """
     for name, run in worker.unexpected_runs_by_task.items():
         task = batch_state.tasks_by_name.get(name)
-        start = StartRun(
-            task=name,
-            run=run,
-            worker=worker.name,
-            born_ms=worker.born_ms,
-            agent=worker.agent,
-        )
-        if task is not None and _can_resume(task, start):
+        if task is None:
+            continue
+        start = create_start(task, worker, run)
+        if _can_resume(task, start):
             yield start
 
 
--- a/wasabiturn/batch/gang_isolation.py
+++ b/wasabiturn/batch/gang_isolation.py
@@ -6,7 +6,7 @@
 
 from wasabiturn.batch.fleet import Worker
 from wasabiturn.batch.gangs import fit_all, start_gang
-from wasabiturn.batch.isolation_room import IsolationRoom, lost_work
+from wasabiturn.batch.isolation_room import IsolationRoom
 from wasabiturn.batch.jobs import Part, Task
 from wasabiturn.batch.placing import (
     Candidates,
@@ -51,7 +51,7 @@
     free = [worker for worker in room.list_free() if can_take(part, worker, {})]
     if not room.may_isolate(len(suspects)):
         return []
-    free.sort(key=lambda worker: lost_work(worker, room.moment.now))
+    free.sort(key=room.lost_work)
     isolated = _place_alone(suspects, free, room.candidates)
     if len(isolated) < len(suspects):
         return []
--- a/wasabiturn/batch/isolation_room.py
+++ b/wasabiturn/batch/isolation_room.py
@@ -124,10 +124,11 @@
             )
         return self._unproven_by_state[key]
 
-    def _lost_work(self, worker: Worker) -> float:
+    def lost_work(self, worker: Worker) -> float:
+        """Return the work that a crash would lose, in core milliseconds."""
         key = (worker.name, worker.born_ms, worker.charges)
         if key not in self._lost_by_state:
-            self._lost_by_state[key] = lost_work(worker, self.moment.now)
+            self._lost_by_state[key] = _lost_work(worker, self.moment.now)
         return self._lost_by_state[key]
 
     def _cost(
@@ -135,7 +136,7 @@
     ) -> tuple[bool, float]:
         step = task.step
         score = score_worker(task.part, worker, self.candidates, counts)
-        cost = self._lost_work(worker)
+        cost = self.lost_work(worker)
         if step.preferred_rack and step.preferred_rack != worker.report.rack:
             cost += step.millicores * step.estimate_ms / _MILLI
         return score == UNSUITABLE, cost
@@ -150,7 +151,7 @@
             incarnation not in self.isolation.reserved,
             not fits,
             self._unproven(worker),
-            self._lost_work(worker),
+            self.lost_work(worker),
         )
 
 
@@ -179,8 +180,7 @@
     )
 
 
-def lost_work(worker: Worker, now: float) -> float:
-    """Return the work that a crash of the worker would lose, in core ms."""
+def _lost_work(worker: Worker, now: float) -> float:
     return sum(
         _lost_seconds(allocation, now) * allocation.task.step.millicores
         for allocation in worker.allocations_by_task.values()
--- a/wasabiturn/process/control/batch/pipeline.py
+++ b/wasabiturn/process/control/batch/pipeline.py
@@ -172,7 +172,8 @@
 def _field_positions(change: BatchChange) -> list[int]:
     """Return the positions of the fields that are set, ascending.
 
-    Settled starts have the same effect at any position.
+    Settled starts matter at none: they are read for active runs only, and the
+    next start of a task resets them.
     """
     names = [field.name for field in attrs.fields(BatchChange)]
     names.remove('settled')
