--- /dev/null
+++ b/tests/sessions/test_worker_restarts.py
@@ -0,0 +1,98 @@
+"""Test workers that start again under their names while orders are open."""
+
+from tests.sessions.batch_fakes import BatchFleet, FakeAgent, create_step
+from tests.sessions.test_start_orders import (
+    LATE_SECONDS,
+    TASK,
+    choose_worker,
+    find_starts,
+    start_with_faults,
+)
+from wasabiturn.messages.limits import ORDER_LIFETIME_SECONDS
+from wasabiturn.standins.batch_worker import (
+    TIMEOUT_SECONDS,
+    Fault,
+    SimulatedWork,
+)
+
+# Until an order without an answer is repeated: the timeout and 0.2 s.
+REPEAT_SECONDS = TIMEOUT_SECONDS + 0.2
+
+
+def restart_worker(
+    agent: FakeAgent, away_seconds: float, fleet: BatchFleet
+) -> None:
+    """Crash the worker, and start it again under its name."""
+    agent.worker.crash()
+    fleet.run(away_seconds)
+    agent.worker.start_incarnation()
+    agent.announce()
+
+
+def start_late_order(fleet: BatchFleet, *faults: Fault) -> FakeAgent:
+    """Have a task ordered at a worker that carries out the first order late.
+
+    The lease in the order is valid for as long in a next life.
+    """
+    fleet.run(2 * LATE_SECONDS)
+    agent = start_with_faults(fleet, *faults)
+    agent.worker.keeps_late_orders = True
+    return agent
+
+
+def test_list_settles_no_order_while_another_one_may_have_begun_the_run() -> (
+    None
+):
+    fleet = BatchFleet(workers=2)
+    fleet.run(1)
+    choose_worker(fleet, 1)
+    # Its end has the worker list its runs before it answers the second order.
+    fleet.submit('b', [create_step(1)], SimulatedWork(2 * LATE_SECONDS + 2.1))
+    agent = start_late_order(fleet, Fault.late)
+    late_at = fleet.start_orders[1].at + LATE_SECONDS
+    fleet.run(REPEAT_SECONDS - 0.05)
+    agent.worker.answer_delay_seconds = 0.5
+    fleet.run(1)
+    assert [task for _, task, _, _ in fleet.run_starts] == ['b.0.0.0', TASK]
+    fleet.run(late_at - 0.6 - fleet.clock.seconds())
+    agent.worker.crash()
+    fleet.run(0.5)
+    agent.worker.refuses_holds = True
+    agent.worker.start_incarnation()
+    fleet.run(LATE_SECONDS)
+    assert (2, 'worker-2') not in find_starts(fleet)
+
+
+def test_expired_order_of_a_silent_agent_is_not_taken_for_an_answered_one() -> (
+    None
+):
+    fleet = BatchFleet(workers=2)
+    agent = start_late_order(fleet, Fault.late)
+    sent_at = fleet.start_orders[0].at
+    agent.is_partitioned = True
+    fleet.run(0.3)
+    # No token of a hold can keep the late order away.
+    agent.worker.refuses_holds = True
+    restart_worker(agent, 0.1, fleet)
+    fleet.run(sent_at + ORDER_LIFETIME_SECONDS + 0.5 - fleet.clock.seconds())
+    assert find_starts(fleet) == [(1, 'worker-1')]
+    agent.is_partitioned = False
+    fleet.run(1.5)
+    agent.worker.refuses_holds = False
+    fleet.run(LATE_SECONDS)
+    assert len(fleet.find_workers_by_task()[TASK]) == 1
+
+
+def test_order_to_an_ended_life_is_void_though_the_leader_is_out_of_touch() -> (
+    None
+):
+    fleet = BatchFleet(workers=2)
+    agent = start_late_order(fleet, Fault.late)
+    late_at = fleet.start_orders[0].at + LATE_SECONDS
+    fleet.run(1)
+    agent.is_partitioned = True
+    fleet.run(late_at - 0.7 - fleet.clock.seconds())
+    restart_worker(agent, 0.5, fleet)
+    begun = len(fleet.run_starts)
+    fleet.run(1)
+    assert len(fleet.run_starts) == begun
--- a/wasabiturn/standins/batch_worker.py
+++ b/wasabiturn/standins/batch_worker.py
@@ -33,6 +33,8 @@
 
 LATENCY_SECONDS = 0.001
 TIMEOUT_SECONDS = 0.6
+# How long a run takes to stop.
+STOP_SECONDS = 0.2
 MAX_LEASE_MS = 6000
 _MS_PER_SECOND = 1000
 _FULL_PERCENT = 100
@@ -105,9 +107,10 @@
         """
         self.identity = identity
         self.late_delay_seconds = 5.0
-        self.stop_delay_seconds = 0.2
         # How long an order without a fault takes.
         self.order_delay_seconds = LATENCY_SECONDS
+        # How long it takes to answer an order after it was carried out.
+        self.answer_delay_seconds = 0.0
         # Faults of the next orders, before any that is chosen.
         self.next_faults: list[Fault] = []
         # It answers holds with an error, but carries orders out.
@@ -288,6 +291,13 @@
                 error = refused
         if fault is not Fault.none:
             return
+        self._clock.callLater(
+            self.answer_delay_seconds, self._answer, reply, error
+        )
+
+    def _answer(
+        self, reply: Deferred[None], error: PlatformError | None
+    ) -> None:
         if error is None:
             reply.callback(None)
         else:
@@ -362,7 +372,7 @@
         if run is not None and run.run == order.run:
             run.timer.cancel()
             run.timer = self._clock.callLater(
-                self.stop_delay_seconds,
+                STOP_SECONDS,
                 self._end,
                 run,
                 RunEnding.stopped,
