--- a/wasabiturn/process/agent/runs/open_orders.py
+++ b/wasabiturn/process/agent/runs/open_orders.py
@@ -12,9 +12,12 @@
 from wasabiturn.messages.batch import OpenOrder, OpenOrders, StartOrder
 from wasabiturn.messages.limits import ORDER_LIFETIME_SECONDS
 from wasabiturn.process.agent.runs.port import RunListing, WorkerIdentity
+from wasabiturn.utils.logs import create_component_log
 
 _MS = 1000
 
+_log = create_component_log('runs')
+
 
 @final
 @attrs.define(eq=False)
@@ -86,6 +89,14 @@
             oldest = next(self._find(task, run), None)
             if oldest is None or oldest.is_spare:
                 continue
+            _log.decision(
+                'list settles order without an answer',
+                task=task,
+                run=run,
+                seconds=round(self._clock.seconds() - oldest.sent_at, 2),
+                open_orders=len(list(self._find(task, run))),
+                is_same_life=oldest.born_ms == listing.born_ms,
+            )
             if oldest.born_ms == listing.born_ms:
                 self.settle_started(oldest)
             else:
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -17,6 +17,7 @@
     HoldDelay,
     has_acknowledged_all,
 )
+from wasabiturn.process.agent.runs.hold_log import HoldLog
 from wasabiturn.process.agent.runs.open_orders import OrderRegistry
 from wasabiturn.process.agent.runs.port import (
     HoldRequest,
@@ -68,6 +69,7 @@
         self._is_closed_port_report_due = False
         self._is_listing_current = False
         self._sent_holds = 0
+        self._hold_log = HoldLog()
         self._hold_delay = HoldDelay(clock, self._send_next_hold)
         self._acknowledged_end = 0
         self._listing: RunListing | None = None
@@ -203,6 +205,7 @@
     ) -> None:
         if not _is_same_life(self._identity, identity):
             return
+        self._hold_log.record_answer(identity.worker)
         if listing.born_ms > identity.born_ms:
             # A newer incarnation has the worker's name, but has not announced
             # itself yet.
@@ -241,9 +244,7 @@
         if not _is_same_life(self._identity, identity):
             return
         error = failure.value
-        _log.event(
-            'hold on worker failed', worker=identity.worker, error=str(error)
-        )
+        self._hold_log.record_failure(identity.worker, str(error))
         retry_seconds = (
             FIRST_HOLD_RETRY_SECONDS
             if self._is_listing_current
--- a/wasabiturn/process/agent/runs/sender.py
+++ b/wasabiturn/process/agent/runs/sender.py
@@ -125,11 +125,12 @@
         still_ordered.update((order.task, order.run) for order in orders.stops)
         for start in self.table.forget_settled(still_ordered):
             exposition.start_orders.labels('forgotten').inc()
-            _log.decision(
-                'start forgotten, as it is no longer ordered',
-                **start.describe(),
-                ordered_starts=len(orders.starts),
-            )
+            if start.has_unanswered_order:
+                _log.decision(
+                    'start forgotten, as it is no longer ordered',
+                    **start.describe(),
+                    outcome=start.outcome.name,
+                )
 
     def _send_stop(self, identity: WorkerIdentity, order: StopOrder) -> None:
         key = (order.task, order.run)
--- a/wasabiturn/process/agent/runs/start_sender.py
+++ b/wasabiturn/process/agent/runs/start_sender.py
@@ -37,6 +37,8 @@
 REASON_LEASE_EXPIRED = 'late'
 CLOSED_PORT = 'nothing listens at the worker'
 FULL_PERCENT = 100
+# Of seconds in log lines.
+_LOGGED_DIGITS = 4
 
 _log = create_component_log('runs')
 
@@ -112,7 +114,8 @@
         open_orders = self._channel.open_orders
         sent_order = open_orders.record(start.order, identity)
         exposition.start_orders.labels('sent').inc()
-        _log.decision('sends start', **start.describe())
+        if start.order_count > 1:
+            _log.decision('repeats start', **start.describe())
         now = self._channel.clock.seconds()
         sent_clock_ms = self._grants.estimate_clock_ms(now)
         sent = self._channel.port.start(
@@ -126,6 +129,10 @@
             (start, sent_order),
         )
 
+    def _seconds_since(self, sent_order: SentOrder) -> float:
+        now = float(self._channel.clock.seconds())
+        return round(now - sent_order.sent_at, _LOGGED_DIGITS)
+
     def _settle_refused(self, start: Start, sent_order: SentOrder) -> None:
         start.unanswered_orders -= 1
         self._channel.open_orders.settle(sent_order)
@@ -151,7 +158,11 @@
             )
         start.outcome = StartOutcome.started
         exposition.start_orders.labels('started').inc()
-        _log.decision('start answered', **start.describe())
+        _log.decision(
+            'start answered',
+            **start.describe(),
+            seconds=self._seconds_since(sent_order),
+        )
         order = start.order
         identity = self._channel.identity
         if order.percent < FULL_PERCENT and identity is not None:
@@ -180,6 +191,7 @@
             _log.event(
                 'start order failed; it will be retried',
                 **start.describe(),
+                seconds=self._seconds_since(sent_order),
                 error=str(error),
             )
             self._retry_later(start)
--- a/wasabiturn/process/agent/runs/starts.py
+++ b/wasabiturn/process/agent/runs/starts.py
@@ -64,8 +64,7 @@
             'run': self.order.run,
             'fence': self.fence,
             'order': self.order_count,
-            'outcome': self.outcome.name,
-            'has_unanswered_order': self.has_unanswered_order,
+            'unanswered_orders': self.unanswered_orders,
         }
 
 
--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -236,6 +236,7 @@
             run=end.run,
             worker=worker.name,
             ending=end.ending.name,
+            has_open_order=end.has_open_order,
         )
     if ends:
         change = leader_term.store_ends(ends)
--- a/wasabiturn/utils/logs.py
+++ b/wasabiturn/utils/logs.py
@@ -14,6 +14,8 @@
 from wasabiturn.utils.rate_limited_lines import RateLimitedLines
 
 LEVELS = ('decision', 'event', 'warning')
+# Fields of eliot that tell nothing here: no line is part of an action.
+_UNUSED_FIELDS = ('task_uuid', 'task_level')
 
 
 @final
@@ -76,7 +78,15 @@
     def destination(message: dict[str, Any]) -> None:
         logged_type = str(message.get('message_type', ''))
         if logged_type.rpartition(':')[2] in enabled_levels:
-            to_stream(message)
+            to_stream(_without_unused(message))
 
     add_destinations(destination)
     return LogOutput(stream=stream, destination=destination)
+
+
+def _without_unused(message: dict[str, Any]) -> dict[str, Any]:
+    return {
+        name: content
+        for name, content in message.items()
+        if name not in _UNUSED_FIELDS
+    }
