A list settles no order while another one for its run may be answered

Cause: an agent repeats a start that was not answered in 0.6 s. A list with the run settled the oldest order, on the ground that one of those without an answer had begun it. If the repeated one was still awaited and was answered after the list, both counted as settled, though only one had begun the run: the leader saw no open order, gave the run up at the crash and started run 2 at once, and the next life carried out the other order.

Now a list settles an order only if no other one for the run is awaited.

--- a/tests/process/agent/test_open_orders.py
+++ b/tests/process/agent/test_open_orders.py
@@ -119,3 +119,14 @@
         ('w', 0),
         ('v', 0),
     ]
+
+
+def test_list_settles_no_order_while_another_may_be_answered() -> None:
+    registry = OrderRegistry(Clock())
+    registry.stop_awaiting(registry.record(ORDER, IDENTITY))
+    answered = registry.record(ORDER, IDENTITY)
+    registry.settle_listed(LISTING)
+    registry.settle_started(answered)
+    assert len(registry.describe().orders) == 1
+    registry.settle_listed(LISTING)
+    assert len(registry.describe().orders) == 1
--- a/wasabiturn/process/agent/runs/open_orders.py
+++ b/wasabiturn/process/agent/runs/open_orders.py
@@ -24,8 +24,9 @@
 class SentOrder:
     """One order that was sent to the worker of a name.
 
-    ``is_answered`` is set if a later incarnation of that name answered it or
-    lists its run. ``is_spare`` is set once it is known what has begun the run.
+    ``is_awaited`` tells that it may still be answered. ``is_answered`` is set
+    if a later incarnation of that name answered it or lists its run.
+    ``is_spare`` is set once it is known what has begun the run.
     """
 
     task: str
@@ -33,6 +34,7 @@
     worker: str
     born_ms: int
     sent_at: float
+    is_awaited: bool = True
     is_answered: bool = False
     is_spare: bool = False
 
@@ -64,6 +66,10 @@
         if sent_order in self._sent_orders:
             self._sent_orders.remove(sent_order)
 
+    def stop_awaiting(self, sent_order: SentOrder) -> None:
+        """Record that an order will not be answered any more."""
+        sent_order.is_awaited = False
+
     def settle_started(self, sent_order: SentOrder) -> None:
         """Remove an order to which the worker answered that it has the run.
 
@@ -86,15 +92,16 @@
         listed = [(row.task, row.run) for row in listing.running]
         listed.extend((row.task, row.run) for row in listing.ended)
         for task, run in listed:
-            oldest = next(self._find(task, run), None)
-            if oldest is None or oldest.is_spare:
+            sent_orders = list(self._find(task, run))
+            if not _tells_what_began(sent_orders):
                 continue
+            oldest = sent_orders[0]
             _log.decision(
                 'list settles order without an answer',
                 task=task,
                 run=run,
                 seconds=round(self._clock.seconds() - oldest.sent_at, 2),
-                open_orders=len(list(self._find(task, run))),
+                open_orders=len(sent_orders),
                 is_same_life=oldest.born_ms == listing.born_ms,
             )
             if oldest.born_ms == listing.born_ms:
@@ -144,3 +151,17 @@
                 for sent_order in newest_by_key.values()
             ],
         )
+
+
+def _tells_what_began(sent_orders: list[SentOrder]) -> bool:
+    """Return whether one of the orders has begun their listed run.
+
+    Else that is settled, or one that is answered later may have begun it.
+    """
+    if any(each.is_spare for each in sent_orders):
+        return False
+    if len(sent_orders) == 1:
+        return True
+    return bool(sent_orders) and not any(
+        each.is_awaited for each in sent_orders
+    )
--- a/wasabiturn/process/agent/runs/start_sender.py
+++ b/wasabiturn/process/agent/runs/start_sender.py
@@ -187,6 +187,7 @@
             self._settle_refused(start, sent_order)
             self._handle_closed_port(start)
         else:
+            self._channel.open_orders.stop_awaiting(sent_order)
             exposition.start_orders.labels('unanswered').inc()
             _log.event(
                 'start order failed; it will be retried',
