Take an order that expired for one that may have begun a run just before

When the agent is heard again, its report doesn't name the order any more, since it is older than 15 s, and the leader takes what a report lacks for answered: run 2 starts while run 1 goes on.

Cause: that an order can begin nothing any more was taken for that it has begun nothing. Now agents name their orders for 15 s longer, as long as a run that one of them began may go on, and the leader keeps a run that is given up in that time bound to the name, until a list or the end of a lease tells. The same conclusion stood in what is stored as settled for the next leader.

Looked at and right: a lease that ends and a bound task that is released (both wait for a list or a lease from the expiry on), another worker at the agent (runs of the former name end with it).

--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -20,7 +20,10 @@
     WorkerReport,
 )
 from wasabiturn.messages.kinds import CrashRole
-from wasabiturn.messages.limits import ORDER_LIFETIME_SECONDS
+from wasabiturn.messages.limits import (
+    LATE_RUN_SECONDS,
+    ORDER_LIFETIME_SECONDS,
+)
 
 NEVER = float('-inf')
 UNKNOWN = float('inf')
@@ -65,6 +68,13 @@
         """Return whether an order to start the run may be carried out."""
         return self.is_ordered and now < self.orders_end_at
 
+    def may_have_late_run(self, now: float) -> bool:
+        """Return whether an order may have begun the run in a later life.
+
+        One that has expired may have done so just before.
+        """
+        return self.is_ordered and now < self.orders_end_at + LATE_RUN_SECONDS
+
     def confirm(self, now: float) -> None:
         """Record that the run has started; no further order is sent."""
         self.is_confirmed = True
--- a/wasabiturn/batch/lost_runs.py
+++ b/wasabiturn/batch/lost_runs.py
@@ -1,7 +1,7 @@
 """Runs that went with the incarnation or the lease of their worker."""
 
 from wasabiturn.batch.fences import raise_fence
-from wasabiturn.batch.fleet import NEVER, Allocation, Fleet, Worker
+from wasabiturn.batch.fleet import Allocation, Fleet, Worker
 from wasabiturn.messages.batch import EndRun
 from wasabiturn.messages.kinds import RunEnding
 from wasabiturn.messages.limits import START_PERMIT_SECONDS
@@ -51,9 +51,7 @@
         allocation.limit_orders(last_order_at + START_PERMIT_SECONDS)
         if not allocation.has_open_order(now):
             end = lost_end(allocation, now)
-            end.has_open_order = (
-                allocation.is_ordered and allocation.orders_end_at != NEVER
-            )
+            end.has_open_order = allocation.may_have_late_run(now)
             ends.append(end)
     return ends
 
--- a/wasabiturn/batch/open_orders.py
+++ b/wasabiturn/batch/open_orders.py
@@ -61,7 +61,7 @@
         for allocation in worker.allocations_by_task.values()
         if allocation.is_confirmed
         and not allocation.task.is_settled
-        and not allocation.has_open_order(now)
+        and not allocation.may_have_late_run(now)
     ]
 
 
--- a/wasabiturn/messages/limits.py
+++ b/wasabiturn/messages/limits.py
@@ -4,3 +4,6 @@
 ORDER_LIFETIME_SECONDS = 15.0
 # An agent sends starts only if the leader answered a report sent this recently.
 START_PERMIT_SECONDS = 2.0
+# No longer than this a run goes on that a late order has begun unseen: the
+# longest lease, and some time to notice its end.
+LATE_RUN_SECONDS = 15.0
--- a/wasabiturn/process/agent/runs/open_orders.py
+++ b/wasabiturn/process/agent/runs/open_orders.py
@@ -10,10 +10,15 @@
 import attrs
 
 from wasabiturn.messages.batch import OpenOrder, OpenOrders, StartOrder
-from wasabiturn.messages.limits import ORDER_LIFETIME_SECONDS
+from wasabiturn.messages.limits import (
+    LATE_RUN_SECONDS,
+    ORDER_LIFETIME_SECONDS,
+)
 from wasabiturn.process.agent.runs.port import RunListing, WorkerIdentity
 from wasabiturn.utils.logs import create_component_log
 
+# The leader would take an order that is missing for one that was answered.
+_RECORD_SECONDS = ORDER_LIFETIME_SECONDS + LATE_RUN_SECONDS
 _MS = 1000
 
 _log = create_component_log('runs')
@@ -41,7 +46,7 @@
 
 @final
 class OrderRegistry:
-    """The orders of this process that were not answered in their lifetime."""
+    """The orders of this process that were not answered."""
 
     def __init__(self, clock: Any) -> None:
         """Create an empty registry."""
@@ -119,7 +124,7 @@
             sent_order.is_spare = True
 
     def describe(self) -> OpenOrders:
-        """Return the orders that are open now.
+        """Return the orders that are open, or have expired not long ago.
 
         Of repeated ones the newest: no other is open for longer.
         """
@@ -127,7 +132,7 @@
         self._sent_orders = [
             sent_order
             for sent_order in self._sent_orders
-            if now < sent_order.sent_at + ORDER_LIFETIME_SECONDS
+            if now < sent_order.sent_at + _RECORD_SECONDS
         ]
         newest_by_key = {
             (
