An agent makes the orders to an ended life void itself

A late order began a run in the next life of a worker although its agent had found that life: the fencing token rises only with the leader's word, which may be out of touch, and the first hold carried the token of the orders that were out. For a caller: a done task runs again, or a task runs twice.

Now the leader's tokens leave room for 1023 of the agent between two. The agent raises its own when nothing listens, when a list shows a life that has not announced itself (which it then tells at once), and for an announced new life. After a failed hold the next one is answered at once, not after a second; while an order is open at a closed port, it looks each 20 ms for the next life (0.2 s before), and reports a repeated failure each 0.2 s as before. A start that was not sent is refused at a closed port without a call.

What is left: a next life that its agent cannot reach.

Four tests had a late order begin in the next life and relied on the agent being slow: its holds are refused there now until the order has come. The step of a raised token is FENCE_STEP, no longer 1.

--- a/tests/batch/test_reports.py
+++ b/tests/batch/test_reports.py
@@ -22,6 +22,7 @@
 )
 from wasabiturn.messages.kinds import RunEnding, StartOutcome
 from wasabiturn.messages.limits import (
+    FENCE_STEP,
     ORDER_LIFETIME_SECONDS,
     START_PERMIT_SECONDS,
 )
@@ -182,7 +183,7 @@
     fence = worker.fence
     give_up_runs(fleet, worker, now=10)
     give_up_runs(fleet, worker, now=11)
-    assert worker.fence == fence + 1
+    assert worker.fence == fence + FENCE_STEP
 
 
 def test_worker_given_up_stays_gone_until_it_lists_under_the_new_fence() -> (
--- a/tests/sessions/test_bound_tasks.py
+++ b/tests/sessions/test_bound_tasks.py
@@ -13,6 +13,7 @@
     TASK,
     choose_worker,
     find_starts,
+    restart_unseen,
     start_with_faults,
 )
 from wasabiturn.messages.batch import BatchChange, DataCentreMark
@@ -103,8 +104,8 @@
     agent.worker.crash()
     late_at = fleet.start_orders[2].at + ORDER_LIFETIME_SECONDS - 0.5
     fleet.run(late_at - 0.1 - fleet.clock.seconds())
-    agent.worker.start_incarnation()
-    fleet.run(LEASE_SECONDS)
+    restart_unseen(fleet, agent, until=late_at + 0.1)
+    fleet.run(LEASE_SECONDS - 0.2)
     assert find_starts(fleet) == [(1, 'worker-1')]
     fleet.run(REACTION_SECONDS)
     assert fleet.find_workers_by_task()[TASK] == ['worker-2']
@@ -131,11 +132,7 @@
     fleet.change_leader(1)
     late_at = fleet.start_orders[0].at + LATE_SECONDS
     fleet.run(late_at - 0.1 - fleet.clock.seconds())
-    # Else a hold would tell the new life of a newer fence first.
-    agent.worker.refuses_holds = True
-    agent.worker.start_incarnation()
-    fleet.run(0.2)
-    agent.worker.refuses_holds = False
+    restart_unseen(fleet, agent, until=late_at + 0.1)
     fleet.run(LATE_SECONDS)
     assert find_starts(fleet) == [(1, 'worker-1')]
 
@@ -335,8 +332,7 @@
     fleet.work_by_job['a'] = SimulatedWork(0.1, ending=RunEnding.failed)
     late_at = fleet.start_orders[0].at + LATE_SECONDS
     fleet.run(late_at - 0.1 - fleet.clock.seconds())
-    agent.worker.start_incarnation()
-    fleet.run(0.3)
+    restart_unseen(fleet, agent, until=late_at + 0.2)
     assert find_starts(fleet) == [(1, 'worker-1')]
     agent.announce()
     fleet.run(0.3)
--- a/tests/sessions/test_start_orders.py
+++ b/tests/sessions/test_start_orders.py
@@ -46,6 +46,17 @@
     return agent
 
 
+def restart_unseen(fleet: BatchFleet, agent: FakeAgent, until: float) -> None:
+    """Start the worker again, whose new life answers no hold until ``until``.
+
+    So no token keeps away what it is ordered to start.
+    """
+    agent.worker.refuses_holds = True
+    agent.worker.start_incarnation()
+    fleet.run(until - fleet.clock.seconds())
+    agent.worker.refuses_holds = False
+
+
 def find_starts(fleet: BatchFleet) -> list[tuple[int, str]]:
     """Return the run number and the worker of each start of the task."""
     return [(run, name) for _, task, run, name in fleet.run_starts]
--- a/tests/sessions/test_worker_fences.py
+++ b/tests/sessions/test_worker_fences.py
@@ -7,6 +7,7 @@
     LATE_SECONDS,
     choose_worker,
     find_starts,
+    restart_unseen,
     start_with_faults,
 )
 from wasabiturn.messages.kinds import JobState
@@ -94,8 +95,8 @@
     late_at = fleet.start_orders[0].at + LATE_SECONDS
     fleet.run(late_at - 0.5 - fleet.clock.seconds())
     assert not find_starts(fleet)
-    agent.worker.start_incarnation()
-    fleet.run(LATE_SECONDS)
+    restart_unseen(fleet, agent, until=late_at + 0.5)
+    fleet.run(LATE_SECONDS - 1)
     assert find_starts(fleet) == [(1, 'worker-1')]
 
 
--- a/wasabiturn/batch/fences.py
+++ b/wasabiturn/batch/fences.py
@@ -5,9 +5,13 @@
 next token whenever an order may be out that it no longer knows of. Once the
 worker has listed its runs under that token, each older order is void for this
 incarnation, and what the list lacks has neither started nor ever will.
+
+The tokens between two of the leader are those of the worker's agent; see
+``wasabiturn/process/agent/runs/fencing_token.py``.
 """
 
 from wasabiturn.batch.fleet import Fleet, Worker
+from wasabiturn.messages.limits import FENCE_STEP
 
 # Leaves 23 bits for terms below 2**53, up to which every reader of JSON
 # represents integers exactly.
@@ -25,7 +29,7 @@
     ``newest_fence`` is the highest one that it gave before, 0 if none. It may
     lead the same term more than once.
     """
-    return max(first_fence(term), newest_fence + 1)
+    return max(first_fence(term), newest_fence + FENCE_STEP)
 
 
 def raise_fence(fleet: Fleet, worker: Worker) -> None:
@@ -33,7 +37,7 @@
 
     The worker gets no new orders until it has listed its runs again.
     """
-    fleet.newest_fence += 1
+    fleet.newest_fence += FENCE_STEP
     worker.fence = fleet.newest_fence
     worker.is_reconciled = False
 
--- a/wasabiturn/messages/limits.py
+++ b/wasabiturn/messages/limits.py
@@ -7,3 +7,6 @@
 # No longer than this a run goes on that a late order has begun unseen: the
 # longest lease, and some time to notice its end.
 LATE_RUN_SECONDS = 15.0
+# The fencing tokens of a leader are this far apart; those in between are the
+# agent's.
+FENCE_STEP = 1 << 10
--- a/wasabiturn/process/agent/runs/channel.py
+++ b/wasabiturn/process/agent/runs/channel.py
@@ -34,7 +34,7 @@
     port: WorkerPort
     clock: Any
     open_orders: OrderRegistry
-    fence: int = 0
+    token: int = 0
     identity: WorkerIdentity | None = None
     is_closed: bool = False
     _semaphore: DeferredSemaphore = attrs.field(factory=_create_semaphore)
@@ -60,11 +60,11 @@
         self, identity: WorkerIdentity, order: StopOrder
     ) -> Deferred[None]:
         """Stop a run, or prevent it from ever starting."""
-        return self.run(lambda: self.port.stop(identity, order, self.fence))
+        return self.run(lambda: self.port.stop(identity, order, self.token))
 
     def send_pace(self, identity: WorkerIdentity, order: PaceOrder) -> None:
         """Throttle a run; a failure is logged."""
-        sent = self.run(lambda: self.port.pace(identity, order, self.fence))
+        sent = self.run(lambda: self.port.pace(identity, order, self.token))
         sent.addErrback(log_order_failure)
 
 
--- a/wasabiturn/process/agent/runs/open_orders.py
+++ b/wasabiturn/process/agent/runs/open_orders.py
@@ -123,6 +123,11 @@
         for sent_order in self._find(task, run):
             sent_order.is_spare = True
 
+    def is_any_open(self) -> bool:
+        """Return whether an order may still be carried out."""
+        open_since = self._clock.seconds() - ORDER_LIFETIME_SECONDS
+        return any(each.sent_at > open_since for each in self._sent_orders)
+
     def describe(self) -> OpenOrders:
         """Return the orders that are open, or have expired not long ago.
 
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -13,17 +13,20 @@
 from wasabiturn.messages.batch import WorkerOrders, WorkerReport
 from wasabiturn.messages.kinds import Method
 from wasabiturn.process import exposition
+from wasabiturn.process.agent.runs.contact import (
+    HOLD_RETRY_SECONDS,
+    OPEN_ORDER_RETRY_SECONDS,
+    WorkerContact,
+)
 from wasabiturn.process.agent.runs.hold_delay import (
     HoldDelay,
     has_acknowledged_all,
 )
-from wasabiturn.process.agent.runs.hold_log import HoldLog
 from wasabiturn.process.agent.runs.open_orders import OrderRegistry
 from wasabiturn.process.agent.runs.port import (
     HoldRequest,
     RunListing,
     WorkerIdentity,
-    WorkerNotListeningError,
     WorkerPort,
 )
 from wasabiturn.process.agent.runs.sender import OrderSender
@@ -35,13 +38,11 @@
 HOLD_WAIT_MS = 1000
 # Short, because nothing can start before an incarnation's first listing.
 FIRST_HOLD_WAIT_MS = 50
+# After a hold that failed: its answer tells whether a next life has begun.
+PROBE_HOLD_WAIT_MS = 1
 SHARED_HOLD_WAIT_MS = 500
-HOLD_RETRY_SECONDS = 0.2
-# The first retry after a hold that failed: a crashed worker's port is closed.
-FIRST_HOLD_RETRY_SECONDS = 0.005
 CLOSED_PORT_REPORT_SECONDS = 0.01
 REPORT_TIMEOUT_SECONDS = 1.0
-NO_FENCE = -1
 
 _log = create_component_log('runs')
 
@@ -60,20 +61,16 @@
         self._port = port
         self._calls = calls
         self._clock = clock
-        self._fence = 0
+        self._contact = WorkerContact()
         self._identity: WorkerIdentity | None = None
         self._is_closed = False
         self._is_reporting = False
         self._is_report_due = False
-        self._is_connection_refused = False
         self._is_closed_port_report_due = False
-        self._is_listing_current = False
         self._sent_holds = 0
-        self._hold_log = HoldLog()
         self._hold_delay = HoldDelay(clock, self._send_next_hold)
         self._acknowledged_end = 0
         self._listing: RunListing | None = None
-        self._listing_fence = NO_FENCE
         self._open_orders = OrderRegistry(clock)
         self._sender = self._create_sender()
 
@@ -104,11 +101,11 @@
         Orders of earlier leaders or for other incarnations are ignored.
         """
         identity = self._identity
-        if identity is None or orders.fence < self._fence:
+        if identity is None or orders.fence < self._contact.token.fence:
             return
         if identity.life != (orders.worker, orders.born_ms):
             return
-        if orders.fence > self._fence:
+        if orders.fence > self._contact.token.fence:
             self._follow_fence(orders.fence)
         self._acknowledged_end = max(
             self._acknowledged_end, orders.acknowledged
@@ -143,15 +140,14 @@
     def _begin_incarnation(self) -> None:
         self._hold_delay.cancel()
         self._listing = None
-        self._listing_fence = NO_FENCE
-        self._is_listing_current = False
-        self._is_connection_refused = False
+        self._contact.begin_incarnation()
         self._acknowledged_end = 0
         # Its retries must not reach the new incarnation, which may have its
         # name.
         self._sender.close()
         self._sender = self._create_sender()
-        self._sender.follow_fence(self._fence)
+        token = self._contact.token
+        self._sender.follow_fence(token.fence, token.token)
 
     def _create_sender(self) -> OrderSender:
         return OrderSender(
@@ -164,15 +160,17 @@
         )
 
     def _follow_fence(self, fence: int) -> None:
-        _log.event('follows a new fence', fence=fence, before=self._fence)
-        self._fence = fence
+        self._contact.token.follow(fence)
         self._acknowledged_end = 0
-        self._sender.follow_fence(fence)
+        self._sender.follow_fence(fence, self._contact.token.token)
         self._send_hold(0)
 
     def _send_starts(self) -> None:
-        """Send starts if the worker has listed its runs under this fence."""
-        if self._listing_fence == self._fence:
+        """Send starts if the worker has listed its runs under this token."""
+        if self._contact.is_connection_refused:
+            if self._sender.refuse_unsent_starts():
+                self._handle_closed_port()
+        elif self._contact.has_listed:
             self._sender.send_starts()
 
     def _send_hold(self, wait_ms: int) -> None:
@@ -182,11 +180,11 @@
         self._sent_holds += 1
         self._sender.record_sent_holds(self._sent_holds)
         hold = HoldRequest(
-            fence=self._fence,
+            fence=self._contact.token.token,
             # After a failed hold, a new incarnation may answer this one; the
             # leader has not yet stored the ends of its runs.
             acknowledged=self._acknowledged_end
-            if self._is_listing_current
+            if self._contact.is_listing_current
             else 0,
             lease_until_ms=self._sender.grants.lease_until_ms,
             wait_ms=wait_ms,
@@ -205,21 +203,24 @@
     ) -> None:
         if not _is_same_life(self._identity, identity):
             return
-        self._hold_log.record_answer(identity.worker)
         if listing.born_ms > identity.born_ms:
             # A newer incarnation has the worker's name, but has not announced
             # itself yet.
-            self._is_listing_current = False
             self._sender.close()
-            self._send_hold_later(identity, HOLD_RETRY_SECONDS)
+            if self._contact.take_over(listing.born_ms):
+                self._send_hold(0)
+            if hold.wait_ms:
+                self._send_hold_later(identity, HOLD_RETRY_SECONDS)
             return
         self._sender.grants.record_clock(listing, self._clock.seconds())
         self._open_orders.settle_listed(listing)
-        self._is_connection_refused = False
-        self._is_listing_current = True
-        if _is_newest(listing, hold.fence, self._listing, self._listing_fence):
+        contact = self._contact
+        contact.record_list(identity.worker)
+        if _is_newest(
+            listing, hold.fence, self._listing, contact.listing_token
+        ):
             self._listing = listing
-            self._listing_fence = hold.fence
+            contact.listing_token = hold.fence
             self._sender.apply_listing(listing, hold.number)
         if hold.wait_ms:
             self._continue_holding()
@@ -243,27 +244,22 @@
     ) -> None:
         if not _is_same_life(self._identity, identity):
             return
-        error = failure.value
-        self._hold_log.record_failure(identity.worker, str(error))
-        retry_seconds = (
-            FIRST_HOLD_RETRY_SECONDS
-            if self._is_listing_current
-            else HOLD_RETRY_SECONDS
-        )
-        self._is_listing_current = False
-        self._is_connection_refused = isinstance(error, WorkerNotListeningError)
+        retry_seconds = self._contact.record_failure(identity.worker, failure)
         # A worker that refuses the fence knows a newer leader than this agent
         # does; the reply to a report tells the agent about it.
-        self._send_report()
+        if self._contact.is_report_due(self._clock.seconds()):
+            self._send_report()
         if hold.wait_ms:
             self._send_hold_later(identity, retry_seconds)
-        elif hold.fence == self._fence and self._listing_fence != self._fence:
+        elif (
+            hold.fence == self._contact.token.token
+            and not self._contact.has_listed
+        ):
             self._clock.callLater(HOLD_RETRY_SECONDS, self._send_hold, 0)
 
     def _handle_closed_port(self) -> None:
         """Report that nothing listens, once starts in flight are refused."""
-        self._is_connection_refused = True
-        self._is_listing_current = False
+        self._contact.record_closed_port()
 
         def report() -> None:
             self._is_closed_port_report_due = False
@@ -276,9 +272,15 @@
     def _send_hold_later(
         self, identity: WorkerIdentity, seconds: float
     ) -> None:
+        if (
+            self._contact.is_connection_refused
+            and self._open_orders.is_any_open()
+        ):
+            seconds = min(seconds, OPEN_ORDER_RETRY_SECONDS)
+
         def send_again() -> None:
             if _is_same_life(self._identity, identity):
-                self._send_hold(HOLD_WAIT_MS)
+                self._send_hold(PROBE_HOLD_WAIT_MS)
 
         self._clock.callLater(seconds, send_again)
 
@@ -321,9 +323,9 @@
             accelerators=identity.accelerators,
             leaving=identity.is_draining,
             sequence=identity.sequence,
-            fence=self._listing_fence,
-            listed=listing is not None and self._is_listing_current,
-            refuses=self._is_connection_refused,
+            fence=self._contact.listing_fence(),
+            listed=listing is not None and self._contact.is_listing_current,
+            refuses=self._contact.is_connection_refused,
             running=listing.running if listing else [],
             ended=listing.ended if listing else [],
             truncated=listing is not None and listing.is_truncated,
@@ -344,7 +346,7 @@
         if (
             current is not None
             and current.life == identity.life
-            and orders.fence >= self._fence
+            and orders.fence >= self._contact.token.fence
             and orders.lease_ms
         ):
             grants = self._sender.grants
--- a/wasabiturn/process/agent/runs/sender.py
+++ b/wasabiturn/process/agent/runs/sender.py
@@ -68,9 +68,12 @@
         self._newest_orders = 0
         self._sent_holds = 0
 
-    def follow_fence(self, fence: int) -> None:
-        """Discard the starts that were ordered before ``fence``."""
-        self._channel.fence = fence
+    def follow_fence(self, fence: int, token: int) -> None:
+        """Discard the starts that were ordered before ``fence``.
+
+        ``token`` is the fencing token of the orders to the worker.
+        """
+        self._channel.token = token
         self._newest_orders = 0
         self._ordered_stops.clear()
         self.table.drop_superseded(fence)
@@ -110,6 +113,10 @@
         """Send the queued starts, if the leader has answered recently."""
         self._starts.send_starts()
 
+    def refuse_unsent_starts(self) -> bool:
+        """Refuse the starts that were not sent; return whether any were."""
+        return self._starts.refuse_unsent()
+
     def record_sent_holds(self, sent_holds: int) -> None:
         """Record how many holds were sent, to recognise later listings."""
         self._sent_holds = sent_holds
--- a/wasabiturn/process/agent/runs/start_sender.py
+++ b/wasabiturn/process/agent/runs/start_sender.py
@@ -82,6 +82,16 @@
                 start.is_sent = True
                 self._channel.run(self._send, start)
 
+    def refuse_unsent(self) -> bool:
+        """Refuse the starts that cannot begin, as nothing listens.
+
+        Returns whether there are any.
+        """
+        unsent_starts = self._table.list_without_orders()
+        for unsent in unsent_starts:
+            self._record_refusal(unsent, CLOSED_PORT)
+        return bool(unsent_starts)
+
     def withdraw(self, start: Start) -> None:
         """Refuse a start that was never sent; the worker needs no stop."""
         self._record_refusal(start, 'withdrawn before it was sent')
@@ -119,7 +129,10 @@
         now = self._channel.clock.seconds()
         sent_clock_ms = self._grants.estimate_clock_ms(now)
         sent = self._channel.port.start(
-            identity, start.order, start.fence, self._grants.lease_until_ms
+            identity,
+            start.order,
+            self._channel.token,
+            self._grants.lease_until_ms,
         )
         return sent.addCallbacks(
             self._handle_started,
@@ -212,8 +225,7 @@
             self._retry_later(start)
         else:
             self._record_refusal(start, CLOSED_PORT)
-        for unsent in self._table.list_without_orders():
-            self._record_refusal(unsent, CLOSED_PORT)
+        self.refuse_unsent()
         self._on_closed_port()
 
     def _retry_later(self, start: Start) -> None:
