A start of a declared task names the incarnation of the worker that it is for

Declared tasks: a start says until when it may begin, on the worker's own clock. The interface of our workers now carries the incarnation, and the stand-in refuses others.

Both tests failed before (no such argument, and no refusal). Stand-ins of before ignore the field; they are as exposed as they were.

--- a/tests/connection/test_worker.py
+++ b/tests/connection/test_worker.py
@@ -147,6 +147,18 @@
         harness.wait_for(call)
 
 
+def test_start_for_an_incarnation_that_has_ended_is_refused() -> None:
+    harness = Harness()
+    before = harness.wait_for(harness.client.fetch_listing()).incarnation
+    harness.worker.restart()
+    call = harness.client.start(create_request(0, incarnation=before))
+    with pytest.raises(RefusedByPlatformError, match='incarnation'):
+        harness.wait_for(call)
+    after = harness.wait_for(harness.client.fetch_listing()).incarnation
+    harness.wait_for(harness.client.start(create_request(0, incarnation=after)))
+    assert len(harness.worker.runs.running()) == 1
+
+
 def test_older_attempt_is_refused() -> None:
     harness = Harness()
     harness.wait_for(harness.client.fetch_listing())
--- a/tests/sessions/placement_fakes.py
+++ b/tests/sessions/placement_fakes.py
@@ -283,8 +283,9 @@
             throttle=request.throttle,
             start_until=request.start_until,
             lease_until=request.lease_until,
+            incarnation=request.incarnation,
         )
-        return self._call(lambda: self.worker.runs.start(order))
+        return self._call(lambda: self.worker.start_run(order))
 
     def renew(self, names: list[RunName], until: float) -> Deferred[None]:
         runs = self.worker.runs
--- a/tests/sessions/test_worker_crashes.py
+++ b/tests/sessions/test_worker_crashes.py
@@ -6,6 +6,7 @@
 
 from tests.sessions.placement_fakes import Cluster
 from wasabiturn.messages.kinds import TaskState
+from wasabiturn.standins.worker_runs import RunRefusedError
 
 
 def test_booking_started_before_a_crash_is_not_said_to_have_not_run() -> None:
@@ -22,6 +23,18 @@
     assert cluster.task('book.0').state is TaskState.outcome_unknown
 
 
+def test_order_that_outlives_its_worker_incarnation_begins_nothing() -> None:
+    cluster = Cluster({'w1': 'a'})
+    cluster.advance(2.5)
+    cluster.put_job('cut', idempotent=True, run_seconds=3)
+    cluster.advance(0.5)
+    ((_, run),) = cluster.running()
+    worker = cluster.workers['w1']
+    worker.restart()
+    with pytest.raises(RunRefusedError, match='incarnation'):
+        worker.start_run(run.order)
+
+
 @pytest.mark.parametrize('idempotent', [True, False])
 def test_start_that_never_arrived_is_made_again(idempotent: bool) -> None:
     cluster = Cluster({'w1': 'a'})
--- a/wasabiturn/connection/worker.py
+++ b/wasabiturn/connection/worker.py
@@ -2,7 +2,8 @@
 
 Only this module depends on the format of that interface. Deadlines are sent as
 times of the worker's own clock, so that a request that is delivered late
-neither starts a task late nor extends its lease.
+neither starts a task late nor extends its lease. The clock of a worker that
+restarts may start anew, so a start also names the incarnation that it is for.
 """
 
 import json
@@ -76,6 +77,7 @@
             'throttle': request.throttle,
             'start_until': self._clock.deadline(request.start_until),
             'lease_until': self._clock.deadline(request.lease_until),
+            'incarnation': request.incarnation,
         }
         return self._request('POST', '/v1/runs', body).addCallback(
             _ignore_answer
--- a/wasabiturn/connection/worker_messages.py
+++ b/wasabiturn/connection/worker_messages.py
@@ -67,7 +67,11 @@
 @final
 @attrs.frozen
 class RunRequest:
-    """Run to start; times are in seconds of the reactor of this process."""
+    """Run to start; times are in seconds of the reactor of this process.
+
+    Another ``incarnation`` of the worker than the one named refuses it; an
+    empty one names none.
+    """
 
     task: str
     attempt: int
@@ -80,6 +84,7 @@
     throttle: float
     start_until: float
     lease_until: float
+    incarnation: str = ''
 
 
 @final
--- a/wasabiturn/process/agent/attempt_orders.py
+++ b/wasabiturn/process/agent/attempt_orders.py
@@ -171,7 +171,9 @@
             crashes=len(spec.crashed_workers),
         ),
     )
-    return [StartRun(_create_run_request(order, grant))]
+    request = _create_run_request(order, grant)
+    incarnation = table.worker_incarnation
+    return [StartRun(attrs.evolve(request, incarnation=incarnation))]
 
 
 def _create_run_request(order: Order, grant: _Grant) -> RunRequest:
--- a/wasabiturn/standins/worker.py
+++ b/wasabiturn/standins/worker.py
@@ -85,6 +85,16 @@
         self._usage.clear()
         self.incarnation = uuid4().hex
 
+    def start_run(self, order: RunOrder) -> None:
+        """Start a run, unless the order is for another incarnation.
+
+        Raises:
+            RunRefusedError: the run was not started.
+        """
+        if order.incarnation not in {'', self.incarnation}:
+            raise RunRefusedError('the start is for another incarnation')
+        self.runs.start(order)
+
     def describe(self) -> dict[str, Any]:
         """Return the body of the response to ``GET /v1/state``."""
         self.runs.refresh()
@@ -168,7 +178,7 @@
             case ['v1', 'state']:
                 return self._worker.describe()
             case ['v1', 'runs']:
-                self._runs.start(_converter.structure(payload, RunOrder))
+                self._worker.start_run(_converter.structure(payload, RunOrder))
             case ['v1', 'leases']:
                 self._renew_leases(payload)
             case ['v1', 'runs', task, attempt]:
--- a/wasabiturn/standins/worker_runs.py
+++ b/wasabiturn/standins/worker_runs.py
@@ -36,6 +36,7 @@
     throttle: float = 1.0
     start_until: float = 0.0
     lease_until: float = 0.0
+    incarnation: str = ''
 
 
 @final
