Pass over a late announcement of a backend server's ended incarnation

A backend server that starts again at its address was replaced by a late announcement of the incarnation that had ended: its slots and its leaving counted for the new server, and a server that had left was in use again.

Now an agent remembers which incarnations at an address were replaced. The test failed before for a leaving and for a plain late announcement.

--- a/tests/process/agent/test_late_announcements.py
+++ b/tests/process/agent/test_late_announcements.py
@@ -1,6 +1,7 @@
 """Tests of announcements that arrive after newer ones."""
 
 import attrs
+import pytest
 
 from tests.process.agent.fakes import AgentHarness
 from wasabiturn.ids import ServiceName
@@ -32,3 +33,15 @@
     harness.backends.announce(attrs.evolve(harness.record, leaving=True))
     harness.backends.announce(attrs.evolve(harness.record, incarnation='b2'))
     assert harness.backends.find(SERVICE) is not None
+
+
+@pytest.mark.parametrize('leaving', [True, False])
+def test_late_announcement_of_an_ended_incarnation_changes_nothing(
+    leaving: bool,
+) -> None:
+    harness = AgentHarness()
+    successor = attrs.evolve(harness.record, incarnation='b2', slots=9)
+    harness.backends.announce(successor)
+    harness.backends.announce(attrs.evolve(harness.record, leaving=leaving))
+    assert harness.backends.records() == [successor]
+    assert harness.backends.find(SERVICE) is not None
--- a/wasabiturn/process/agent/local_backend.py
+++ b/wasabiturn/process/agent/local_backend.py
@@ -1,5 +1,6 @@
 """One backend server that has announced itself, and its requests."""
 
+from collections import deque
 from collections.abc import Callable
 from typing import Any, final
 
@@ -42,12 +43,18 @@
 MILLISECONDS = 1000
 # How long after an announcement of leaving an older one may still arrive.
 LATE_ANNOUNCEMENT_SECONDS = 2.0
+# How many replaced incarnations are remembered.
+MAX_FORMER_INCARNATIONS = 16
 P95 = 0.95
 P99 = 0.99
 
 _log = create_component_log('admission')
 
 
+def _create_former() -> deque[str]:
+    return deque(maxlen=MAX_FORMER_INCARNATIONS)
+
+
 @final
 @attrs.define(eq=False)
 class LocalBackend:
@@ -71,6 +78,8 @@
     expired: bool = False
     # When leaving was last announced.
     left_at: float = 0.0
+    # Those that a newer one at the address has replaced.
+    former_incarnations: deque[str] = attrs.field(factory=_create_former)
     on_change: list[Callable[[], None]] = attrs.field(factory=list)
     requests_by_ticket: dict[Ticket, ServedRequest] = attrs.field(factory=dict)
 
@@ -172,7 +181,13 @@
         )
 
     def is_outdated(self, record: BackendRecord, now: float) -> bool:
-        """Return whether an announcement may be older than that of leaving."""
+        """Return whether an announcement may be older than the newest.
+
+        It is from an incarnation that another one has replaced, or may have
+        been sent before that of leaving.
+        """
+        if record.incarnation in self.former_incarnations:
+            return True
         if record.leaving or record.incarnation != self.record.incarnation:
             return False
         seconds_since = now - self.left_at
@@ -182,6 +197,9 @@
         """Apply a repeated announcement of this backend server."""
         if record.incarnation != self.record.incarnation or record.leaving:
             self.pool.close_idle()
+        former = self.record.incarnation
+        if former and record.incarnation != former:
+            self.former_incarnations.append(former)
         self.record = record
         if record.leaving:
             self.left_at = now
