A new leader counts the lifetime of an order from when it was sent

Cause: nothing stored says when the last order was sent. Now the state has a clock: each change carries the time of its leader, and an instance that applies one counts on from there, so it is never ahead. Ends and settled starts carry for how long yet an order may be carried out, and the state until when, on that clock. Ends of leaders of before have no such time: bound for a whole lifetime, as before.

test_new_leader_does_not_count_the_lifetime_of_an_order_anew failed before. One line of test_open_orders changed: an unsettled start is stored as such, with its time.

--- a/tests/batch/test_bindings.py
+++ b/tests/batch/test_bindings.py
@@ -31,6 +31,7 @@
 from wasabiturn.batch.jobs import Part
 from wasabiturn.batch.planning import plan_moves
 from wasabiturn.batch.ranking import create_ranking
+from wasabiturn.batch.state_clock import StateClock
 from wasabiturn.messages.batch import (
     BatchChange,
     BatchDump,
@@ -144,7 +145,8 @@
 
 def test_new_leader_binds_a_task_for_a_whole_lifetime() -> None:
     fleet = create_fleet()
-    restore_bindings(fleet, create_bound_state(step(1)), now=3)
+    state_clock = StateClock(noted_at=0)
+    restore_bindings(fleet, create_bound_state(step(1)), state_clock, now=3)
     assert fleet.bound_until_by_task == {TASK: 3 + ORDER_LIFETIME_SECONDS}
 
 
--- a/tests/batch/test_open_orders.py
+++ b/tests/batch/test_open_orders.py
@@ -17,6 +17,7 @@
     OpenOrder,
     OpenOrders,
     RunningRow,
+    SettledStart,
 )
 from wasabiturn.messages.kinds import RunEnding, StartOutcome
 from wasabiturn.messages.limits import ORDER_LIFETIME_SECONDS
@@ -114,10 +115,12 @@
     worker = open_worker(create_fleet())
     report = report_of(worker, results=[STARTED], open_orders=account_of(10))
     apply_report(worker, report, now=5)
-    assert not find_settled_starts(worker, now=5)
+    (open_start,) = find_settled_starts(worker, now=5)
+    assert open_start.open_ms > 0
     report = report_of(worker, open_orders=account_of())
     apply_report(worker, report, now=6)
-    assert [each.task for each in find_settled_starts(worker, now=6)] == [TASK]
+    settled = SettledStart(task=TASK, run=1)
+    assert find_settled_starts(worker, now=6) == [settled]
 
 
 def test_agent_of_an_earlier_version_is_believed_its_results() -> None:
--- a/tests/process/control/test_pipeline.py
+++ b/tests/process/control/test_pipeline.py
@@ -8,6 +8,7 @@
 
 from tests.batch.jobs_fakes import accept, end, start, step
 from wasabiturn.batch import BatchState, apply_batch_change, dump_batch_state
+from wasabiturn.batch.state_clock import StateClock
 from wasabiturn.messages.batch import (
     BatchChange,
     DataCentreMark,
@@ -38,6 +39,7 @@
         replica=fake_replica,
         clock=clock,
         batch_state=BatchState(),
+        state_clock=StateClock(noted_at=0),
         on_flush=lambda: None,
         on_commit=lambda change: None,
         on_failure=lambda: None,
--- a/tests/sessions/test_bound_tasks.py
+++ b/tests/sessions/test_bound_tasks.py
@@ -126,6 +126,22 @@
     start_run_elsewhere(fleet, fleet.clock.seconds())
 
 
+def test_new_leader_does_not_count_the_lifetime_of_an_order_anew() -> None:
+    fleet = BatchFleet(workers=2)
+    agent = start_with_faults(fleet, Fault.late)
+    fleet.run(LATE_SECONDS)
+    assert find_starts(fleet) == [(1, 'worker-1')]
+    # The newest change tells the time, as there are no other instances here.
+    fleet.submit('b', [create_step(1)])
+    agent.is_partitioned = True
+    agent.worker.crash()
+    fleet.change_leader(1)
+    # What is left of the lifetime, and a lease of the new leader.
+    fleet.run(ORDER_LIFETIME_SECONDS - LATE_SECONDS + LEASE_SECONDS)
+    fleet.run(REACTION_SECONDS)
+    assert fleet.find_workers_by_task()[TASK] == ['worker-2']
+
+
 def test_new_leader_keeps_a_bound_task_from_a_second_run() -> None:
     fleet = BatchFleet(workers=2)
     agent = bind_revoked_start(fleet)
--- a/wasabiturn/batch/apply.py
+++ b/wasabiturn/batch/apply.py
@@ -26,6 +26,7 @@
 
 def apply_batch_change(batch_state: BatchState, change: BatchChange) -> None:
     """Apply one change, in the order of its fields."""
+    batch_state.clock_ms = max(batch_state.clock_ms, change.clock_ms)
     if change.routing is not None:
         _apply_routing(batch_state, change.routing)
     for mark in change.marks:
@@ -90,7 +91,9 @@
         return
     if start.worker != task.worker:
         task.is_bound = False
+        task.bound_until_ms = 0
     task.is_settled = False
+    task.orders_end_ms = 0
     task.run = start.run
     task.worker = start.worker
     task.born_ms = start.born_ms
@@ -102,7 +105,11 @@
 
 def _settle_start(batch_state: BatchState, settled: SettledStart) -> None:
     task = batch_state.active_by_name.get(settled.task)
-    if task is not None and task.run == settled.run:
+    if task is None or task.run != settled.run:
+        return
+    if settled.open_ms:
+        task.orders_end_ms = batch_state.clock_ms + settled.open_ms
+    else:
         task.is_settled = True
 
 
@@ -112,7 +119,8 @@
         return
     is_newest = end.run == task.run
     if is_newest and task.state is BatchTaskState.active:
-        task.is_bound = task.is_bound or end.has_open_order
+        if end.has_open_order:
+            _bind(batch_state, task, end)
         batch_state.end_run(task)
     elif is_newest and _is_late_completion(task, end):
         task.job.waiting_tasks -= 1
@@ -130,6 +138,14 @@
         finish_or_requeue(batch_state, task, end)
 
 
+def _bind(batch_state: BatchState, task: Task, end: EndRun) -> None:
+    # Leaders of earlier versions did not tell for how long.
+    is_unknown = not end.open_ms or (task.is_bound and not task.bound_until_ms)
+    until_ms = max(task.bound_until_ms, batch_state.clock_ms + end.open_ms, 1)
+    task.is_bound = True
+    task.bound_until_ms = 0 if is_unknown else until_ms
+
+
 def _is_late_completion(task: Task, end: EndRun) -> bool:
     """Return whether a run that was declared lost did complete."""
     is_waiting = task.state is BatchTaskState.waiting
--- a/wasabiturn/batch/bindings.py
+++ b/wasabiturn/batch/bindings.py
@@ -6,8 +6,9 @@
 While there may be such an order for a task, the task starts at this name only:
 there a new incarnation has lost all newer runs of the task as well.
 
-The leader knows until when a task is bound. The replicated state has only that
-it was, so a new leader binds it for the whole lifetime of an order.
+The replicated state has until when a task is bound, on a clock of its own. A
+leader of an earlier version stored only that it is; then a new one binds it for
+the whole lifetime of an order.
 """
 
 from collections.abc import Iterator
@@ -16,6 +17,7 @@
 from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.placing import create_start
 from wasabiturn.batch.state import BatchState
+from wasabiturn.batch.state_clock import StateClock
 from wasabiturn.messages.batch import StartRun
 from wasabiturn.messages.kinds import BatchTaskState
 from wasabiturn.messages.limits import ORDER_LIFETIME_SECONDS
@@ -35,11 +37,20 @@
     fleet.bound_until_by_task[task.name] = max(until, known_until)
 
 
-def restore_bindings(fleet: Fleet, batch_state: BatchState, now: float) -> None:
+def restore_bindings(
+    fleet: Fleet,
+    batch_state: BatchState,
+    state_clock: StateClock,
+    now: float,
+) -> None:
     """Bind the tasks that were bound under an earlier leader."""
     for task in batch_state.tasks_by_name.values():
-        if task.is_bound:
-            bind_task(fleet, task, UNKNOWN, now)
+        if not task.is_bound:
+            continue
+        until = UNKNOWN
+        if task.bound_until_ms:
+            until = state_clock.to_loop(task.bound_until_ms, now)
+        bind_task(fleet, task, until, now)
 
 
 def release_tasks(
--- a/wasabiturn/batch/dump.py
+++ b/wasabiturn/batch/dump.py
@@ -16,6 +16,7 @@
         out_data_centres=sorted(batch_state.out_data_centres),
         jobs=[_dump_job(job) for job in batch_state.jobs_by_id.values()],
         pressures=list(batch_state.pressures),
+        clock_ms=batch_state.clock_ms,
     )
 
 
@@ -25,6 +26,7 @@
         routing=dump.routing,
         out_data_centres=set(dump.out_data_centres),
         pressures=list(dump.pressures),
+        clock_ms=dump.clock_ms,
     )
     for record in dump.jobs:
         _load_job(batch_state, record)
@@ -61,6 +63,8 @@
         is_suspect=task.is_suspect,
         late_crashes=task.late_crashes,
         worked_ms=task.worked_ms,
+        bound_until_ms=task.bound_until_ms,
+        orders_end_ms=task.orders_end_ms,
     )
 
 
@@ -92,6 +96,8 @@
     task.crashes = record.crashes
     task.late_crashes = record.late_crashes
     task.worked_ms = record.worked_ms
+    task.bound_until_ms = record.bound_until_ms
+    task.orders_end_ms = record.orders_end_ms
     if record.is_suspect:
         batch_state.mark_suspect(task)
     if record.state is BatchTaskState.active:
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -13,6 +13,7 @@
 
 from wasabiturn.batch.isolation_state import IsolationState
 from wasabiturn.batch.jobs import Job, Task
+from wasabiturn.batch.state_clock import StateClock
 from wasabiturn.messages.batch import (
     BatchChange,
     RunningRow,
@@ -27,6 +28,7 @@
 
 NEVER = float('-inf')
 UNKNOWN = float('inf')
+_MS = 1000
 # Share of its declared CPU that a lasting task is expected to use.
 LASTING_CPU_USE = 0.55
 # Jobs that end while idle are not removed one by one; above this number all
@@ -75,6 +77,16 @@
         """
         return self.is_ordered and now < self.orders_end_at + LATE_RUN_SECONDS
 
+    def open_ms(self, now: float) -> int:
+        """Return for how long yet orders for the run may be carried out.
+
+        Negative if they have expired, 0 if all were answered.
+        """
+        if not self.may_have_late_run(now):
+            return 0
+        until = min(self.orders_end_at, now + ORDER_LIFETIME_SECONDS)
+        return int((until - now) * _MS) or 1
+
     def confirm(self, now: float) -> None:
         """Record that the run has started; no further order is sent."""
         self.is_confirmed = True
@@ -312,11 +324,11 @@
             for allocation in worker.allocations_by_task.values():
                 allocation.pace_ordered_at = now
 
-    def mark_inherited(self) -> None:
+    def mark_inherited(self, state_clock: StateClock, now: float) -> None:
         """Mark the runs that an earlier leader has started.
 
-        Where the state does not tell that their orders were answered, this
-        leader does not know which are open.
+        Where the state does not tell until when orders for them are open, this
+        leader does not know.
         """
         for worker in self.workers_by_incarnation.values():
             for allocation in worker.allocations_by_task.values():
@@ -324,6 +336,10 @@
                 allocation.is_ordered = True
                 if allocation.task.is_settled:
                     allocation.settle_orders()
+                elif allocation.task.orders_end_ms:
+                    allocation.orders_end_at = state_clock.to_loop(
+                        allocation.task.orders_end_ms, now
+                    )
 
     def worker_of(self, task: Task) -> Worker | None:
         """Return the worker incarnation with the newest run of a task."""
--- a/wasabiturn/batch/jobs.py
+++ b/wasabiturn/batch/jobs.py
@@ -36,6 +36,10 @@
     checkpoint: str = ''
     is_bound: bool = False
     is_settled: bool = False
+    # When the binding, and orders for the newest run, expire on the clock of
+    # the state; 0 if that is not known.
+    bound_until_ms: int = 0
+    orders_end_ms: int = 0
     # An older run than the newest has ended ``done``.
     is_completed: bool = False
     # Newest run of which a failure was counted.
--- a/wasabiturn/batch/lost_runs.py
+++ b/wasabiturn/batch/lost_runs.py
@@ -79,6 +79,7 @@
         ending=RunEnding.lost,
         checkpoint=_checkpoint_of(allocation),
         has_open_order=allocation.has_open_order(now),
+        open_ms=allocation.open_ms(now),
         crash_role=allocation.crash_role,
         worked_ms=allocation.worked_ms,
     )
@@ -91,6 +92,7 @@
         run=allocation.run,
         ending=RunEnding.not_started,
         has_open_order=allocation.has_open_order(now),
+        open_ms=allocation.open_ms(now),
     )
 
 
--- a/wasabiturn/batch/open_orders.py
+++ b/wasabiturn/batch/open_orders.py
@@ -57,14 +57,25 @@
 def find_settled_starts(worker: Worker, now: float) -> list[SettledStart]:
     """Return the runs that the state does not have as settled yet."""
     return [
-        SettledStart(task=allocation.task.name, run=allocation.run)
+        _create_settled(allocation, now)
         for allocation in worker.allocations_by_task.values()
         if allocation.is_confirmed
         and not allocation.task.is_settled
-        and not allocation.may_have_late_run(now)
+        and (
+            not allocation.may_have_late_run(now)
+            or not allocation.task.orders_end_ms
+        )
     ]
 
 
+def _create_settled(allocation: Allocation, now: float) -> SettledStart:
+    return SettledStart(
+        task=allocation.task.name,
+        run=allocation.run,
+        open_ms=allocation.open_ms(now),
+    )
+
+
 def read_account(report: WorkerReport, now: float) -> OrderAccount | None:
     """Return what a report that arrives at ``now`` tells of open orders.
 
--- a/wasabiturn/batch/reports.py
+++ b/wasabiturn/batch/reports.py
@@ -127,6 +127,7 @@
         checkpoint=row.checkpoint,
         has_open_order=allocation is not None
         and allocation.has_open_order(now),
+        open_ms=allocation.open_ms(now) if allocation else 0,
     )
 
 
--- a/wasabiturn/batch/state.py
+++ b/wasabiturn/batch/state.py
@@ -28,6 +28,8 @@
     active_by_name: dict[str, Task] = attrs.field(factory=dict)
     suspects_by_name: dict[str, Task] = attrs.field(factory=dict)
     pressures: list[PressureRecord] = attrs.field(factory=list)
+    # See ``state_clock.py``.
+    clock_ms: int = 0
     on_start: Callable[[Task], None] | None = None
     on_end: Callable[[Task], None] | None = None
 
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -104,7 +104,11 @@
 @final
 @attrs.define
 class EndRun:
-    """Record how a run ended."""
+    """Record how a run ended.
+
+    ``open_ms`` is how long an open order may yet be carried out; it is
+    negative if that has expired.
+    """
 
     task: str = ''
     run: int = 0
@@ -115,16 +119,21 @@
         default=CrashRole.none, converter=CrashRole
     )
     worked_ms: int = 0
+    open_ms: int = 0
 
 
 @bind(_idl)
 @final
 @attrs.define
 class SettledStart:
-    """Record that all orders to start a run were answered."""
+    """Record that a run has begun, and no more orders for it are sent.
+
+    One may begin it again for ``open_ms`` yet; 0 if all were answered.
+    """
 
     task: str = ''
     run: int = 0
+    open_ms: int = 0
 
 
 @bind(_idl)
@@ -204,6 +213,7 @@
     settled: list[SettledStart] = attrs.field(factory=list)
     give_ups: list[GiveUp] = attrs.field(factory=list)
     cleared: list[str] = attrs.field(factory=list)
+    clock_ms: int = 0
 
 
 @bind(_idl)
@@ -230,6 +240,8 @@
     is_suspect: bool = False
     late_crashes: int = 0
     worked_ms: int = 0
+    bound_until_ms: int = 0
+    orders_end_ms: int = 0
 
 
 @bind(_idl)
@@ -253,6 +265,7 @@
     out_data_centres: list[str] = attrs.field(factory=list)
     jobs: list[JobRecord] = attrs.field(factory=list)
     pressures: list[PressureRecord] = attrs.field(factory=list)
+    clock_ms: int = 0
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -64,12 +64,14 @@
   5: bool has_open_order,   // an order to start it may still be carried out
   6: i32 crash_role,        // CrashRole
   7: i32 worked_ms,         // how long the run had worked at the crash
+  8: i32 open_ms,           // for how long yet; negative: expired so long ago
 }
 
-// A run that has begun and that no order can begin again.
+// A run that has begun, so that no more orders for it are sent.
 struct SettledStart {
   1: string task,
   2: i64 run,
+  3: i32 open_ms,           // how long one may yet begin it again; 0: none can
 }
 
 // Gives a task up for the crashes of the workers that ran it; its job fails.
@@ -120,6 +122,7 @@
   9: list<GiveUp> give_ups,
   10: list<SettledStart> settled, // independent of the other fields
   11: list<string> cleared, // tasks that are no suspects any more
+  12: i64 clock_ms,         // clock of the state, of the leader
 }
 
 struct TaskRecord {
@@ -139,6 +142,8 @@
   14: i64 failed_run,       // newest run of which a failure was counted
   15: i32 late_crashes,     // those of the crashes before which a run had worked
   16: i32 worked_ms,        // how long the run had worked at the newest crash
+  17: i64 bound_until_ms,   // clock of the state; 0: not known
+  18: i64 orders_end_ms,    // likewise, of orders for the newest run
 }
 
 struct JobRecord {
@@ -152,6 +157,7 @@
   2: list<string> out_data_centres,
   3: list<JobRecord> jobs,
   4: list<PressureRecord> pressures,
+  5: i64 clock_ms,          // clock of the state
 }
 
 // Calls of entries and operators to the leader.
--- a/wasabiturn/process/control/batch/leader.py
+++ b/wasabiturn/process/control/batch/leader.py
@@ -18,6 +18,7 @@
 from wasabiturn.messages import batch as messages
 from wasabiturn.messages.kinds import FailureCode, Method
 from wasabiturn.messages.link import Nothing
+from wasabiturn.process.control.batch.clock_follower import ClockFollower
 from wasabiturn.process.control.batch.job_calls import JobCallHandler
 from wasabiturn.process.control.batch.leader_term import LeaderTerm
 from wasabiturn.process.control.batch.starts import wall_clock_ms
@@ -51,6 +52,7 @@
         self._leader_term: LeaderTerm | None = None
         self._is_taking_over = False
         self._newest_fence = 0
+        self._clock_follower = ClockFollower(replica, self._clock)
         self._ticker = Ticker(self._tick, context.reactor)
         self._register_handlers(dispatch)
         replica.on_restored.append(self._stop_leading)
@@ -127,6 +129,7 @@
             self._leader_term = LeaderTerm(
                 replica=self._replica,
                 clock=self._clock,
+                state_clock=self._clock_follower.take_clock(),
                 lease_ms=self._lease_ms,
                 fence=next_fence(
                     self._replica.member_status().term, self._newest_fence
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -13,6 +13,7 @@
 )
 from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.lost_runs import find_expired_workers, give_up_runs
+from wasabiturn.batch.state_clock import StateClock
 from wasabiturn.connection.link import Link
 from wasabiturn.messages.batch import (
     BatchChange,
@@ -56,6 +57,7 @@
         self,
         replica: Replica,
         clock: Any,
+        state_clock: StateClock,
         lease_ms: int,
         fence: int,
         on_failure: Callable[[], None],
@@ -75,8 +77,8 @@
         for task in batch_state.active_by_name.values():
             self._reserve_capacity(task)
             self._committed_starts.add((task.name, task.run))
-        self.fleet.mark_inherited()
-        restore_bindings(self.fleet, batch_state, now)
+        self.fleet.mark_inherited(state_clock, now)
+        restore_bindings(self.fleet, batch_state, state_clock, now)
         self.fleet.invalidate_paces(now)
         self.interference = restore_interference(batch_state.pressures, now)
         self._forecasts = Forecasts(self.interference)
@@ -87,6 +89,7 @@
             replica=replica,
             clock=clock,
             batch_state=batch_state,
+            state_clock=state_clock,
             on_flush=self._plan,
             on_commit=self._notify_agents,
             on_failure=on_failure,
--- a/wasabiturn/process/control/batch/pipeline.py
+++ b/wasabiturn/process/control/batch/pipeline.py
@@ -15,6 +15,7 @@
 from twisted.python.failure import Failure
 
 from wasabiturn.batch import BatchState, apply_batch_change
+from wasabiturn.batch.state_clock import StateClock
 from wasabiturn.connection.calls import CallError
 from wasabiturn.messages.batch import BatchChange
 from wasabiturn.messages.kinds import FailureCode
@@ -24,6 +25,8 @@
 from wasabiturn.utils.logs import create_component_log
 from wasabiturn.version.replica import Replica
 
+_UNORDERED_FIELDS = frozenset(('settled', 'clock_ms'))
+
 _log = create_component_log('queues')
 
 
@@ -44,6 +47,7 @@
         replica: Replica,
         clock: Any,
         batch_state: BatchState,
+        state_clock: StateClock,
         on_flush: Callable[[], None],
         on_commit: Callable[[BatchChange], None],
         on_failure: Callable[[], None],
@@ -59,6 +63,7 @@
         self._on_flush = on_flush
         self._on_commit = on_commit
         self._on_failure = on_failure
+        self._state_clock = state_clock
         self._batch = _Batch()
         self._flush_call: Any = None
 
@@ -85,6 +90,8 @@
 
     def add_to_next(self, change: BatchChange) -> None:
         """Apply ``change`` and commit it with the next one that is flushed."""
+        if change != BatchChange():
+            change.clock_ms = self._state_clock.read(self._clock.seconds())
         apply_batch_change(self.batch_state, change)
         _merge_change(self._batch.change, change)
 
@@ -158,6 +165,7 @@
     merged.settled.extend(change.settled)
     merged.give_ups.extend(change.give_ups)
     merged.cleared.extend(change.cleared)
+    merged.clock_ms = max(merged.clock_ms, change.clock_ms)
 
 
 def _can_merge(merged: BatchChange, change: BatchChange) -> bool:
@@ -173,12 +181,13 @@
     """Return the positions of the fields that are set, ascending.
 
     Settled starts matter at none: they are read for active runs only, and the
-    next start of a task resets them.
+    next start of a task resets them. Nor does the clock, which only grows.
     """
     names = [field.name for field in attrs.fields(BatchChange)]
-    names.remove('settled')
     return [
-        position for position, name in enumerate(names) if getattr(change, name)
+        position
+        for position, name in enumerate(names)
+        if name not in _UNORDERED_FIELDS and getattr(change, name)
     ]
 
 
