A run that an earlier leader had just started may have crashed its worker

The state now tells whether an earlier leader knew that a run had begun (settled, or the time until when orders are open). One that did not is a possible cause.

--- a/tests/batch/test_crashes.py
+++ b/tests/batch/test_crashes.py
@@ -119,14 +119,30 @@
     assert not crash.suspects
 
 
-def test_run_of_an_earlier_leader_is_no_cause() -> None:
+@pytest.mark.parametrize(
+    ('is_settled', 'orders_end_ms'), [(True, 0), (False, 5000)]
+)
+def test_run_that_began_under_an_earlier_leader_is_no_cause(
+    is_settled: bool, orders_end_ms: int
+) -> None:
     batch_state, worker = create_state(1), create_worker('w')
-    add_run(worker, batch_state.tasks_by_name['j.0.0.0'])
+    task = batch_state.tasks_by_name['j.0.0.0']
+    add_run(worker, task)
+    task.is_settled = is_settled
+    task.orders_end_ms = orders_end_ms
     worker.allocations_by_task['j.0.0.0'].is_inherited = True
     crash, _ = judge(worker)
     assert not crash.suspects
 
 
+def test_run_that_an_earlier_leader_had_just_started_is_a_suspect() -> None:
+    batch_state, worker = create_state(1), create_worker('w')
+    add_run(worker, batch_state.tasks_by_name['j.0.0.0'])
+    worker.allocations_by_task['j.0.0.0'].is_inherited = True
+    crash, _ = judge(worker)
+    assert [each.task for each in crash.suspects] == ['j.0.0.0']
+
+
 def test_run_counts_as_proven_up_to_when_its_agent_was_heard() -> None:
     batch_state, worker = create_state(1), create_worker('w')
     add_runs(worker, batch_state, t0=5)
--- a/wasabiturn/batch/crashes.py
+++ b/wasabiturn/batch/crashes.py
@@ -164,10 +164,12 @@
 def _is_possible(allocation: Allocation) -> bool:
     """Return whether a run without confirmation may have crashed its worker.
 
-    Most runs of an earlier leader had worked for long.
+    One of an earlier leader may have if that leader did not store that it had
+    begun, which it does within moments.
     """
+    task = allocation.task
     if allocation.is_inherited:
-        return allocation.task.is_suspect
+        return task.is_suspect or not task.is_known_to_have_begun
     return allocation.is_ordered
 
 
--- a/wasabiturn/batch/jobs.py
+++ b/wasabiturn/batch/jobs.py
@@ -62,6 +62,11 @@
         """Return the step that declares the task."""
         return self.part.step
 
+    @property
+    def is_known_to_have_begun(self) -> bool:
+        """Return whether it is stored that the newest run has begun."""
+        return self.is_settled or self.orders_end_ms > 0
+
     def is_resumed_by(self, start: StartRun) -> bool:
         """Return whether an open order has begun the newest run again.
 
