An agent revokes open orders in a next life that refuses its holds

Now the agent then sends a stop for each run with an open order to an earlier life: it prevents that run from starting there, and carries the token.

--- a/tests/sessions/batch_fakes.py
+++ b/tests/sessions/batch_fakes.py
@@ -58,6 +58,7 @@
 from wasabiturn.process.agent.runs import RunReconciler
 from wasabiturn.process.agent.runs.port import (
     HoldRequest,
+    OrderRefusedError,
     RunListing,
     WorkerIdentity,
 )
@@ -194,6 +195,8 @@
         self._worker = worker
         self._gate = gate
         self._is_closed = False
+        # The worker answers stops with an error.
+        self.refuses_stops = False
 
     def close(self) -> None:
         self._is_closed = True
@@ -226,6 +229,8 @@
     def stop(
         self, identity: WorkerIdentity, order: StopOrder, fence: int
     ) -> Deferred[None]:
+        if self.refuses_stops:
+            return fail(OrderRefusedError('status 503'))
         return self._send(self._worker.stop, identity, order, fence)
 
     def pace(
@@ -280,6 +285,15 @@
         clock = GatedClock(self._fleet.clock, self.gate)
         return RunReconciler(self._port, self, clock)
 
+    def refuse_control(self) -> None:
+        """Have the worker refuse what would keep late orders away."""
+        self.worker.refuses_holds = True
+        self._port.refuses_stops = True
+
+    def accept_control(self) -> None:
+        self.worker.refuses_holds = False
+        self._port.refuses_stops = False
+
     def announce_draining(self) -> None:
         identity = self.worker.identity
         self.worker.identity = attrs.evolve(identity, is_draining=True)
--- a/tests/sessions/test_bound_tasks.py
+++ b/tests/sessions/test_bound_tasks.py
@@ -366,7 +366,7 @@
     fleet.run(LATE_SECONDS)
     agent = start_with_faults(fleet, Fault.late)
     agent.worker.keeps_late_orders = True
-    agent.worker.refuses_holds = True
+    agent.refuse_control()
     agent.worker.start_incarnation()
     agent.announce()
     fleet.run(LATE_SECONDS + 0.5)
--- a/wasabiturn/process/agent/runs/open_orders.py
+++ b/wasabiturn/process/agent/runs/open_orders.py
@@ -114,6 +114,10 @@
             else:
                 self.record_successor_answer(oldest)
 
+    def _is_open(self, sent_order: SentOrder) -> bool:
+        now = float(self._clock.seconds())
+        return now < sent_order.sent_at + ORDER_LIFETIME_SECONDS
+
     def _find(self, task: str, run: int) -> Iterator[SentOrder]:
         for sent_order in self._sent_orders:
             if (sent_order.task, sent_order.run) == (task, run):
@@ -125,8 +129,19 @@
 
     def is_any_open(self) -> bool:
         """Return whether an order may still be carried out."""
-        open_since = self._clock.seconds() - ORDER_LIFETIME_SECONDS
-        return any(each.sent_at > open_since for each in self._sent_orders)
+        return any(map(self._is_open, self._sent_orders))
+
+    def list_outlived_runs(
+        self, identity: WorkerIdentity
+    ) -> set[tuple[str, int]]:
+        """Return the runs with open orders to earlier lives of a name."""
+        return {
+            (each.task, each.run)
+            for each in self._sent_orders
+            if self._is_open(each)
+            and each.worker == identity.worker
+            and each.born_ms != identity.born_ms
+        }
 
     def describe(self) -> OpenOrders:
         """Return the orders that are open, or have expired not long ago.
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -23,8 +23,10 @@
     has_acknowledged_all,
 )
 from wasabiturn.process.agent.runs.open_orders import OrderRegistry
+from wasabiturn.process.agent.runs.order_revoker import OrderRevoker
 from wasabiturn.process.agent.runs.port import (
     HoldRequest,
+    OrderRefusedError,
     RunListing,
     WorkerIdentity,
     WorkerPort,
@@ -72,6 +74,7 @@
         self._acknowledged_end = 0
         self._listing: RunListing | None = None
         self._open_orders = OrderRegistry(clock)
+        self._revoker = OrderRevoker(port, self._open_orders)
         self._sender = self._create_sender()
 
     def announce(self, identity: WorkerIdentity) -> None:
@@ -245,6 +248,8 @@
         if not _is_same_life(self._identity, identity):
             return
         retry_seconds = self._contact.record_failure(identity.worker, failure)
+        if failure.check(OrderRefusedError) and not self._contact.has_listed:
+            self._revoker.revoke(identity, self._contact.token.token)
         # A worker that refuses the fence knows a newer leader than this agent
         # does; the reply to a report tells the agent about it.
         if self._contact.is_report_due(self._clock.seconds()):
