--- a/tests/process/agent/test_fencing_token.py
+++ b/tests/process/agent/test_fencing_token.py
@@ -19,7 +19,7 @@
     token.follow(FENCE)
     for _ in range(2 * FENCE_STEP):
         token.raise_own('test')
-    assert token.token == FENCE + FENCE_STEP - 1
+    assert token.value == FENCE + FENCE_STEP - 1
 
 
 def test_token_rises_though_a_leader_leaves_none_between() -> None:
@@ -27,17 +27,17 @@
     token.follow(FENCE)
     token.raise_own('test')
     token.raise_own('test')
-    before = token.token
+    before = token.value
     token.follow(FENCE + 1)
-    assert token.token > before
-    assert token.fence_of(token.token) == FENCE + 1
+    assert token.value > before
+    assert token.fence_of(token.value) == FENCE + 1
     assert token.fence_of(before) is None
 
 
 def test_list_under_an_older_token_of_the_agent_allows_no_start() -> None:
     contact = WorkerContact()
     contact.token.follow(FENCE)
-    contact.listing_token = contact.token.token
+    contact.listing_token = contact.token.value
     assert contact.has_listed
     contact.record_closed_port()
     assert not contact.has_listed
@@ -49,13 +49,13 @@
     contact.token.follow(FENCE)
     assert contact.take_over(born_ms=5)
     assert not contact.take_over(born_ms=5)
-    assert contact.token.token == FENCE + 1
+    assert contact.token.value == FENCE + 1
 
 
 def test_list_of_an_earlier_fence_is_not_that_of_the_newest() -> None:
     contact = WorkerContact()
     contact.token.follow(FENCE)
-    contact.listing_token = contact.token.token
+    contact.listing_token = contact.token.value
     contact.token.follow(FENCE + FENCE_STEP)
     assert contact.listing_fence() == NO_FENCE
 
--- a/wasabiturn/process/agent/runs/channel.py
+++ b/wasabiturn/process/agent/runs/channel.py
@@ -8,6 +8,7 @@
 from twisted.python.failure import Failure
 
 from wasabiturn.messages.batch import PaceOrder, StopOrder
+from wasabiturn.process.agent.runs.fencing_token import FencingToken
 from wasabiturn.process.agent.runs.open_orders import OrderRegistry
 from wasabiturn.process.agent.runs.port import WorkerIdentity, WorkerPort
 from wasabiturn.utils.logs import create_component_log
@@ -34,7 +35,7 @@
     port: WorkerPort
     clock: Any
     open_orders: OrderRegistry
-    token: int = 0
+    token: FencingToken
     identity: WorkerIdentity | None = None
     is_closed: bool = False
     _semaphore: DeferredSemaphore = attrs.field(factory=_create_semaphore)
@@ -60,11 +61,15 @@
         self, identity: WorkerIdentity, order: StopOrder
     ) -> Deferred[None]:
         """Stop a run, or prevent it from ever starting."""
-        return self.run(lambda: self.port.stop(identity, order, self.token))
+        return self.run(
+            lambda: self.port.stop(identity, order, self.token.value)
+        )
 
     def send_pace(self, identity: WorkerIdentity, order: PaceOrder) -> None:
         """Throttle a run; a failure is logged."""
-        sent = self.run(lambda: self.port.pace(identity, order, self.token))
+        sent = self.run(
+            lambda: self.port.pace(identity, order, self.token.value)
+        )
         sent.addErrback(log_order_failure)
 
 
--- a/wasabiturn/process/agent/runs/contact.py
+++ b/wasabiturn/process/agent/runs/contact.py
@@ -39,7 +39,7 @@
     @property
     def has_listed(self) -> bool:
         """Return whether there is a list under the present token."""
-        return self.listing_token == self.token.token
+        return self.listing_token == self.token.value
 
     def begin_incarnation(self) -> None:
         """Forget the list of the life before, and make its orders void."""
--- a/wasabiturn/process/agent/runs/fencing_token.py
+++ b/wasabiturn/process/agent/runs/fencing_token.py
@@ -18,13 +18,13 @@
 @final
 @attrs.define
 class FencingToken:
-    """Newest token of the leader, ``fence``, and of this agent, ``token``.
+    """Newest token of the leader, ``fence``, and of this agent, ``value``.
 
     ``first_token`` is the first that the agent used under ``fence``.
     """
 
     fence: int = 0
-    token: int = 0
+    value: int = 0
     first_token: int = 0
 
     def follow(self, fence: int) -> None:
@@ -32,16 +32,16 @@
         _log.event('follows a new fence', fence=fence, before=self.fence)
         self.fence = fence
         # Leaders of earlier versions leave no tokens to the agent.
-        self.token = max(fence, self.token + 1)
-        self.first_token = self.token
+        self.value = max(fence, self.value + 1)
+        self.first_token = self.value
 
     def raise_own(self, reason: str) -> None:
         """Make the orders void that were sent until now, if a token is left."""
-        if self.token + 1 >= self.fence + FENCE_STEP:
+        if self.value + 1 >= self.fence + FENCE_STEP:
             _log.warning('no token is left to raise', fence=self.fence)
             return
-        self.token += 1
-        _log.event('raises its token', token=self.token, reason=reason)
+        self.value += 1
+        _log.event('raises its token', token=self.value, reason=reason)
 
     def fence_of(self, token: int) -> int | None:
         """Return the leader's token to which one of this agent belongs.
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -149,14 +149,13 @@
         # name.
         self._sender.close()
         self._sender = self._create_sender()
-        token = self._contact.token
-        self._sender.follow_fence(token.fence, token.token)
 
     def _create_sender(self) -> OrderSender:
         return OrderSender(
             port=self._port,
             clock=self._clock,
             open_orders=self._open_orders,
+            token=self._contact.token,
             on_start_outcome=self._send_report,
             on_closed_port=self._handle_closed_port,
             on_stop_confirmed=lambda: self._send_hold(0),
@@ -165,7 +164,7 @@
     def _follow_fence(self, fence: int) -> None:
         self._contact.token.follow(fence)
         self._acknowledged_end = 0
-        self._sender.follow_fence(fence, self._contact.token.token)
+        self._sender.follow_fence(fence)
         self._send_hold(0)
 
     def _send_starts(self) -> None:
@@ -183,7 +182,7 @@
         self._sent_holds += 1
         self._sender.record_sent_holds(self._sent_holds)
         hold = HoldRequest(
-            fence=self._contact.token.token,
+            fence=self._contact.token.value,
             # After a failed hold, a new incarnation may answer this one; the
             # leader has not yet stored the ends of its runs.
             acknowledged=self._acknowledged_end
@@ -249,7 +248,7 @@
             return
         retry_seconds = self._contact.record_failure(identity.worker, failure)
         if failure.check(OrderRefusedError) and not self._contact.has_listed:
-            self._revoker.revoke(identity, self._contact.token.token)
+            self._revoker.revoke(identity, self._contact.token.value)
         # A worker that refuses the fence knows a newer leader than this agent
         # does; the reply to a report tells the agent about it.
         if self._contact.is_report_due(self._clock.seconds()):
@@ -257,7 +256,7 @@
         if hold.wait_ms:
             self._send_hold_later(identity, retry_seconds)
         elif (
-            hold.fence == self._contact.token.token
+            hold.fence == self._contact.token.value
             and not self._contact.has_listed
         ):
             self._clock.callLater(HOLD_RETRY_SECONDS, self._send_hold, 0)
--- a/wasabiturn/process/agent/runs/sender.py
+++ b/wasabiturn/process/agent/runs/sender.py
@@ -12,6 +12,7 @@
     WorkerChannel,
     log_order_failure,
 )
+from wasabiturn.process.agent.runs.fencing_token import FencingToken
 from wasabiturn.process.agent.runs.lease import Grants
 from wasabiturn.process.agent.runs.open_orders import OrderRegistry
 from wasabiturn.process.agent.runs.port import (
@@ -38,12 +39,14 @@
         port: WorkerPort,
         clock: Any,
         open_orders: OrderRegistry,
+        token: FencingToken,
         on_start_outcome: Callable[[], None],
         on_closed_port: Callable[[], None],
         on_stop_confirmed: Callable[[], None],
     ) -> None:
         """Create the sender, which keeps ``open_orders`` up to date.
 
+        Orders go out under what ``token`` is then.
         ``on_start_outcome`` is called for each outcome to report at once,
         ``on_closed_port`` for each start that found the worker's port closed,
         ``on_stop_confirmed`` once no other stop awaits confirmation.
@@ -51,7 +54,7 @@
         self.grants = Grants()
         self.table = StartTable()
         self._channel = WorkerChannel(
-            port=port, clock=clock, open_orders=open_orders
+            port=port, clock=clock, open_orders=open_orders, token=token
         )
         self._starts = StartSender(
             channel=self._channel,
@@ -68,12 +71,8 @@
         self._newest_orders = 0
         self._sent_holds = 0
 
-    def follow_fence(self, fence: int, token: int) -> None:
-        """Discard the starts that were ordered before ``fence``.
-
-        ``token`` is the fencing token of the orders to the worker.
-        """
-        self._channel.token = token
+    def follow_fence(self, fence: int) -> None:
+        """Discard the starts that were ordered before ``fence``."""
         self._newest_orders = 0
         self._ordered_stops.clear()
         self.table.drop_superseded(fence)
--- a/wasabiturn/process/agent/runs/start_sender.py
+++ b/wasabiturn/process/agent/runs/start_sender.py
@@ -131,7 +131,7 @@
         sent = self._channel.port.start(
             identity,
             start.order,
-            self._channel.token,
+            self._channel.token.value,
             self._grants.lease_until_ms,
         )
         return sent.addCallbacks(
