After a last reading: form only

- The request of a start is created with the incarnation of the worker, instead of being copied to add it.
- An agent's contact with its worker uses the NEVER of the leases beside it.
- Whether an announced backend server is a successor is decided once.
- The sessions beside crashing tasks use the seeds of those they extend.
- The pipeline says what its clock is for.

Behaviour and assertions are the same.

--- a/tests/sessions/test_crashing_tasks_properties.py
+++ b/tests/sessions/test_crashing_tasks_properties.py
@@ -5,7 +5,6 @@
 faults end; then each job with such a task must fail, and the others get done.
 """
 
-import os
 from random import Random
 from typing import Any
 
@@ -16,6 +15,7 @@
     ACTIONS,
     MAX_JOBS,
     NUMBERS,
+    SEEDS,
     VALUES,
     Disturbance,
     FleetMachine,
@@ -23,11 +23,6 @@
 from wasabiturn.messages.kinds import JobState
 from wasabiturn.standins.batch_worker import SimulatedWork
 
-# WASABITURN_SEEDS=1000:200 selects 200 seeds from 1000 on.
-FIRST_SEED, SEED_COUNT = map(
-    int, os.environ.get('WASABITURN_SEEDS', '0:16').split(':')
-)
-SEEDS = range(FIRST_SEED, FIRST_SEED + SEED_COUNT)
 SEEDED_ACTIONS = 60
 MAX_CRASHING_JOBS = 3
 CRASHING_VALUES: dict[str, Any] = VALUES | {
--- a/wasabiturn/process/agent/attempt_orders.py
+++ b/wasabiturn/process/agent/attempt_orders.py
@@ -171,12 +171,13 @@
             crashes=len(spec.crashed_workers),
         ),
     )
-    request = _create_run_request(order, grant)
-    incarnation = table.worker_incarnation
-    return [StartRun(attrs.evolve(request, incarnation=incarnation))]
+    request = _create_run_request(order, grant, table.worker_incarnation)
+    return [StartRun(request)]
 
 
-def _create_run_request(order: Order, grant: _Grant) -> RunRequest:
+def _create_run_request(
+    order: Order, grant: _Grant, worker_incarnation: str
+) -> RunRequest:
     spec = order.spec
     if spec is None:
         raise TypeError('order to start an attempt has no task spec')
@@ -192,6 +193,7 @@
         throttle=order.throttle,
         start_until=grant.start_until,
         lease_until=grant.lease_until,
+        incarnation=worker_incarnation,
     )
 
 
--- a/wasabiturn/process/agent/local_backend.py
+++ b/wasabiturn/process/agent/local_backend.py
@@ -195,10 +195,11 @@
 
     def update_record(self, record: BackendRecord, now: float) -> None:
         """Apply a repeated announcement of this backend server."""
-        if record.incarnation != self.record.incarnation or record.leaving:
-            self.pool.close_idle()
         former = self.record.incarnation
-        if former and record.incarnation != former:
+        is_successor = record.incarnation != former
+        if is_successor or record.leaving:
+            self.pool.close_idle()
+        if is_successor and former:
             self.former_incarnations.append(former)
         self.record = record
         if record.leaving:
--- a/wasabiturn/process/agent/runs/contact.py
+++ b/wasabiturn/process/agent/runs/contact.py
@@ -7,6 +7,7 @@
 
 from wasabiturn.process.agent.runs.fencing_token import FencingToken
 from wasabiturn.process.agent.runs.hold_log import HoldLog
+from wasabiturn.process.agent.runs.lease import NEVER
 from wasabiturn.process.agent.runs.port import WorkerNotListeningError
 
 HOLD_RETRY_SECONDS = 0.2
@@ -15,7 +16,6 @@
 # While an order is open that the next life may carry out before its first hold.
 OPEN_ORDER_RETRY_SECONDS = 0.02
 NO_FENCE = -1
-NEVER = float('-inf')
 
 
 @final
--- a/wasabiturn/process/control/batch/pipeline.py
+++ b/wasabiturn/process/control/batch/pipeline.py
@@ -54,7 +54,8 @@
     ) -> None:
         """Create the pipeline; ``on_flush`` may record more changes.
 
-        ``batch_state`` is the working copy of the committed state.
+        ``batch_state`` is the working copy of the committed state, and
+        ``state_clock`` gives the time of each change.
         """
         self.batch_state = batch_state
         self.is_closed = False
