--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,20 +1,26 @@
-"""A sound job is shown as failed, since its worker went down and up."""
+"""A heartbeat of another writer arrives; the worker's runs are doubled."""
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / 'harness'))
 
 from cases import Bench, run_case  # noqa: E402
-from deployment import TROUBLE, Deployment, Record  # noqa: E402
+from deployment import (  # noqa: E402
+    TROUBLE,
+    CaseError,
+    Deployment,
+    Record,
+    find_overlaps,
+)
+from http_calls import call  # noqa: E402
+from worker import Worker  # noqa: E402
 
-WORKERS = 10
-# One worker of ten goes down and up.
-PERIOD_SECONDS = 1.4
-TROUBLE_SECONDS = 6.5
-TASK_MS = 3000
+TASKS = 6
+TASK_MS = 8000
 
 
 async def play(record: Record) -> list[str]:
@@ -22,49 +28,46 @@
     bench = Bench(Deployment(record), record)
     try:
         bench.add_edges([True, True, True])
-        bench.add_workers(WORKERS)
-        bench.workers[0].labels = ['b', 'r0-1']
+        bench.add_workers(3)
         await bench.start()
-        step = {
-            'count': 1,
-            'cpu': 500,
-            'mem_mb': 100,
-            'est_ms': TASK_MS,
-            'requires': 'b',
-        }
-        job = await bench.client.submit([step], {'ms': TASK_MS})
-        await asyncio.sleep(0.6)
-        if TROUBLE:
-            await _go_down_and_up(bench, record)
-        state = await bench.client.wait_until_done(job, 30.0)
-        return _judge(record, job, state)
+        return await _trouble(bench, record)
     finally:
         await bench.close()
 
 
-async def _go_down_and_up(bench: Bench, record: Record) -> None:
-    worker = bench.workers[0]
-    end = record.now() + TROUBLE_SECONDS
-    while record.now() < end:
-        await worker.crash()
-        await asyncio.sleep(PERIOD_SECONDS / 2)
-        await worker.start()
-        await asyncio.sleep(PERIOD_SECONDS / 2)
+async def _trouble(bench: Bench, record: Record) -> list[str]:
+    step = {'count': TASKS, 'cpu': 500, 'mem_mb': 100, 'est_ms': TASK_MS}
+    job = await bench.client.submit([step], {'ms': TASK_MS})
+    await asyncio.sleep(2.0)
+    worker = next((each for each in bench.workers if each.running), None)
+    if worker is None:
+        raise CaseError('no worker runs a task of the job')
+    if TROUBLE:
+        await _send_foreign_heartbeat(worker, record)
+    state = await bench.client.wait_until_done(job, 40.0)
+    record('job ends', job=job, state=state)
+    return find_overlaps(record)
 
 
-def _judge(record: Record, job: str, state: str) -> list[str]:
-    failed_ends = [
-        figures
-        for _, word, figures in record.events
-        if word == 'run ends' and figures['how'] == 'failed'
-    ]
-    record('job ends', job=job, state=state, failed_ends=len(failed_ends))
-    if state != 'failed':
-        return []
-    return [
-        f'the job {job} is shown as failed, and {len(failed_ends)} of its '
-        'runs have ended failed'
-    ]
+async def _send_foreign_heartbeat(worker: Worker, record: Record) -> None:
+    """Send a heartbeat whose service no page and no configuration names."""
+    content = worker.announcement()
+    content['service'] = 'elsewhere'
+    content['born'] = int(time.time() * 1000)
+    content['seq'] = 1
+    answer = await call(
+        worker.agent,
+        'POST',
+        '/api/Instances.Heartbeat/i-ffff0001',
+        content=content,
+    )
+    record(
+        'heartbeat of another writer',
+        worker='i-ffff0001',
+        service='elsewhere',
+        at=worker.name,
+        status=answer.status,
+    )
 
 
 if __name__ == '__main__':
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,7 @@
-"""A plan that is cut midway starts a part of a gang, which ends alone."""
+"""A withdrawn evacuation is withdrawn again by an order of long ago."""
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
@@ -8,61 +9,76 @@
 sys.path.insert(0, str(FOLDER.parent / 'harness'))
 
 from cases import Bench, run_case  # noqa: E402
-from deployment import TROUBLE, Deployment, Record  # noqa: E402
+from deployment import (  # noqa: E402
+    TROUBLE,
+    CaseError,
+    Deployment,
+    Record,
+)
 
-WORKERS = 4
-# Tasks of an ordinary step, and members of the gang beside it.
-WIDTH = 160 if TROUBLE else 100
-MEMBERS = 60
-# Members of a gang by itself.
-LARGE_GANG = 220 if TROUBLE else 180
-WATCHED_SECONDS = 30.0
+ZONE = 'zone-a'
+FREEZE_SECONDS = 6.0
+JOBS = 10
 
 
 async def play(record: Record) -> list[str]:
     """Play the case."""
     bench = Bench(Deployment(record), record)
     try:
-        bench.add_edges([True, True, True])
-        bench.add_workers(WORKERS)
+        bench.add_edges([True, True, True, False])
+        bench.add_workers(3)
         await bench.start()
-        # Both take a small part of 16 cores.
-        task = {'cpu': 10, 'mem_mb': 10, 'est_ms': 1000}
-        beside = [
-            {**task, 'count': 1},
-            {**task, 'count': WIDTH, 'after': [0]},
-            {**task, 'count': MEMBERS, 'after': [0], 'gang': True},
-        ]
-        found = await _watch(bench, record, beside, {'2': MEMBERS})
-        alone = [{**task, 'count': LARGE_GANG, 'gang': True}]
-        found += await _watch(bench, record, alone, {'0': LARGE_GANG})
-        await asyncio.sleep(0)
-        return found
+        return await _evacuate_twice(bench, record)
     finally:
         await bench.close()
 
 
-async def _watch(
-    bench: Bench, record: Record, steps: list, gangs: dict[str, int]
-) -> list[str]:
-    """Submit a job with a gang; return what breaks the rule."""
-    before = len(record.events)
-    job = await bench.client.submit(steps, {'ms': 1000, 'gangs': gangs})
-    state = await bench.client.wait_until_done(job, WATCHED_SECONDS)
-    alone = [
-        figures
-        for _, word, figures in record.events[before:]
-        if word == 'run ends' and figures['how'] == 'alone'
+async def _evacuate_twice(bench: Bench, record: Record) -> list[str]:
+    frozen = bench.edges[3]
+    others = bench.edges[:3]
+    await _order(bench, 'Begin', others)
+    await asyncio.sleep(2.0)
+    if TROUBLE:
+        bench.deployment.send_signal(frozen, signal.SIGSTOP)
+    frozen_at = record.now()
+    # The node that the operator picks first is the frozen one.
+    await _order(bench, 'Finish', [frozen, *others])
+    await asyncio.sleep(1.0)
+    await _order(bench, 'Begin', others)
+    acknowledged_at = record.now()
+    await asyncio.sleep(frozen_at + FREEZE_SECONDS - record.now())
+    if TROUBLE:
+        bench.deployment.send_signal(frozen, signal.SIGCONT)
+    due_at = acknowledged_at + bench.deployment.bounds['evacuate_ms'] / 1000
+    await asyncio.sleep(due_at - record.now() + 1.0)
+    step = {'count': 6, 'cpu': 500, 'mem_mb': 100, 'est_ms': 300}
+    for _ in range(JOBS):
+        await bench.client.submit([step], {'ms': 300})
+        await asyncio.sleep(0.2)
+    await asyncio.sleep(2.0)
+    evacuated = {each.name for each in bench.workers if each.zone == ZONE}
+    starts = [
+        (at, figures)
+        for at, word, figures in record.events
+        if word == 'run starts' and at > due_at
     ]
-    sizes = [step['count'] for step in steps]
-    record('job ends', steps=sizes, state=state, runs_alone=len(alone))
-    if not alone:
-        return []
+    if not starts:
+        raise CaseError('nothing was started')
     return [
-        f'job with steps of {sizes} tasks: {len(alone)} runs of its gang ended '
-        f'alone; it is {state!r} after {WATCHED_SECONDS:.0f} s at most'
+        f'{figures["task"]} starts on {figures["worker"]} in {ZONE} '
+        f'{at - acknowledged_at:.3f} s after its evacuation was acknowledged'
+        for at, figures in starts
+        if figures['worker'] in evacuated
     ]
 
 
+async def _order(bench: Bench, word: str, nodes: list) -> None:
+    answer = await bench.operator.send(
+        'POST', f'/api/Drain.{word}/{ZONE}', nodes=nodes
+    )
+    if answer.status != 200:
+        raise CaseError(f'{word} was not acknowledged: {answer.status}')
+
+
 if __name__ == '__main__':
     run_case(FOLDER, play)
