--- a/review/harness/worker.py
+++ b/review/harness/worker.py
@@ -102,6 +102,9 @@
     # Highest run of each task that was stopped or has ended here.
     over: dict[str, int] = field(default_factory=dict)
     is_up: bool = False
+    # The next start gets no answer, and is carried out so much later, by
+    # whichever life is there then.
+    late_seconds: float | None = None
     _server: Any = None
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
     _jobs: list[asyncio.Task[None]] = field(default_factory=list)
@@ -199,6 +202,8 @@
         if intended not in {None, self.name}:
             return 421, {'clock_ms': self.clock_ms()}
         body = request.json()
+        if self.late_seconds is not None and request.path == '/api/run-start':
+            await self._leave_unanswered(body, self.late_seconds)
         reason = self._check_fence(body)
         if reason:
             return self._conflict(reason)
@@ -210,6 +215,36 @@
             return await self._hold(body)
         return 200, {'clock_ms': self.clock_ms()}
 
+    async def _leave_unanswered(
+        self, body: dict[str, Any], seconds: float
+    ) -> None:
+        self.late_seconds = None
+        self.record(
+            'order is left unanswered',
+            worker=self.name,
+            task=body['task'],
+            n=body['run'],
+        )
+        asyncio.get_running_loop().call_later(
+            seconds, self._carry_out_late, body
+        )
+        # The caller gives up long before.
+        await asyncio.sleep(seconds)
+        raise ConnectionError
+
+    def _carry_out_late(self, body: dict[str, Any]) -> None:
+        if not self.is_up or self._check_fence(body):
+            outcome = 'refused'
+        else:
+            outcome = str(self._start_run(body)[0])
+        self.record(
+            'order is carried out late',
+            worker=self.name,
+            task=body['task'],
+            n=body['run'],
+            outcome=outcome,
+        )
+
     def _conflict(self, reason: str) -> tuple[int, Any]:
         return 409, {'clock_ms': self.clock_ms(), 'reason': reason}
 
