--- a/review/harness/worker.py
+++ b/review/harness/worker.py
@@ -298,6 +298,15 @@
 
     async def _hold(self, body: dict[str, Any]) -> tuple[int, Any]:
         acknowledged = body.get('acked_upto', 0)
+        for row in self.ended:
+            if row[0] <= acknowledged:
+                self.record(
+                    'end is taken note of',
+                    worker=self.name,
+                    task=row[1],
+                    n=row[2],
+                    how=row[3],
+                )
         self.ended = [row for row in self.ended if row[0] > acknowledged]
         if body.get('until_ms'):
             self._extend(body['until_ms'])
