--- /dev/null
+++ b/tests/sessions/test_foreign_announcements.py
@@ -0,0 +1,114 @@
+"""Test announcements that another writer sends to the agent of a worker."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import pytest
+
+from tests.sessions.batch_fakes import BatchFleet, FakeAgent, create_step
+from wasabiturn.process.agent.runs.life_verifier import MAX_PENDING_LIVES
+from wasabiturn.process.agent.runs.port import WorkerIdentity
+from wasabiturn.standins.batch_worker import SimulatedWork
+
+WORK_SECONDS = 4.0
+# For a day: other writers go on sending.
+MANY_ANNOUNCEMENTS = 200
+
+Forgery = Callable[[FakeAgent], WorkerIdentity]
+
+
+def forge(agent: FakeAgent, **fields: Any) -> WorkerIdentity:
+    """Return the announcement of a service that nobody has configured."""
+    fields = {'service_name': 'elsewhere', 'sequence': 1_000_000} | fields
+    return attrs.evolve(agent.worker.identity, **fields)
+
+
+def forge_other_worker(agent: FakeAgent) -> WorkerIdentity:
+    return forge(agent, worker='stranger', born_ms=10**12)
+
+
+def forge_next_life(agent: FakeAgent) -> WorkerIdentity:
+    return forge(agent, born_ms=10**12)
+
+
+def forge_same_life(agent: FakeAgent) -> WorkerIdentity:
+    return forge(agent, millicores=1)
+
+
+FORGERIES = [forge_other_worker, forge_next_life, forge_same_life]
+
+
+def run_a_task(fleet: BatchFleet) -> FakeAgent:
+    """Start a task; return the agent of the worker that runs it."""
+    fleet.submit('j', [create_step(1)], SimulatedWork(WORK_SECONDS))
+    fleet.run(0.5)
+    return next(each for each in fleet.agents if each.worker.runs_by_task)
+
+
+@pytest.mark.parametrize('forgery', FORGERIES)
+def test_foreign_announcement_starts_no_second_run_of_what_goes_on(
+    forgery: Forgery,
+) -> None:
+    fleet = BatchFleet(workers=3)
+    fleet.run(1)
+    agent = run_a_task(fleet)
+    agent.reconciler.announce(forgery(agent))
+    fleet.run(WORK_SECONDS + 1)
+    assert [run for _, _, run, _ in fleet.run_starts] == [1]
+    assert [task for _, task, _, _ in fleet.run_ends] == ['j.0.0.0']
+
+
+@pytest.mark.parametrize('forgery', FORGERIES)
+def test_worker_is_used_beside_foreign_announcements(forgery: Forgery) -> None:
+    fleet = BatchFleet(workers=1)
+    agent = fleet.agents[0]
+    agent.reconciler.announce(forgery(agent))
+    for _ in range(3):
+        fleet.run(1)
+        agent.reconciler.announce(forgery(agent))
+    fleet.run(2)
+    assert run_a_task(fleet) is agent
+
+
+def test_foreign_announcement_of_another_agents_worker_takes_nothing() -> None:
+    fleet = BatchFleet(workers=2)
+    fleet.run(1)
+    agent = run_a_task(fleet)
+    other = next(each for each in fleet.agents if each is not agent)
+    other.reconciler.announce(forge(agent, born_ms=10**12))
+    fleet.run(WORK_SECONDS + 1)
+    assert [run for _, _, run, _ in fleet.run_starts] == [1]
+
+
+def test_many_foreign_lives_are_not_all_verified_at_a_time() -> None:
+    fleet = BatchFleet(workers=1)
+    fleet.run(1)
+    agent = fleet.agents[0]
+    agent.worker.refuses_holds = True
+    holds = 0
+    hold = agent.worker.hold
+
+    def count(*arguments: Any) -> Any:
+        nonlocal holds
+        holds += 1
+        return hold(*arguments)
+
+    agent.worker.hold = count  # type: ignore[method-assign]
+    for number in range(MANY_ANNOUNCEMENTS):
+        agent.reconciler.announce(forge(agent, worker=f'stranger-{number}'))
+    assert holds <= MAX_PENDING_LIVES
+
+
+def test_life_that_no_worker_confirms_does_not_keep_the_next_one_out() -> None:
+    fleet = BatchFleet(workers=1)
+    fleet.run(1)
+    agent = fleet.agents[0]
+    for number in range(MAX_PENDING_LIVES):
+        agent.reconciler.announce(forge(agent, worker=f'stranger-{number}'))
+    fleet.run(0.1)
+    agent.worker.start_incarnation('successor')
+    agent.announce()
+    fleet.run(0.5)
+    run_a_task(fleet)
+    assert fleet.run_starts[0][3] == 'successor'
--- a/wasabiturn/batch/reports.py
+++ b/wasabiturn/batch/reports.py
@@ -60,8 +60,11 @@
     """Return the report with what the newest announcement says.
 
     A report that was under way on another link may arrive after a newer one.
+    Announcements that place the worker elsewhere are from different writers,
+    and their sequences don't compare.
     """
-    if not 0 < report.sequence < known.sequence:
+    is_older = 0 < report.sequence < known.sequence
+    if not is_older or not _has_same_place(known, report):
         return report
     return attrs.evolve(
         report,
@@ -73,6 +76,13 @@
     )
 
 
+def _has_same_place(known: WorkerReport, report: WorkerReport) -> bool:
+    return (known.service_name, known.data_centre) == (
+        report.service_name,
+        report.data_centre,
+    )
+
+
 def _apply_listing(
     worker: Worker,
     report: WorkerReport,
--- a/wasabiturn/batch/state.py
+++ b/wasabiturn/batch/state.py
@@ -43,6 +43,13 @@
                 found = queue
         return found
 
+    def has_service(self, service_name: str) -> bool:
+        """Return whether a configured queue uses the service."""
+        return self.routing is not None and any(
+            queue.terms.service_name == service_name
+            for queue in self.routing.queues
+        )
+
     def count_pending(self, queue: str) -> int:
         """Return the number of jobs in ``queue`` with no run known to begin."""
         return sum(
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -472,3 +472,4 @@
     worker: str = ''
     born_ms: int = 0
     number: int = 0
+    is_service_unknown: bool = False
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -287,4 +287,5 @@
   7: string worker,
   8: i64 born_ms,
   9: i64 number,            // increases under one fence; 0: not numbered
+  10: bool is_service_unknown, // no configured queue uses the service
 }
--- /dev/null
+++ b/wasabiturn/process/agent/runs/life_verifier.py
@@ -0,0 +1,197 @@
+"""Verification of announced lives by the worker itself.
+
+An announcement may come from another writer, or late from a life that has
+ended. The agent follows one only once the worker has answered a hold under the
+announced name with the announced time of birth.
+"""
+
+from collections.abc import Callable
+from typing import Any, final
+
+import attrs
+from twisted.python.failure import Failure
+
+from wasabiturn.process.agent.runs.contact import WorkerContact
+from wasabiturn.process.agent.runs.order_revoker import OrderRevoker
+from wasabiturn.process.agent.runs.port import (
+    REASON_FENCE,
+    HoldRequest,
+    OrderRefusedError,
+    OtherIncarnationError,
+    RunListing,
+    WorkerIdentity,
+    WorkerPort,
+)
+from wasabiturn.utils.logs import create_component_log
+
+RETRY_SECONDS = 0.2
+# A life that goes on is announced again later.
+MAX_ATTEMPTS = 5
+# Other writers may announce any number of lives.
+MAX_PENDING_LIVES = 8
+
+_log = create_component_log('runs')
+
+
+@final
+@attrs.define
+class _PendingLife:
+    """Announced life that the worker has neither confirmed nor refuted.
+
+    ``is_named_like_known`` tells that the life that the agent follows has its
+    name, so that a refusal may come from either.
+    """
+
+    identity: WorkerIdentity
+    is_named_like_known: bool = False
+    attempts: int = 0
+
+
+@final
+class LifeVerifier:
+    """Asks the worker whether it is what an announcement says."""
+
+    def __init__(
+        self,
+        port: WorkerPort,
+        clock: Any,
+        contact: WorkerContact,
+        revoker: OrderRevoker,
+        on_confirmed: Callable[[WorkerIdentity], None],
+        on_refuted: Callable[[], None],
+    ) -> None:
+        """Create the verifier; its holds renew no lease.
+
+        ``on_confirmed`` is called with the newest announcement of a life that
+        the worker has confirmed, ``on_refuted`` when another life has answered.
+        """
+        self._port = port
+        self._clock = clock
+        self._contact = contact
+        self._revoker = revoker
+        self._on_confirmed = on_confirmed
+        self._on_refuted = on_refuted
+        self._pending_by_life: dict[tuple[str, int], _PendingLife] = {}
+
+    def verify(
+        self, identity: WorkerIdentity, known: WorkerIdentity | None
+    ) -> None:
+        """Ask the worker, unless it is being asked about this life.
+
+        ``known`` is the life that the agent follows. A later one of the same
+        name must refuse at once what was ordered before.
+        """
+        pending = self._pending_by_life.get(identity.life)
+        if pending is not None:
+            if identity.sequence > pending.identity.sequence:
+                pending.identity = identity
+            return
+        if len(self._pending_by_life) >= MAX_PENDING_LIVES:
+            _log.warning(
+                'too many announced lives to verify; ignoring one',
+                worker=identity.worker,
+                born_ms=identity.born_ms,
+            )
+            return
+        pending = _PendingLife(identity)
+        if known is not None and known.worker == identity.worker:
+            pending.is_named_like_known = True
+            if identity.born_ms > known.born_ms:
+                self._contact.take_over(identity.born_ms)
+        self._pending_by_life[identity.life] = pending
+        self._ask(pending)
+
+    def forget_all(self) -> None:
+        """Forget all announced lives; answers under way are ignored."""
+        self._pending_by_life.clear()
+
+    def _ask(self, pending: _PendingLife) -> None:
+        if not self._is_pending(pending):
+            return
+        pending.attempts += 1
+        hold = HoldRequest(
+            fence=self._contact.token.value,
+            acknowledged=0,
+            lease_until_ms=0,
+            wait_ms=0,
+        )
+        answered = self._port.hold(pending.identity, hold)
+        answered.addCallbacks(
+            self._handle_listing,
+            self._handle_failure,
+            (pending,),
+            {},
+            (pending,),
+        )
+        answered.addErrback(_log_error)
+
+    def _is_pending(self, pending: _PendingLife) -> bool:
+        life = pending.identity.life
+        return self._pending_by_life.get(life) is pending
+
+    def _handle_listing(
+        self, listing: RunListing, pending: _PendingLife
+    ) -> None:
+        if not self._is_pending(pending):
+            return
+        if listing.born_ms == pending.identity.born_ms:
+            self._confirm(pending)
+        else:
+            self._refute(pending, f'the worker was born at {listing.born_ms}')
+
+    def _handle_failure(self, failure: Failure, pending: _PendingLife) -> None:
+        if not self._is_pending(pending):
+            return
+        error: Any = failure.value
+        if isinstance(error, OtherIncarnationError):
+            self._refute(pending, str(error))
+        elif _proves_name(error) and not pending.is_named_like_known:
+            self._confirm(pending)
+        else:
+            if isinstance(error, OrderRefusedError):
+                self._revoke_open_orders(pending)
+            self._retry(pending, str(error))
+
+    def _revoke_open_orders(self, pending: _PendingLife) -> None:
+        """Revoke the orders to earlier lives of a name that refuses holds."""
+        if pending.is_named_like_known:
+            token = self._contact.token.value
+            self._revoker.revoke(pending.identity, token)
+
+    def _confirm(self, pending: _PendingLife) -> None:
+        self.forget_all()
+        self._on_confirmed(pending.identity)
+
+    def _refute(self, pending: _PendingLife, reason: str) -> None:
+        self._forget(pending, reason)
+        self._on_refuted()
+
+    def _retry(self, pending: _PendingLife, reason: str) -> None:
+        if pending.attempts >= MAX_ATTEMPTS:
+            self._forget(pending, reason)
+            return
+        self._clock.callLater(RETRY_SECONDS, self._ask, pending)
+
+    def _forget(self, pending: _PendingLife, reason: str) -> None:
+        identity = pending.identity
+        self._pending_by_life.pop(identity.life)
+        _log.event(
+            'announcement ignored: the worker does not confirm it',
+            worker=identity.worker,
+            born_ms=identity.born_ms,
+            service=identity.service_name,
+            reason=reason,
+        )
+
+
+def _proves_name(error: Exception) -> bool:
+    """Return whether only the life that was named answers with this error.
+
+    An agent that has just started knows no token; the leader tells it one once
+    it reports the worker.
+    """
+    return isinstance(error, OrderRefusedError) and error.reason == REASON_FENCE
+
+
+def _log_error(failure: Failure) -> None:
+    _log.warning('verification of a life failed', trace=failure.getTraceback())
--- a/wasabiturn/process/agent/runs/port.py
+++ b/wasabiturn/process/agent/runs/port.py
@@ -14,6 +14,9 @@
     StopOrder,
 )
 
+# Reason of a refusal: the worker has seen a higher fencing token.
+REASON_FENCE = 'fence'
+
 
 @final
 class OrderRefusedError(PlatformError):
@@ -65,6 +68,16 @@
         """Return millicores, memory in MB, and accelerators."""
         return self.millicores, self.memory_mb, self.accelerators
 
+    def is_placed_like(self, other: 'WorkerIdentity') -> bool:
+        """Return whether it has the service and the data centre of ``other``.
+
+        Both stay the same for the whole life of a worker.
+        """
+        return (self.service_name, self.data_centre) == (
+            other.service_name,
+            other.data_centre,
+        )
+
     def has_more_than(self, other: 'WorkerIdentity') -> bool:
         """Return whether it has more of any resource than ``other``."""
         amounts = zip(self.capacity, other.capacity, strict=True)
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -13,6 +13,7 @@
 from wasabiturn.messages.batch import WorkerOrders, WorkerReport
 from wasabiturn.messages.kinds import Method
 from wasabiturn.process import exposition
+from wasabiturn.process.agent.runs.announced_place import is_followed
 from wasabiturn.process.agent.runs.contact import (
     HOLD_RETRY_SECONDS,
     OPEN_ORDER_RETRY_SECONDS,
@@ -22,6 +23,7 @@
     HoldDelay,
     has_acknowledged_all,
 )
+from wasabiturn.process.agent.runs.life_verifier import LifeVerifier
 from wasabiturn.process.agent.runs.open_orders import OrderRegistry
 from wasabiturn.process.agent.runs.order_revoker import OrderRevoker
 from wasabiturn.process.agent.runs.port import (
@@ -69,6 +71,8 @@
         self._is_reporting = False
         self._is_report_due = False
         self._is_closed_port_report_due = False
+        # No queue that is configured uses the service of the worker.
+        self._is_service_unknown = False
         self._sent_holds = 0
         self._hold_delay = HoldDelay(clock, self._send_next_hold)
         self._acknowledged_end = 0
@@ -76,27 +80,30 @@
         self._open_orders = OrderRegistry(clock)
         self._revoker = OrderRevoker(port, self._open_orders)
         self._sender = self._create_sender()
+        self._verifier = LifeVerifier(
+            port=port,
+            clock=clock,
+            contact=self._contact,
+            revoker=self._revoker,
+            on_confirmed=self._follow_life,
+            on_refuted=lambda: self._send_hold(0),
+        )
 
     def announce(self, identity: WorkerIdentity) -> None:
-        """Handle an announcement; those of older incarnations are ignored."""
+        """Handle an announcement.
+
+        The agent follows another life once the worker has confirmed it.
+        """
         known = self._identity
-        if known is not None and not _is_newer_identity(known, identity):
-            return
-        self._identity = identity
         if known is None or known.life != identity.life:
-            _log.event(
-                'worker announced',
-                worker=identity.worker,
-                born_ms=identity.born_ms,
-            )
-            self._begin_incarnation()
-            self._send_hold(FIRST_HOLD_WAIT_MS)
-        else:
+            self._verifier.verify(identity, known)
+        elif is_followed(known, identity, self._is_service_unknown):
             self._follow_changes(known, identity)
 
     def close(self) -> None:
         """Stop sending holds; runs continue until their lease expires."""
         self._is_closed = True
+        self._verifier.forget_all()
 
     def apply_orders(self, orders: WorkerOrders) -> None:
         """Carry out the orders, unless they are outdated.
@@ -118,18 +125,39 @@
         if has_acknowledged_all(self._listing, self._acknowledged_end):
             self._hold_delay.finish()
 
+    def _follow_life(self, identity: WorkerIdentity) -> None:
+        """Follow a life that the worker has confirmed."""
+        _log.event(
+            'worker announced',
+            worker=identity.worker,
+            born_ms=identity.born_ms,
+        )
+        self._identity = identity
+        self._hold_delay.cancel()
+        self._listing = None
+        self._contact.begin_incarnation()
+        self._acknowledged_end = 0
+        # Its retries must not reach the new incarnation, which may have its
+        # name.
+        self._sender.close()
+        self._sender = self._create_sender()
+        self._send_hold(FIRST_HOLD_WAIT_MS)
+
     def _follow_changes(
         self, known: WorkerIdentity, identity: WorkerIdentity
     ) -> None:
         """Report what changes where runs may start without delay."""
+        self._identity = identity
         if (
             known.capacity == identity.capacity
             and known.is_draining == identity.is_draining
+            and known.is_placed_like(identity)
         ):
             return
         _log.event(
-            'worker changed its capacity or draining state',
+            'worker changed its capacity, draining state or service',
             worker=identity.worker,
+            service=identity.service_name,
             capacity=identity.capacity,
             is_draining=identity.is_draining,
         )
@@ -140,16 +168,6 @@
         self._send_starts()
         self._send_report()
 
-    def _begin_incarnation(self) -> None:
-        self._hold_delay.cancel()
-        self._listing = None
-        self._contact.begin_incarnation()
-        self._acknowledged_end = 0
-        # Its retries must not reach the new incarnation, which may have its
-        # name.
-        self._sender.close()
-        self._sender = self._create_sender()
-
     def _create_sender(self) -> OrderSender:
         return OrderSender(
             port=self._port,
@@ -347,6 +365,8 @@
         elapsed_seconds = self._clock.seconds() - sent_at
         exposition.report_seconds.observe(elapsed_seconds)
         current = self._identity
+        if current is identity:
+            self._is_service_unknown = orders.is_service_unknown
         if (
             current is not None
             and current.life == identity.life
@@ -386,12 +406,6 @@
     return known is not None and known.life == other.life
 
 
-def _is_newer_identity(known: WorkerIdentity, identity: WorkerIdentity) -> bool:
-    if known.life == identity.life:
-        return identity.sequence > known.sequence
-    return identity.born_ms >= known.born_ms
-
-
 def _log_report_failure(failure: Failure) -> None:
     _log.event('report to leader failed', error=str(failure.value))
 
