--- a/tests/connection/test_http_site.py
+++ b/tests/connection/test_http_site.py
@@ -1,9 +1,11 @@
 """Raw bytes of clients of an HTTP site."""
 
+import socket
 from typing import Any
 
 import pytest
 from twisted.internet.defer import Deferred
+from twisted.internet.epollreactor import EPollReactor
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
@@ -14,6 +16,7 @@
     MAX_QUEUED_REQUESTS,
     HttpSite,
 )
+from wasabiturn.utils.pauses import PauseDetector
 
 GET = b'GET /a?b=c HTTP/1.1\r\nHost: x\r\n\r\n'
 POST = b'POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc'
@@ -39,10 +42,16 @@
 
     def answer(self, number: int, body: bytes) -> None:
         self.answers[number].callback(HttpResponse(200, body))
+        self.turn()
 
     def receive(self, *parts: bytes) -> None:
         for part in parts:
             self.connection.dataReceived(part)
+        self.turn()
+
+    def turn(self) -> None:
+        """Let the loop read, and handle what has waited for that."""
+        self.clock.pump([0, 0])
 
     @property
     def sent(self) -> bytes:
@@ -168,3 +177,60 @@
     assert not server.transport.disconnecting
     server.clock.advance(2)
     assert server.transport.disconnecting
+
+
+def test_request_whose_client_has_gone_is_not_handled() -> None:
+    server = Server()
+    server.connection.dataReceived(POST)
+    server.connection.connectionLost()
+    server.turn()
+    assert not server.requests
+
+
+@pytest.mark.parametrize(('client_stays', 'handled'), [(True, 1), (False, 0)])
+def test_end_of_the_connection_that_waits_behind_a_request_is_read_first(
+    client_stays: bool, handled: int
+) -> None:
+    reactor = EPollReactor()
+    requests: list[HttpRequest] = []
+
+    def handle(request: HttpRequest) -> HttpResponse:
+        requests.append(request)
+        return HttpResponse(200)
+
+    port = reactor.listenTCP(
+        0, HttpSite(handle, reactor), interface='127.0.0.1'
+    )
+    with socket.create_connection(('127.0.0.1', port.getHost().port)) as client:
+        client.sendall(POST)
+        if not client_stays:
+            client.close()
+        for _ in range(20):
+            reactor.iterate(0.01)
+    port.stopListening()
+    reactor.iterate(0)
+    assert len(requests) == handled
+
+
+def test_handling_is_cancelled_when_the_client_goes() -> None:
+    server = Server()
+    server.receive(POST)
+    server.connection.connectionLost()
+    assert server.answers[0].called
+    assert server.sent == b''
+
+
+def test_request_that_waited_while_the_process_stood_still_is_refused() -> None:
+    server = Server()
+    detector = PauseDetector(server.clock)
+    detector.start()
+    server.site = HttpSite(server.handle, server.clock, detector)
+    server.connection = server.site.buildProtocol(None)
+    server.connection.makeConnection(server.transport)
+    server.clock.advance(6)
+    server.receive(POST)
+    assert server.sent.startswith(b'HTTP/1.1 503 ')
+    assert b'\r\nRetry-After: 1\r\n' in server.sent
+    server.clock.pump([0.1] * 5)
+    server.receive(POST)
+    assert len(server.requests) == 1
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -67,7 +67,8 @@
     closing: bool = False,
 ) -> tuple[int, dict[str, str], bytes]:
     """Send one request; return status, headers and body of the response."""
-    site = HttpSite(JsonServer(handler).handle, Clock())
+    clock = Clock()
+    site = HttpSite(JsonServer(handler).handle, clock)
     site.is_closing = closing
     protocol = site.buildProtocol(None)
     transport = StringTransport()
@@ -77,6 +78,8 @@
         f'Content-Length: {len(body)}\r\n\r\n'
     )
     protocol.dataReceived(head.encode() + body)
+    # Requests that change something wait for the end of the connection.
+    clock.pump([0, 0])
     raw_head, _, answer = transport.value().partition(b'\r\n\r\n')
     lines = raw_head.decode().split('\r\n')
     headers = {
--- a/wasabiturn/connection/dispatch.py
+++ b/wasabiturn/connection/dispatch.py
@@ -19,10 +19,14 @@
 @final
 @attrs.define
 class CallRoute:
-    """Handler of calls or notices of one method, with its message class."""
+    """Handler of calls or notices of one method, with its message class.
+
+    One that ``drops_expired`` gets no call whose sender waits no longer.
+    """
 
     message_class: type
     handler: CallHandler
+    drops_expired: bool = False
 
 
 @final
@@ -54,13 +58,18 @@
         method: Method,
         message_class: type,
         handler: CallHandler,
+        drops_expired: bool = False,
     ) -> None:
         """Register the handler of calls and notices of ``method``.
 
         For a call, the handler returns the reply or a Deferred of it, or
-        raises ``CallError`` to refuse. The result of a notice is ignored.
+        raises ``CallError`` to refuse. The result of a notice is ignored. Set
+        ``drops_expired`` for what must not be begun late, as its sender may
+        have sent the opposite since.
         """
-        self.calls_by_method[method] = CallRoute(message_class, handler)
+        self.calls_by_method[method] = CallRoute(
+            message_class, handler, drops_expired
+        )
 
     def handle_stream(
         self,
--- a/wasabiturn/connection/http_site.py
+++ b/wasabiturn/connection/http_site.py
@@ -2,13 +2,17 @@
 
 Messages are held in memory, so this serves short ones only; requests that are
 streamed to backend servers go through ``process/entry``.
+
+A client that gets no response asks another instance, and may then want the
+opposite. A request that changes something is therefore not handled if its
+client has gone, or may have gone while the process stood still.
 """
 
 from collections import deque
 from collections.abc import Callable
 from typing import Any, cast, final
 
-from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.internet.defer import CancelledError, Deferred, maybeDeferred
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import Factory, Protocol
 from twisted.python.failure import Failure
@@ -21,6 +25,7 @@
 )
 from wasabiturn.connection.http_reader import RequestReader
 from wasabiturn.utils.logs import create_component_log
+from wasabiturn.utils.pauses import PauseDetector
 
 # Longer than clients keep an idle connection open.
 IDLE_TIMEOUT_SECONDS = 75.0
@@ -28,6 +33,9 @@
 MAX_QUEUED_REQUESTS = 16
 BAD_REQUEST = 400
 SERVER_ERROR = 500
+UNAVAILABLE = 503
+RETRY_AFTER_SECONDS = 1
+_SAFE_METHODS = frozenset(('GET', 'HEAD'))
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 RequestHandler = Callable[[HttpRequest], HttpResponse | Deferred[HttpResponse]]
@@ -44,7 +52,9 @@
         self._site = site
         self._reader = RequestReader(self._enqueue, self._send_continue)
         self._queue: deque[HttpRequest] = deque()
+        self._handled: Deferred[Any] | None = None
         self._is_busy = False
+        self._is_lost = False
         self._is_paused = False
         self._closes = False
         self._last_used = 0.0
@@ -70,8 +80,11 @@
             self._write(HttpResponse(status=BAD_REQUEST))
 
     def connectionLost(self, reason: Failure | None = None) -> None:
-        """Drop what was not yet handled."""
+        """Drop what was not yet handled, and cancel what is."""
+        self._is_lost = True
         self._queue.clear()
+        if self._handled is not None:
+            self._handled.cancel()
         if self._idle_timer is not None:
             self._idle_timer.cancel()
             self._idle_timer = None
@@ -101,18 +114,43 @@
             return
         self._is_busy = True
         request = self._queue.popleft()
+        if request.method in _SAFE_METHODS:
+            self._handle(request)
+        elif self._site.may_be_outdated():
+            _log.event(
+                'request may have waited while the process stood still',
+                method=request.method,
+                path=request.path,
+            )
+            self._respond(_create_unavailable_response())
+        else:
+            self._site.call_after_next_input(self._handle_if_awaited, request)
+
+    def _handle_if_awaited(self, request: HttpRequest) -> None:
+        if not self._is_lost:
+            self._handle(request)
+            return
+        _log.event(
+            'client has gone; its request is not handled',
+            method=request.method,
+            path=request.path,
+        )
+
+    def _handle(self, request: HttpRequest) -> None:
         handled: Deferred[Any] = maybeDeferred(self._site.handle, request)
+        self._handled = handled
         handled.addErrback(_create_error_response)
         handled.addCallback(self._respond)
 
     def _respond(self, response: HttpResponse) -> None:
+        self._handled = None
         self._is_busy = False
         self._last_used = self._site.clock.seconds()
         self._write(response)
         self._handle_next()
 
     def _write(self, response: HttpResponse) -> None:
-        if not self.connected:
+        if self._is_lost:
             return
         closes = (self._closes and not self._queue) or self._site.is_closing
         self._get_transport().write(encode_response(response, closes))
@@ -149,18 +187,50 @@
 
     noisy = False
 
-    def __init__(self, handle: RequestHandler, clock: Any) -> None:
-        """Create a site; ``clock`` is the reactor."""
+    def __init__(
+        self,
+        handle: RequestHandler,
+        clock: Any,
+        pause_detector: PauseDetector | None = None,
+    ) -> None:
+        """Create a site; ``clock`` is the reactor.
+
+        With a ``pause_detector``, requests that change something are refused
+        if they may have waited in a pause.
+        """
         self.handle = handle
         self.clock = clock
         self.is_closing = False
+        self._pause_detector = pause_detector
+
+    def may_be_outdated(self) -> bool:
+        """Return whether what is read now may have waited in a pause."""
+        detector = self._pause_detector
+        return detector is not None and detector.is_catching_up()
+
+    def call_after_next_input(
+        self, call: Callable[[HttpRequest], None], request: HttpRequest
+    ) -> None:
+        """Call once all input was read that has arrived until now.
+
+        The loop runs due calls before it reads, so a second one follows the
+        end of the connection if that waits behind the request.
+        """
+        self.clock.callLater(0, self.clock.callLater, 0, call, request)
 
     def buildProtocol(self, addr: IAddress | None) -> HttpServerConnection:
         """Build the server side of one connection."""
         return HttpServerConnection(self)
 
 
+def _create_unavailable_response() -> HttpResponse:
+    headers = (('Retry-After', str(RETRY_AFTER_SECONDS)),)
+    return HttpResponse(status=UNAVAILABLE, headers=headers)
+
+
 def _create_error_response(failure: Failure) -> HttpResponse:
+    if failure.check(CancelledError):
+        return _create_unavailable_response()
     _log.warning(
         'request handler failed; responding with status 500',
         trace=failure.getTraceback(),
--- a/wasabiturn/connection/link.py
+++ b/wasabiturn/connection/link.py
@@ -20,6 +20,7 @@
     FrameError,
     encode_frame,
 )
+from wasabiturn.connection.peer_clock import PeerClock, milliseconds_in
 from wasabiturn.connection.streams import Stream, StreamReceiver
 from wasabiturn.messages.codec import CodecError, pack, unpack
 from wasabiturn.messages.kinds import FailureCode, FrameKind, Method
@@ -29,6 +30,7 @@
 HEARTBEAT_INTERVAL_SECONDS = 0.5
 SILENCE_LIMIT_SECONDS = 1.5
 PROTOCOL_VERSION = 1
+LATE = 'the call arrived after its sender had stopped waiting'
 
 MessageType = TypeVar('MessageType')
 
@@ -55,6 +57,7 @@
         self._next_exchange = 1 if dialled else 2
         self._buffer = FrameBuffer()
         self.calls = CallTable(clock=clock)
+        self._peer_clock = PeerClock()
         self._streams_by_exchange: dict[int, Stream] = {}
         self.last_received = 0.0
         self._last_sent = 0.0
@@ -87,7 +90,14 @@
         reply_deferred = self.calls.start(
             exchange, reply_class, timeout_seconds
         )
-        self.send_frame(FrameKind.call, exchange, method, pack(message))
+        expires_at = self._clock.seconds() + timeout_seconds
+        self.send_frame(
+            FrameKind.call,
+            exchange,
+            method,
+            pack(message),
+            expires_ms=self._peer_clock.read(expires_at),
+        )
         return reply_deferred
 
     def notify(self, method: Method, message: Any) -> None:
@@ -131,8 +141,9 @@
         exchange: int,
         method: int,
         body: bytes,
+        expires_ms: int = 0,
     ) -> None:
-        """Send one frame."""
+        """Send one frame; ``expires_ms`` is on the peer's clock."""
         if self.transport is None:
             return
         self._last_sent = self._clock.seconds()
@@ -142,6 +153,8 @@
             method=method,
             body=body,
             revision=self.dispatch.revision(),
+            sent_ms=milliseconds_in(self._last_sent),
+            expires_ms=expires_ms,
         )
         cast(Any, self.transport).write(encode_frame(pack(frame)))
 
@@ -194,6 +207,7 @@
             self.send_frame(FrameKind.heartbeat, 0, Method.none, b'')
 
     def _handle_frame(self, frame: Frame) -> None:
+        self._peer_clock.record(frame.sent_ms, self._clock.seconds())
         handler = self._handlers_by_kind.get(frame.kind)
         if handler is not None:
             handler(frame)
@@ -216,6 +230,9 @@
                 CallError(FailureCode.unknown_method, str(frame.method)),
             )
             return
+        if route.drops_expired and _has_expired(frame, self._clock.seconds()):
+            self._reply_failure(frame, CallError(FailureCode.unavailable, LATE))
+            return
         message: Any = unpack(route.message_class, frame.body)
         handled = maybeDeferred(route.handler, self, message)
         if frame.kind == FrameKind.notice:
@@ -266,6 +283,19 @@
         stream.handle_frame(frame)
 
 
+def _has_expired(call: Frame, now: float) -> bool:
+    """Return whether the sender of a call has stopped waiting; log it."""
+    now_ms = milliseconds_in(now)
+    if not 0 < call.expires_ms < now_ms:
+        return False
+    _log.event(
+        'dropped a call whose sender waits no longer',
+        method=call.method,
+        late_ms=now_ms - call.expires_ms,
+    )
+    return True
+
+
 def _log_failure(failure: TwistedFailure, method: int) -> None:
     _log.warning(
         'handler failed',
--- a/wasabiturn/messages/link.py
+++ b/wasabiturn/messages/link.py
@@ -20,6 +20,9 @@
 class Frame:
     """Frame of a link; ``revision`` is the newest that the sender has applied.
 
+    ``sent_ms`` is on the sender's clock. The sender of a call waits for its
+    reply until the receiver's clock shows ``expires_ms``; 0 if not known.
+
     Kind and method are plain integers, since a peer of a newer version may
     send values that this version does not know.
     """
@@ -29,6 +32,8 @@
     method: int = Method.none
     body: bytes = b''
     revision: int = 0
+    sent_ms: int = 0
+    expires_ms: int = 0
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/link.thrift
+++ b/wasabiturn/messages/wire/link.thrift
@@ -7,6 +7,8 @@
   3: i32 method,      // Method
   4: binary body,     // serialized message, or bytes of a stream
   5: i64 revision,    // newest revision that the sender has applied
+  6: i64 sent_ms,     // on the sender's clock
+  7: i64 expires_ms,  // of a call, on the receiver's clock; 0: not known
 }
 
 struct Hello {
--- a/wasabiturn/platform/entry_program.py
+++ b/wasabiturn/platform/entry_program.py
@@ -20,6 +20,7 @@
 from wasabiturn.process.daemon import Context
 from wasabiturn.process.entry.leader_contact import LeaderContact
 from wasabiturn.process.member_directory import MemberDirectory
+from wasabiturn.utils.pauses import PauseDetector
 
 # A stopping entry still serves requests for this long: the load balancer stops
 # using it only after two failed checks, which are a second apart.
@@ -46,6 +47,7 @@
         (platform.ready_listen, JsonServer(report_readiness)),
     ]
     program.drain_seconds = DRAIN_SECONDS
+    program.pause_detector = PauseDetector(context.reactor)
     if platform.data_folder is None:
         program.accepts_links = True
         MemberDirectory(program.group, program.dispatch)
--- a/wasabiturn/platform/http_server.py
+++ b/wasabiturn/platform/http_server.py
@@ -6,7 +6,7 @@
 from typing import Any, final
 
 import attrs
-from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.internet.defer import CancelledError, Deferred, maybeDeferred
 from twisted.python.failure import Failure
 
 from wasabiturn.connection.calls import CallError
@@ -99,7 +99,7 @@
         response = Response(
             UNAVAILABLE, retry_after_seconds=MIN_RETRY_AFTER_SECONDS
         )
-    elif isinstance(error, CallError):
+    elif isinstance(error, CallError | CancelledError):
         response = Response(status=GATEWAY_TIMEOUT)
     else:
         _log.warning(
--- a/wasabiturn/platform/operators.py
+++ b/wasabiturn/platform/operators.py
@@ -24,6 +24,9 @@
 from wasabiturn.utils.logs import create_component_log
 
 CALL_TIMEOUT_SECONDS = 1.5
+# Operators move on to another entry after a second, and may then send the
+# opposite mark.
+MARK_TIMEOUT_SECONDS = 0.9
 _PUT_PATH = '/api/Config.Put'
 _GET_PATH = '/api/Config.Get'
 _DRAIN_BEGIN_PREFIX = '/api/Drain.Begin/'
@@ -66,14 +69,17 @@
         if data_centre not in self.data_centres:
             return _create_not_found(data_centre)
         mark = DataCentreMark(data_centre=data_centre, out=out)
-        return self._send_to_leader(Method.mark_data_centre, mark)
+        return self._send_to_leader(
+            Method.mark_data_centre, mark, MARK_TIMEOUT_SECONDS
+        )
 
     def _send_to_leader(
-        self, method: Method, message: Any
+        self,
+        method: Method,
+        message: Any,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
     ) -> Deferred[Response]:
-        deferred = self.calls.call(
-            method, message, Nothing, CALL_TIMEOUT_SECONDS
-        )
+        deferred = self.calls.call(method, message, Nothing, timeout_seconds)
         return deferred.addCallback(lambda _: Response(status=OK))
 
     def _read_routing(self) -> Deferred[Response]:
--- a/wasabiturn/platform/program.py
+++ b/wasabiturn/platform/program.py
@@ -22,6 +22,7 @@
 from wasabiturn.process.control_group import ControlGroup
 from wasabiturn.process.daemon import Component, Context, listen
 from wasabiturn.process.exposition import open_metrics_site
+from wasabiturn.utils.pauses import PauseDetector
 from wasabiturn.utils.ticker import Ticker
 
 # A change is also announced by SIGHUP.
@@ -59,6 +60,8 @@
         )
         self.services: list[Component] = []
         self.servers: list[tuple[Endpoint | None, JsonServer]] = []
+        # For programs whose clients ask another instance after a while.
+        self.pause_detector: PauseDetector | None = None
         self.accepts_links = False
         self.drain_seconds = 0.0
         self.is_draining = False
@@ -70,6 +73,9 @@
         """Open the ports and start the services."""
         if self.accepts_links:
             self._listen_for_links()
+        if self.pause_detector is not None:
+            self._stack.callback(self.pause_detector.stop)
+            self.pause_detector.start()
         for service in self.services:
             self._stack.callback(service.close)
             service.start()
@@ -101,7 +107,7 @@
 
     def _open_site(self, endpoint: Endpoint, server: JsonServer) -> None:
         reactor = self.context.reactor
-        site = HttpSite(server.handle, reactor)
+        site = HttpSite(server.handle, reactor, self.pause_detector)
         port = listen(reactor, endpoint, site)
         self._sites.append(site)
         self._ports.append(port)
--- a/wasabiturn/process/control/api_core.py
+++ b/wasabiturn/process/control/api_core.py
@@ -221,6 +221,7 @@
         Method.api,
         ApiRequest,
         lambda link, request: core.serve(request),
+        drops_expired=True,
     )
 
 
--- a/wasabiturn/process/control/batch/leader.py
+++ b/wasabiturn/process/control/batch/leader.py
@@ -75,7 +75,13 @@
 
     def _register_handlers(self, dispatch: Dispatch) -> None:
         handle = dispatch.handle
-        handle(Method.job, messages.JobCall, self._handle_job)
+        # A caller or operator may have sent the opposite elsewhere since.
+        handle(
+            Method.job,
+            messages.JobCall,
+            self._handle_job,
+            drops_expired=True,
+        )
         handle(
             Method.put_routing, messages.PutRouting, self._handle_put_routing
         )
@@ -84,6 +90,7 @@
             Method.mark_data_centre,
             messages.DataCentreMark,
             self._handle_data_centre_mark,
+            drops_expired=True,
         )
         handle(
             Method.worker_report,
--- a/wasabiturn/process/leader_calls.py
+++ b/wasabiturn/process/leader_calls.py
@@ -36,7 +36,8 @@
 
     A call may be sent more than once, so every method that is called this way
     must be idempotent: commands carry a request id or are conditional, claims
-    carry a claim id, heartbeats a sequence.
+    carry a claim id, heartbeats a sequence. Where calls can have opposite
+    effects, the leader drops one that arrives after its sender has given up.
     """
 
     open_links: Callable[[], list[Link]]
@@ -60,18 +61,18 @@
 
         The result fails with ``CallError``: with code ``unavailable`` the call
         certainly did not run, with ``outcome_unknown`` it may have run; with
-        any other code the leader refused it.
+        any other code the leader refused it. Once it is cancelled, the call is
+        not sent again.
         """
-        result: Deferred[MessageType] = Deferred()
-        _LeaderCall(
+        leader_call = _LeaderCall(
             calls=self,
             method=method,
             message=message,
             reply_class=reply_class,
             deadline=self.clock.seconds() + timeout_seconds,
-            result=result,
-        ).attempt()
-        return result
+        )
+        leader_call.attempt()
+        return leader_call.result
 
     def pick_link(self) -> Link | None:
         """Return the link to the leader, or to a member that may know it."""
@@ -109,10 +110,16 @@
     message: Any
     reply_class: type
     deadline: float
-    result: Deferred[Any]
     may_have_run: bool = False
+    is_cancelled: bool = False
+    result: Deferred[Any] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.result = Deferred(self._cancel)
 
     def attempt(self) -> None:
+        if self.is_cancelled:
+            return
         remaining = self.deadline - self.calls.clock.seconds()
         if remaining <= 0:
             self._give_up()
@@ -129,10 +136,14 @@
         )
         sent.addCallbacks(self._on_reply, self._on_failure, (link,))
 
+    def _cancel(self, result: Deferred[Any]) -> None:
+        self.is_cancelled = True
+
     def _on_reply(self, reply: Any, link: Link) -> None:
         self.calls.retry_delay_seconds = FIRST_RETRY_DELAY_SECONDS
         self.calls.leader = link.peer.name
-        self.result.callback(reply)
+        if not self.is_cancelled:
+            self.result.callback(reply)
 
     def _on_failure(self, failure: TwistedFailure) -> None:
         error = failure.value
@@ -140,7 +151,8 @@
         if code in _UNKNOWN_OUTCOME_CODES:
             self.may_have_run = True
         elif code not in _NOT_RUN_CODES:
-            self.result.errback(failure)
+            if not self.is_cancelled:
+                self.result.errback(failure)
             return
         self.calls.follow_hint(getattr(error, 'leader', ''))
         self._retry_later(self.deadline - self.calls.clock.seconds())
