An announced id that can't be sent doesn't stay pending

At most eight announced lives are verified at a time. An id that no HTTP header can hold raised an error in the call itself, so it was neither confirmed nor forgotten; eight of them, and the agent would have followed no next life any more.

test_ids_that_cannot_be_sent_do_not_end_the_verification fails before.

--- a/tests/sessions/test_foreign_announcements.py
+++ b/tests/sessions/test_foreign_announcements.py
@@ -112,3 +112,24 @@
     fleet.run(0.5)
     run_a_task(fleet)
     assert fleet.run_starts[0][3] == 'successor'
+
+
+def test_ids_that_cannot_be_sent_do_not_end_the_verification() -> None:
+    fleet = BatchFleet(workers=1)
+    fleet.run(1)
+    agent = fleet.agents[0]
+    hold = agent.worker.hold
+
+    def refuse_id(identity: WorkerIdentity, request: Any) -> Any:
+        identity.worker.encode('latin-1')
+        return hold(identity, request)
+
+    agent.worker.hold = refuse_id  # type: ignore[method-assign]
+    for number in range(MAX_PENDING_LIVES):
+        agent.reconciler.announce(forge(agent, worker=f'\u20ac{number}'))
+    fleet.run(2)
+    agent.worker.start_incarnation('successor')
+    agent.announce()
+    fleet.run(0.5)
+    run_a_task(fleet)
+    assert fleet.run_starts[0][3] == 'successor'
--- a/wasabiturn/process/agent/runs/life_verifier.py
+++ b/wasabiturn/process/agent/runs/life_verifier.py
@@ -9,6 +9,7 @@
 from typing import Any, final
 
 import attrs
+from twisted.internet.defer import maybeDeferred
 from twisted.python.failure import Failure
 
 from wasabiturn.process.agent.runs.contact import WorkerContact
@@ -115,7 +116,8 @@
             lease_until_ms=0,
             wait_ms=0,
         )
-        answered = self._port.hold(pending.identity, hold)
+        # An id that cannot be sent must not stay pending for ever.
+        answered = maybeDeferred(self._port.hold, pending.identity, hold)
         answered.addCallbacks(
             self._handle_listing,
             self._handle_failure,
@@ -148,9 +150,9 @@
         elif _proves_name(error) and not pending.is_named_like_known:
             self._confirm(pending)
         else:
+            self._retry(pending, repr(error))
             if isinstance(error, OrderRefusedError):
                 self._revoke_open_orders(pending)
-            self._retry(pending, str(error))
 
     def _revoke_open_orders(self, pending: _PendingLife) -> None:
         """Revoke the orders to earlier lives of a name that refuses holds."""
