Odd entries of other writers are refused by name and limit

Nesting raised RecursionError, which no reader expected, in reading or in describing the value; numbers that no message holds were read and failed when packed (status 500); in a row of a list of runs they kept the agent from sending any report, so it stopped following its worker; infinity and 400 digits raised OverflowError. No process ended: HTTP server, links and timers keep an error to one request, call or tick. Ports out of range were refused already.

Cause: input was judged by what reading it raised. Change: platform/fields.py bounds numbers by what their messages hold, refuses texts that are no Unicode and numbers that aren't finite, names field and limit, and describes values in bounded texts; nesting is invalid in every reader, the settings file included.

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -8,12 +8,9 @@
 from wasabiturn.messages.kinds import RunEnding
 from wasabiturn.platform.fields import InvalidBodyError
 from wasabiturn.platform.jobs import decode_job
+from wasabiturn.platform.listings import MAX_LISTED_ENDS, decode_listing
 from wasabiturn.platform.routing import decode_routing
-from wasabiturn.platform.workers import (
-    MAX_LISTED_ENDS,
-    decode_identity,
-    decode_listing,
-)
+from wasabiturn.platform.workers import decode_identity
 
 ROUTE = {
     'name': 'r-1',
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -60,3 +60,10 @@
 def test_a_missing_file_is_refused(tmp_path: Path) -> None:
     with pytest.raises(SettingsError):
         read_platform_settings(tmp_path / 'none.yaml')
+
+
+def test_deeply_nested_settings_are_refused(tmp_path: Path) -> None:
+    nested = '[' * 5000 + ']' * 5000
+    source = write_settings(tmp_path, f'{TEXT}\nseeds: {nested}\n')
+    with pytest.raises(SettingsError):
+        read_platform_settings(source)
--- a/wasabiturn/connection/worker.py
+++ b/wasabiturn/connection/worker.py
@@ -209,7 +209,7 @@
 def _decode(body: bytes, code: int) -> Any:
     try:
         answer = json.loads(body) if body else {}
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise PlatformError(
             f'answer of the worker is not JSON: {error}'
         ) from error
--- a/wasabiturn/platform/fields.py
+++ b/wasabiturn/platform/fields.py
@@ -1,14 +1,23 @@
 """Typed access to the fields of the platform's JSON bodies.
 
-An absent field has the platform's default. A field of the wrong type makes the
-whole body invalid.
+An absent field has the platform's default. A field of the wrong type, or one
+that no message can hold, makes the whole body invalid.
 """
 
 import json
+import math
+from reprlib import repr as describe
 from typing import Any, final
 
 from wasabiturn.exceptions import PlatformError
 
+# Most amounts in messages have 32 bits, one of them for the sign.
+AMOUNT_BITS = 31
+MAX_AMOUNT = (1 << AMOUNT_BITS) - 1
+# Every reader of JSON represents integers of that size exactly.
+EXACT_BITS = 53
+MAX_EXACT = (1 << EXACT_BITS) - 1
+
 
 @final
 class InvalidBodyError(PlatformError):
@@ -25,6 +34,8 @@
         decoded = json.loads(body)
     except ValueError as error:
         raise InvalidBodyError(f'no JSON: {error}') from error
+    except RecursionError as error:
+        raise InvalidBodyError('the JSON is nested too deeply') from error
     if not isinstance(decoded, dict):
         raise InvalidBodyError('no JSON object')
     return decoded
@@ -46,12 +57,24 @@
     """Return the string at ``key``, or an empty string if it is absent.
 
     Raises:
-        InvalidBodyError: the value is not a string.
+        InvalidBodyError: the value is not a string that a message can hold.
     """
-    value = fields.get(key, '')
-    if not isinstance(value, str):
-        raise InvalidBodyError(f'{key} is no text')
-    return value
+    return check_str(fields.get(key, ''), key)
+
+
+def check_str(text: Any, key: str) -> str:
+    """Return ``text``, which was found at ``key``, if it is valid Unicode.
+
+    Raises:
+        InvalidBodyError: it is no string, or a message cannot hold it.
+    """
+    if not isinstance(text, str):
+        raise InvalidBodyError(f'{key} is no text: {describe(text)}')
+    try:
+        text.encode()
+    except UnicodeError as error:
+        raise InvalidBodyError(f'{key} is not valid Unicode') from error
+    return text
 
 
 def read_required_str(fields: Any, key: str) -> str:
@@ -80,25 +103,25 @@
     return value
 
 
-def read_int(fields: dict[str, Any], key: str) -> int:
-    """Return the non-negative integer at ``key``, or 0 if it is absent.
+def read_int(fields: dict[str, Any], key: str, limit: int = MAX_AMOUNT) -> int:
+    """Return the integer from 0 to ``limit`` at ``key``, or 0 if it is absent.
 
     Raises:
-        InvalidBodyError: the value is not a non-negative integer.
+        InvalidBodyError: the value is no such integer.
     """
-    return check_int(fields.get(key, 0))
+    return check_int(fields.get(key, 0), key, limit)
 
 
-def check_int(value: Any) -> int:
-    """Return ``value`` if it is a non-negative integer.
+def check_int(value: Any, key: str, limit: int = MAX_AMOUNT) -> int:
+    """Return ``value``, found at ``key``, if it is an integer from 0 to limit.
 
     Raises:
-        InvalidBodyError: ``value`` is not a non-negative integer.
+        InvalidBodyError: ``value`` is no such integer.
     """
     if isinstance(value, bool) or not isinstance(value, int):
-        raise InvalidBodyError(f'{value!r} is no whole number')
-    if value < 0:
-        raise InvalidBodyError(f'{value!r} is negative')
+        raise InvalidBodyError(f'{key} is no whole number: {describe(value)}')
+    if not 0 <= value <= limit:
+        raise InvalidBodyError(f'{key} is not from 0 to {limit}')
     return value
 
 
@@ -106,9 +129,23 @@
     """Return the number at ``key``, or 0 if it is absent.
 
     Raises:
-        InvalidBodyError: the value is not a number.
+        InvalidBodyError: the value is not a finite number.
+    """
+    return check_float(fields.get(key, 0), key)
+
+
+def check_float(value: Any, key: str) -> float:
+    """Return ``value``, found at ``key``, if it is a finite number.
+
+    Raises:
+        InvalidBodyError: ``value`` is not a finite number.
     """
-    value = fields.get(key, 0)
     if isinstance(value, bool) or not isinstance(value, int | float):
-        raise InvalidBodyError(f'{key} is no number')
-    return float(value)
+        raise InvalidBodyError(f'{key} is no number: {describe(value)}')
+    try:
+        number = float(value)
+    except OverflowError as error:
+        raise InvalidBodyError(f'{key} is too large') from error
+    if not math.isfinite(number):
+        raise InvalidBodyError(f'{key} is not finite')
+    return number
--- a/wasabiturn/platform/jobs.py
+++ b/wasabiturn/platform/jobs.py
@@ -4,6 +4,7 @@
 
 from wasabiturn.messages.batch import JobDeclaration, Step
 from wasabiturn.platform.fields import (
+    MAX_EXACT,
     InvalidBodyError,
     check_int,
     decode_object,
@@ -34,8 +35,8 @@
         payload=read_str(fields, 'spec'),
         steps=steps,
         occurrences=read_int(fields, 'repeats'),
-        first_ms=read_int(fields, 'first_ms'),
-        interval_ms=read_int(fields, 'interval_ms'),
+        first_ms=read_int(fields, 'first_ms', MAX_EXACT),
+        interval_ms=read_int(fields, 'interval_ms', MAX_EXACT),
     )
     tasks = sum(step.tasks for step in steps)
     if tasks * max(declaration.occurrences, 1) > MAX_TASKS_PER_JOB:
@@ -47,11 +48,10 @@
     if not isinstance(fields, dict):
         raise InvalidBodyError(f'step {index} is no object')
     dependencies = [
-        check_int(step_index) for step_index in read_list(fields, 'after')
+        check_int(step_index, 'after')
+        for step_index in read_list(fields, 'after')
     ]
-    if any(
-        step_index < 0 or step_index >= index for step_index in dependencies
-    ):
+    if any(step_index >= index for step_index in dependencies):
         raise InvalidBodyError(f'step {index} waits for itself or a later one')
     step = Step(
         tasks=read_int(fields, 'count'),
--- a/wasabiturn/platform/routing.py
+++ b/wasabiturn/platform/routing.py
@@ -4,6 +4,7 @@
 
 from wasabiturn.messages.batch import Queue, Routing, Terms
 from wasabiturn.platform.fields import (
+    MAX_EXACT,
     InvalidBodyError,
     decode_object,
     read_float,
@@ -32,7 +33,7 @@
     _check_queues(queues, services)
     if not isinstance(fields.get('limits'), dict):
         raise InvalidBodyError('there are no limits')
-    version = read_int(fields, 'version')
+    version = read_int(fields, 'version', MAX_EXACT)
     if version < 1:
         raise InvalidBodyError('there is no version')
     return Routing(version=version, queues=queues, document=body)
--- a/wasabiturn/platform/settings.py
+++ b/wasabiturn/platform/settings.py
@@ -86,6 +86,8 @@
         return _decode(source, yaml.safe_load(text))
     except yaml.YAMLError as error:
         raise SettingsError(f'{source}: invalid YAML: {error}') from error
+    except RecursionError as error:
+        raise SettingsError(f'{source}: nested too deeply') from error
     except (LookupError, TypeError, ValueError) as error:
         raise SettingsError(
             f'{source}: missing or invalid field: {error!r}'
--- a/wasabiturn/platform/worker_client.py
+++ b/wasabiturn/platform/worker_client.py
@@ -13,9 +13,9 @@
 from wasabiturn.connection.http_messages import HttpRequest, HttpResponse
 from wasabiturn.exceptions import PlatformError
 from wasabiturn.messages.batch import PaceOrder, StartOrder, StopOrder
-from wasabiturn.platform.fields import decode_object, read_int
+from wasabiturn.platform.fields import MAX_EXACT, decode_object, read_int
 from wasabiturn.platform.http_server import OK, encode
-from wasabiturn.platform.workers import decode_listing
+from wasabiturn.platform.listings import decode_listing
 from wasabiturn.process.agent.runs.port import (
     HoldRequest,
     OrderRefusedError,
@@ -166,7 +166,7 @@
 
 
 def _decode_clock(body: bytes) -> int:
-    return read_int(decode_object(body), 'clock_ms')
+    return read_int(decode_object(body), 'clock_ms', MAX_EXACT)
 
 
 def _ignore_body(body: bytes) -> None:
--- a/wasabiturn/process/agent/announcements.py
+++ b/wasabiturn/process/agent/announcements.py
@@ -44,6 +44,8 @@
         fields = json.loads(content)
     except ValueError as error:
         raise AnnouncementError('', f'body is not JSON: {error}') from error
+    except RecursionError as error:
+        raise AnnouncementError('', 'body is nested too deeply') from error
     if not isinstance(fields, dict):
         raise AnnouncementError('', 'body is not an object')
     return BackendRecord(
@@ -125,8 +127,10 @@
 
 def _parse_address(fields: dict[str, Any]) -> str:
     address = fields.get('address')
+    if not isinstance(address, str):
+        raise AnnouncementError('address', 'expected a text ip:port')
     try:
-        endpoint = parse_endpoint(str(address))
+        endpoint = parse_endpoint(address)
         ipaddress.ip_address(endpoint.host)
     except ValueError as error:
         raise AnnouncementError(
--- a/wasabiturn/version/resources.py
+++ b/wasabiturn/version/resources.py
@@ -125,7 +125,7 @@
     except json.JSONDecodeError as error:
         position = f'line {error.lineno} column {error.colno}'
         raise MalformedError(f'{position}: {error.msg}') from error
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise MalformedError(str(error)) from error
     if not isinstance(parsed, dict):
         raise MalformedError('line 1 column 1: an object is expected')
