Lasting tasks avoid workers that may just have been lost

A worker got new work until 2.5 s after its last report, though agents report each second, and lasting tasks of one image are drawn to one worker. On a machine that had been lost with its agent they waited for their orders to expire, 17 s and a lease.

Change: a worker that was not heard for 1.3 s gets lasting tasks only if no other can take them. Fewer silent seconds would mistake late reports for losses; excluding such workers would let tasks wait when all reports are late.

--- a/tests/sessions/test_lost_machines.py
+++ b/tests/sessions/test_lost_machines.py
@@ -41,3 +41,21 @@
     workers = [worker for _, _, _, worker in fleet.run_starts]
     assert len(workers) == 2
     assert workers[1] != first
+
+
+def test_lasting_task_starts_on_no_machine_that_may_be_lost() -> None:
+    fleet = BatchFleet(workers=3)
+    fleet.run(1.5)
+    fleet.submit('a', [create_step(1, lasting=True)], LASTING)
+    fleet.run(1)
+    # Lasting tasks of one image are packed on its worker.
+    ((_, _, _, first),) = fleet.run_starts
+    lose_machine(find_agent(fleet, first))
+    fleet.run(1.4)
+    fleet.submit('b', [create_step(2, lasting=True)], LASTING)
+    fleet.run(0.5)
+    assert [task for _, task, _, _ in fleet.run_starts] == [
+        'a.0.0.0',
+        'b.0.0.0',
+        'b.0.0.1',
+    ]
--- a/wasabiturn/batch/placing.py
+++ b/wasabiturn/batch/placing.py
@@ -23,6 +23,11 @@
 
 # A worker without a report for this long gets no new work.
 REPORT_TIMEOUT_SECONDS = 2.5
+# Agents report at least each second. A worker that is silent for longer may be
+# lost; a lasting task that is started there then waits until its order expires.
+FRESH_REPORT_SECONDS = 1.3
+# Score penalty of such a worker, as a multiple of its size.
+SILENCE_PENALTY = 10
 # Score penalty of the last worker of a task that has failed before, as a
 # multiple of the worker's size.
 FAILED_WORKER_PENALTY = 100
@@ -213,6 +218,8 @@
         )
         for image, count in worker.lasting_count_by_image.items()
     )
+    if candidates.now >= worker.heard_at + FRESH_REPORT_SECONDS:
+        similarity -= SILENCE_PENALTY
     score = float(worker.lasting_millicores - worker.filling_millicores)
     return score + similarity * worker.report.millicores
 
