--- a/tests/process/test_leader_calls.py
+++ b/tests/process/test_leader_calls.py
@@ -35,3 +35,18 @@
         clock.advance(0.01)
     assert errors == [FailureCode.unavailable]
     assert link.attempts <= 10 * MAX_ATTEMPTS_PER_SECOND
+
+
+def test_cancelled_call_is_not_sent_again() -> None:
+    clock = Clock()
+    link: Any = RefusingLink()
+    calls = LeaderCalls(lambda: [link], clock, Random(1))
+    errors: list[Any] = []
+    call = calls.call(Method.mark_data_centre, Nothing(), Nothing, 10.0)
+    call.addErrback(errors.append)
+    clock.advance(0.5)
+    attempts = link.attempts
+    call.cancel()
+    clock.pump([0.1] * 200)
+    assert link.attempts == attempts
+    assert len(errors) == 1
--- a/wasabiturn/connection/link.py
+++ b/wasabiturn/connection/link.py
@@ -30,7 +30,7 @@
 HEARTBEAT_INTERVAL_SECONDS = 0.5
 SILENCE_LIMIT_SECONDS = 1.5
 PROTOCOL_VERSION = 1
-LATE = 'the call arrived after its sender had stopped waiting'
+EXPIRED_CALL = 'the call arrived after its sender had stopped waiting'
 
 MessageType = TypeVar('MessageType')
 
@@ -231,7 +231,8 @@
             )
             return
         if route.drops_expired and _has_expired(frame, self._clock.seconds()):
-            self._reply_failure(frame, CallError(FailureCode.unavailable, LATE))
+            error = CallError(FailureCode.unavailable, EXPIRED_CALL)
+            self._reply_failure(frame, error)
             return
         message: Any = unpack(route.message_class, frame.body)
         handled = maybeDeferred(route.handler, self, message)
