--- a/tests/sessions/test_foreign_announcements.py
+++ b/tests/sessions/test_foreign_announcements.py
@@ -46,6 +46,14 @@
     return next(each for each in fleet.agents if each.worker.runs_by_task)
 
 
+def use_successor(fleet: BatchFleet, agent: FakeAgent) -> None:
+    """Replace the worker, and run a task."""
+    agent.worker.start_incarnation('successor')
+    agent.announce()
+    fleet.run(0.5)
+    run_a_task(fleet)
+
+
 @pytest.mark.parametrize('forgery', FORGERIES)
 def test_foreign_announcement_starts_no_second_run_of_what_goes_on(
     forgery: Forgery,
@@ -107,10 +115,7 @@
     for number in range(MAX_PENDING_LIVES):
         agent.reconciler.announce(forge(agent, worker=f'stranger-{number}'))
     fleet.run(0.1)
-    agent.worker.start_incarnation('successor')
-    agent.announce()
-    fleet.run(0.5)
-    run_a_task(fleet)
+    use_successor(fleet, agent)
     assert fleet.run_starts[0][3] == 'successor'
 
 
@@ -128,8 +133,5 @@
     for number in range(MAX_PENDING_LIVES):
         agent.reconciler.announce(forge(agent, worker=f'\u20ac{number}'))
     fleet.run(2)
-    agent.worker.start_incarnation('successor')
-    agent.announce()
-    fleet.run(0.5)
-    run_a_task(fleet)
+    use_successor(fleet, agent)
     assert fleet.run_starts[0][3] == 'successor'
