--- a/tests/sessions/test_foreign_announcements.py
+++ b/tests/sessions/test_foreign_announcements.py
@@ -25,7 +25,7 @@
 
 
 def forge_other_worker(agent: FakeAgent) -> WorkerIdentity:
-    return forge(agent, worker='stranger', born_ms=10**12)
+    return forge(agent, worker='foreign', born_ms=10**12)
 
 
 def forge_next_life(agent: FakeAgent) -> WorkerIdentity:
@@ -104,7 +104,7 @@
 
     agent.worker.hold = count  # type: ignore[method-assign]
     for number in range(MANY_ANNOUNCEMENTS):
-        agent.reconciler.announce(forge(agent, worker=f'stranger-{number}'))
+        agent.reconciler.announce(forge(agent, worker=f'foreign-{number}'))
     assert holds <= MAX_PENDING_LIVES
 
 
@@ -113,7 +113,7 @@
     fleet.run(1)
     agent = fleet.agents[0]
     for number in range(MAX_PENDING_LIVES):
-        agent.reconciler.announce(forge(agent, worker=f'stranger-{number}'))
+        agent.reconciler.announce(forge(agent, worker=f'foreign-{number}'))
     fleet.run(0.1)
     use_successor(fleet, agent)
     assert fleet.run_starts[0][3] == 'successor'
