--- a/wasabiturn/connection/link.py
+++ b/wasabiturn/connection/link.py
@@ -207,7 +207,7 @@
             self.send_frame(FrameKind.heartbeat, 0, Method.none, b'')
 
     def _handle_frame(self, frame: Frame) -> None:
-        self._peer_clock.record(frame.sent_ms, self._clock.seconds())
+        self._peer_clock.record(frame.sent_ms, self.last_received)
         handler = self._handlers_by_kind.get(frame.kind)
         if handler is not None:
             handler(frame)
--- a/wasabiturn/connection/worker.py
+++ b/wasabiturn/connection/worker.py
@@ -27,6 +27,7 @@
 )
 from wasabiturn.exceptions import PlatformError
 from wasabiturn.messages.kinds import AttemptState, Kind
+from wasabiturn.utils.json_text import read_json
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 REQUEST_TIMEOUT_SECONDS = 2.0
@@ -208,8 +209,8 @@
 
 def _decode(body: bytes, code: int) -> Any:
     try:
-        answer = json.loads(body) if body else {}
-    except (ValueError, RecursionError) as error:
+        answer = read_json(body) if body else {}
+    except ValueError as error:
         raise PlatformError(
             f'answer of the worker is not JSON: {error}'
         ) from error
--- a/wasabiturn/management/http_sender.py
+++ b/wasabiturn/management/http_sender.py
@@ -1,6 +1,5 @@
 """Sender of API requests that uses Twisted's HTTP client."""
 
-import json
 from io import BytesIO
 from typing import Any, NoReturn, final
 
@@ -16,6 +15,7 @@
     HttpRequest,
     HttpResponse,
 )
+from wasabiturn.utils.json_text import read_json
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 
@@ -66,7 +66,7 @@
         outcome = response.headers.getRawHeaders('Wasabiturn-Outcome', [''])
 
         def parse(body: bytes) -> HttpResponse:
-            parsed = json.loads(body)
+            parsed = read_json(body)
             if not isinstance(parsed, dict):
                 raise ValueError('body is not a JSON object')  # noqa: TRY004
             return HttpResponse(response.code, outcome[0], parsed)
--- a/wasabiturn/management/watch_reader.py
+++ b/wasabiturn/management/watch_reader.py
@@ -1,10 +1,11 @@
 """Parser of a watch stream that drops events already seen."""
 
-import json
 from typing import Any, final
 
 import attrs
 
+from wasabiturn.utils.json_text import read_json
+
 NO_REVISION = -1
 
 
@@ -31,9 +32,7 @@
         self.last_received_at = now
         lines = (self._partial + chunk).split(b'\n')
         self._partial = lines.pop()
-        events = [
-            self._filter_event(json.loads(line)) for line in lines if line
-        ]
+        events = [self._filter_event(read_json(line)) for line in lines if line]
         return [event for event in events if event is not None]
 
     def is_silent(self, now: float, limit_seconds: float) -> bool:
--- a/wasabiturn/platform/fields.py
+++ b/wasabiturn/platform/fields.py
@@ -4,12 +4,12 @@
 that no message can hold, makes the whole body invalid.
 """
 
-import json
 import math
 from reprlib import repr as describe
 from typing import Any, final
 
 from wasabiturn.exceptions import PlatformError
+from wasabiturn.utils.json_text import read_json
 
 # Most amounts in messages have 32 bits, one of them for the sign.
 AMOUNT_BITS = 31
@@ -31,11 +31,9 @@
         InvalidBodyError: the body is not a JSON object.
     """
     try:
-        decoded = json.loads(body)
+        decoded = read_json(body)
     except ValueError as error:
         raise InvalidBodyError(f'no JSON: {error}') from error
-    except RecursionError as error:
-        raise InvalidBodyError('the JSON is nested too deeply') from error
     if not isinstance(decoded, dict):
         raise InvalidBodyError('no JSON object')
     return decoded
--- a/wasabiturn/process/agent/announcements.py
+++ b/wasabiturn/process/agent/announcements.py
@@ -13,6 +13,7 @@
 from wasabiturn.connection.endpoint import parse_endpoint
 from wasabiturn.exceptions import ProcessError
 from wasabiturn.messages.session import BackendRecord
+from wasabiturn.utils.json_text import read_json
 
 # A backend server that has not announced itself for this long gets no work.
 ANNOUNCEMENT_EXPIRY_SECONDS = 3.0
@@ -41,11 +42,9 @@
             missing or invalid.
     """
     try:
-        fields = json.loads(content)
+        fields = read_json(content)
     except ValueError as error:
         raise AnnouncementError('', f'body is not JSON: {error}') from error
-    except RecursionError as error:
-        raise AnnouncementError('', 'body is nested too deeply') from error
     if not isinstance(fields, dict):
         raise AnnouncementError('', 'body is not an object')
     return BackendRecord(
--- a/wasabiturn/process/agent/runs/life_verifier.py
+++ b/wasabiturn/process/agent/runs/life_verifier.py
@@ -12,7 +12,10 @@
 from twisted.internet.defer import maybeDeferred
 from twisted.python.failure import Failure
 
-from wasabiturn.process.agent.runs.contact import WorkerContact
+from wasabiturn.process.agent.runs.contact import (
+    HOLD_RETRY_SECONDS,
+    WorkerContact,
+)
 from wasabiturn.process.agent.runs.order_revoker import OrderRevoker
 from wasabiturn.process.agent.runs.port import (
     REASON_FENCE,
@@ -25,7 +28,6 @@
 )
 from wasabiturn.utils.logs import create_component_log
 
-RETRY_SECONDS = 0.2
 # A life that goes on is announced again later.
 MAX_ATTEMPTS = 5
 # Other writers may announce any number of lives.
@@ -172,7 +174,7 @@
         if pending.attempts >= MAX_ATTEMPTS:
             self._forget(pending, reason)
             return
-        self._clock.callLater(RETRY_SECONDS, self._ask, pending)
+        self._clock.callLater(HOLD_RETRY_SECONDS, self._ask, pending)
 
     def _forget(self, pending: _PendingLife, reason: str) -> None:
         identity = pending.identity
--- a/wasabiturn/process/leader_calls.py
+++ b/wasabiturn/process/leader_calls.py
@@ -111,14 +111,11 @@
     reply_class: type
     deadline: float
     may_have_run: bool = False
-    is_cancelled: bool = False
-    result: Deferred[Any] = attrs.field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        self.result = Deferred(self._cancel)
+    result: Deferred[Any] = attrs.field(factory=Deferred)
 
     def attempt(self) -> None:
-        if self.is_cancelled:
+        if self.result.called:
+            # It was cancelled; a reply that still comes is dropped.
             return
         remaining = self.deadline - self.calls.clock.seconds()
         if remaining <= 0:
@@ -136,14 +133,10 @@
         )
         sent.addCallbacks(self._on_reply, self._on_failure, (link,))
 
-    def _cancel(self, result: Deferred[Any]) -> None:
-        self.is_cancelled = True
-
     def _on_reply(self, reply: Any, link: Link) -> None:
         self.calls.retry_delay_seconds = FIRST_RETRY_DELAY_SECONDS
         self.calls.leader = link.peer.name
-        if not self.is_cancelled:
-            self.result.callback(reply)
+        self.result.callback(reply)
 
     def _on_failure(self, failure: TwistedFailure) -> None:
         error = failure.value
@@ -151,8 +144,7 @@
         if code in _UNKNOWN_OUTCOME_CODES:
             self.may_have_run = True
         elif code not in _NOT_RUN_CODES:
-            if not self.is_cancelled:
-                self.result.errback(failure)
+            self.result.errback(failure)
             return
         self.calls.follow_hint(getattr(error, 'leader', ''))
         self._retry_later(self.deadline - self.calls.clock.seconds())
--- a/wasabiturn/version/resources.py
+++ b/wasabiturn/version/resources.py
@@ -28,6 +28,7 @@
     TaskSpec,
     TeamSpec,
 )
+from wasabiturn.utils.json_text import read_json
 from wasabiturn.version.configurations import check_configuration
 from wasabiturn.version.quotas import DEFAULT_TEAM
 
@@ -121,11 +122,11 @@
         MalformedError: the body is not a JSON object.
     """
     try:
-        parsed = json.loads(body, parse_constant=_reject_constant)
+        parsed = read_json(body, parse_constant=_reject_constant)
     except json.JSONDecodeError as error:
         position = f'line {error.lineno} column {error.colno}'
         raise MalformedError(f'{position}: {error.msg}') from error
-    except (ValueError, RecursionError) as error:
+    except ValueError as error:
         raise MalformedError(str(error)) from error
     if not isinstance(parsed, dict):
         raise MalformedError('line 1 column 1: an object is expected')
