--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -58,7 +58,9 @@
 def _save_snapshot(store: Store, state: State, index: int) -> None:
     started = time.perf_counter()
     content = dump_state(state)
-    store.save_snapshot(Snapshot(SnapshotHead(index=index, term=1), content))
+    store.save_snapshot(
+        Snapshot(SnapshotHead(index=index, term=1), content), tail=[]
+    )
     elapsed = time.perf_counter() - started
     print(f'snapshot of {len(content) / 1e6:.2f} MB took {elapsed:.3f} s')
 
--- a/benchmarks/snapshots.py
+++ b/benchmarks/snapshots.py
@@ -30,7 +30,9 @@
     started = time.perf_counter()
     content = dump_state(state)
     dumped = time.perf_counter()
-    store.save_snapshot(Snapshot(SnapshotHead(index=1, term=1), content))
+    store.save_snapshot(
+        Snapshot(SnapshotHead(index=1, term=1), content), tail=[]
+    )
     saved = time.perf_counter()
     load_state(content)
     loaded = time.perf_counter()
--- a/tests/sessions/control_fakes.py
+++ b/tests/sessions/control_fakes.py
@@ -13,6 +13,7 @@
 from wasabiturn.conf.values import Member
 from wasabiturn.connection.endpoint import Endpoint
 from wasabiturn.exceptions import WasabiturnError
+from wasabiturn.messages.batch import BatchChange, Routing
 from wasabiturn.messages.codec import pack, unpack
 from wasabiturn.messages.kinds import Kind
 from wasabiturn.messages.raft import Envelope
@@ -56,10 +57,16 @@
 class ControlGroup:
     """Control group of one test, with a journal of its events."""
 
-    def __init__(self, folder: Path, snapshot_entries: int = 10_000) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        snapshot_entries: int = 10_000,
+        snapshot_bytes: int = 64_000_000,
+    ) -> None:
         self.clock = Clock()
         self.folder = folder
         self.snapshot_entries = snapshot_entries
+        self.snapshot_bytes = snapshot_bytes
         self.journal: list[str] = []
         self.disconnected: set[str] = set()
         self.replicas_by_name: dict[str, ConsensusReplica] = {}
@@ -104,6 +111,11 @@
         for _ in range(12):
             self.clock.advance(DELAY_SECONDS / 12)
 
+    def has_leader(self) -> bool:
+        now = self.clock.seconds()
+        replicas = self.replicas_by_name.values()
+        return any(each.holds_lease(now) for each in replicas)
+
     def leader(self) -> ConsensusReplica:
         now = self.clock.seconds()
         leaders = [
@@ -125,6 +137,19 @@
             request_id=f'request-{name}',
             put=PutResource(resource=resource, expected_revision=-1),
         )
+        return self._submit(replica, name, command)
+
+    def put_routing(
+        self, replica: ConsensusReplica, version: int, document: bytes
+    ) -> list[str]:
+        """Write a version of the queues; as ``put``."""
+        routing = Routing(version=version, document=document)
+        command = Command(batch=BatchChange(routing=routing))
+        return self._submit(replica, f'routing {version}', command)
+
+    def _submit(
+        self, replica: ConsensusReplica, name: str, command: Command
+    ) -> list[str]:
         answers: list[str] = []
         submitted: Deferred[Outcome] = replica.submit(command)
         submitted.addCallbacks(
@@ -195,4 +220,5 @@
             members=tuple(Member(each, unused_endpoint) for each in NAMES),
             data_folder=self.folder / name,
             snapshot_entries=self.snapshot_entries,
+            snapshot_bytes=self.snapshot_bytes,
         )
--- a/tests/version/raft/cluster.py
+++ b/tests/version/raft/cluster.py
@@ -35,6 +35,7 @@
 
 STEP_SECONDS = 0.05
 KEPT_ENTRIES = 3
+KEPT_BYTES = 1_000_000
 
 
 @attrs.define
@@ -201,9 +202,11 @@
         if raft.emitted_index <= raft.log.offset:
             return
         content = str(raft.emitted_index).encode() * 3
-        snapshot = snapshots.create_snapshot(raft, content)
+        snapshot = snapshots.create_snapshot(
+            raft, raft.emitted_index, content
+        )
         machine.disk.snapshot = snapshot
-        snapshots.adopt_snapshot(raft, snapshot, KEPT_ENTRIES)
+        snapshots.adopt_snapshot(raft, snapshot, KEPT_ENTRIES, KEPT_BYTES)
 
     def transfer(self, machine: Machine) -> None:
         if machine.unsaved is not None:
--- a/tests/version/storage/test_store.py
+++ b/tests/version/storage/test_store.py
@@ -110,7 +110,7 @@
 
 def test_damaged_snapshot_prevents_opening(store: Store) -> None:
     store.save(None, [entry(1)], None)
-    store.save_snapshot(snapshot(1))
+    store.save_snapshot(snapshot(1), [])
     flip_bit(next(store.folder.glob('snapshot-*')), 80)
     with pytest.raises(StorageError, match='is damaged'):
         reopen(store)
@@ -130,7 +130,7 @@
     text: str,
 ) -> None:
     store.save(Ballot(cluster='c'), [entry(1)], None)
-    store.save_snapshot(snapshot(1))
+    store.save_snapshot(snapshot(1), [])
     for path in store.folder.glob(pattern):
         path.unlink()
     with pytest.raises(StorageError, match=text):
@@ -159,7 +159,7 @@
 
 def test_snapshot_removes_the_segments_that_it_covers(store: Store) -> None:
     store.save(None, [entry(1), entry(2)], None)
-    store.save_snapshot(snapshot(2))
+    store.save_snapshot(snapshot(2), [])
     store.save(None, [entry(3)], None)
     assert len(store.log.segments) == 1
     again = reopen(store)
@@ -167,6 +167,17 @@
     assert recovered_positions(again) == [(3, 1)]
 
 
+def test_snapshot_keeps_the_saved_entries_after_it(store: Store) -> None:
+    entries = [entry(index) for index in range(1, 6)]
+    store.save(None, entries, None)
+    store.save_snapshot(snapshot(3), entries[3:])
+    assert len(store.log.segments) == 1
+    again = reopen(store)
+    assert recovered_positions(again) == [(4, 1), (5, 1)]
+    again.save(None, [entry(6)], None)
+    assert recovered_positions(reopen(again))[-1] == (6, 1)
+
+
 def test_received_snapshot_replaces_other_entries(store: Store) -> None:
     store.save(None, [entry(index) for index in range(1, 6)], None)
     store.save(None, [], snapshot(3, term=2))
@@ -233,12 +244,12 @@
         patched.setattr(os, 'write', create_full_disk(3, os.write))
         for _ in range(2):
             with pytest.raises(DiskFullError):
-                store.save_snapshot(snapshot(2))
+                store.save_snapshot(snapshot(2), [])
     assert not list(store.folder.glob('*.tmp'))
     store.save(None, [entry(3)], None)
     again = reopen(store)
     assert recovered_positions(again) == [(1, 1), (2, 1), (3, 1)]
-    again.save_snapshot(snapshot(3))
+    again.save_snapshot(snapshot(3), [])
     assert recovered_positions(reopen(again)) == []
 
 
--- a/wasabiturn/conf/sections.py
+++ b/wasabiturn/conf/sections.py
@@ -42,6 +42,11 @@
         values.integer(100, 10_000_000),
         default=10_000,
     )
+    # Bytes of the replicated log after which a new snapshot is taken.
+    snapshot_bytes: int = setting(
+        values.integer(65_536, 1_000_000_000_000),
+        default=64_000_000,
+    )
     # Number of voters in an open group; 0 for a closed group.
     voters: int = setting(values.integer(0, 9), default=0)
     # Whether this instance may found a cluster if its peers have none.
--- a/wasabiturn/platform/settings.py
+++ b/wasabiturn/platform/settings.py
@@ -22,7 +22,13 @@
 API_PORT_OFFSET = 1
 # Number of log entries after which a member takes a snapshot.
 SNAPSHOT_ENTRIES = 4000
+# Share of the disk that the log may grow by between two snapshots. The disk
+# also holds what the newest snapshot doesn't cover yet, two snapshots, and the
+# room that is set aside for the next.
+LOG_DISK_DIVISOR = 8
+DEFAULT_DISK_MB = 512
 DEFAULT_LEASE_MS = 6000
+_MB = 1_000_000
 
 
 @final
@@ -44,6 +50,7 @@
     may_found: bool
     tolerated_failures: int
     data_folder: Path | None
+    disk_bytes: int
     worker_address: Endpoint | None
     lease_ms: int
 
@@ -110,6 +117,7 @@
             ),
             data_folder=platform.data_folder,
             snapshot_entries=SNAPSHOT_ENTRIES,
+            snapshot_bytes=platform.disk_bytes // LOG_DISK_DIVISOR,
             voters=2 * platform.tolerated_failures + 1,
             may_found=platform.may_found,
         )
@@ -135,6 +143,7 @@
     folder = fields.get('data_dir')
     bounds = fields.get('bounds') or {}
     tolerance = fields.get('fault_tolerance') or {}
+    limits = fields.get('limits') or {}
     return PlatformSettings(
         source=source,
         name=str(fields['node']),
@@ -152,6 +161,7 @@
         may_found=fields.get('bootstrap') is True,
         tolerated_failures=max(int(tolerance.get('machines', 1)), 1),
         data_folder=Path(folder) if folder else None,
+        disk_bytes=int(limits.get('disk_mb') or DEFAULT_DISK_MB) * _MB,
         worker_address=_parse_optional_endpoint(fields.get('app')),
         lease_ms=int(bounds.get('hold_max_ms', DEFAULT_LEASE_MS)),
     )
--- a/wasabiturn/process/control/member.py
+++ b/wasabiturn/process/control/member.py
@@ -11,16 +11,16 @@
 from twisted.internet.defer import Deferred, fail
 
 from wasabiturn.conf.sections import ControlSection
-from wasabiturn.exceptions import DiskFullError
 from wasabiturn.ids import InstanceName
 from wasabiturn.messages.codec import pack
 from wasabiturn.messages.state import Command, Outcome
 from wasabiturn.process.control.applier import Applier
 from wasabiturn.process.control.barriers import ReadBarriers
 from wasabiturn.process.control.peers import Peers
+from wasabiturn.process.control.snapshot_schedule import SnapshotSchedule
+from wasabiturn.process.control.snapshot_taker import SnapshotTaker
 from wasabiturn.utils.logs import create_component_log
-from wasabiturn.version.persistence import dump_state
-from wasabiturn.version.raft import lease, snapshots
+from wasabiturn.version.raft import lease
 from wasabiturn.version.raft.core import (
     Propose,
     create_raft,
@@ -32,11 +32,8 @@
 from wasabiturn.version.replica import CommandTooLargeError, NotLeaderError
 from wasabiturn.version.storage import Store, open_store
 
-RETAINED_LOG_ENTRIES = 1000
 MAX_COMMAND_BYTES = 4 * 1024 * 1024
 STAGGER_DIVISOR = 4
-# Entries after which a snapshot that found no room is tried again.
-POSTPONED_SNAPSHOT_ENTRIES = 500
 _INCARNATION_BITS = 64
 
 _log = create_component_log('consensus')
@@ -58,11 +55,10 @@
     store: Store
     peers: Peers
     applier: Applier
-    snapshot_entries: int
+    snapshot_taker: SnapshotTaker
     # Effects that found no room on the disk. Until they are saved, this member
     # steps nothing and sends nothing, as if the disk hung.
     unsaved_effects: Effects | None = None
-    postponed_snapshot_index: int = 0
     barriers: ReadBarriers = attrs.field(factory=ReadBarriers)
     pending_commands: list[_PendingCommand] = attrs.field(factory=list)
 
@@ -92,8 +88,11 @@
 
     def retry_save(self, now: float) -> None:
         """Carry out the effects that found no room; raises as ``flush``."""
-        if self.unsaved_effects is not None:
-            self._carry_out(self.unsaved_effects, now)
+        unsaved = self.unsaved_effects
+        if unsaved is not None:
+            self.snapshot_taker.make_room(unsaved, now)
+            self._carry_out(unsaved, now)
+            self.snapshot_taker.record_room()
 
     def is_stalled(self) -> bool:
         """Return whether this member waits for room on its disk."""
@@ -107,8 +106,9 @@
             self.peers.send(envelope)
         if effects.snapshot is not None:
             self.applier.restore(effects.snapshot)
+            self.snapshot_taker.record_received(effects.snapshot)
         self.applier.apply(effects.committed)
-        self._take_snapshot_if_due()
+        self.snapshot_taker.take_if_due()
         self._resolve_pending(now)
 
     def leader(self, now: float) -> InstanceName | None:
@@ -146,38 +146,6 @@
         for index, accepted in enumerate(batch, start=proposed.ok):
             self.applier.wait(index, term, accepted.result)
 
-    def _take_snapshot_if_due(self) -> None:
-        current = self.raft.snapshot
-        covered_index = 0 if current is None else current.head.index
-        due_index = max(
-            covered_index + self.snapshot_entries,
-            self.postponed_snapshot_index,
-        )
-        if self.applier.applied_index < due_index:
-            return
-        content = dump_state(self.applier.state)
-        snapshot = snapshots.create_snapshot(self.raft, content)
-        try:
-            self.store.save_snapshot(snapshot)
-        except DiskFullError as error:
-            self._postpone_snapshot(error)
-            return
-        snapshots.adopt_snapshot(self.raft, snapshot, RETAINED_LOG_ENTRIES)
-        _log.event(
-            'took snapshot of the state',
-            index=snapshot.head.index,
-            size=len(content),
-        )
-
-    def _postpone_snapshot(self, error: DiskFullError) -> None:
-        index = self.applier.applied_index + POSTPONED_SNAPSHOT_ENTRIES
-        self.postponed_snapshot_index = index
-        _log.warning(
-            'no room for a snapshot; tried again later',
-            next_index=index,
-            error=str(error),
-        )
-
     def _resolve_pending(self, now: float) -> None:
         if self.raft.leadership is None:
             self.applier.fail_waiters()
@@ -222,16 +190,29 @@
         store=store,
         peers=peers,
         applier=applier,
-        snapshot_entries=_snapshot_period(section, name),
+        snapshot_taker=SnapshotTaker(
+            raft=raft,
+            store=store,
+            applier=applier,
+            schedule=_create_schedule(section, name, raft),
+        ),
     )
 
 
-def _snapshot_period(section: ControlSection, name: InstanceName) -> int:
-    """Return entries between snapshots, staggered over the members.
+def _create_schedule(
+    section: ControlSection, name: InstanceName, raft: RaftState
+) -> SnapshotSchedule:
+    """Return the schedule of snapshots, staggered over the members.
 
     Taking a snapshot blocks a member, so not all may do it at once.
     """
     names = [member.name for member in section.members]
     position = names.index(name) if name in names else 0
-    entries = section.snapshot_entries
-    return entries + entries * position // (STAGGER_DIVISOR * len(names))
+    stagger = 1 + position / (STAGGER_DIVISOR * len(names))
+    schedule = SnapshotSchedule(
+        entry_period=int(section.snapshot_entries * stagger),
+        byte_period=int(section.snapshot_bytes * stagger),
+    )
+    if raft.snapshot is not None:
+        schedule.record_taken(raft.snapshot.head.index, appended_bytes=0)
+    return schedule
--- a/wasabiturn/version/raft/core.py
+++ b/wasabiturn/version/raft/core.py
@@ -97,7 +97,9 @@
         state.log.reset(head.index, head.term)
         state.commit_index = head.index
         state.emitted_index = head.index
-        snapshots.adopt_snapshot(state, recovered.snapshot, kept_entries=0)
+        snapshots.adopt_snapshot(
+            state, recovered.snapshot, kept_entries=0, kept_bytes=0
+        )
     for entry in recovered.entries:
         state.log.entries.append(entry)
         membership.adopt_membership(state, entry)
--- a/wasabiturn/version/raft/log.py
+++ b/wasabiturn/version/raft/log.py
@@ -56,6 +56,25 @@
         """Return the entries from ``first`` to ``last``, both included."""
         return self.entries[first - self.offset - 1 : last - self.offset]
 
+    def size_between(self, first: int, last: int) -> int:
+        """Return the bytes of the entries from ``first`` to ``last``.
+
+        Only those held here count.
+        """
+        held = self.between(max(first, self.offset + 1), last)
+        return sum(len(entry.payload) for entry in held)
+
+    def count_newest(self, last: int, max_entries: int, max_bytes: int) -> int:
+        """Return how many entries up to ``last`` fit within both bounds."""
+        size = 0
+        first = max(self.offset, last - max_entries) + 1
+        newest_first = reversed(self.between(first, last))
+        for count, entry in enumerate(newest_first):
+            size += len(entry.payload)
+            if size > max_bytes:
+                return count
+        return max(last - first + 1, 0)
+
     def truncate(self, first: int) -> None:
         """Drop the entries from ``first`` on."""
         del self.entries[first - self.offset - 1 :]
--- a/wasabiturn/version/raft/replication.py
+++ b/wasabiturn/version/raft/replication.py
@@ -20,6 +20,8 @@
 
 MAX_APPEND_BYTES = 1024 * 1024
 MAX_ENTRIES_IN_FLIGHT = 4096
+# What a member that answers slowly may have waiting for it on its link.
+MAX_BYTES_IN_FLIGHT = 8 * 1024 * 1024
 
 
 def append(state: RaftState, entries: list[Entry]) -> int:
@@ -144,4 +146,9 @@
     in_flight = progress.next_index - progress.match_index
     if in_flight > MAX_ENTRIES_IN_FLIGHT:
         return []
+    bytes_in_flight = state.log.size_between(
+        progress.match_index + 1, progress.next_index - 1
+    )
+    if bytes_in_flight > MAX_BYTES_IN_FLIGHT:
+        return []
     return state.log.read(progress.next_index, MAX_APPEND_BYTES)
--- a/wasabiturn/version/raft/snapshots.py
+++ b/wasabiturn/version/raft/snapshots.py
@@ -22,9 +22,10 @@
 CHUNK_BYTES = 1024 * 1024
 
 
-def create_snapshot(state: RaftState, content: bytes) -> Snapshot:
-    """Create a snapshot of the state machine after the last emitted entry."""
-    index = state.emitted_index
+def create_snapshot(
+    state: RaftState, index: int, content: bytes
+) -> Snapshot:
+    """Create a snapshot of the state machine after the entry at ``index``."""
     term = state.log.term_at(index)
     if term is None:
         raise InvariantError(
@@ -42,10 +43,12 @@
     state: RaftState,
     snapshot: Snapshot,
     kept_entries: int,
+    kept_bytes: int,
 ) -> None:
     """Record a durable ``snapshot`` and compact the log.
 
-    The newest ``kept_entries`` that the snapshot covers stay in the log.
+    The newest entries that the snapshot covers stay in the log: up to
+    ``kept_entries``, and only as many as fit in ``kept_bytes``.
     """
     state.snapshot = snapshot
     indexed = IndexedMembership(snapshot.head.index, snapshot.head.membership)
@@ -53,7 +56,10 @@
         other for other in state.memberships if other.index > indexed.index
     ]
     state.memberships = [indexed, *newer]
-    state.log.compact(snapshot.head.index - kept_entries)
+    kept = state.log.count_newest(
+        snapshot.head.index, kept_entries, kept_bytes
+    )
+    state.log.compact(snapshot.head.index - kept)
 
 
 def send_chunk(
--- a/wasabiturn/version/storage/segments.py
+++ b/wasabiturn/version/storage/segments.py
@@ -33,7 +33,6 @@
     path: Path
     first_sequence: int
     size: int = 0
-    last_index: int = 0
 
 
 @final
@@ -45,6 +44,8 @@
     segments: list[Segment]
     next_sequence: int
     descriptor: int = -1
+    # All bytes that were appended or recovered since the log was opened.
+    appended_bytes: int = 0
 
     def append(self, record: LogRecord) -> None:
         """Write a record and sync it.
@@ -63,7 +64,7 @@
         disk.sync_file(self.descriptor, segment.path)
         self.next_sequence += 1
         segment.size += len(encoded)
-        _update_last_index(segment, record)
+        self.appended_bytes += len(encoded)
 
     def is_full(self) -> bool:
         """Return whether the next record belongs in a new segment."""
@@ -91,13 +92,14 @@
             Segment(path=path, first_sequence=self.next_sequence),
         )
 
-    def remove_until(self, index: int) -> None:
-        """Remove the oldest segments that hold no entry after ``index``."""
-        removed = False
-        while len(self.segments) > 1 and self.segments[0].last_index <= index:
+    def remove_older_segments(self) -> None:
+        """Remove all segments but the newest, which must suffice by itself.
+
+        One is durably gone before the next, as a gap between two would look
+        like a lost segment.
+        """
+        while len(self.segments) > 1:
             disk.remove_file(self.segments.pop(0).path)
-            removed = True
-        if removed:
             disk.sync_folder(self.folder)
 
     def close(self) -> None:
@@ -141,6 +143,7 @@
         _replay_record(log, segment, record, replay)
     if segment.size < len(content):
         _truncate_torn_tail(path, content, segment.size, is_last)
+    log.appended_bytes += segment.size
     log.segments.append(segment)
 
 
@@ -162,12 +165,6 @@
     replay.apply(decoded)
     log.next_sequence += 1
     segment.size = record.end
-    _update_last_index(segment, decoded)
-
-
-def _update_last_index(segment: Segment, record: LogRecord) -> None:
-    for entry in record.entries:
-        segment.last_index = max(segment.last_index, entry.index)
 
 
 def _truncate_torn_tail(
--- a/wasabiturn/version/storage/store.py
+++ b/wasabiturn/version/storage/store.py
@@ -19,6 +19,7 @@
 from wasabiturn.version.storage import disk
 from wasabiturn.version.storage.identity import read_identity, write_identity
 from wasabiturn.version.storage.replay import Replay
+from wasabiturn.version.storage.reserve import Reserve, open_reserve
 from wasabiturn.version.storage.segments import SegmentedLog, open_segments
 from wasabiturn.version.storage.snapshot_files import (
     read_newest_snapshot,
@@ -39,8 +40,11 @@
     identity: Identity
     recovered: Recovered
     log: SegmentedLog
+    reserve: Reserve
     ballot: Ballot
     lock: int
+    # Size of the content of the newest snapshot.
+    snapshot_bytes: int = 0
 
     @property
     def member_id(self) -> str:
@@ -59,7 +63,7 @@
         """
         reset_index = 0
         if snapshot is not None:
-            write_snapshot(self.folder, snapshot)
+            self._write_snapshot(snapshot)
             reset_index = snapshot.head.index
         if ballot is None and not entries and not reset_index:
             return
@@ -73,11 +77,25 @@
         )
         self.log.append(record)
 
-    def save_snapshot(self, snapshot: Snapshot) -> None:
-        """Make a snapshot durable and remove the segments that it covers."""
-        write_snapshot(self.folder, snapshot)
+    def save_snapshot(self, snapshot: Snapshot, tail: list[Entry]) -> None:
+        """Make a snapshot durable and replace the log by what it lacks.
+
+        ``tail`` are all entries after the snapshot that were saved.
+        """
+        self._write_snapshot(snapshot)
         self.log.roll(self.ballot)
-        self.log.remove_until(snapshot.head.index)
+        if tail:
+            self.log.append(LogRecord(entries=tail))
+        self.log.remove_older_segments()
+        self.fill_reserve()
+
+    def fill_reserve(self) -> None:
+        """Set room aside for the next snapshot, if there is any."""
+        self.reserve.fill(self.snapshot_bytes)
+
+    def _write_snapshot(self, snapshot: Snapshot) -> None:
+        write_snapshot(self.folder, snapshot)
+        self.snapshot_bytes = len(snapshot.content)
 
     def close(self) -> None:
         """Close the files and unlock the folder."""
@@ -124,14 +142,18 @@
             f'{folder} has lost its log; empty the folder so that this '
             'instance rejoins as a new member',
         )
-    return Store(
+    store = Store(
         folder=folder,
         identity=identity,
         recovered=_recover(folder, log, replay, snapshot),
         log=log,
+        reserve=open_reserve(folder),
         ballot=replay.ballot,
         lock=lock,
+        snapshot_bytes=0 if snapshot is None else len(snapshot.content),
     )
+    store.fill_reserve()
+    return store
 
 
 def _initialise_folder(
