A configuration is stored and sent once, and answered from only when committed

Jobs were resolved by the leader's working copy, so a queue could be served, or refused with 404, by a configuration that was not committed yet.

Now the state has the document alone. A configuration that is on its way is confirmed behind the one before. Queues are looked up by host.

Earlier builds read no queues from such a document: upgrade all control instances of a group before the next change of the configuration (release notes).

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -9,7 +9,7 @@
 from wasabiturn.platform.fields import InvalidBodyError
 from wasabiturn.platform.jobs import decode_job
 from wasabiturn.platform.listings import MAX_LISTED_ENDS, decode_listing
-from wasabiturn.platform.routing import decode_routing
+from wasabiturn.platform.routing import decode_routing, read_queues
 from wasabiturn.platform.workers import decode_identity
 
 ROUTE = {
@@ -84,7 +84,7 @@
     body = encode(CONFIGURATION)
     routing = decode_routing(body)
     assert (routing.version, routing.document) == (7, body)
-    assert routing.queues[0].terms.attempts == 2
+    assert read_queues(routing.document)[0].terms.attempts == 2
 
 
 @pytest.mark.parametrize(
--- a/tests/sessions/batch_fakes.py
+++ b/tests/sessions/batch_fakes.py
@@ -384,6 +384,7 @@
         self.start_orders: list[SentStart] = []
         self._active_runs: set[tuple[str, int]] = set()
         self._steps_by_job: dict[str, list[Step]] = {}
+        self._queues_by_document: dict[bytes, list[Queue]] = {}
         self._capacities_by_worker: dict[
             StandInBatchWorker, CapacityHistory
         ] = {}
@@ -438,6 +439,7 @@
             self.replica,  # type: ignore[arg-type]
             self.dispatch,
             LEASE_MS,
+            read_queues=self._read_queues,
         )
         self.leader.start()
 
@@ -453,6 +455,9 @@
 
     # Callers and operators
 
+    def _read_queues(self, document: bytes) -> list[Queue]:
+        return self._queues_by_document.get(document, [])
+
     def call_leader(self, method: Method, message: Any) -> Any:
         """Call the leader, retrying after errors, and return its answer."""
         for _ in range(100):
@@ -483,7 +488,9 @@
             terms=terms,
         )
         self.run(0.1)
-        routing = Routing(version=version, queues=[queue])
+        document = b'%d' % version
+        self._queues_by_document[document] = [queue]
+        routing = Routing(version=version, document=document)
         self.call_leader(Method.put_routing, PutRouting(routing=routing))
 
     def submit(
--- /dev/null
+++ b/tests/sessions/test_configurations.py
@@ -0,0 +1,93 @@
+"""Changes of the queues while the leader can commit nothing."""
+
+from typing import Any
+
+import pytest
+from twisted.internet.defer import Deferred, maybeDeferred
+
+from tests.sessions.batch_fakes import HOST, PREFIX, BatchFleet
+from wasabiturn.messages.batch import (
+    JobCall,
+    JobDeclaration,
+    PutRouting,
+    Routing,
+    Step,
+)
+from wasabiturn.messages.kinds import JobAction, JobOutcome, Method
+from wasabiturn.messages.link import Nothing
+from wasabiturn.messages.state import Command, Outcome
+
+
+class HeldReplica:
+    """Holds back what a replica is told to commit, in order."""
+
+    def __init__(
+        self, fleet: BatchFleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        self.commands: list[Command] = []
+        self._submit = fleet.replica.submit
+        self._held: list[Deferred[Outcome]] = []
+        monkeypatch.setattr(fleet.replica, 'submit', self._hold)
+
+    def release(self) -> None:
+        for command, outcome in zip(self.commands, self._held, strict=True):
+            self._submit(command).chainDeferred(outcome)
+
+    def count_routings(self) -> int:
+        batches = [each.batch for each in self.commands if each.batch]
+        return sum(batch.routing is not None for batch in batches)
+
+    def _hold(self, command: Command) -> Deferred[Outcome]:
+        outcome: Deferred[Outcome] = Deferred()
+        self.commands.append(command)
+        self._held.append(outcome)
+        return outcome
+
+
+def call_leader(fleet: BatchFleet, method: Method, message: Any) -> list[Any]:
+    route = fleet.dispatch.calls_by_method[method]
+    answers: list[Any] = []
+    maybeDeferred(route.handler, None, message).addBoth(answers.append)
+    return answers
+
+
+def test_configuration_sent_again_before_its_commit_is_stored_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    fleet = BatchFleet()
+    held = HeldReplica(fleet, monkeypatch)
+    put = PutRouting(routing=Routing(version=7, document=b'1'))
+    first = call_leader(fleet, Method.put_routing, put)
+    fleet.run(0.1)
+    second = call_leader(fleet, Method.put_routing, put)
+    fleet.run(0.5)
+    assert (first, second) == ([], [])
+    held.release()
+    fleet.run(0.1)
+    assert (first, second) == ([Nothing()], [Nothing()])
+    assert held.count_routings() == 1
+
+
+def test_uncommitted_configuration_serves_no_queue(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    fleet = BatchFleet()
+    held = HeldReplica(fleet, monkeypatch)
+    declaration = JobDeclaration(payload='', steps=[Step(tasks=1)])
+    call = JobCall(
+        action=JobAction.submit,
+        host=HOST,
+        path=f'{PREFIX}job',
+        declaration=declaration,
+    )
+    empty = PutRouting(routing=Routing(version=7, document=b'none'))
+    call_leader(fleet, Method.put_routing, empty)
+    fleet.run(0.1)
+    before = call_leader(fleet, Method.job, call)
+    fleet.run(0.1)
+    held.release()
+    fleet.run(0.1)
+    after = call_leader(fleet, Method.job, call)
+    fleet.run(0.1)
+    outcomes = [answer.outcome for answer in (*before, *after)]
+    assert outcomes == [JobOutcome.ok, JobOutcome.no_queue]
--- a/tests/version/raft/cluster.py
+++ b/tests/version/raft/cluster.py
@@ -202,9 +202,7 @@
         if raft.emitted_index <= raft.log.offset:
             return
         content = str(raft.emitted_index).encode() * 3
-        snapshot = snapshots.create_snapshot(
-            raft, raft.emitted_index, content
-        )
+        snapshot = snapshots.create_snapshot(raft, raft.emitted_index, content)
         machine.disk.snapshot = snapshot
         snapshots.adopt_snapshot(raft, snapshot, KEPT_ENTRIES, KEPT_BYTES)
 
--- a/wasabiturn/batch/state.py
+++ b/wasabiturn/batch/state.py
@@ -6,7 +6,7 @@
 import attrs
 
 from wasabiturn.batch.jobs import Job, Task
-from wasabiturn.messages.batch import PressureRecord, Queue, Routing
+from wasabiturn.messages.batch import PressureRecord, Routing
 from wasabiturn.messages.kinds import BatchTaskState, JobState
 
 
@@ -33,23 +33,6 @@
     on_start: Callable[[Task], None] | None = None
     on_end: Callable[[Task], None] | None = None
 
-    def find_queue(self, host: str, path: str) -> Queue | None:
-        """Return the queue of ``host`` with the longest prefix of ``path``."""
-        found: Queue | None = None
-        for queue in self.routing.queues if self.routing else ():
-            if queue.host != host or not path.startswith(queue.prefix):
-                continue
-            if found is None or len(queue.prefix) > len(found.prefix):
-                found = queue
-        return found
-
-    def has_service(self, service_name: str) -> bool:
-        """Return whether a configured queue uses the service."""
-        return self.routing is not None and any(
-            queue.terms.service_name == service_name
-            for queue in self.routing.queues
-        )
-
     def count_pending(self, queue: str) -> int:
         """Return the number of jobs in ``queue`` with no run known to begin."""
         return sum(
--- a/wasabiturn/platform/control_program.py
+++ b/wasabiturn/platform/control_program.py
@@ -2,6 +2,7 @@
 
 from wasabiturn.messages.kinds import Role
 from wasabiturn.platform.program import Program
+from wasabiturn.platform.routing import read_queues
 from wasabiturn.platform.settings import PlatformSettings
 from wasabiturn.process.control.batch import create_batch_leader
 from wasabiturn.process.control.consensus import create_replica
@@ -22,6 +23,7 @@
             replica,
             program.dispatch,
             platform.lease_ms,
+            read_queues,
         ),
     ]
     program.group.on_members.append(
--- a/wasabiturn/platform/routing.py
+++ b/wasabiturn/platform/routing.py
@@ -17,7 +17,7 @@
 
 
 def decode_routing(body: bytes) -> Routing:
-    """Return the queues that an operator configures.
+    """Return the configuration of an operator once it has been checked.
 
     Raises:
         InvalidBodyError: a field is missing or invalid, a queue names a service
@@ -29,14 +29,22 @@
         read_required_str(service, 'name')
         for service in read_list(fields, 'services')
     }
-    queues = [_decode_queue(queue) for queue in read_list(fields, 'routes')]
-    _check_queues(queues, services)
+    _check_queues(_decode_queues(fields), services)
     if not isinstance(fields.get('limits'), dict):
         raise InvalidBodyError('there are no limits')
     version = read_int(fields, 'version', MAX_EXACT)
     if version < 1:
         raise InvalidBodyError('there is no version')
-    return Routing(version=version, queues=queues, document=body)
+    return Routing(version=version, document=body)
+
+
+def read_queues(document: bytes) -> list[Queue]:
+    """Return the queues that a checked configuration declares."""
+    return _decode_queues(decode_object(document))
+
+
+def _decode_queues(fields: dict[str, Any]) -> list[Queue]:
+    return [_decode_queue(queue) for queue in read_list(fields, 'routes')]
 
 
 def _check_queues(queues: list[Queue], services: set[str]) -> None:
--- a/wasabiturn/process/control/batch/job_calls.py
+++ b/wasabiturn/process/control/batch/job_calls.py
@@ -8,6 +8,7 @@
 
 from wasabiturn.batch import BatchState
 from wasabiturn.batch.jobs import Job
+from wasabiturn.batch.queue_table import QueueTable
 from wasabiturn.messages.batch import (
     AcceptJob,
     BatchChange,
@@ -33,14 +34,15 @@
     """
 
     pipeline: Pipeline
+    queue_table: QueueTable
     committed_state: Callable[[], BatchState]
 
     def answer(self, call: JobCall, wall_ms: int) -> Deferred[JobAnswer]:
         """Answer one call; fails with ``CallError``."""
-        batch_state = self.pipeline.batch_state
-        if batch_state.routing is None:
+        routing = self.committed_state().routing
+        if routing is None:
             return succeed(JobAnswer(outcome=JobOutcome.not_configured))
-        queue = batch_state.find_queue(call.host, call.path)
+        queue = self.queue_table.find_queue(routing, call.host, call.path)
         if queue is None:
             return succeed(JobAnswer(outcome=JobOutcome.no_queue))
         job_id = call.path.removeprefix(queue.prefix)
--- a/wasabiturn/process/control/batch/leader.py
+++ b/wasabiturn/process/control/batch/leader.py
@@ -12,6 +12,7 @@
 from twisted.python.failure import Failure
 
 from wasabiturn.batch.fences import next_fence
+from wasabiturn.batch.queue_table import QueueReader, QueueTable
 from wasabiturn.connection.calls import CallError
 from wasabiturn.connection.dispatch import Dispatch
 from wasabiturn.connection.link import Link
@@ -44,8 +45,10 @@
         replica: Replica,
         dispatch: Dispatch,
         lease_ms: int,
+        read_queues: QueueReader,
     ) -> None:
         """Create the scheduler and register its handlers; see ``start``."""
+        self._queue_table = QueueTable(read_queues)
         self._clock = context.reactor
         self._replica = replica
         self._lease_ms = lease_ms
@@ -166,6 +169,7 @@
     ) -> Deferred[messages.JobAnswer]:
         handler = JobCallHandler(
             pipeline=self._require_leader_term().pipeline,
+            queue_table=self._queue_table,
             committed_state=lambda: self._replica.state.batch,
         )
         return handler.answer(call, wall_clock_ms())
@@ -176,10 +180,13 @@
         put: messages.PutRouting,
     ) -> Deferred[Nothing]:
         leader_term = self._require_leader_term()
-        stored = self._replica.state.batch.routing
-        if stored is not None and put.routing.version <= stored.version:
+        version = put.routing.version
+        if version <= _version_of(self._replica.state.batch.routing):
             return succeed(Nothing())
-        _log.decision('stores routing', version=put.routing.version)
+        if version <= _version_of(leader_term.pipeline.batch_state.routing):
+            # It is on its way, and is not stored twice.
+            return _to_nothing(leader_term.pipeline.confirm())
+        _log.decision('stores routing', version=version)
         return _record(leader_term, messages.BatchChange(routing=put.routing))
 
     def _handle_read_routing(
@@ -219,19 +226,22 @@
         link: Link,
         nothing: Nothing,
     ) -> messages.LeaderStatus:
-        batch_state = self._require_leader_term().pipeline.batch_state
-        return messages.LeaderStatus(
-            is_configured=batch_state.routing is not None
-        )
+        self._require_leader_term()
+        routing = self._replica.state.batch.routing
+        return messages.LeaderStatus(is_configured=routing is not None)
 
     def _handle_worker_report(
         self,
         link: Link,
         report: messages.WorkerReport,
     ) -> messages.WorkerOrders:
-        return answer_report(
+        orders = answer_report(
             self._require_leader_term(), link, report, self._now()
         )
+        orders.is_service_unknown = not self._queue_table.has_service(
+            self._replica.state.batch.routing, report.service_name
+        )
+        return orders
 
 
 def create_batch_leader(
@@ -239,13 +249,24 @@
     replica: Replica,
     dispatch: Dispatch,
     lease_ms: int,
+    read_queues: QueueReader,
 ) -> BatchLeader:
-    """Create the leader; it grants ``lease_ms`` to each worker that reports."""
-    return BatchLeader(context, replica, dispatch, lease_ms)
+    """Create the leader; it grants ``lease_ms`` to each worker that reports.
+
+    ``read_queues`` reads the queues from the document of a configuration.
+    """
+    return BatchLeader(context, replica, dispatch, lease_ms, read_queues)
+
+
+def _version_of(routing: messages.Routing | None) -> int:
+    return 0 if routing is None else routing.version
 
 
 def _record(
     leader_term: LeaderTerm, change: messages.BatchChange
 ) -> Deferred[Nothing]:
-    recorded = leader_term.pipeline.record(change)
+    return _to_nothing(leader_term.pipeline.record(change))
+
+
+def _to_nothing(recorded: Deferred[None]) -> Deferred[Nothing]:
     return recorded.addCallback(lambda _: Nothing())
--- a/wasabiturn/process/control/batch/pipeline.py
+++ b/wasabiturn/process/control/batch/pipeline.py
@@ -78,6 +78,14 @@
         self._batch.waiters.append(committed)
         return committed
 
+    def confirm(self) -> Deferred[None]:
+        """Fire once all changes recorded so far are committed.
+
+        Commits the time, behind them. Fails as ``record`` does.
+        """
+        now_ms = self._state_clock.read(self._clock.seconds())
+        return self.record(BatchChange(clock_ms=max(now_ms, 1)))
+
     def add(self, change: BatchChange) -> BatchChange:
         """Apply and commit ``change`` without reporting the outcome.
 
--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -62,12 +62,9 @@
         leader_term.give_up_runs(worker, 'nothing listens', now)
     _withdraw_starts_without_room(leader_term, worker)
     _adjust_pace(leader_term, worker, now)
-    orders = leader_term.orders_for(
+    return leader_term.orders_for(
         worker, _grant_lease(leader_term, worker, report, now)
     )
-    batch_state = leader_term.pipeline.batch_state
-    orders.is_service_unknown = not batch_state.has_service(report.service_name)
-    return orders
 
 
 def _follow_refusals(worker: Worker, report: WorkerReport, now: float) -> None:
--- a/wasabiturn/process/control/snapshot_taker.py
+++ b/wasabiturn/process/control/snapshot_taker.py
@@ -94,9 +94,7 @@
         tail = self.raft.log.between(index + 1, last_saved)
         self.store.save_snapshot(snapshot, tail)
         self._adopt(snapshot)
-        _log.event(
-            'took snapshot of the state', index=index, size=len(content)
-        )
+        _log.event('took snapshot of the state', index=index, size=len(content))
 
     def _adopt(self, snapshot: Snapshot) -> None:
         snapshots.adopt_snapshot(
--- a/wasabiturn/version/raft/snapshots.py
+++ b/wasabiturn/version/raft/snapshots.py
@@ -22,9 +22,7 @@
 CHUNK_BYTES = 1024 * 1024
 
 
-def create_snapshot(
-    state: RaftState, index: int, content: bytes
-) -> Snapshot:
+def create_snapshot(state: RaftState, index: int, content: bytes) -> Snapshot:
     """Create a snapshot of the state machine after the entry at ``index``."""
     term = state.log.term_at(index)
     if term is None:
@@ -56,9 +54,7 @@
         other for other in state.memberships if other.index > indexed.index
     ]
     state.memberships = [indexed, *newer]
-    kept = state.log.count_newest(
-        snapshot.head.index, kept_entries, kept_bytes
-    )
+    kept = state.log.count_newest(snapshot.head.index, kept_entries, kept_bytes)
     state.log.compact(snapshot.head.index - kept)
 
 
