--- a/wasabiturn/batch/queue_table.py
+++ b/wasabiturn/batch/queue_table.py
@@ -49,7 +49,7 @@
             queues_by_host.setdefault(queue.host, []).append(queue)
         self._queues_by_host = queues_by_host
         self._service_names = frozenset(
-            queue.terms.service_name for queue in queues
+            each.terms.service_name for each in queues
         )
         self._routing = routing
 
