An ended job keeps its state and nothing of its tasks

Tests: test_ended_job_keeps_nothing_of_its_tasks and test_ended_job_of_an_older_snapshot_gets_no_tasks, which need the new behaviour by construction.

--- a/tests/batch/test_apply.py
+++ b/tests/batch/test_apply.py
@@ -1,12 +1,22 @@
 """Tests of changes applied to the batch state."""
 
+import pytest
+
 from tests.batch.jobs_fakes import accept, create_batch_state, end, start, step
 from wasabiturn.batch import (
     apply_batch_change,
+    dump,
     dump_batch_state,
     load_batch_state,
 )
-from wasabiturn.messages.batch import BatchChange, DataCentreMark, Routing
+from wasabiturn.messages.batch import (
+    BatchChange,
+    BatchDump,
+    DataCentreMark,
+    JobRecord,
+    Routing,
+)
+from wasabiturn.messages.codec import pack
 from wasabiturn.messages.kinds import (
     BatchTaskState,
     JobState,
@@ -186,3 +196,29 @@
     assert job.state is JobState.done
     assert not job.waiting_tasks
     assert not job.active_tasks
+
+
+def test_ended_job_keeps_nothing_of_its_tasks() -> None:
+    batch_state = create_batch_state(
+        accept('j', step(100), step(100)),
+        BatchChange(cancels=['j']),
+    )
+    job = batch_state.jobs_by_id['j']
+    assert (job.state, job.accepted.declaration.job_id) == (
+        JobState.cancelled,
+        'j',
+    )
+    assert not job.parts_by_key
+    assert len(pack(dump_batch_state(batch_state))) < 200
+
+
+def test_ended_job_of_an_older_snapshot_gets_no_tasks(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    change = accept('j', step(100))
+    record = JobRecord(accepted=change.accepts[0], state=JobState.done)
+    monkeypatch.setattr(dump, 'create_job', lambda _: pytest.fail('tasks'))
+    batch_state = load_batch_state(BatchDump(jobs=[record]))
+    job = batch_state.jobs_by_id['j']
+    assert (job.state, job.accepted.declaration.steps) == (JobState.done, [])
+    assert not batch_state.open_jobs_by_id
--- a/wasabiturn/batch/__init__.py
+++ b/wasabiturn/batch/__init__.py
@@ -7,12 +7,17 @@
 """
 
 from wasabiturn.batch.apply import apply_batch_change
-from wasabiturn.batch.dump import dump_batch_state, load_batch_state
+from wasabiturn.batch.dump import (
+    copy_in_slices,
+    dump_batch_state,
+    load_batch_state,
+)
 from wasabiturn.batch.state import BatchState
 
 __all__ = (
     'BatchState',
     'apply_batch_change',
+    'copy_in_slices',
     'dump_batch_state',
     'load_batch_state',
 )
--- a/wasabiturn/batch/dump.py
+++ b/wasabiturn/batch/dump.py
@@ -1,9 +1,12 @@
-"""Conversion of the batch state to and from messages.
+"""Conversion of the batch state to and from messages, and copies of it.
 
-Used for snapshots, and by a leader to copy the committed state.
+Messages are for snapshots, the copy for a leader, which plans ahead of the
+committed state.
 """
 
-from wasabiturn.batch.jobs import Job, Task, create_job
+from collections.abc import Iterator
+
+from wasabiturn.batch.jobs import FINAL_STATES, Job, Task, create_job
 from wasabiturn.batch.state import BatchState
 from wasabiturn.messages.batch import BatchDump, JobRecord, TaskRecord
 from wasabiturn.messages.kinds import BatchTaskState
@@ -33,6 +36,21 @@
     return batch_state
 
 
+def copy_in_slices(source: BatchState, target: BatchState) -> Iterator[None]:
+    """Copy ``source`` to the empty ``target``, one job in each slice.
+
+    ``source`` must not change meanwhile. Messages that nobody modifies, such
+    as declarations, are shared.
+    """
+    target.routing = source.routing
+    target.out_data_centres = set(source.out_data_centres)
+    target.pressures = list(source.pressures)
+    target.clock_ms = source.clock_ms
+    for job in source.jobs_by_id.values():
+        _load_job(target, _dump_job(job))
+        yield
+
+
 def _dump_job(job: Job) -> JobRecord:
     return JobRecord(
         accepted=job.accepted,
@@ -69,6 +87,10 @@
 
 
 def _load_job(batch_state: BatchState, record: JobRecord) -> None:
+    if record.state in FINAL_STATES and not record.tasks:
+        ended = Job(accepted=record.accepted, state=record.state)
+        batch_state.add_ended_job(ended)
+        return
     job = create_job(record.accepted)
     batch_state.add_job(job)
     for task_record in record.tasks:
--- a/wasabiturn/batch/jobs.py
+++ b/wasabiturn/batch/jobs.py
@@ -5,7 +5,12 @@
 
 import attrs
 
-from wasabiturn.messages.batch import AcceptJob, StartRun, Step
+from wasabiturn.messages.batch import (
+    AcceptJob,
+    JobDeclaration,
+    StartRun,
+    Step,
+)
 from wasabiturn.messages.kinds import BatchTaskState, JobState
 
 _MILLI = 1000
@@ -124,7 +129,9 @@
 @final
 @attrs.define(eq=False)
 class Job:
-    """An accepted job; once it is final, its tasks are dropped.
+    """An accepted job.
+
+    Once it is final, its tasks are dropped, and then its steps.
 
     ``objective_ms`` is the time in which it should be done, derived from its
     caller's estimates and the terms of the queue.
@@ -181,6 +188,17 @@
             for occurrence in range(occurrences)
         )
 
+    def shrink(self) -> None:
+        """Forget the steps of an ended job; it is only asked for its state."""
+        declaration = self.accepted.declaration
+        self.parts_by_key = {}
+        self.accepted = attrs.evolve(
+            self.accepted,
+            declaration=JobDeclaration(
+                job_id=declaration.job_id, queue=declaration.queue
+            ),
+        )
+
     @property
     def is_final(self) -> bool:
         """Return whether the job has ended and starts no more tasks."""
--- a/wasabiturn/batch/state.py
+++ b/wasabiturn/batch/state.py
@@ -46,6 +46,11 @@
         self.open_jobs_by_id[job.job_id] = job
         self.tasks_by_name.update(job.tasks_by_name)
 
+    def add_ended_job(self, job: Job) -> None:
+        """Add a job of which only the state is kept."""
+        job.shrink()
+        self.jobs_by_id[job.job_id] = job
+
     def begin_run(self, task: Task) -> None:
         """Mark ``task`` active and call ``on_start``."""
         task.state = BatchTaskState.active
@@ -88,3 +93,5 @@
         task.part.waiting_by_name.pop(task.name, None)
         self.tasks_by_name.pop(task.name, None)
         self.suspects_by_name.pop(task.name, None)
+        if task.job.is_final and not task.job.tasks_by_name:
+            task.job.shrink()
