A new leader copies the state of the queues in slices

Cause: LeaderTerm copied the whole batch state through dump, pack, unpack and load in one turn of the loop. A leader that sends nothing for 1.0 s is replaced, so with a large state each member in turn was elected, stood still and was deposed, and each take-over began from nothing.

Now TakeOver copies job by job, 10 ms in each turn, without packing; heartbeats go out and answers are read in between. A change that is applied meanwhile begins the copy anew. Declarations, which nobody modifies, are shared.

The test of configurations uses the fleet's submission of a job, split off for that.

--- a/tests/sessions/batch_fakes.py
+++ b/tests/sessions/batch_fakes.py
@@ -499,16 +499,25 @@
         steps: list[Step],
         work: SimulatedWork | None = None,
     ) -> JobAnswer:
+        call = self.create_submission(job_id, steps, work)
+        answer: JobAnswer = self.call_leader(Method.job, call)
+        return answer
+
+    def create_submission(
+        self,
+        job_id: str,
+        steps: list[Step],
+        work: SimulatedWork | None = None,
+    ) -> JobCall:
+        """Return the call that submits a job, whose work is simulated."""
         self.work_by_job[job_id] = work or SimulatedWork(seconds=1)
         self._steps_by_job[job_id] = steps
-        call = JobCall(
+        return JobCall(
             action=JobAction.submit,
             host=HOST,
             path=f'{PREFIX}{job_id}',
             declaration=JobDeclaration(payload='p', steps=steps),
         )
-        answer: JobAnswer = self.call_leader(Method.job, call)
-        return answer
 
     def cancel(self, job_id: str) -> JobAnswer:
         return self._call_job(JobAction.cancel, job_id)
--- a/tests/sessions/test_configurations.py
+++ b/tests/sessions/test_configurations.py
@@ -5,15 +5,9 @@
 import pytest
 from twisted.internet.defer import Deferred, maybeDeferred
 
-from tests.sessions.batch_fakes import HOST, PREFIX, BatchFleet
-from wasabiturn.messages.batch import (
-    JobCall,
-    JobDeclaration,
-    PutRouting,
-    Routing,
-    Step,
-)
-from wasabiturn.messages.kinds import JobAction, JobOutcome, Method
+from tests.sessions.batch_fakes import BatchFleet, create_step
+from wasabiturn.messages.batch import PutRouting, Routing
+from wasabiturn.messages.kinds import JobOutcome, Method
 from wasabiturn.messages.link import Nothing
 from wasabiturn.messages.state import Command, Outcome
 
@@ -73,13 +67,7 @@
 ) -> None:
     fleet = BatchFleet()
     held = HeldReplica(fleet, monkeypatch)
-    declaration = JobDeclaration(payload='', steps=[Step(tasks=1)])
-    call = JobCall(
-        action=JobAction.submit,
-        host=HOST,
-        path=f'{PREFIX}job',
-        declaration=declaration,
-    )
+    call = fleet.create_submission('job', [create_step()])
     empty = PutRouting(routing=Routing(version=7, document=b'none'))
     call_leader(fleet, Method.put_routing, empty)
     fleet.run(0.1)
--- a/wasabiturn/process/control/batch/leader.py
+++ b/wasabiturn/process/control/batch/leader.py
@@ -9,8 +9,8 @@
 from typing import final
 
 from twisted.internet.defer import Deferred, succeed
-from twisted.python.failure import Failure
 
+from wasabiturn.batch import BatchState
 from wasabiturn.batch.fences import next_fence
 from wasabiturn.batch.queue_table import QueueReader, QueueTable
 from wasabiturn.connection.calls import CallError
@@ -23,12 +23,13 @@
 from wasabiturn.process.control.batch.job_calls import JobCallHandler
 from wasabiturn.process.control.batch.leader_term import LeaderTerm
 from wasabiturn.process.control.batch.starts import wall_clock_ms
+from wasabiturn.process.control.batch.take_over import TakeOver
 from wasabiturn.process.control.batch.worker_reports import answer_report
 from wasabiturn.process.daemon import Context
 from wasabiturn.utils.logs import create_component_log
 from wasabiturn.utils.ticker import Ticker
 from wasabiturn.version.raft.membership import name_of
-from wasabiturn.version.replica import Replica
+from wasabiturn.version.replica import AppliedCommand, Replica
 
 TICK_SECONDS = 0.1
 
@@ -53,11 +54,12 @@
         self._replica = replica
         self._lease_ms = lease_ms
         self._leader_term: LeaderTerm | None = None
-        self._is_taking_over = False
+        self._take_over: TakeOver | None = None
         self._newest_fence = 0
         self._clock_follower = ClockFollower(replica, self._clock)
         self._ticker = Ticker(self._tick, context.reactor)
         self._register_handlers(dispatch)
+        replica.on_applied.append(self._follow_applied)
         replica.on_restored.append(self._stop_leading)
         replica.on_role_change.append(self._handle_role_change)
 
@@ -113,32 +115,36 @@
             self._stop_leading()
 
     def _stop_leading(self) -> None:
+        if self._take_over is not None:
+            self._take_over.cancel()
+            self._take_over = None
         if self._leader_term is not None:
             self._newest_fence = self._leader_term.fleet.newest_fence
             self._leader_term.close()
             self._leader_term = None
 
+    def _follow_applied(self, applied: AppliedCommand) -> None:
+        if self._take_over is not None:
+            self._take_over.follow(applied)
+
     def _begin_term(self) -> None:
-        if self._leader_term is not None or self._is_taking_over:
+        if self._leader_term is not None or self._take_over is not None:
             return
-        self._is_taking_over = True
-        barrier = self._replica.read_barrier()
-        barrier.addCallback(self._take_over)
-        barrier.addErrback(self._handle_take_over_failure)
-
-    def _handle_take_over_failure(self, failure: Failure) -> None:
-        self._is_taking_over = False
-        _log.warning(
-            'taking over leadership failed; retried while the lease is held',
-            error=repr(failure.value),
+        self._take_over = TakeOver(
+            replica=self._replica,
+            clock=self._clock,
+            on_copied=self._lead,
+            on_failure=self._stop_leading,
         )
+        self._take_over.start()
 
-    def _take_over(self, nothing: None) -> None:
-        self._is_taking_over = False
+    def _lead(self, batch_state: BatchState) -> None:
+        self._take_over = None
         if self._ticker.running and self._replica.holds_lease(self._now()):
             self._leader_term = LeaderTerm(
                 replica=self._replica,
                 clock=self._clock,
+                batch_state=batch_state,
                 state_clock=self._clock_follower.take_clock(),
                 lease_ms=self._lease_ms,
                 fence=next_fence(
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any, final
 
-from wasabiturn.batch import BatchState, dump_batch_state, load_batch_state
+from wasabiturn.batch import BatchState
 from wasabiturn.batch.bindings import bind_task, restore_bindings
 from wasabiturn.batch.fleet import Fleet, Worker
 from wasabiturn.batch.forecast import Forecasts
@@ -17,11 +17,9 @@
 from wasabiturn.connection.link import Link
 from wasabiturn.messages.batch import (
     BatchChange,
-    BatchDump,
     EndRun,
     WorkerOrders,
 )
-from wasabiturn.messages.codec import pack, unpack
 from wasabiturn.messages.kinds import Method
 from wasabiturn.process import exposition
 from wasabiturn.process.control.batch.bound_tasks import (
@@ -57,13 +55,15 @@
         self,
         replica: Replica,
         clock: Any,
+        batch_state: BatchState,
         state_clock: StateClock,
         lease_ms: int,
         fence: int,
         on_failure: Callable[[], None],
     ) -> None:
-        """Take over; reserve capacity for the runs in the committed state.
+        """Reserve capacity for the runs in ``batch_state``.
 
+        That is a copy of the committed state, on which this term works.
         ``fence`` is above all tokens of earlier terms.
         """
         now = float(clock.seconds())
@@ -73,7 +73,6 @@
         self._clock = clock
         self._committed_starts: set[tuple[str, int]] = set()
         self.fleet = Fleet(fence=fence)
-        batch_state = _copy_batch_state(replica.state.batch)
         for task in batch_state.active_by_name.values():
             self._reserve_capacity(task)
             self._committed_starts.add((task.name, task.run))
@@ -272,9 +271,3 @@
     while pending and pending[0][1] is change:
         worker.committed_end = pending.popleft()[0]
     return worker.committed_end > before
-
-
-def _copy_batch_state(batch_state: BatchState) -> BatchState:
-    return load_batch_state(
-        unpack(BatchDump, pack(dump_batch_state(batch_state)))
-    )
