A new term of the queues knows the changes that are still on their way

What callers could see: an accepted job, or a task that lasts, that is never run though there is room (LOST); after another hand-over, a second run of a task whose start the leader didn't know (TWICE).

Cause: a term of the queues can end while its member goes on leading the group: a change finds no room on the disk for a moment, or is too large. The next term began 0.1 s later under the same lease and copied the committed state at once, without the changes that had been submitted before and were committed after the copy. They were in the state of every replica and never in the leader's copy.

Now a take-over commits an empty change first; behind it in the log no earlier change is open. Ruled out: waiting until no command waits, since others than those of the queues keep coming.

Test: test_job_on_its_way_when_a_term_of_the_queues_ends_is_run.

--- a/tests/sessions/test_take_over.py
+++ b/tests/sessions/test_take_over.py
@@ -1,23 +1,66 @@
 """Take-over of the queues by a leader, from the state that is committed."""
 
+from typing import Any
+
 import pytest
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, fail, maybeDeferred
 from twisted.internet.task import Clock
 
 from tests.batch.jobs_fakes import accept, step
+from tests.sessions.batch_fakes import BatchFleet, create_step
 from wasabiturn.batch import (
     BatchState,
     apply_batch_change,
     dump_batch_state,
 )
 from wasabiturn.ids import LogIndex
-from wasabiturn.messages.batch import BatchChange
+from wasabiturn.messages.batch import BatchChange, PutRouting, Routing
+from wasabiturn.messages.kinds import JobState, Method
 from wasabiturn.messages.state import Command, Outcome
 from wasabiturn.process.control.batch import take_over
-from wasabiturn.version.replica import AppliedCommand
+from wasabiturn.version.replica import AppliedCommand, NotLeaderError
 from wasabiturn.version.state import State, create_state
 
 
+def call_leader(fleet: BatchFleet, method: Method, message: Any) -> None:
+    route = fleet.dispatch.calls_by_method[method]
+    maybeDeferred(route.handler, None, message).addErrback(lambda _: None)
+
+
+def test_job_on_its_way_when_a_term_of_the_queues_ends_is_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The member leads on: only one change found no room on its disk."""
+    fleet = BatchFleet()
+    fleet.run(1)
+    submit = fleet.replica.submit
+    held: list[tuple[Command, Deferred[Outcome]]] = []
+
+    def hold(command: Command) -> Deferred[Outcome]:
+        outcome: Deferred[Outcome] = Deferred()
+        held.append((command, outcome))
+        return outcome
+
+    monkeypatch.setattr(fleet.replica, 'submit', hold)
+    call = fleet.create_submission('job', [create_step()])
+    call_leader(fleet, Method.job, call)
+    fleet.run(0.05)
+    monkeypatch.setattr(
+        fleet.replica, 'submit', lambda _: fail(NotLeaderError(None))
+    )
+    put = PutRouting(routing=Routing(version=9, document=b'1'))
+    call_leader(fleet, Method.put_routing, put)
+    fleet.run(0.05)
+    monkeypatch.setattr(fleet.replica, 'submit', hold)
+    fleet.run(0.5)
+    monkeypatch.setattr(fleet.replica, 'submit', submit)
+    for command, outcome in held:
+        submit(command).chainDeferred(outcome)
+    fleet.run(10)
+    job = fleet.replica.state.batch.jobs_by_id['job']
+    assert job.state is JobState.done
+
+
 class TurningClock(Clock):
     """Clock whose calls are made in turns, as those of a loop are."""
 
@@ -30,16 +73,16 @@
 
 
 class CommittingReplica:
-    """Confirms its state after a moment."""
+    """Commits each command after a moment."""
 
     def __init__(self, clock: Clock, state: State) -> None:
         self.state = state
         self._clock = clock
 
-    def read_barrier(self) -> Deferred[None]:
-        barrier: Deferred[None] = Deferred()
-        self._clock.callLater(0.01, barrier.callback, None)
-        return barrier
+    def submit(self, command: Command) -> Deferred[Outcome]:
+        outcome: Deferred[Outcome] = Deferred()
+        self._clock.callLater(0.01, outcome.callback, Outcome())
+        return outcome
 
 
 def create_jobs(count: int) -> State:
--- a/wasabiturn/process/control/batch/take_over.py
+++ b/wasabiturn/process/control/batch/take_over.py
@@ -12,7 +12,9 @@
 from twisted.python.failure import Failure
 
 from wasabiturn.batch import BatchState, copy_in_slices
-from wasabiturn.process.control.submission import read_barrier
+from wasabiturn.messages.batch import BatchChange
+from wasabiturn.messages.state import Command, Outcome
+from wasabiturn.process.control.submission import submit
 from wasabiturn.utils.logs import create_component_log
 from wasabiturn.version.replica import AppliedCommand, Replica
 
@@ -39,14 +41,19 @@
         self._on_copied = on_copied
         self._on_failure = on_failure
         self._begun_at = float(clock.seconds())
-        self._confirmation: Deferred[None] | None = None
+        self._confirmation: Deferred[Outcome] | None = None
         self._copy = BatchState()
         self._slices: Iterator[None] | None = None
         self._next_slice: Any = None
 
     def start(self) -> None:
-        """Begin once the state has all that was committed before."""
-        self._confirmation = read_barrier(self._replica)
+        """Commit an empty change, behind which no earlier one is open.
+
+        What this member submitted in an earlier term of the queues may still
+        be on its way, as the term may have ended while the member led on.
+        """
+        change = Command(batch=BatchChange())
+        self._confirmation = submit(self._replica, change)
         self._confirmation.addCallbacks(self._begin_copy, self._fail)
 
     def cancel(self) -> None:
@@ -62,9 +69,9 @@
         """Begin the copy anew if a change was applied meanwhile."""
         if self._slices is not None and applied.command.batch is not None:
             _log.warning('the state changed while it was copied')
-            self._begin_copy(None)
+            self._begin_copy(applied.outcome)
 
-    def _begin_copy(self, nothing: None) -> None:
+    def _begin_copy(self, outcome: Outcome) -> None:
         self._copy = BatchState()
         self._slices = copy_in_slices(self._replica.state.batch, self._copy)
         if self._next_slice is None:
