A leader that stood still leaves the next turn to the others

A leader whose loop stands still for longer than the others wait for a heartbeat steps down and campaigned again at once, like any other, although it would probably stand still again.

Now its ticks tell how late they come. A leader that loses its quorum in a tick a second late or more lets each other voter campaign first; if a voter asks whose log is behind its own, it doesn't wait, since that one cannot lead. It says why it stepped down in its log and counts it (wasabiturn_turns_left_total).

--- a/tests/version/raft/test_mechanisms.py
+++ b/tests/version/raft/test_mechanisms.py
@@ -17,6 +17,7 @@
     Envelope,
     Member,
     Membership,
+    VoteRequest,
 )
 from wasabiturn.version.raft import (
     core,
@@ -375,3 +376,53 @@
     cluster.run(3)
     assert leader_first(cluster)[0] is successor
     assert successor.raft.ballot.term == term
+
+
+def stand_still(machine: Machine, seconds: float, time: float) -> float:
+    """Tick a leader late; return when that is on its clock."""
+    assert machine.raft is not None
+    now = machine.now(time) + seconds
+    core.step(core.Tick(late_seconds=seconds), machine.raft, now)
+    return now
+
+
+def test_leader_that_stood_still_lets_the_others_campaign_first(
+    cluster: Cluster,
+) -> None:
+    machine = leader_first(cluster)[0]
+    raft = machine.raft
+    assert raft is not None
+    now = stand_still(machine, 2, cluster.time)
+    assert raft.leadership is None
+    assert not lease.may_campaign(raft, now + 2.9)
+    assert lease.may_campaign(raft, now + 3.1)
+
+
+def test_leader_that_was_only_cut_off_campaigns_in_its_time(
+    cluster: Cluster,
+) -> None:
+    machine = leader_first(cluster)[0]
+    raft = machine.raft
+    assert raft is not None
+    now = machine.now(cluster.time) + 2
+    core.step(core.Tick(), raft, now)
+    assert lease.may_campaign(raft, now + 1.6)
+
+
+def test_member_that_alone_has_the_log_does_not_leave_its_turn(
+    cluster: Cluster,
+) -> None:
+    machine, candidate, _ = leader_first(cluster)
+    raft = machine.raft
+    assert raft is not None
+    assert candidate.raft is not None
+    now = stand_still(machine, 2, cluster.time)
+    request = VoteRequest(
+        pre_vote=True,
+        proposed_term=raft.ballot.term + 1,
+        last_term=raft.log.last_term,
+        last_index=raft.log.last_index - 1,
+    )
+    envelope = Envelope(sender=candidate.raft.member_id, vote_request=request)
+    election.handle_vote_request(raft, request, envelope, now + 1.1)
+    assert lease.may_campaign(raft, now + 1.6)
--- a/wasabiturn/process/control/consensus.py
+++ b/wasabiturn/process/control/consensus.py
@@ -22,6 +22,7 @@
 from wasabiturn.process.control.applier import Applier
 from wasabiturn.process.control.handover import Handover
 from wasabiturn.process.control.member import (
+    TICK_SECONDS,
     ActiveMember,
     open_member,
 )
@@ -30,12 +31,10 @@
 from wasabiturn.utils.logs import create_component_log
 from wasabiturn.utils.ticker import Ticker
 from wasabiturn.version.raft import lease, membership, replication
-from wasabiturn.version.raft.core import Tick, step
+from wasabiturn.version.raft.core import step
 from wasabiturn.version.replica import MemberStatus, NotLeaderError
 from wasabiturn.version.state import State
 
-TICK_SECONDS = 0.05
-
 _log = create_component_log('consensus')
 
 
@@ -129,8 +128,7 @@
         """Wait until a quorum confirms this leader, unless it holds a lease."""
         member = self._member
         now = self._now()
-        is_leading = member is not None and member.raft.leadership is not None
-        if member is None or member.is_stalled() or not is_leading:
+        if member is None or member.is_stalled() or not member.has_leadership:
             return fail(NotLeaderError(self.leader()))
         if self.holds_lease(now):
             return succeed(None)
@@ -176,11 +174,18 @@
         return cast(float, self._context.reactor.seconds())
 
     def _tick(self) -> None:
-        if self._member is not None and self._member.is_stalled():
-            self._carry_out(self._member, self._member.retry_save)
-        self.step(Tick(memberless_names=self._peers.memberless_names()))
-        if self._handover is not None and self._member is not None:
-            self._handover.advance(self._member, self._now())
+        member = self._member
+        if member is None:
+            return
+        if member.is_stalled():
+            self._carry_out(member, member.retry_save)
+        had_leadership = member.has_leadership
+        memberless_names = self._peers.memberless_names()
+        self.step(member.create_tick(memberless_names, self._now()))
+        if had_leadership and not member.has_leadership:
+            member.report_step_down()
+        if self._handover is not None:
+            self._handover.advance(member, self._now())
 
     def step(self, message: object) -> None:
         """Pass ``message`` to the consensus core; flush its effects later.
--- a/wasabiturn/process/control/member.py
+++ b/wasabiturn/process/control/member.py
@@ -16,6 +16,7 @@
 from wasabiturn.messages.state import Command, Outcome
 from wasabiturn.process.control.applier import Applier
 from wasabiturn.process.control.barriers import ReadBarriers
+from wasabiturn.process.control.loop_delay import LoopDelay, report_step_down
 from wasabiturn.process.control.peers import Peers
 from wasabiturn.process.control.snapshot_schedule import SnapshotSchedule
 from wasabiturn.process.control.snapshot_taker import SnapshotTaker
@@ -23,6 +24,7 @@
 from wasabiturn.version.raft import lease
 from wasabiturn.version.raft.core import (
     Propose,
+    Tick,
     create_raft,
     propose,
     take_effects,
@@ -32,6 +34,7 @@
 from wasabiturn.version.replica import CommandTooLargeError, NotLeaderError
 from wasabiturn.version.storage import Store, open_store
 
+TICK_SECONDS = 0.05
 MAX_COMMAND_BYTES = 4 * 1024 * 1024
 STAGGER_DIVISOR = 4
 _INCARNATION_BITS = 64
@@ -59,12 +62,29 @@
     # Effects that found no room on the disk. Until they are saved, this member
     # steps nothing and sends nothing, as if the disk hung.
     unsaved_effects: Effects | None = None
+    loop_delay: LoopDelay = attrs.field(factory=lambda: LoopDelay(TICK_SECONDS))
     barriers: ReadBarriers = attrs.field(factory=ReadBarriers)
     pending_commands: list[_PendingCommand] = attrs.field(factory=list)
 
+    @property
+    def has_leadership(self) -> bool:
+        """Return whether this member was elected in its term."""
+        return self.raft.leadership is not None
+
+    def create_tick(self, memberless_names: frozenset[str], now: float) -> Tick:
+        """Return the request to run the timers that are due."""
+        return Tick(
+            memberless_names=memberless_names,
+            late_seconds=self.loop_delay.measure(now),
+        )
+
+    def report_step_down(self) -> None:
+        """Tell why this member has stepped down in the newest tick."""
+        report_step_down(self.loop_delay.late_seconds)
+
     def submit(self, command: Command, now: float) -> Deferred[Outcome]:
         """Add a command to the next flush; fires with its outcome."""
-        if self.raft.leadership is None or self.is_stalled():
+        if not self.has_leadership or self.is_stalled():
             return fail(NotLeaderError(self.leader(now)))
         payload = pack(command)
         if len(payload) > MAX_COMMAND_BYTES:
--- a/wasabiturn/process/exposition.py
+++ b/wasabiturn/process/exposition.py
@@ -68,6 +68,11 @@
     'Tasks given up, and their jobs failed, for crashes of workers.',
     registry=registry,
 )
+turns_left = Counter(
+    'wasabiturn_turns_left',
+    'Times that this member led, stood still and left the turn to others.',
+    registry=registry,
+)
 commit_seconds = Histogram(
     'wasabiturn_commit_seconds',
     'Time until a change of the book was committed.',
--- a/wasabiturn/version/raft/core.py
+++ b/wasabiturn/version/raft/core.py
@@ -31,7 +31,10 @@
     Recovered,
     Unsaved,
 )
-from wasabiturn.version.raft.timing import CHECK_QUORUM_SECONDS
+from wasabiturn.version.raft.timing import (
+    CHECK_QUORUM_SECONDS,
+    ELECTION_TIMEOUT_SECONDS,
+)
 
 _LIFE_BITS = 62
 
@@ -42,9 +45,11 @@
     """Request to run the timers that are due.
 
     ``memberless_names`` are the instances that answer but run no member.
+    ``late_seconds`` is by how much the loop has missed its time.
     """
 
     memberless_names: frozenset[str] = frozenset()
+    late_seconds: float = 0
 
 
 @final
@@ -124,7 +129,7 @@
     state.memberless_names = message.memberless_names
     introduction.introduce(state, now)
     if state.leadership is not None:
-        _tick_leader(state, now)
+        _tick_leader(state, message.late_seconds, now)
     elif lease.may_campaign(state, now):
         election.start_pre_vote(state, now)
 
@@ -178,13 +183,15 @@
     return effects
 
 
-def _tick_leader(state: RaftState, now: float) -> None:
+def _tick_leader(state: RaftState, late_seconds: float, now: float) -> None:
     leadership = state.leadership
     if leadership is None:
         return
     contact = max(leadership.since, lease.quorum_contact_at(state, now))
     if now > contact + CHECK_QUORUM_SECONDS:
         election.become_follower(state, state.ballot.term, '', now)
+        if late_seconds >= ELECTION_TIMEOUT_SECONDS:
+            election.leave_turn_to_others(state, now)
         return
     reconfiguration.propose_membership_change(state, now)
     if now >= leadership.next_heartbeat_at:
--- a/wasabiturn/version/raft/election.py
+++ b/wasabiturn/version/raft/election.py
@@ -19,8 +19,10 @@
     set_term,
 )
 from wasabiturn.version.raft.timing import (
+    CHECK_QUORUM_SECONDS,
     ELECTION_JITTER_SECONDS,
     ELECTION_TIMEOUT_SECONDS,
+    NEVER,
 )
 
 
@@ -46,6 +48,16 @@
     state.election_due_at = now + ELECTION_TIMEOUT_SECONDS + jitter
 
 
+def leave_turn_to_others(state: RaftState, now: float) -> None:
+    """Let each other voter campaign first.
+
+    For a leader that stood still for so long that it was deposed: it would
+    probably do so again, as what it does to take over takes too long.
+    """
+    others = len(membership.voters(state)) - 1
+    state.leaves_turn_until = now + others * CHECK_QUORUM_SECONDS
+
+
 def start_pre_vote(state: RaftState, now: float) -> None:
     """Ask whether a quorum would grant a vote, without entering a new term."""
     state.role = RaftRole.pre_candidate
@@ -88,6 +100,9 @@
     if not request.pre_vote and request.proposed_term > state.ballot.term:
         become_follower(state, request.proposed_term, '', now)
     granted = _would_grant(state, request, envelope.sender)
+    if not _has_whole_log(state, request):
+        # That one cannot lead, and perhaps nobody else is there.
+        state.leaves_turn_until = NEVER
     if granted and not request.pre_vote:
         set_term(state, request.proposed_term, envelope.sender)
         reset_election_timer(state, now)
@@ -123,8 +138,7 @@
     request: VoteRequest,
     candidate: str,
 ) -> bool:
-    candidate_position = (request.last_term, request.last_index)
-    if candidate_position < (state.log.last_term, state.log.last_index):
+    if not _has_whole_log(state, request):
         return False
     if request.pre_vote:
         return request.proposed_term > state.ballot.term
@@ -133,6 +147,12 @@
     return state.ballot.voted_for in {'', candidate}
 
 
+def _has_whole_log(state: RaftState, request: VoteRequest) -> bool:
+    """Return whether the candidate's log is not behind that of this member."""
+    candidate_position = (request.last_term, request.last_index)
+    return candidate_position >= (state.log.last_term, state.log.last_index)
+
+
 def _request_votes(state: RaftState, request: VoteRequest) -> None:
     request.last_index = state.log.last_index
     request.last_term = state.log.last_term
--- a/wasabiturn/version/raft/lease.py
+++ b/wasabiturn/version/raft/lease.py
@@ -64,10 +64,11 @@
 
 def may_campaign(state: RaftState, now: float) -> bool:
     """Return whether this member may request votes."""
+    due_at = max(state.election_due_at, state.leaves_turn_until)
     return (
         state.leadership is None
         and is_voter(state)
-        and now >= state.election_due_at
+        and now >= due_at
         and not must_refuse_votes(state, now)
     )
 
--- a/wasabiturn/version/raft/state.py
+++ b/wasabiturn/version/raft/state.py
@@ -181,6 +181,8 @@
     leader_id: str = ''
     heard_leader_at: float = NEVER
     election_due_at: float = 0.0
+    # Until then the other voters may campaign first.
+    leaves_turn_until: float = NEVER
     votes: set[str] = attrs.field(factory=set)
     leadership: Leadership | None = None
     fresh_as_of: float = NEVER
