--- a/wasabiturn/process/control/consensus.py
+++ b/wasabiturn/process/control/consensus.py
@@ -184,7 +184,7 @@
         self.step(member.create_tick(memberless_names, self._now()))
         if had_leadership and not member.has_leadership:
             member.report_step_down()
-        if self._handover is not None:
+        if self._handover is not None and self._member is member:
             self._handover.advance(member, self._now())
 
     def step(self, message: object) -> None:
