Start orders and leases reach no other life of the worker by themselves

What callers could see: a run that nobody knows of (TWICE), or an end that is acknowledged before anybody has stored it, so that a done task is started again.

Cause: lives of a worker share its name and address, and the clock of each starts anew. An agent opened a connection to whatever listened there and sent a start order, or a hold with the lease and the acknowledgements of the life before; an old 'until_ms' is far ahead of the next life's clock. So an agent that was paused while its worker restarted, or was out of touch with its leader, could begin runs in the next life and prolong them. A request whose time had passed while the process was paused was still sent once its connection opened, since the connection is handled before the timers.

A connection ends with the process that accepted it, so the HTTP client keeps who the peer of each is, as its answers tell. Starts, and holds with a lease or an acknowledgement, are only sent on a connection on which the life that they are for has listed its runs; a new connection lists them first, under the present token, with nothing else. If another life answers, the order counts as not sent. Stops may reach any life: they only prevent.

Ruled out: telling lives apart by their clocks (a young life's can be passed), or by Wasabiturn-Expect-Instance (same id). Late orders, which the worker itself holds back, are not touched by this.

Suspected, not shown, to be the users' two runs at once with 'late false'.

--- a/tests/connection/test_http_client.py
+++ b/tests/connection/test_http_client.py
@@ -176,3 +176,13 @@
     assert server.transports[0].is_aborted
     server.send()
     assert len(server.reactor.tcpClients) == 2
+
+
+def test_request_is_not_sent_once_its_time_has_passed_while_paused() -> None:
+    """The process stands still before the connection opens; no timer fires."""
+    server = Server()
+    server.send()
+    server.reactor.rightNow += 5
+    server.accept()
+    assert not server.transports[0].value()
+    assert server.results[0].check(HttpTimeoutError)
--- a/wasabiturn/connection/http_client.py
+++ b/wasabiturn/connection/http_client.py
@@ -1,5 +1,11 @@
-"""HTTP/1.1 client of one server, for short messages on kept connections."""
+"""HTTP/1.1 client of one server, for short messages on kept connections.
 
+A connection ends with the process that has accepted it. So what one response
+tells of that process, the *peer* of the connection, holds for all that is sent
+on it later, whatever process has the address by then.
+"""
+
+from collections.abc import Callable, Hashable
 from typing import Any, cast, final
 
 import attrs
@@ -25,11 +31,16 @@
     """No response arrived in time; the request may have been carried out."""
 
 
+PeerReader = Callable[[HttpResponse], Hashable]
+
+
 @final
 @attrs.define
 class _Exchange:
     request: HttpRequest
     response: Deferred[HttpResponse]
+    expires_at: float
+    read_peer: PeerReader | None = None
     timer: Any = None
 
     def succeed(self, response: HttpResponse) -> None:
@@ -58,24 +69,59 @@
         self._idle_connections: list[_ClientConnection] = []
 
     def send(
-        self, request: HttpRequest, timeout_seconds: float
+        self,
+        request: HttpRequest,
+        timeout_seconds: float,
+        read_peer: PeerReader | None = None,
     ) -> Deferred[HttpResponse]:
         """Send a request.
 
-        The Deferred fails with ``HttpTimeoutError`` if there is no response in
-        time, with an error of the connection, or with ``HttpError``.
+        ``read_peer`` reads from the response who the peer is. The Deferred
+        fails with ``HttpTimeoutError`` if there is no response in time, with an
+        error of the connection, or with ``HttpError``.
         """
-        exchange = _Exchange(request=request, response=Deferred())
         connection = self._take_idle_connection()
         if connection is None:
             connection = _ClientConnection(self)
             self._connect(connection)
+        return self._exchange(connection, request, timeout_seconds, read_peer)
+
+    def send_to_peer(
+        self, request: HttpRequest, timeout_seconds: float, peer: Hashable
+    ) -> Deferred[HttpResponse] | None:
+        """Send a request that no other process than ``peer`` can receive.
+
+        Returns ``None`` if no idle connection is known to be to it.
+        """
+        for connection in reversed(self._idle_connections):
+            if connection.peer == peer:
+                self._idle_connections.remove(connection)
+                return self._exchange(connection, request, timeout_seconds)
+        return None
+
+    def _exchange(
+        self,
+        connection: '_ClientConnection',
+        request: HttpRequest,
+        timeout_seconds: float,
+        read_peer: PeerReader | None = None,
+    ) -> Deferred[HttpResponse]:
+        exchange = _Exchange(
+            request=request,
+            response=Deferred(),
+            expires_at=self.now() + timeout_seconds,
+            read_peer=read_peer,
+        )
         exchange.timer = self._reactor.callLater(
             timeout_seconds, self._expire, exchange, connection
         )
         connection.send(exchange)
         return exchange.response
 
+    def now(self) -> float:
+        """Return the time of the loop's clock in seconds."""
+        return float(self._reactor.seconds())
+
     def keep(self, connection: '_ClientConnection') -> None:
         """Keep a connection for the next request."""
         self._idle_connections.append(connection)
@@ -119,6 +165,7 @@
     """Connection that carries one exchange at a time."""
 
     def __init__(self, client: HttpClient) -> None:
+        self.peer: Hashable = None
         self._client = client
         self._exchange: _Exchange | None = None
         self._is_aborted = False
@@ -142,12 +189,20 @@
             exchange.fail(reason)
 
     def connectionMade(self) -> None:
-        """Send the request that the connection was opened for."""
-        if self._is_aborted or self._exchange is None:
+        """Send the request that the connection was opened for, if in time.
+
+        This process may have been paused while the connection was opened.
+        """
+        exchange = self._exchange
+        if self._is_aborted or exchange is None:
+            self.abort()
+            return
+        if self._client.now() >= exchange.expires_at:
+            self.fail(HttpTimeoutError('the connection was opened too late'))
             self.abort()
             return
         cast(Any, self.transport).setTcpNoDelay(True)
-        self._write(self._exchange.request)
+        self._write(exchange.request)
 
     def dataReceived(self, received: bytes) -> None:
         """Read the response; abort the connection if it is malformed."""
@@ -169,12 +224,15 @@
     def _handle_response(self, status: int, body: bytes) -> None:
         exchange = self._exchange
         self._exchange = None
+        response = HttpResponse(status=status, body=body)
+        if exchange is not None and exchange.read_peer is not None:
+            self.peer = exchange.read_peer(response) or self.peer
         if exchange is None or not self._reader.keeps_alive():
             self.abort()
         else:
             self._client.keep(self)
         if exchange is not None:
-            exchange.succeed(HttpResponse(status=status, body=body))
+            exchange.succeed(response)
 
 
 @final
--- a/wasabiturn/process/agent/runs/port.py
+++ b/wasabiturn/process/agent/runs/port.py
@@ -33,6 +33,11 @@
     """Another incarnation answered; the order was not carried out."""
 
 
+@final
+class OrderNotSentError(PlatformError):
+    """The order was not sent: the worker did not confirm its life."""
+
+
 @final
 class WorkerNotListeningError(PlatformError):
     """The worker's port is closed, so none of its runs continues."""
@@ -123,6 +128,10 @@
     been carried out, or may be carried out later. ``fence`` is the leader's
     token for this worker, which refuses calls with a lower one than it has
     seen.
+
+    What may only concern the life in ``identity`` never reaches another one by
+    itself: a start, and a hold that renews the lease or acknowledges ends. Only
+    the worker may still carry it out late.
     """
 
     def hold(
@@ -130,7 +139,8 @@
     ) -> Deferred[RunListing]:
         """Renew the lease and list the runs.
 
-        Fires once a run ends or ``wait_ms`` has passed.
+        Fires once a run ends or ``wait_ms`` has passed. Another life than that
+        in ``identity`` only lists its runs.
         """
 
     def start(
@@ -143,7 +153,8 @@
         """Start a run; succeeds also if the worker already has it.
 
         Fires with the worker's clock in milliseconds, which starts anew with
-        each incarnation.
+        each incarnation. Fails with ``OrderNotSentError`` if another life than
+        that in ``identity``, or none, answers.
         """
 
     def stop(
--- a/wasabiturn/process/agent/runs/start_sender.py
+++ b/wasabiturn/process/agent/runs/start_sender.py
@@ -22,6 +22,7 @@
 from wasabiturn.process.agent.runs.lease import Grants
 from wasabiturn.process.agent.runs.open_orders import SentOrder
 from wasabiturn.process.agent.runs.port import (
+    OrderNotSentError,
     OrderRefusedError,
     OtherIncarnationError,
     WorkerIdentity,
@@ -191,6 +192,9 @@
         if isinstance(error, OrderRefusedError):
             self._settle_refused(start, sent_order)
             self._handle_refusal(start, error.reason)
+        elif isinstance(error, OrderNotSentError):
+            self._settle_refused(start, sent_order)
+            self._retry_later(start)
         elif isinstance(error, OtherIncarnationError):
             # No order reaches the incarnation that it names any more.
             self._settle_refused(start, sent_order)
