A sound job isn't given up for crashes of one machine, or of runs never begun

What callers saw: a sound job shown as failed (LOST).

Cause: two crashes with a task as the only suspect gave it up, though both were of one worker that goes down and up; and the suspect was sent back to the very worker that had just crashed, as nothing would be lost there.

Now the state keeps the machines (agents) on which crashes counted. Proof needs two of them; else the fifth crash decides, as callers expect at most two more starts after the third. A suspect starts on another machine if it can, and a task bound to the name of the worker that crashed under it waits there until it is free. An order that was out for two seconds while lists came marks a suspect, and counts no crash. Ruled out: one crash more for one machine only (the task that is bound to it would crash it four times, test_crashing_tasks.py).

A task that crashes its workers still costs two (test_crashing_tasks.py).

--- a/tests/batch/test_isolation.py
+++ b/tests/batch/test_isolation.py
@@ -10,10 +10,10 @@
 )
 from tests.batch.test_decisions import NOW, plan
 from wasabiturn.batch import BatchState, apply_batch_change
-from wasabiturn.batch.crashes import PROOF_SECONDS
 from wasabiturn.batch.fleet import Fleet, Worker
 from wasabiturn.batch.gang_isolation import MAX_GANG_WAIT_SECONDS
 from wasabiturn.batch.ordering import Moment
+from wasabiturn.batch.proofs import PROOF_SECONDS
 from wasabiturn.messages.batch import BatchChange
 
 
@@ -202,3 +202,15 @@
     fleet.bound_until_by_task['j.0.0.0'] = NOW.now + 20
     assert not plan(batch_state, fleet)
     assert fleet.isolation.reserved == {('w3', 1)}
+
+
+def test_suspect_starts_on_another_machine_than_the_one_that_crashed() -> None:
+    """A machine that goes down again and again takes any task along."""
+    batch_state = create_batch_state(accept('j', step(1)))
+    flapping, other = create_workers(2)
+    flapping.agent, other.agent = 'a0', 'a1'
+    add_other_run(other, 'o', worked_seconds=PROOF_SECONDS)
+    suspect(batch_state, 'j.0.0.0')
+    batch_state.tasks_by_name['j.0.0.0'].crash_agents = ['a0']
+    begun = plan(batch_state, create_fleet(flapping, other))
+    assert begun == {'j.0.0.0': other.name}
--- a/wasabiturn/batch/crashes.py
+++ b/wasabiturn/batch/crashes.py
@@ -4,29 +4,22 @@
 the runs that had not yet worked for long enough to be *proven*, including those
 whose start may have begun without an answer. If all runs were proven, the crash
 counts against each, as a task may also crash its worker late. Conclusions from
-silence alone are no crash.
+silence alone are no crash, and what crashed may also be the machine: a task is
+given up for crashes of workers on several machines.
 """
 
 from typing import final
 
 import attrs
 
-from wasabiturn.batch.fleet import Allocation, Fleet, Worker
-from wasabiturn.batch.jobs import Task
-from wasabiturn.batch.state import BatchState
-from wasabiturn.batch.suspicions import REPEATED_CRASHES
-from wasabiturn.messages.kinds import BatchTaskState, CrashRole
-
-# A run that has worked for so long is proven; the second figure holds for a
-# task with repeated crashes, which may come late.
-PROOF_SECONDS = 0.5
-SLOW_PROOF_SECONDS = 3.0
-# Beyond this number of crashes a proof takes as long as any blame.
-CRASHES_OF_LONGEST_PROOF = 3
-# A crash does not count against a run that had worked for longer.
-MAX_BLAMED_SECONDS = 10.0
+from wasabiturn.batch.fleet import Allocation, Worker
+from wasabiturn.batch.proofs import MAX_BLAMED_SECONDS, is_proven
+from wasabiturn.messages.kinds import CrashRole
+
 # A crash so soon after a start is hardly chance.
 QUICK_SECONDS = 0.05
+# A list in a report was taken this long before it arrives, at most.
+LIST_AGE_SECONDS = 2.0
 # An agent that was heard within this time reports a crash at once.
 REPORT_INTERVAL_SECONDS = 1.5
 _MS = 1000
@@ -80,12 +73,14 @@
         if each.is_confirmed or _is_possible(each)
     ]
     suspects = [each for each in allocations if not is_proven(each, crashed_at)]
+    culprit = _find_culprit(worker, suspects)
     for allocation in allocations:
-        allocation.crash_role = _find_role(allocation, suspects, crashed_at)
+        allocation.crash_role = _find_role(
+            allocation, suspects, culprit, crashed_at
+        )
         worked_seconds = allocation.worked_seconds(crashed_at)
         allocation.worked_ms = int(max(worked_seconds, 0) * _MS)
     suspicions = tuple(_create_suspicion(each) for each in suspects)
-    culprit = _find_culprit(suspects)
     if culprit and suspects[0].task.crashes:
         suspects[0].worked_ms = _likeliest_worked_ms(suspects[0], heard_at, now)
     return Crash(
@@ -110,42 +105,6 @@
         allocation.crash_role = CrashRole.none
 
 
-def find_proven_suspects(
-    batch_state: BatchState, fleet: Fleet, now: float
-) -> list[str]:
-    """Return the suspects that have worked long enough to be cleared."""
-    return [
-        task.name
-        for task in batch_state.suspects_by_name.values()
-        if task.state is BatchTaskState.active
-        and (worker := fleet.worker_of(task)) is not None
-        and _is_cleared(worker.allocations_by_task.get(task.name), now)
-    ]
-
-
-def proof_seconds(task: Task) -> float:
-    """Return how long a run of a task must work to be proven."""
-    if task.crashes >= CRASHES_OF_LONGEST_PROOF:
-        return MAX_BLAMED_SECONDS
-    if task.crashes >= REPEATED_CRASHES:
-        return SLOW_PROOF_SECONDS
-    return PROOF_SECONDS
-
-
-def is_proven(allocation: Allocation, now: float) -> bool:
-    """Return whether a run has worked for long enough to be trusted."""
-    return allocation.worked_seconds(now) >= proof_seconds(allocation.task)
-
-
-def _is_cleared(allocation: Allocation | None, now: float) -> bool:
-    if allocation is None:
-        return False
-    seconds = proof_seconds(allocation.task)
-    if allocation.task.crashes >= REPEATED_CRASHES:
-        seconds = MAX_BLAMED_SECONDS
-    return allocation.worked_seconds(now) >= seconds
-
-
 def _likeliest_worked_ms(
     allocation: Allocation, heard_at: float, now: float
 ) -> int:
@@ -174,9 +133,12 @@
 
 
 def _find_role(
-    allocation: Allocation, suspects: list[Allocation], crashed_at: float
+    allocation: Allocation,
+    suspects: list[Allocation],
+    culprit: str,
+    crashed_at: float,
 ) -> CrashRole:
-    if not allocation.is_confirmed and not _find_culprit(suspects):
+    if not allocation.is_confirmed and not culprit:
         return CrashRole.possible
     if allocation in suspects:
         return CrashRole.suspect
@@ -187,13 +149,23 @@
     return CrashRole.bystander
 
 
-def _find_culprit(suspects: list[Allocation]) -> str:
-    if len(suspects) != 1:
+def _find_culprit(worker: Worker, suspects: list[Allocation]) -> str:
+    if len(suspects) != 1 or _has_hardly_begun(worker, suspects[0]):
         return ''
     task = suspects[0].task
     return task.name if task.is_suspect else ''
 
 
+def _has_hardly_begun(worker: Worker, allocation: Allocation) -> bool:
+    """Return whether the worker listed no such run long after its order.
+
+    The order may be carried out late, but hardly just when the worker crashes.
+    """
+    if allocation.is_confirmed:
+        return False
+    return worker.listed_at > allocation.started_at + LIST_AGE_SECONDS
+
+
 def _create_suspicion(allocation: Allocation) -> Suspicion:
     task = allocation.task
     difference_ms = abs(allocation.worked_ms - task.worked_ms)
--- a/wasabiturn/batch/dump.py
+++ b/wasabiturn/batch/dump.py
@@ -81,6 +81,7 @@
         is_suspect=task.is_suspect,
         late_crashes=task.late_crashes,
         worked_ms=task.worked_ms,
+        crash_agents=list(task.crash_agents),
         bound_until_ms=task.bound_until_ms,
         orders_end_ms=task.orders_end_ms,
     )
@@ -118,6 +119,7 @@
     task.crashes = record.crashes
     task.late_crashes = record.late_crashes
     task.worked_ms = record.worked_ms
+    task.crash_agents = list(record.crash_agents)
     task.bound_until_ms = record.bound_until_ms
     task.orders_end_ms = record.orders_end_ms
     if record.is_suspect:
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -129,6 +129,8 @@
     # Number of the newest orders to it.
     order_number: int = 0
     heard_at: float = NEVER
+    # When a report with a current list of its runs came.
+    listed_at: float = NEVER
     # It has listed its runs under its fencing token.
     is_reconciled: bool = False
     # Its runs were declared lost; it gets no lease and no new runs until it
--- a/wasabiturn/batch/isolation.py
+++ b/wasabiturn/batch/isolation.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Iterable, Iterator
 
-from wasabiturn.batch.crashes import SLOW_PROOF_SECONDS, is_proven
 from wasabiturn.batch.fleet import Allocation, Fleet, Worker
 from wasabiturn.batch.gang_isolation import start_isolated_gang
 from wasabiturn.batch.isolation_room import IsolationRoom, create_room
@@ -16,6 +15,7 @@
 from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.ordering import Moment
 from wasabiturn.batch.placing import Candidates, create_start
+from wasabiturn.batch.proofs import SLOW_PROOF_SECONDS, is_proven
 from wasabiturn.batch.state import BatchState
 from wasabiturn.messages.batch import StartRun
 from wasabiturn.messages.kinds import BatchTaskState
--- a/wasabiturn/batch/isolation_room.py
+++ b/wasabiturn/batch/isolation_room.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-from wasabiturn.batch.crashes import is_proven
 from wasabiturn.batch.fleet import Allocation, Fleet, Worker
 from wasabiturn.batch.isolation_state import IsolationState
 from wasabiturn.batch.jobs import Task
@@ -17,6 +16,7 @@
     may_start_at,
     score_worker,
 )
+from wasabiturn.batch.proofs import is_proven
 from wasabiturn.messages.kinds import BatchTaskState
 
 # Share of the workers of a service that suspects use or reserve at a time.
@@ -133,13 +133,14 @@
 
     def _cost(
         self, task: Task, worker: Worker, counts: dict[str, int]
-    ) -> tuple[bool, float]:
+    ) -> tuple[bool, bool, float]:
         step = task.step
         score = score_worker(task.part, worker, self.candidates, counts)
         cost = self.lost_work(worker)
         if step.preferred_rack and step.preferred_rack != worker.report.rack:
             cost += step.millicores * step.estimate_ms / _MILLI
-        return score == UNSUITABLE, cost
+        has_crashed = worker.agent in task.crash_agents
+        return score == UNSUITABLE, has_crashed, cost
 
     def _reservation_key(
         self, task: Task, worker: Worker
--- a/wasabiturn/batch/jobs.py
+++ b/wasabiturn/batch/jobs.py
@@ -54,6 +54,8 @@
     crashes: int = 0
     late_crashes: int = 0
     worked_ms: int = 0
+    # Agents of the workers that crashed so, each once.
+    crash_agents: list[str] = attrs.field(factory=list)
     # It starts only in isolation; see ``isolation.py``.
     is_suspect: bool = False
 
@@ -72,6 +74,11 @@
         """Return whether it is stored that the newest run has begun."""
         return self.is_settled or self.orders_end_ms > 0
 
+    @property
+    def avoids_its_worker(self) -> bool:
+        """Return whether the worker of its newest run may be to blame."""
+        return self.failures > 0 or self.agent in self.crash_agents
+
     def is_resumed_by(self, start: StartRun) -> bool:
         """Return whether an open order has begun the newest run again.
 
--- a/wasabiturn/batch/placing.py
+++ b/wasabiturn/batch/placing.py
@@ -86,18 +86,19 @@
     """Return whether no open order keeps a task from a worker.
 
     A task that failed does not return at once to the worker that it is bound
-    to, where it could use up its attempts.
+    to, where it could use up its attempts, nor does one under which that has
+    crashed.
     """
     if task.name not in candidates.bound_tasks:
         return True
-    return task.worker == worker.name and not task.failures
+    return task.worker == worker.name and not task.avoids_its_worker
 
 
 def may_start(task: Task, candidates: Candidates) -> bool:
     """Return whether no open order keeps a task from all candidates."""
     if task.name not in candidates.bound_tasks:
         return True
-    return task.worker in candidates.names and not task.failures
+    return task.worker in candidates.names and not task.avoids_its_worker
 
 
 def create_start(task: Task, worker: Worker, run: int) -> StartRun:
--- a/wasabiturn/batch/reports.py
+++ b/wasabiturn/batch/reports.py
@@ -89,6 +89,7 @@
     account: OrderAccount | None,
     now: float,
 ) -> list[EndRun]:
+    worker.listed_at = now
     worker.predecessors = [
         each for each in worker.predecessors if each.allocations_by_task
     ]
--- a/wasabiturn/batch/suspicions.py
+++ b/wasabiturn/batch/suspicions.py
@@ -51,14 +51,20 @@
 
 def _add_crash(task: Task, end: EndRun) -> None:
     if abs(end.worked_ms - task.worked_ms) > SAME_TIME_MS:
-        task.crashes = 0
-        task.late_crashes = 0
+        _reset_crashes(task)
     task.crashes += 1
+    if task.agent not in task.crash_agents:
+        task.crash_agents.append(task.agent)
     task.late_crashes += int(end.crash_role is CrashRole.bystander)
     task.worked_ms = end.worked_ms
 
 
 def _forget_crashes(batch_state: BatchState, task: Task) -> None:
+    _reset_crashes(task)
+    batch_state.clear_suspect(task)
+
+
+def _reset_crashes(task: Task) -> None:
     task.crashes = 0
     task.late_crashes = 0
-    batch_state.clear_suspect(task)
+    task.crash_agents = []
--- a/wasabiturn/batch/verdicts.py
+++ b/wasabiturn/batch/verdicts.py
@@ -1,9 +1,9 @@
 """Whether tasks are given up for the crashes of the workers that ran them.
 
-A task is given up when workers crash while it is the only suspect there, each
-as long after its start as the one before. Crashes of other workers at the same
-time tell that the cause may be another one, so this verdict waits a moment. A
-task that is suspected of many crashes is given up in any case.
+A task is given up when workers on several machines crash while it is the only
+suspect there, each as long after its start as the one before. Crashes of other
+workers at the same time tell that the cause may be another one, so this verdict
+waits a moment. A task that is suspected of many crashes is given up anyway.
 """
 
 from collections.abc import Iterator
@@ -22,6 +22,8 @@
 # one, which came as long after its start as the one before: at once, or later.
 QUICK_CRASHES = 2
 ALIKE_CRASHES = 3
+# A machine that goes down again and again takes whatever runs there along.
+MIN_MACHINES = 2
 # Crashes after which a suspect is given up without proof. Callers expect that
 # it is started at most twice more after the third.
 MAX_CRASHES = 5
@@ -153,7 +155,7 @@
     if task.name != crash.culprit or task.late_crashes:
         # What crashes a worker at once would not have worked on another.
         return MAX_CRASHES
-    if not suspicion.is_alike:
+    if not suspicion.is_alike or len(task.crash_agents) < MIN_MACHINES:
         return MAX_CRASHES
     enough = QUICK_CRASHES if crash.is_quick else ALIKE_CRASHES
     return enough + int(task.step.lasting)
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -242,6 +242,7 @@
     worked_ms: int = 0
     bound_until_ms: int = 0
     orders_end_ms: int = 0
+    crash_agents: list[str] = attrs.field(factory=list)
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -144,6 +144,7 @@
   16: i32 worked_ms,        // how long the run had worked at the newest crash
   17: i64 bound_until_ms,   // clock of the state; 0: not known
   18: i64 orders_end_ms,    // likewise, of orders for the newest run
+  19: list<string> crash_agents, // agents whose workers crashed so
 }
 
 struct JobRecord {
--- a/wasabiturn/process/control/batch/crash_watch.py
+++ b/wasabiturn/process/control/batch/crash_watch.py
@@ -6,12 +6,9 @@
 
 from typing import final
 
-from wasabiturn.batch.crashes import (
-    Crash,
-    find_proven_suspects,
-    judge_crash,
-)
+from wasabiturn.batch.crashes import Crash, judge_crash
 from wasabiturn.batch.fleet import Fleet, Worker
+from wasabiturn.batch.proofs import find_proven_suspects
 from wasabiturn.batch.verdicts import CrashLog
 from wasabiturn.messages.batch import BatchChange, GiveUp
 from wasabiturn.process import exposition
