What is read, or said to be absent, is confirmed by a quorum first

Cause: the leader answered under its lease alone. A lease is only as good as the leader's clock: on an instance that is suspended as a whole, such as a virtual machine, the boot clock may stand still too, so that a deposed leader answers for up to 0.9 s after it wakes.

Now the leader reads the configuration, and says that a queue or a job isn't there, once it has committed the time behind all earlier changes; then it looks again. Ruled out: a round of heartbeats, which needs another call of the replica and waits for the next one.

Tests: three new cases in test_configurations.py; without the confirmation the first is answered at once.

--- a/tests/sessions/test_configurations.py
+++ b/tests/sessions/test_configurations.py
@@ -5,9 +5,9 @@
 import pytest
 from twisted.internet.defer import Deferred, maybeDeferred
 
-from tests.sessions.batch_fakes import BatchFleet, create_step
-from wasabiturn.messages.batch import PutRouting, Routing
-from wasabiturn.messages.kinds import JobOutcome, Method
+from tests.sessions.batch_fakes import HOST, PREFIX, BatchFleet, create_step
+from wasabiturn.messages.batch import JobCall, PutRouting, Routing
+from wasabiturn.messages.kinds import JobAction, JobOutcome, Method
 from wasabiturn.messages.link import Nothing
 from wasabiturn.messages.state import Command, Outcome
 
@@ -21,9 +21,12 @@
         self.commands: list[Command] = []
         self._submit = fleet.replica.submit
         self._held: list[Deferred[Outcome]] = []
+        self._replica = fleet.replica
+        self._monkeypatch = monkeypatch
         monkeypatch.setattr(fleet.replica, 'submit', self._hold)
 
     def release(self) -> None:
+        self._monkeypatch.setattr(self._replica, 'submit', self._submit)
         for command, outcome in zip(self.commands, self._held, strict=True):
             self._submit(command).chainDeferred(outcome)
 
@@ -79,3 +82,35 @@
     fleet.run(0.1)
     outcomes = [answer.outcome for answer in (*before, *after)]
     assert outcomes == [JobOutcome.ok, JobOutcome.no_queue]
+
+
+def test_configuration_is_only_read_once_a_quorum_has_confirmed_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The clock of a suspended instance may stand still, and its lease too."""
+    fleet = BatchFleet()
+    held = HeldReplica(fleet, monkeypatch)
+    answers = call_leader(fleet, Method.read_routing, Nothing())
+    fleet.run(0.5)
+    assert not answers
+    held.release()
+    fleet.run(0.1)
+    assert answers[0].routing.version == 1
+
+
+@pytest.mark.parametrize(
+    ('path', 'outcome'),
+    [(f'{PREFIX}job', JobOutcome.no_job), ('/none/', JobOutcome.no_queue)],
+)
+def test_absence_is_only_told_once_a_quorum_has_confirmed_it(
+    path: str, outcome: JobOutcome, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fleet = BatchFleet()
+    held = HeldReplica(fleet, monkeypatch)
+    call = JobCall(action=JobAction.read, host=HOST, path=path)
+    answers = call_leader(fleet, Method.job, call)
+    fleet.run(0.5)
+    assert not answers
+    held.release()
+    fleet.run(0.1)
+    assert answers[0].outcome is outcome
--- a/wasabiturn/process/control/batch/job_calls.py
+++ b/wasabiturn/process/control/batch/job_calls.py
@@ -21,6 +21,8 @@
 from wasabiturn.process.control.batch.pipeline import Pipeline
 from wasabiturn.utils.logs import create_component_log
 
+_OUTCOMES_TO_CONFIRM = frozenset((JobOutcome.no_queue, JobOutcome.no_job))
+
 _log = create_component_log('queues')
 
 
@@ -38,7 +40,23 @@
     committed_state: Callable[[], BatchState]
 
     def answer(self, call: JobCall, wall_ms: int) -> Deferred[JobAnswer]:
-        """Answer one call; fails with ``CallError``."""
+        """Answer one call; fails with ``CallError``.
+
+        That something isn't there is only said once a quorum has confirmed
+        it: on an instance that was suspended the lease may outlast its time.
+        """
+        answered = self._answer(call, wall_ms)
+        return answered.addCallback(self._confirm, call, wall_ms)
+
+    def _confirm(
+        self, answer: JobAnswer, call: JobCall, wall_ms: int
+    ) -> JobAnswer | Deferred[JobAnswer]:
+        if answer.outcome not in _OUTCOMES_TO_CONFIRM:
+            return answer
+        confirmed = self.pipeline.confirm()
+        return confirmed.addCallback(lambda _: self._answer(call, wall_ms))
+
+    def _answer(self, call: JobCall, wall_ms: int) -> Deferred[JobAnswer]:
         routing = self.committed_state().routing
         if routing is None:
             return succeed(JobAnswer(outcome=JobOutcome.not_configured))
--- a/wasabiturn/process/control/batch/leader.py
+++ b/wasabiturn/process/control/batch/leader.py
@@ -199,10 +199,13 @@
         self,
         link: Link,
         nothing: Nothing,
-    ) -> messages.RoutingAnswer:
-        self._require_leader_term()
-        routing = self._replica.state.batch.routing
-        return messages.RoutingAnswer(routing=routing)
+    ) -> Deferred[messages.RoutingAnswer]:
+        confirmed = self._require_leader_term().pipeline.confirm()
+        return confirmed.addCallback(
+            lambda _: messages.RoutingAnswer(
+                routing=self._replica.state.batch.routing
+            )
+        )
 
     def _handle_data_centre_mark(
         self,
