--- a/wasabiturn/batch/jobs.py
+++ b/wasabiturn/batch/jobs.py
@@ -225,6 +225,12 @@
     return max(ends_ms, default=0)
 
 
+def count_tasks(declaration: JobDeclaration) -> int:
+    """Return the number of tasks in all occurrences of a job."""
+    tasks = sum(step.tasks for step in declaration.steps)
+    return tasks * max(declaration.occurrences, 1)
+
+
 def create_job(accepted: AcceptJob) -> Job:
     """Create a job with all its tasks waiting."""
     declaration = accepted.declaration
--- a/wasabiturn/process/control/batch/job_calls.py
+++ b/wasabiturn/process/control/batch/job_calls.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from wasabiturn.batch import BatchState
-from wasabiturn.batch.jobs import Job
+from wasabiturn.batch.jobs import Job, count_tasks
 from wasabiturn.batch.queue_table import QueueTable
 from wasabiturn.messages.batch import (
     AcceptJob,
@@ -21,6 +21,8 @@
 from wasabiturn.process.control.batch.pipeline import Pipeline
 from wasabiturn.utils.logs import create_component_log
 
+# A task takes about 1 KB of memory, and the leader has each twice.
+MAX_OPEN_TASKS = 100_000
 _OUTCOMES_TO_CONFIRM = frozenset((JobOutcome.no_queue, JobOutcome.no_job))
 
 _log = create_component_log('queues')
@@ -94,10 +96,27 @@
             terms=queue.terms,
             accepted_ms=wall_ms,
         )
+        if not self._has_room(accepted.declaration):
+            return succeed(JobAnswer(outcome=JobOutcome.busy))
         _log_accept(call, accepted.declaration)
         recorded = self.pipeline.record(BatchChange(accepts=[accepted]))
         return recorded.addCallback(lambda _: accepted_answer)
 
+    def _has_room(self, declaration: JobDeclaration) -> bool:
+        """Return whether the state with a job still fits its processes."""
+        tasks = count_tasks(declaration)
+        open_tasks = len(self.pipeline.batch_state.tasks_by_name)
+        if open_tasks + tasks <= MAX_OPEN_TASKS:
+            return True
+        _log.warning(
+            'refuses job: too many tasks are open',
+            job=declaration.job_id,
+            tasks=tasks,
+            open_tasks=open_tasks,
+            limit=MAX_OPEN_TASKS,
+        )
+        return False
+
     def _cancel(
         self,
         call: JobCall,
@@ -147,5 +166,5 @@
         request=call.request_id,
         queue=declaration.queue,
         steps=len(declaration.steps),
-        tasks=sum(step.tasks for step in declaration.steps),
+        tasks=count_tasks(declaration),
     )
