A worker whose wall clock was set back is heard again

What callers saw: a job that needs the worker stays queued for good.

Cause: a life with a lower 'born' was taken for a late announcement: by the leader for ever ('a newer life is known'), by the agent as the list of the life that it followed. 'born' is the wall clock at the start, which may be set back.

An agent follows a life only once the worker has confirmed it, so the leader believes the newest word of an agent's process; only another process that still has its link may know better. In the agent any other birth than the one it follows is another life. Late announcements of an ended life are still refuted by the worker itself (life_verifier.py, test_foreign_announcements.py).

The stand-in of a link is open while its process lives.

--- a/tests/sessions/batch_fakes.py
+++ b/tests/sessions/batch_fakes.py
@@ -167,6 +167,10 @@
         self._fleet = fleet
         self._agent = agent
 
+    @property
+    def is_open(self) -> bool:
+        return self.peer.incarnation == self._agent.incarnation
+
     def notify(self, method: Method, message: Any) -> None:
         if not self._agent.is_partitioned:
             packed = pack(message)
--- a/tests/sessions/test_worker_restarts.py
+++ b/tests/sessions/test_worker_restarts.py
@@ -15,6 +15,7 @@
     find_starts,
     start_with_faults,
 )
+from wasabiturn.messages.kinds import JobState
 from wasabiturn.messages.limits import ORDER_LIFETIME_SECONDS
 from wasabiturn.standins.batch_worker import (
     TIMEOUT_SECONDS,
@@ -117,3 +118,38 @@
     begun = len(fleet.run_starts)
     fleet.run(1)
     assert len(fleet.run_starts) == begun
+
+
+@pytest.mark.parametrize('is_announced_at_once', [True, False])
+@pytest.mark.parametrize('changes_leader', [True, False])
+def test_worker_whose_wall_clock_was_set_back_gets_work_again(
+    is_announced_at_once: bool, changes_leader: bool
+) -> None:
+    fleet = BatchFleet(workers=1)
+    fleet.run(10)
+    (agent,) = fleet.agents
+    agent.worker.start_incarnation()
+    fleet.run(3)
+    fleet.submit('a', [create_step(2)], SimulatedWork(30))
+    fleet.run(1)
+    agent.worker.start_incarnation(wall_clock_seconds=-5)
+    if is_announced_at_once:
+        agent.announce()
+    if changes_leader:
+        fleet.change_leader()
+    fleet.run(5)
+    assert len(agent.worker.runs_by_task) == 2
+    fleet.run_until('a', JobState.done, seconds=60)
+
+
+def test_agent_that_restarts_beside_a_clock_set_back_is_heard() -> None:
+    fleet = BatchFleet(workers=1)
+    fleet.run(10)
+    (agent,) = fleet.agents
+    agent.worker.start_incarnation()
+    fleet.run(3)
+    agent.worker.start_incarnation(wall_clock_seconds=-5)
+    agent.restart()
+    fleet.run(3)
+    fleet.submit('a', [create_step(1)], SimulatedWork(1))
+    fleet.run_until('a', JobState.done, seconds=20)
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -223,9 +223,9 @@
     ) -> None:
         if not _is_same_life(self._identity, identity):
             return
-        if listing.born_ms > identity.born_ms:
-            # A newer incarnation has the worker's name, but has not announced
-            # itself yet.
+        if listing.born_ms != identity.born_ms:
+            # Another incarnation has the worker's name, and has not announced
+            # itself yet. Its wall clock may have been set back.
             self._sender.close()
             if self._contact.take_over(listing.born_ms):
                 self._send_hold(0)
--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -167,7 +167,7 @@
         for other in leader_term.fleet.workers_by_incarnation.values()
         if agent == other.agent or report.worker == other.name
     ]
-    if any(other.born_ms > report.born_ms for other in others):
+    if any(_is_newer(leader_term, other, link, report) for other in others):
         raise CallError(FailureCode.invalid, 'a newer life is known')
     worker = leader_term.fleet.open(report.worker, report.born_ms, now)
     for other in others:
@@ -182,6 +182,24 @@
     return worker
 
 
+def _is_newer(
+    leader_term: LeaderTerm, other: Worker, link: Link, report: WorkerReport
+) -> bool:
+    """Return whether a life follows the reported one.
+
+    The time of birth is on the worker's wall clock, which may be set back. An
+    agent reports a life once the worker has confirmed it, so its newest word
+    counts; only another process that still reports may know better.
+    """
+    if other.born_ms <= report.born_ms:
+        return False
+    if other.agent_incarnation == link.peer.incarnation:
+        return False
+    incarnation = (other.name, other.born_ms)
+    other_link = leader_term.links_by_incarnation.get(incarnation)
+    return other_link is not None and other_link.is_open
+
+
 def _limit_orders(
     worker: Worker, agent: str, report: WorkerReport, now: float
 ) -> None:
--- a/wasabiturn/standins/batch_worker.py
+++ b/wasabiturn/standins/batch_worker.py
@@ -150,10 +150,13 @@
         run.timer.cancel()
         self._end(run, RunEnding.broken)
 
-    def start_incarnation(self, name: str = '') -> None:
+    def start_incarnation(
+        self, name: str = '', wall_clock_seconds: float = 0
+    ) -> None:
         """Start a new incarnation, crashing the present one if it is up.
 
         It keeps the name of the worker unless ``name`` is given.
+        ``wall_clock_seconds`` is by how much its wall clock was set forward.
         """
         if self.is_up:
             self.crash()
@@ -162,7 +165,10 @@
         self.identity = attrs.evolve(
             self.identity,
             worker=name or self.identity.worker,
-            born_ms=int(self._clock.seconds() * _MS_PER_SECOND) + 1,
+            born_ms=int(
+                (self._clock.seconds() + wall_clock_seconds) * _MS_PER_SECOND
+            )
+            + 1,
             is_draining=False,
             sequence=0,
         )
