The stand-in of a worker's port gives another life no lease and no acknowledgement

WorkerPort promises since that a hold meant for one life only lists the runs of another; HttpWorker keeps it, and test_worker_client.py checks that. The stand-in of the session tests passed such holds on. Starts still reach the other life in the stand-in, which is stricter.

Tried and left out: refusing those starts too.

--- a/tests/sessions/batch_fakes.py
+++ b/tests/sessions/batch_fakes.py
@@ -190,7 +190,11 @@
 
 
 class FakePort:
-    """Port of one agent process to its worker; closed, it sends nothing."""
+    """Port of one agent process to its worker; closed, it sends nothing.
+
+    As ``WorkerPort`` says, another life than the one in ``identity`` only lists
+    its runs. Starts still reach it here, which is more than the port allows.
+    """
 
     def __init__(
         self, fleet: 'BatchFleet', worker: StandInBatchWorker, gate: Gate
@@ -208,6 +212,8 @@
     def hold(
         self, identity: WorkerIdentity, hold: HoldRequest
     ) -> Deferred[RunListing]:
+        if self._is_another_life(identity):
+            hold = attrs.evolve(hold, acknowledged=0, lease_until_ms=0)
         return self._send(self._worker.hold, identity, hold)
 
     def start(
@@ -242,6 +248,10 @@
     ) -> Deferred[None]:
         return self._send(self._worker.pace, identity, order, fence)
 
+    def _is_another_life(self, identity: WorkerIdentity) -> bool:
+        is_other = self._worker.identity.life != identity.life
+        return self._worker.is_up and is_other
+
     def _send(
         self, call: Callable[..., Deferred[Any]], *arguments: Any
     ) -> Deferred[Any]:
