An unexpected error in a take-over is logged, and the leader tries again

Found on reading the change: an exception in a turn of the copy, or at the start of the term, would have left the take-over pending for ever, with a leader that plans nothing. Before the copy was made in turns, an errback saw to that.

Test: test_unexpected_error_in_a_take_over_is_followed_by_another; before, the error went up to the loop (the test failed with it).

--- a/tests/sessions/test_take_over.py
+++ b/tests/sessions/test_take_over.py
@@ -17,7 +17,7 @@
 from wasabiturn.messages.batch import BatchChange, PutRouting, Routing
 from wasabiturn.messages.kinds import JobState, Method
 from wasabiturn.messages.state import Command, Outcome
-from wasabiturn.process.control.batch import take_over
+from wasabiturn.process.control.batch import leader, take_over
 from wasabiturn.version.replica import AppliedCommand, NotLeaderError
 from wasabiturn.version.state import State, create_state
 
@@ -136,6 +136,19 @@
     assert dump_batch_state(copies[0]) == dump_batch_state(state.batch)
 
 
+def test_unexpected_error_in_a_take_over_is_followed_by_another(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    fleet = BatchFleet()
+    fleet.run(1)
+    with monkeypatch.context() as patched:
+        patched.setattr(leader, 'LeaderTerm', lambda **_: 1 / 0)
+        fleet.change_leader()
+        fleet.run(1)
+    fleet.submit('a', [create_step(1)])
+    fleet.run_until('a', JobState.done, seconds=20)
+
+
 def test_copy_that_was_given_up_begins_no_term(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/wasabiturn/process/control/batch/take_over.py
+++ b/wasabiturn/process/control/batch/take_over.py
@@ -54,7 +54,8 @@
         """
         change = Command(batch=BatchChange())
         self._confirmation = submit(self._replica, change)
-        self._confirmation.addCallbacks(self._begin_copy, self._fail)
+        self._confirmation.addCallback(self._begin_copy)
+        self._confirmation.addErrback(self._fail)
 
     def cancel(self) -> None:
         """Give up; neither function is called."""
@@ -75,17 +76,24 @@
         self._copy = BatchState()
         self._slices = copy_in_slices(self._replica.state.batch, self._copy)
         if self._next_slice is None:
-            self._next_slice = self._clock.callLater(0, self._continue_copy)
+            self._next_slice = self._clock.callLater(0, self._continue)
 
-    def _continue_copy(self) -> None:
+    def _continue(self) -> None:
         self._next_slice = None
-        slices = self._slices
-        if slices is None:
+        if self._slices is None:
             return
+        try:
+            self._copy_for_a_moment(self._slices)
+        except Exception:
+            # The leader must try again, or nobody plans.
+            self._slices = None
+            self._fail(Failure())
+
+    def _copy_for_a_moment(self, slices: Iterator[None]) -> None:
         until = self._clock.seconds() + SLICE_SECONDS
         for _ in slices:
             if self._clock.seconds() >= until:
-                self._next_slice = self._clock.callLater(0, self._continue_copy)
+                self._next_slice = self._clock.callLater(0, self._continue)
                 return
         self._slices = None
         self._log_copied()
@@ -105,5 +113,6 @@
         _log.warning(
             'taking over leadership failed; retried while the lease is held',
             error=repr(failure.value),
+            trace=failure.getTraceback(),
         )
         self._on_failure()
