Leases need no confirmed connection, and a timeout ends fewer connections

Cause: each timeout closed all idle connections, and on a new one a lease needed two answers in place of one, so leases lapsed about twice as often.

Now a lease may go to an unconfirmed connection; acknowledgements and starts may not. Once a list has shown another life, no lease goes there. A timeout ends the idle connections that have not answered since the request was sent: others show that the way to the worker is fine.

--- a/tests/connection/test_http_client.py
+++ b/tests/connection/test_http_client.py
@@ -186,3 +186,18 @@
     server.accept()
     assert not server.transports[0].value()
     assert server.results[0].check(HttpTimeoutError)
+
+
+def test_connection_that_answered_beside_a_timeout_is_used_again() -> None:
+    """Only the request was left unanswered; the way to the server is fine."""
+    server = Server()
+    server.send()
+    server.send()
+    server.accept()
+    server.accept()
+    server.reactor.advance(0.5)
+    server.answer(1)
+    server.reactor.advance(0.6)
+    server.send()
+    assert len(server.reactor.tcpClients) == 2
+    assert not server.transports[1].is_aborted
--- a/wasabiturn/connection/http_client.py
+++ b/wasabiturn/connection/http_client.py
@@ -24,6 +24,7 @@
 from wasabiturn.connection.http_reader import ResponseReader
 
 MAX_IDLE_CONNECTIONS = 5
+NEVER = float('-inf')
 
 
 @final
@@ -39,6 +40,7 @@
 class _Exchange:
     request: HttpRequest
     response: Deferred[HttpResponse]
+    sent_at: float
     expires_at: float
     read_peer: PeerReader | None = None
     timer: Any = None
@@ -109,6 +111,7 @@
         exchange = _Exchange(
             request=request,
             response=Deferred(),
+            sent_at=self.now(),
             expires_at=self.now() + timeout_seconds,
             read_peer=read_peer,
         )
@@ -155,8 +158,11 @@
         self, exchange: _Exchange, connection: '_ClientConnection'
     ) -> None:
         connection.abort()
-        # A fault that silenced one open connection may have silenced all.
-        self.close()
+        # A fault that silenced one open connection may have silenced all that
+        # have not answered since.
+        for idle in list(self._idle_connections):
+            if idle.heard_at <= exchange.sent_at:
+                idle.abort()
         exchange.fail(HttpTimeoutError('no response in time'))
 
 
@@ -166,6 +172,7 @@
 
     def __init__(self, client: HttpClient) -> None:
         self.peer: Hashable = None
+        self.heard_at = NEVER
         self._client = client
         self._exchange: _Exchange | None = None
         self._is_aborted = False
@@ -206,6 +213,7 @@
 
     def dataReceived(self, received: bytes) -> None:
         """Read the response; abort the connection if it is malformed."""
+        self.heard_at = self._client.now()
         try:
             self._reader.feed(received)
         except HttpError as error:
--- a/wasabiturn/platform/worker_client.py
+++ b/wasabiturn/platform/worker_client.py
@@ -8,6 +8,7 @@
 
 from typing import Any, final
 
+import attrs
 from twisted.internet.defer import Deferred
 from twisted.internet.error import (
     ConnectionRefusedError as TwistedConnectionRefusedError,
@@ -65,19 +66,12 @@
         self, identity: WorkerIdentity, hold: HoldRequest
     ) -> Deferred[RunListing]:
         """Renew the lease and list the runs; see ``WorkerPort``."""
-        if not (hold.lease_until_ms or hold.acknowledged):
-            return self._list_runs(identity, hold)
-        sent = self._hold_life(identity, hold)
-        if sent is not None:
-            return sent
-        confirmed = self._list_runs(identity, _create_confirmation(hold.fence))
-        return confirmed.addCallback(self._hold_confirmed, identity, hold)
-
-    def _hold_confirmed(
-        self, listing: RunListing, identity: WorkerIdentity, hold: HoldRequest
-    ) -> Any:
-        """Send the hold if the life that has listed its runs is meant."""
-        return self._hold_life(identity, hold) or listing
+        if hold.acknowledged:
+            sent = self._hold_life(identity, hold)
+            if sent is not None:
+                return sent
+            hold = attrs.evolve(hold, acknowledged=0)
+        return self._list_runs(identity, hold)
 
     def _hold_life(
         self, identity: WorkerIdentity, hold: HoldRequest
--- a/wasabiturn/process/agent/runs/contact.py
+++ b/wasabiturn/process/agent/runs/contact.py
@@ -46,6 +46,7 @@
         self.listing_token = NO_FENCE
         self.is_listing_current = False
         self.is_connection_refused = False
+        self.found_born_ms = 0
         self.token.raise_own('new incarnation')
 
     def record_list(self, worker: str) -> None:
@@ -94,6 +95,13 @@
         self.token.raise_own('incarnation without an announcement')
         return True
 
+    def has_found_other_life(self, born_ms: int) -> bool:
+        """Return whether a list has shown another life than the one born then.
+
+        That one is over.
+        """
+        return self.found_born_ms not in {0, born_ms}
+
     def listing_fence(self) -> int:
         """Return the leader's token of the newest list, if that is newest."""
         fence = self.token.fence_of(self.listing_token)
--- a/wasabiturn/process/agent/runs/port.py
+++ b/wasabiturn/process/agent/runs/port.py
@@ -129,9 +129,8 @@
     token for this worker, which refuses calls with a lower one than it has
     seen.
 
-    What may only concern the life in ``identity`` never reaches another one by
-    itself: a start, and a hold that renews the lease or acknowledges ends. Only
-    the worker may still carry it out late.
+    Starts and acknowledgements of ends never reach another life than the one in
+    ``identity`` by themselves. Only the worker may still carry them out late.
     """
 
     def hold(
@@ -139,8 +138,8 @@
     ) -> Deferred[RunListing]:
         """Renew the lease and list the runs.
 
-        Fires once a run ends or ``wait_ms`` has passed. Another life than that
-        in ``identity`` only lists its runs.
+        Fires once a run ends or ``wait_ms`` has passed. Ends are acknowledged
+        only if it is known beforehand that the life in ``identity`` answers.
         """
 
     def start(
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -206,7 +206,11 @@
             acknowledged=self._acknowledged_end
             if self._contact.is_listing_current
             else 0,
-            lease_until_ms=self._sender.grants.lease_until_ms,
+            # The clock of another life starts anew, so that an old lease would
+            # be valid for long there.
+            lease_until_ms=0
+            if self._contact.has_found_other_life(identity.born_ms)
+            else self._sender.grants.lease_until_ms,
             wait_ms=wait_ms,
             number=self._sent_holds,
         )
