Lasting tasks don't wait for lives that may never come

Cause: an order without an answer keeps its task at the name of its worker until it has expired (15 s, and a lease more where nobody reports), whatever the agent tells meanwhile. In the life that it was sent to it is void once that life has listed its runs under a raised token, or the lease in it has ended; what is waited for is a later life under the same name.

Now a lasting task ends with the life of its worker and is released when its agent reports a list (of the next life, or another worker), a port that has been closed for 3 s, or no list until all leases have ended; of a machine that is silent, when the leases have ended, unless the agent had named the order as overdue or an earlier leader sent it. All other tasks wait as before.

A lasting task may run twice for a moment if an order is carried out late, in a next life under the same name, before its agent first reaches that (it looks each 20 ms while an order is open).

--- /dev/null
+++ b/tests/batch/test_early_release.py
@@ -0,0 +1,128 @@
+"""Tests of lasting tasks that start elsewhere beside open orders."""
+
+import pytest
+
+from tests.batch.jobs_fakes import (
+    accept,
+    create_batch_state,
+    create_fleet,
+    create_worker,
+    start,
+    step,
+)
+from wasabiturn.batch.bindings import bind_task, release_tasks
+from wasabiturn.batch.early_release import (
+    CLOSED_PORT_SECONDS,
+    is_lost_under_way,
+)
+from wasabiturn.batch.fleet import Allocation, Fleet, Worker
+from wasabiturn.batch.state import BatchState
+from wasabiturn.messages.batch import BatchChange, EndRun
+from wasabiturn.messages.kinds import RunEnding
+
+TASK = 'j.0.0.0'
+AGENT = 'a'
+LEASE_SECONDS = 6.0
+LEASE_ENDS_AT = 8.0
+ORDERS_END_AT = 15.0
+SILENT_SECONDS = 2.5
+
+
+class BoundTask:
+    """One waiting task, bound to the worker ``w`` that agent ``a`` reports."""
+
+    def __init__(self, lasting: bool = True, name: str = 'w') -> None:
+        ended = EndRun(
+            task=TASK,
+            run=1,
+            ending=RunEnding.not_started,
+            has_open_order=True,
+        )
+        self.batch_state: BatchState = create_batch_state(
+            accept('j', step(1, lasting=lasting)),
+            start(TASK),
+            BatchChange(ends=[ended]),
+        )
+        self.task = self.batch_state.tasks_by_name[TASK]
+        self.task.agent = AGENT
+        self.worker: Worker = create_worker(name)
+        self.worker.agent = AGENT
+        self.worker.lease_ends_at = LEASE_ENDS_AT
+        self.fleet: Fleet = create_fleet(self.worker)
+        self.fleet.record_reporting(self.worker)
+        bind_task(self.fleet, self.task, ORDERS_END_AT, now=0)
+
+    def hear(self, now: float, listed: bool = True) -> None:
+        """Have the agent report; without a list the worker is silent."""
+        self.worker.heard_at = now
+        self.worker.report.listed = listed
+        self.worker.is_reconciled = listed
+
+    def is_released(self, now: float) -> bool:
+        """Return whether the task is released at ``now``."""
+        return bool(
+            release_tasks(self.fleet, self.batch_state, LEASE_SECONDS, now)
+        )
+
+
+@pytest.mark.parametrize('name', ['w', 'other'])
+def test_list_of_the_next_life_releases_a_lasting_task(name: str) -> None:
+    bound = BoundTask(name=name)
+    bound.hear(now=1)
+    assert bound.is_released(now=1)
+    assert not bound.fleet.bound_until_by_task
+
+
+def test_list_of_the_next_life_keeps_another_task_bound() -> None:
+    bound = BoundTask(lasting=False)
+    bound.hear(now=1)
+    assert not bound.is_released(now=ORDERS_END_AT - 0.1)
+
+
+def test_closed_port_releases_a_lasting_task_after_a_moment() -> None:
+    bound = BoundTask()
+    bound.worker.report.refuses = True
+    bound.worker.refuses_since = 1
+    bound.hear(now=1 + CLOSED_PORT_SECONDS, listed=False)
+    assert not bound.is_released(now=0.9 + CLOSED_PORT_SECONDS)
+    assert bound.is_released(now=1 + CLOSED_PORT_SECONDS)
+
+
+def test_silent_worker_keeps_a_lasting_task_for_its_lease() -> None:
+    bound = BoundTask()
+    bound.hear(now=LEASE_ENDS_AT - 0.1, listed=False)
+    assert not bound.is_released(now=LEASE_ENDS_AT - 0.1)
+    assert bound.is_released(now=LEASE_ENDS_AT)
+
+
+def test_new_leader_waits_for_the_leases_of_an_earlier_one() -> None:
+    bound = BoundTask()
+    bound.fleet.earlier_leases_end_at = LEASE_ENDS_AT + 2
+    bound.hear(now=LEASE_ENDS_AT, listed=False)
+    assert not bound.is_released(now=LEASE_ENDS_AT + 1)
+    assert bound.is_released(now=LEASE_ENDS_AT + 2)
+
+
+@pytest.mark.parametrize('was_under_way', [True, False])
+def test_silent_agent_releases_only_what_was_under_way(
+    was_under_way: bool,
+) -> None:
+    bound = BoundTask()
+    bound.hear(now=0)
+    if was_under_way:
+        bound.fleet.tasks_lost_under_way.add(TASK)
+    assert not bound.is_released(now=LEASE_ENDS_AT - 0.1)
+    assert bound.is_released(now=LEASE_ENDS_AT) is was_under_way
+
+
+def test_overdue_and_inherited_orders_were_not_under_way() -> None:
+    bound = BoundTask()
+    bound.hear(now=0)
+    allocation = Allocation(task=bound.task, run=1, started_at=0)
+    assert not is_lost_under_way(bound.worker, allocation, now=1)
+    assert is_lost_under_way(bound.worker, allocation, SILENT_SECONDS)
+    allocation.has_overdue_order = True
+    assert not is_lost_under_way(bound.worker, allocation, SILENT_SECONDS)
+    allocation.has_overdue_order = False
+    allocation.is_inherited = True
+    assert not is_lost_under_way(bound.worker, allocation, SILENT_SECONDS)
--- /dev/null
+++ b/tests/sessions/test_held_lasting_tasks.py
@@ -0,0 +1,124 @@
+"""Lasting tasks whose orders had no answer when their workers went."""
+
+from tests.sessions.batch_fakes import (
+    BatchFleet,
+    FakeAgent,
+    create_step,
+)
+from tests.sessions.test_start_orders import (
+    LATE_SECONDS,
+    TASK,
+    choose_worker,
+    find_starts,
+)
+from wasabiturn.messages.batch import BatchChange, DataCentreMark
+from wasabiturn.messages.kinds import RunEnding
+from wasabiturn.standins.batch_worker import Fault, SimulatedWork
+
+# What a lasting task may take: 4 s that are calm, and 3 s.
+MAX_AWAY_SECONDS = 7.0
+MANY = 100
+LASTING = SimulatedWork(1000)
+
+
+def start_unanswered(
+    fleet: BatchFleet,
+    work: SimulatedWork = LASTING,
+    fault: Fault = Fault.late,
+) -> FakeAgent:
+    """Send a lasting task to the first worker, which does not answer."""
+    fleet.run(1)
+    choose_worker(fleet, 1)
+    agent = fleet.agents[0]
+    agent.worker.next_faults = [fault]
+    agent.worker.late_delay_seconds = LATE_SECONDS
+    fleet.submit('a', [create_step(1, lasting=True)], work)
+    while not fleet.start_orders:
+        fleet.run(0.01)
+    open_all(fleet)
+    return agent
+
+
+def open_all(fleet: BatchFleet) -> None:
+    marks = [
+        DataCentreMark(data_centre=name, out=False) for name in ('dc-1', 'dc-2')
+    ]
+    fleet.mark_data_centres(BatchChange(marks=marks))
+
+
+def assert_runs_on_second(fleet: BatchFleet) -> None:
+    fleet.run(MAX_AWAY_SECONDS)
+    assert fleet.find_workers_by_task()[TASK] == ['worker-2']
+
+
+def test_lasting_task_of_a_worker_that_is_gone_for_good_is_not_held() -> None:
+    fleet = BatchFleet(workers=2)
+    agent = start_unanswered(fleet)
+    agent.worker.crash()
+    assert_runs_on_second(fleet)
+
+
+def test_lasting_task_of_a_replaced_worker_is_not_held() -> None:
+    fleet = BatchFleet(workers=2)
+    agent = start_unanswered(fleet)
+    agent.worker.start_incarnation('other')
+    agent.worker.change_capacity(millicores=500)
+    agent.announce()
+    assert_runs_on_second(fleet)
+
+
+def test_lasting_task_is_not_held_by_a_next_life_without_room() -> None:
+    fleet = BatchFleet(workers=2)
+    agent = start_unanswered(fleet)
+    agent.worker.start_incarnation()
+    agent.worker.change_capacity(millicores=500)
+    agent.announce()
+    assert_runs_on_second(fleet)
+
+
+def test_lasting_task_of_a_worker_that_left_is_not_held() -> None:
+    fleet = BatchFleet(workers=2)
+    agent = start_unanswered(fleet)
+    agent.announce_draining()
+    fleet.run(0.5)
+    agent.worker.crash()
+    assert_runs_on_second(fleet)
+
+
+def test_lasting_task_of_a_silent_worker_is_not_held() -> None:
+    fleet = BatchFleet(workers=2)
+    fleet.run(1)
+    agent = fleet.agents[0]
+    agent.worker.refuses_holds = True
+    start_unanswered(fleet)
+    agent.worker.next_faults = [Fault.dropped] * MANY
+    assert_runs_on_second(fleet)
+
+
+def test_lasting_task_under_way_to_a_lost_machine_is_not_held() -> None:
+    fleet = BatchFleet(workers=2)
+    agent = start_unanswered(fleet)
+    agent.is_partitioned = True
+    agent.pause()
+    agent.worker.crash()
+    assert_runs_on_second(fleet)
+
+
+def test_lasting_task_that_failed_where_nothing_starts_is_not_held() -> None:
+    fleet = BatchFleet(workers=2)
+    work = SimulatedWork(0.5, ending=RunEnding.failed)
+    start_unanswered(fleet, work)
+    while not fleet.run_starts:
+        fleet.run(0.1)
+    choose_worker(fleet, 2)
+    fleet.work_by_job['a'] = LASTING
+    assert_runs_on_second(fleet)
+
+
+def test_lasting_task_that_ran_is_not_held_by_an_earlier_order() -> None:
+    fleet = BatchFleet(workers=2)
+    agent = start_unanswered(fleet)
+    fleet.run(3)
+    assert find_starts(fleet) == [(1, 'worker-1')]
+    agent.worker.crash()
+    assert_runs_on_second(fleet)
--- a/wasabiturn/batch/bindings.py
+++ b/wasabiturn/batch/bindings.py
@@ -4,7 +4,8 @@
 runs, it may carry out an order that an earlier one under its name left
 unanswered.
 While there may be such an order for a task, the task starts at this name only:
-there a new incarnation has lost all newer runs of the task as well.
+there a new incarnation has lost all newer runs of the task as well. A lasting
+task is released earlier; see ``early_release.py``.
 
 The replicated state has until when a task is bound, on a clock of its own. A
 leader of an earlier version stored only that it is; then a new one binds it for
@@ -13,7 +14,17 @@
 
 from collections.abc import Iterator
 
-from wasabiturn.batch.fleet import NEVER, UNKNOWN, Fleet, Worker
+from wasabiturn.batch.early_release import (
+    is_lost_under_way,
+    may_start_elsewhere,
+)
+from wasabiturn.batch.fleet import (
+    NEVER,
+    UNKNOWN,
+    Allocation,
+    Fleet,
+    Worker,
+)
 from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.placing import create_start
 from wasabiturn.batch.state import BatchState
@@ -37,6 +48,19 @@
     fleet.bound_until_by_task[task.name] = max(until, known_until)
 
 
+def bind_ended_task(
+    fleet: Fleet, worker: Worker, allocation: Allocation, now: float
+) -> None:
+    """Bind the task of a run that has ended beside an open order."""
+    if not allocation.is_ordered:
+        return
+    bind_task(fleet, allocation.task, allocation.orders_end_at, now)
+    if is_lost_under_way(worker, allocation, now):
+        fleet.tasks_lost_under_way.add(allocation.task.name)
+    else:
+        fleet.tasks_lost_under_way.discard(allocation.task.name)
+
+
 def restore_bindings(
     fleet: Fleet,
     batch_state: BatchState,
@@ -56,30 +80,34 @@
 def release_tasks(
     fleet: Fleet, batch_state: BatchState, lease_seconds: float, now: float
 ) -> list[Task]:
-    """Release the tasks whose orders have expired; return those that wait.
+    """Release the tasks that no order keeps; return those that wait.
 
     A late order may have begun a run just before it expired. The task is kept
     until a list shows that there is none, or the lease of the run has ended.
     """
-    expired = [
-        name
-        for name, until in fleet.bound_until_by_task.items()
-        if now >= until
-    ]
     released: list[Task] = []
-    for name in expired:
+    for name, until in list(fleet.bound_until_by_task.items()):
         task = batch_state.tasks_by_name.get(name)
-        until = fleet.bound_until_by_task[name]
         if task is None:
-            fleet.bound_until_by_task.pop(name)
-        elif _is_over(fleet, task, until) or not _may_have_lease(
-            fleet, task, until, lease_seconds, now
-        ):
-            fleet.bound_until_by_task.pop(name)
+            if now >= until:
+                fleet.unbind(name)
+        elif _is_released(fleet, task, lease_seconds, now):
+            fleet.unbind(name)
             released.append(task)
     return [each for each in released if each.state is BatchTaskState.waiting]
 
 
+def _is_released(
+    fleet: Fleet, task: Task, lease_seconds: float, now: float
+) -> bool:
+    until = fleet.bound_until_by_task[task.name]
+    if now < until:
+        return task.step.lasting and may_start_elsewhere(fleet, task, now)
+    return _is_over(fleet, task, until) or not _may_have_lease(
+        fleet, task, until, lease_seconds, now
+    )
+
+
 def find_resumed_runs(
     worker: Worker, batch_state: BatchState
 ) -> Iterator[StartRun]:
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -65,6 +65,8 @@
     is_stop_requested: bool = False
     # An earlier leader started the run; ``started_at`` is when this one began.
     is_inherited: bool = False
+    # An order was out for longer than a worker takes to answer.
+    has_overdue_order: bool = False
 
     def has_open_order(self, now: float) -> bool:
         """Return whether an order to start the run may be carried out."""
@@ -192,17 +194,13 @@
             runs[task.name] = allocation
         self._account(task, 1)
 
-    def release(self, task: Task) -> float:
-        """Release the resources of ``task``, if they are charged.
-
-        Returns when the orders to start its run end.
-        """
+    def release(self, task: Task) -> Allocation | None:
+        """Release the resources of ``task``; return what was charged."""
         allocation = self.allocations_by_task.pop(task.name, None)
-        if allocation is None:
-            return NEVER
-        self._forget_goal(task)
-        self._account(task, -1)
-        return allocation.orders_end_at if allocation.is_ordered else NEVER
+        if allocation is not None:
+            self._forget_goal(task)
+            self._account(task, -1)
+        return allocation
 
     def has_room(
         self,
@@ -292,6 +290,10 @@
     # Until when each bound task is bound, by the name of the task; see
     # ``wasabiturn/batch/bindings.py``.
     bound_until_by_task: dict[str, float] = attrs.field(factory=dict)
+    # Those of them whose order was under way when their machine fell silent.
+    tasks_lost_under_way: set[str] = attrs.field(factory=set)
+    # By then all leases of earlier leaders have ended.
+    earlier_leases_end_at: float = NEVER
     isolation: IsolationState = attrs.field(factory=IsolationState)
 
     def __attrs_post_init__(self) -> None:
@@ -313,6 +315,11 @@
         self.reporting_by_agent[worker.agent] = worker
         self.reporting_by_name[worker.name] = worker
 
+    def unbind(self, task: str) -> None:
+        """Let a task start anywhere."""
+        self.bound_until_by_task.pop(task, None)
+        self.tasks_lost_under_way.discard(task)
+
     def idle_seconds(self, job: Job, now: float) -> float:
         """Return how long a job with tasks to start has had none running."""
         if job.active_tasks:
--- a/wasabiturn/batch/lost_runs.py
+++ b/wasabiturn/batch/lost_runs.py
@@ -41,6 +41,7 @@
     A run with an order that a new incarnation of the same name may carry out
     is over only once that one has listed its runs, or the order has expired.
     Its task is bound even then: the order may have begun a run just before.
+    That of a lasting task ends at once, and binds it.
     """
     if not worker.is_gone and not awaits_results(worker, now):
         worker.is_gone = True
@@ -49,13 +50,19 @@
     for allocation in worker.allocations_by_task.values():
         last_order_at = max(worker.heard_at, allocation.started_at)
         allocation.limit_orders(last_order_at + START_PERMIT_SECONDS)
-        if not allocation.has_open_order(now):
+        is_kept = allocation.has_open_order(now)
+        if not is_kept or _ends_at_once(worker, allocation, now):
             end = lost_end(allocation, now)
             end.has_open_order = allocation.may_have_late_run(now)
             ends.append(end)
     return ends
 
 
+def _ends_at_once(worker: Worker, allocation: Allocation, now: float) -> bool:
+    is_lasting = allocation.task.step.lasting
+    return is_lasting and not awaits_results(worker, now)
+
+
 def give_up_all_runs(worker: Worker, now: float) -> list[EndRun]:
     """Mark a worker gone that has been replaced by one of another name.
 
--- a/wasabiturn/batch/open_orders.py
+++ b/wasabiturn/batch/open_orders.py
@@ -11,6 +11,8 @@
 from wasabiturn.batch.fleet import NEVER, Allocation, Worker
 from wasabiturn.messages.batch import OpenOrder, SettledStart, WorkerReport
 
+# An order that is out for longer may be carried out late.
+ANSWER_SECONDS = 0.5
 _MS = 1000
 
 
@@ -42,6 +44,15 @@
             last_sent_at = max(last_sent_at, self.known_since)
         allocation.limit_orders(last_sent_at)
 
+    def mark_overdue(self, worker: Worker, now: float) -> None:
+        """Mark the runs for which an order has long been out."""
+        for (task, run), sent_at in self.sent_at_by_run.items():
+            allocation = worker.allocations_by_task.get(task)
+            if allocation is None or allocation.run != run:
+                continue
+            if now >= sent_at + ANSWER_SECONDS:
+                allocation.has_overdue_order = True
+
     def limit_all(self, worker: Worker) -> None:
         """Limit the orders for all runs of a worker that gets no more."""
         for allocation in worker.list_allocations():
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -4,7 +4,7 @@
 from typing import Any, final
 
 from wasabiturn.batch import BatchState
-from wasabiturn.batch.bindings import bind_task, restore_bindings
+from wasabiturn.batch.bindings import bind_ended_task, restore_bindings
 from wasabiturn.batch.fleet import Fleet, Worker
 from wasabiturn.batch.forecast import Forecasts
 from wasabiturn.batch.interference import (
@@ -73,6 +73,7 @@
         self._clock = clock
         self._committed_starts: set[tuple[str, int]] = set()
         self.fleet = Fleet(fence=fence)
+        self.fleet.earlier_leases_end_at = self.lease_expiry(now)
         for task in batch_state.active_by_name.values():
             self._reserve_capacity(task)
             self._committed_starts.add((task.name, task.run))
@@ -199,9 +200,9 @@
         worker = self.fleet.worker_of(task)
         self._committed_starts.discard((task.name, task.run))
         if worker is not None:
-            orders_end_at = worker.release(task)
-            if task.is_bound:
-                bind_task(self.fleet, task, orders_end_at, self._now())
+            allocation = worker.release(task)
+            if task.is_bound and allocation is not None:
+                bind_ended_task(self.fleet, worker, allocation, self._now())
 
     def _store_pressures(self, now: float) -> None:
         """Store the interference estimates for the next leader."""
