A new leader knows which orders were overdue, and waits for no others

The machine of a lasting task was lost while its start was under way, and the leader changed; the next one could not know whether the agent had named the order as overdue, and waited for 15 s and a lease.

A run counts as lost under way only once its lease has ended.

--- a/tests/batch/test_early_release.py
+++ b/tests/batch/test_early_release.py
@@ -10,6 +10,11 @@
     start,
     step,
 )
+from wasabiturn.batch import (
+    apply_batch_change,
+    dump_batch_state,
+    load_batch_state,
+)
 from wasabiturn.batch.bindings import bind_task, release_tasks
 from wasabiturn.batch.early_release import (
     CLOSED_PORT_SECONDS,
@@ -17,7 +22,13 @@
 )
 from wasabiturn.batch.fleet import Allocation, Fleet, Worker
 from wasabiturn.batch.state import BatchState
-from wasabiturn.messages.batch import BatchChange, EndRun
+from wasabiturn.messages.batch import (
+    BatchChange,
+    BatchDump,
+    EndRun,
+    OverdueStart,
+)
+from wasabiturn.messages.codec import pack, unpack
 from wasabiturn.messages.kinds import RunEnding
 
 TASK = 'j.0.0.0'
@@ -25,23 +36,23 @@
 LEASE_SECONDS = 6.0
 LEASE_ENDS_AT = 8.0
 ORDERS_END_AT = 15.0
-SILENT_SECONDS = 2.5
+
+
+def end_run() -> BatchChange:
+    ended = EndRun(
+        task=TASK, run=1, ending=RunEnding.not_started, has_open_order=True
+    )
+    return BatchChange(ends=[ended])
 
 
 class BoundTask:
     """One waiting task, bound to the worker ``w`` that agent ``a`` reports."""
 
     def __init__(self, lasting: bool = True, name: str = 'w') -> None:
-        ended = EndRun(
-            task=TASK,
-            run=1,
-            ending=RunEnding.not_started,
-            has_open_order=True,
-        )
         self.batch_state: BatchState = create_batch_state(
             accept('j', step(1, lasting=lasting)),
             start(TASK),
-            BatchChange(ends=[ended]),
+            end_run(),
         )
         self.task = self.batch_state.tasks_by_name[TASK]
         self.task.agent = AGENT
@@ -115,14 +126,31 @@
     assert bound.is_released(now=LEASE_ENDS_AT) is was_under_way
 
 
-def test_overdue_and_inherited_orders_were_not_under_way() -> None:
+def test_order_that_was_named_as_overdue_was_not_under_way() -> None:
     bound = BoundTask()
+    allocation = Allocation(task=bound.task, run=1, started_at=0)
     bound.hear(now=0)
+    assert not is_lost_under_way(bound.worker, allocation, now=7.9)
+    assert is_lost_under_way(bound.worker, allocation, now=LEASE_ENDS_AT)
+    bound.task.has_overdue_order = True
+    assert not is_lost_under_way(bound.worker, allocation, now=LEASE_ENDS_AT)
+
+
+def test_overdue_order_of_a_heard_agent_was_not_under_way() -> None:
+    bound = BoundTask()
     allocation = Allocation(task=bound.task, run=1, started_at=0)
-    assert not is_lost_under_way(bound.worker, allocation, now=1)
-    assert is_lost_under_way(bound.worker, allocation, SILENT_SECONDS)
-    allocation.has_overdue_order = True
-    assert not is_lost_under_way(bound.worker, allocation, SILENT_SECONDS)
-    allocation.has_overdue_order = False
-    allocation.is_inherited = True
-    assert not is_lost_under_way(bound.worker, allocation, SILENT_SECONDS)
+    bound.hear(now=LEASE_ENDS_AT - 1)
+    assert not is_lost_under_way(bound.worker, allocation, now=LEASE_ENDS_AT)
+
+
+def test_snapshot_keeps_that_an_order_is_overdue() -> None:
+    overdue = BatchChange(overdue=[OverdueStart(task=TASK, run=1)])
+    batch_state = create_batch_state(
+        accept('j', step(1, lasting=True)), start(TASK), overdue
+    )
+    packed = pack(dump_batch_state(batch_state))
+    loaded = load_batch_state(unpack(BatchDump, packed))
+    assert loaded.tasks_by_name[TASK].has_overdue_order
+    apply_batch_change(loaded, end_run())
+    apply_batch_change(loaded, start(TASK, run=2))
+    assert not loaded.tasks_by_name[TASK].has_overdue_order
--- a/tests/sessions/test_lasting_tasks_properties.py
+++ b/tests/sessions/test_lasting_tasks_properties.py
@@ -8,7 +8,6 @@
 
 from tests.sessions.batch_fakes import BatchFleet, FakeAgent, create_step
 from tests.sessions.test_start_orders_properties import SEEDS
-from wasabiturn.batch.fleet import NEVER
 from wasabiturn.batch.jobs import Task
 from wasabiturn.messages.batch import BatchChange, DataCentreMark
 from wasabiturn.standins.batch_worker import SimulatedWork
@@ -24,9 +23,12 @@
     295,
     302,
     319,
+    93008,
+    93067,
     93113,
     93172,
     93458,
+    95249,
 )
 WORKERS = 8
 MAX_JOBS = 3
@@ -41,9 +43,6 @@
 # All workers that come back are back, and then 4 s and 3 s have passed.
 RETURN_SECONDS = 3.1
 CALM_SECONDS = 7.0
-# A start that was under way when its machine was lost may still be carried out;
-# a new leader does not know whether it is late.
-UNDER_WAY_SECONDS = 0.1
 
 
 class LastingSession:
@@ -57,7 +56,6 @@
         # When each machine was lost, by the name of its agent.
         self.lost_at: dict[str, float] = {}
         self.back_at: dict[str, float] = {}
-        self.leader_changed_at = NEVER
         self.submitted = 0
         self.actions: list[Callable[[FakeAgent], None]] = [
             self.submit_lasting,
@@ -127,7 +125,6 @@
         self.fleet.mark_data_centres(BatchChange(marks=[mark]))
 
     def change_leader(self, agent: FakeAgent) -> None:
-        self.leader_changed_at = self.fleet.clock.seconds()
         self.fleet.change_leader(self.random.choice(LEADERLESS_SECONDS))
 
     def cut_off(self, agent: FakeAgent) -> None:
@@ -161,7 +158,6 @@
             if task.job.job_id in self.jobs
             and task.name not in running
             and self._has_room_twice(task)
-            and not self._is_unknown_to_new_leader(task)
         ]
 
     def _choose_agent(self) -> FakeAgent:
@@ -202,17 +198,6 @@
             and agent.worker.identity.data_centre not in self.out
         )
 
-    def _is_unknown_to_new_leader(self, task: Task) -> bool:
-        """Return whether the leader that lost its machine has changed."""
-        lost_at = self.lost_at.get(task.agent)
-        if lost_at is None or self.leader_changed_at < lost_at:
-            return False
-        return not any(
-            (name, run) == (task.name, task.run)
-            and at < lost_at - UNDER_WAY_SECONDS
-            for at, name, run, _ in self.fleet.run_starts
-        )
-
 
 @pytest.mark.parametrize('seed', sorted({*SEEDS, *REGRESSION_SEEDS}))
 def test_lasting_tasks_do_not_wait_beside_room(seed: int) -> None:
--- a/wasabiturn/batch/apply.py
+++ b/wasabiturn/batch/apply.py
@@ -17,6 +17,7 @@
     BatchChange,
     DataCentreMark,
     EndRun,
+    OverdueStart,
     Routing,
     SettledStart,
     StartRun,
@@ -41,6 +42,8 @@
         _start_run(batch_state, start)
     for settled in change.settled:
         _settle_start(batch_state, settled)
+    for overdue in change.overdue:
+        _mark_overdue(batch_state, overdue)
     for job_id in change.forgets:
         _delete_job(batch_state, job_id)
     if change.pressures:
@@ -94,6 +97,7 @@
         task.bound_until_ms = 0
     task.is_settled = False
     task.orders_end_ms = 0
+    task.has_overdue_order = False
     task.run = start.run
     task.worker = start.worker
     task.born_ms = start.born_ms
@@ -113,6 +117,12 @@
         task.is_settled = True
 
 
+def _mark_overdue(batch_state: BatchState, overdue: OverdueStart) -> None:
+    task = batch_state.active_by_name.get(overdue.task)
+    if task is not None and task.run == overdue.run:
+        task.has_overdue_order = True
+
+
 def _end_run(batch_state: BatchState, end: EndRun) -> None:
     task = batch_state.tasks_by_name.get(end.task)
     if task is None or end.run > task.run:
--- a/wasabiturn/batch/dump.py
+++ b/wasabiturn/batch/dump.py
@@ -84,6 +84,7 @@
         crash_agents=list(task.crash_agents),
         bound_until_ms=task.bound_until_ms,
         orders_end_ms=task.orders_end_ms,
+        has_overdue_order=task.has_overdue_order,
     )
 
 
@@ -122,6 +123,7 @@
     task.crash_agents = list(record.crash_agents)
     task.bound_until_ms = record.bound_until_ms
     task.orders_end_ms = record.orders_end_ms
+    task.has_overdue_order = record.has_overdue_order
     if record.is_suspect:
         batch_state.mark_suspect(task)
     if record.state is BatchTaskState.active:
--- a/wasabiturn/batch/early_release.py
+++ b/wasabiturn/batch/early_release.py
@@ -24,7 +24,7 @@
 
     One that the agent has named as overdue is carried out late, if it is.
     """
-    if allocation.is_inherited or allocation.has_overdue_order:
+    if allocation.task.has_overdue_order or now < worker.lease_ends_at:
         return False
     return _is_silent(worker, now)
 
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -65,8 +65,6 @@
     is_stop_requested: bool = False
     # An earlier leader started the run; ``started_at`` is when this one began.
     is_inherited: bool = False
-    # An order was out for longer than a worker takes to answer.
-    has_overdue_order: bool = False
 
     def has_open_order(self, now: float) -> bool:
         """Return whether an order to start the run may be carried out."""
--- a/wasabiturn/batch/jobs.py
+++ b/wasabiturn/batch/jobs.py
@@ -45,6 +45,8 @@
     # the state; 0 if that is not known.
     bound_until_ms: int = 0
     orders_end_ms: int = 0
+    # An order to start the newest run has long been out.
+    has_overdue_order: bool = False
     # An older run than the newest has ended ``done``.
     is_completed: bool = False
     # Newest run of which a failure was counted.
--- a/wasabiturn/batch/open_orders.py
+++ b/wasabiturn/batch/open_orders.py
@@ -9,7 +9,12 @@
 import attrs
 
 from wasabiturn.batch.fleet import NEVER, Allocation, Worker
-from wasabiturn.messages.batch import OpenOrder, SettledStart, WorkerReport
+from wasabiturn.messages.batch import (
+    OpenOrder,
+    OverdueStart,
+    SettledStart,
+    WorkerReport,
+)
 
 # An order that is out for longer may be carried out late.
 ANSWER_SECONDS = 0.5
@@ -44,15 +49,6 @@
             last_sent_at = max(last_sent_at, self.known_since)
         allocation.limit_orders(last_sent_at)
 
-    def mark_overdue(self, worker: Worker, now: float) -> None:
-        """Mark the runs for which an order has long been out."""
-        for (task, run), sent_at in self.sent_at_by_run.items():
-            allocation = worker.allocations_by_task.get(task)
-            if allocation is None or allocation.run != run:
-                continue
-            if now >= sent_at + ANSWER_SECONDS:
-                allocation.has_overdue_order = True
-
     def limit_all(self, worker: Worker) -> None:
         """Limit the orders for all runs of a worker that gets no more."""
         for allocation in worker.list_allocations():
@@ -79,6 +75,28 @@
     ]
 
 
+def find_overdue_starts(
+    worker: Worker, report: WorkerReport, now: float
+) -> list[OverdueStart]:
+    """Return the starts of lasting tasks newly known to be overdue."""
+    account = read_account(report, now)
+    if account is None:
+        return []
+    return [
+        OverdueStart(task=task, run=run)
+        for (task, run), sent_at in account.sent_at_by_run.items()
+        if now >= sent_at + ANSWER_SECONDS
+        and _is_news(worker.allocations_by_task.get(task), run)
+    ]
+
+
+def _is_news(allocation: Allocation | None, run: int) -> bool:
+    if allocation is None or allocation.run != run:
+        return False
+    task = allocation.task
+    return task.step.lasting and not task.has_overdue_order
+
+
 def _create_settled(allocation: Allocation, now: float) -> SettledStart:
     return SettledStart(
         task=allocation.task.name,
--- a/wasabiturn/batch/reports.py
+++ b/wasabiturn/batch/reports.py
@@ -49,7 +49,6 @@
     ends.extend(_apply_start_results(worker, report, account, now))
     if account is not None:
         account.limit_confirmed(worker, now)
-        account.mark_overdue(worker, now)
     for end in ends:
         _track_failures(worker, end, now)
     return ends
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -136,6 +136,16 @@
     open_ms: int = 0
 
 
+@bind(_idl)
+@final
+@attrs.define
+class OverdueStart:
+    """Record that an order for a run has long been out without an answer."""
+
+    task: str = ''
+    run: int = 0
+
+
 @bind(_idl)
 @final
 @attrs.define
@@ -214,6 +224,7 @@
     give_ups: list[GiveUp] = attrs.field(factory=list)
     cleared: list[str] = attrs.field(factory=list)
     clock_ms: int = 0
+    overdue: list[OverdueStart] = attrs.field(factory=list)
 
 
 @bind(_idl)
@@ -243,6 +254,7 @@
     bound_until_ms: int = 0
     orders_end_ms: int = 0
     crash_agents: list[str] = attrs.field(factory=list)
+    has_overdue_order: bool = False
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -74,6 +74,12 @@
   3: i32 open_ms,           // how long one may yet begin it again; 0: none can
 }
 
+// A start an order for which has long been out without an answer.
+struct OverdueStart {
+  1: string task,
+  2: i64 run,
+}
+
 // Gives a task up for the crashes of the workers that ran it; its job fails.
 struct GiveUp {
   1: string task,
@@ -123,6 +129,7 @@
   10: list<SettledStart> settled, // independent of the other fields
   11: list<string> cleared, // tasks that are no suspects any more
   12: i64 clock_ms,         // clock of the state, of the leader
+  13: list<OverdueStart> overdue, // independent of the other fields
 }
 
 struct TaskRecord {
@@ -145,6 +152,7 @@
   17: i64 bound_until_ms,   // clock of the state; 0: not known
   18: i64 orders_end_ms,    // likewise, of orders for the newest run
   19: list<string> crash_agents, // agents whose workers crashed so
+  20: bool has_overdue_order, // an order for the newest run has long been out
 }
 
 struct JobRecord {
--- a/wasabiturn/process/control/batch/pipeline.py
+++ b/wasabiturn/process/control/batch/pipeline.py
@@ -25,7 +25,7 @@
 from wasabiturn.utils.logs import create_component_log
 from wasabiturn.version.replica import Replica
 
-_UNORDERED_FIELDS = frozenset(('settled', 'clock_ms'))
+_UNORDERED_FIELDS = frozenset(('settled', 'overdue', 'clock_ms'))
 
 _log = create_component_log('queues')
 
@@ -172,6 +172,7 @@
     merged.forgets.extend(change.forgets)
     merged.pressures = change.pressures or merged.pressures
     merged.settled.extend(change.settled)
+    merged.overdue.extend(change.overdue)
     merged.give_ups.extend(change.give_ups)
     merged.cleared.extend(change.cleared)
     merged.clock_ms = max(merged.clock_ms, change.clock_ms)
--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -4,7 +4,11 @@
 from wasabiturn.batch.fences import raise_fence, succeed_worker
 from wasabiturn.batch.fleet import NEVER, Fleet, Worker
 from wasabiturn.batch.lost_runs import give_up_all_runs
-from wasabiturn.batch.open_orders import find_settled_starts, read_account
+from wasabiturn.batch.open_orders import (
+    find_overdue_starts,
+    find_settled_starts,
+    read_account,
+)
 from wasabiturn.batch.reports import apply_report
 from wasabiturn.batch.sharing import adjust_pace
 from wasabiturn.batch.withdrawals import find_starts_without_room
@@ -54,7 +58,10 @@
     if worker.is_reconciled and not was_reconciled:
         resume_runs(leader_term.pipeline, worker, now)
     leader_term.pipeline.add_to_next(
-        BatchChange(settled=find_settled_starts(worker, now))
+        BatchChange(
+            settled=find_settled_starts(worker, now),
+            overdue=find_overdue_starts(worker, report, now),
+        )
     )
     _follow_refusals(worker, report, now)
     if report.refuses:
