One crash under a task is forgotten once it has worked for 10 s

Cause: lasting tasks wait beside room when workers crash in pairs (the second takes those that had just taken the tasks of the first), however long apart the pairs are. The second crash of a pair counts one against each task that had just begun. A count of two or more is forgotten once a run works for 10 s; a count of one stayed until another crash came after quite another working time (suspicions.py, clear_task). The next pair made it two, "repeated crashes": each such task then starts alone and takes 3 s to be proven (isolation.py), and at most half of the workers take one at a time.

Now, when a worker crashes, the tasks there whose runs had worked for 10 s and that are no suspects lose the one crash that counted: no crash after so long is put down to them anyway. What a change that clears tasks says is unchanged; clearing one that is no suspect did nothing before.

Ruled out: looking for such runs at each tick (a walk over all runs, ten times a second); a shorter proof, or several suspects at a time (a task that crashes workers would be found later, and sound ones near it given up).

--- a/tests/batch/test_crashes.py
+++ b/tests/batch/test_crashes.py
@@ -24,6 +24,7 @@
     MAX_BLAMED_SECONDS,
     PROOF_SECONDS,
     SLOW_PROOF_SECONDS,
+    find_acquitted,
 )
 from wasabiturn.batch.verdicts import (
     COMMON_CAUSE_SECONDS,
@@ -158,6 +159,30 @@
     assert crash.culprit == 'j.0.0.0'
 
 
+@pytest.mark.parametrize(
+    ('worked_seconds', 'crashes'),
+    [(MAX_BLAMED_SECONDS - 0.1, 1), (MAX_BLAMED_SECONDS, 0)],
+)
+def test_crash_before_long_work_is_forgotten(
+    worked_seconds: float, crashes: int
+) -> None:
+    batch_state, worker = create_state(1), create_worker('w')
+    count_crashes(batch_state, 1)
+    proven = BatchChange(cleared=['j.0.0.0'])
+    apply_batch_change(batch_state, proven)
+    add_runs(worker, batch_state, t0=worked_seconds)
+    acquitted = BatchChange(cleared=find_acquitted(worker, NOW))
+    apply_batch_change(batch_state, acquitted)
+    assert batch_state.tasks_by_name['j.0.0.0'].crashes == crashes
+
+
+def test_suspect_of_one_crash_is_not_acquitted() -> None:
+    batch_state, worker = create_state(1), create_worker('w')
+    count_crashes(batch_state, 1)
+    add_runs(worker, batch_state, t0=MAX_BLAMED_SECONDS)
+    assert not find_acquitted(worker, NOW)
+
+
 def test_crashes_and_suspicion_survive_a_snapshot() -> None:
     batch_state = create_state(2)
     count_crashes(batch_state, 1)
--- a/tests/sessions/test_crashing_tasks.py
+++ b/tests/sessions/test_crashing_tasks.py
@@ -43,6 +43,13 @@
     return {fleet.read_state(job) for job in jobs}
 
 
+def crash_busy_workers(fleet: BatchFleet) -> list[FakeAgent]:
+    busy = [agent for agent in fleet.agents if agent.worker.runs_by_task]
+    for agent in busy:
+        agent.worker.crash()
+    return busy
+
+
 def find_agent(fleet: BatchFleet, task: str) -> FakeAgent:
     (worker,) = fleet.find_workers_by_task()[task]
     return next(
@@ -292,3 +299,25 @@
     assert not fleet.find_workers_by_task()
     fleet.submit('a', [create_step(12)], SimulatedWork(0.5))
     fleet.run_until('a', JobState.done, seconds=2)
+
+
+@pytest.mark.parametrize('gap_seconds', [0.45, 0.6])
+def test_crashes_long_ago_do_not_isolate_lasting_tasks(
+    gap_seconds: float,
+) -> None:
+    """Twice, workers crash, and those that took their tasks right after."""
+    fleet = BatchFleet(workers=8)
+    fleet.run(1.5)
+    step = create_step(16, lasting=True, millicores=500)
+    fleet.submit('j', [step], SimulatedWork(1000))
+    for _ in range(4):
+        fleet.run(30)
+        hits = crash_busy_workers(fleet)
+        fleet.run(gap_seconds)
+        hits.extend(crash_busy_workers(fleet))
+        fleet.run(1)
+        for agent in hits:
+            agent.worker.start_incarnation()
+            agent.announce()
+        fleet.run(3)
+        assert len(fleet.find_workers_by_task()) == 16
--- a/wasabiturn/batch/proofs.py
+++ b/wasabiturn/batch/proofs.py
@@ -4,7 +4,7 @@
 suspect whose run has worked long enough is cleared.
 """
 
-from wasabiturn.batch.fleet import Allocation, Fleet
+from wasabiturn.batch.fleet import Allocation, Fleet, Worker
 from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.state import BatchState
 from wasabiturn.batch.suspicions import REPEATED_CRASHES
@@ -33,6 +33,21 @@
     ]
 
 
+def find_acquitted(worker: Worker, now: float) -> list[str]:
+    """Return the tasks at a worker whose earlier crash counts no more.
+
+    Their runs have worked for so long since then that no crash of this worker
+    is put down to them. Several crashes are forgotten with the suspicion.
+    """
+    return [
+        allocation.task.name
+        for allocation in worker.allocations_by_task.values()
+        if allocation.task.crashes
+        and not allocation.task.is_suspect
+        and allocation.worked_seconds(now) >= MAX_BLAMED_SECONDS
+    ]
+
+
 def proof_seconds(task: Task) -> float:
     """Return how long a run of a task must work to be proven."""
     if task.crashes >= CRASHES_OF_LONGEST_PROOF:
--- a/wasabiturn/batch/suspicions.py
+++ b/wasabiturn/batch/suspicions.py
@@ -28,15 +28,15 @@
 
 
 def clear_task(batch_state: BatchState, task_name: str) -> None:
-    """End the suspicion of a task.
+    """End the suspicion of a task, or forget the crashes of one without.
 
-    One under which several workers had crashed has worked so long since then
-    that these crashes don't count any more.
+    One under which several workers had crashed, or that is no suspect any more,
+    has worked so long since then that these crashes don't count.
     """
     task = batch_state.tasks_by_name.get(task_name)
     if task is None:
         return
-    if task.crashes >= REPEATED_CRASHES:
+    if task.crashes >= REPEATED_CRASHES or not task.is_suspect:
         _forget_crashes(batch_state, task)
     else:
         batch_state.clear_suspect(task)
--- a/wasabiturn/process/control/batch/crash_watch.py
+++ b/wasabiturn/process/control/batch/crash_watch.py
@@ -8,7 +8,7 @@
 
 from wasabiturn.batch.crashes import Crash, judge_crash
 from wasabiturn.batch.fleet import Fleet, Worker
-from wasabiturn.batch.proofs import find_proven_suspects
+from wasabiturn.batch.proofs import find_acquitted, find_proven_suspects
 from wasabiturn.batch.verdicts import CrashLog
 from wasabiturn.messages.batch import BatchChange, GiveUp
 from wasabiturn.process import exposition
@@ -36,6 +36,8 @@
         """
         if worker.crashed_at is not None or worker.report.leaving:
             return
+        acquitted = find_acquitted(worker, heard_at)
+        self._clear(acquitted, 'its run worked on before this crash')
         crash = judge_crash(worker, heard_at, now)
         if not crash.suspects and not crash.bystanders:
             return
