--- a/tests/sessions/batch_fakes.py
+++ b/tests/sessions/batch_fakes.py
@@ -12,7 +12,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 from typing import Any
 
@@ -97,6 +97,22 @@
     return Step(tasks=tasks, **fields)
 
 
+def _create_queue(name: str, service_name: str, attempts: int) -> Queue:
+    terms = Terms(
+        service_name=service_name,
+        attempts=attempts,
+        stretch=2,
+        slack_ms=500,
+    )
+    return Queue(
+        name=name,
+        host=HOST,
+        prefix=f'/{name}/',
+        timeout_ms=3000,
+        terms=terms,
+    )
+
+
 class FakeReplica:
     """Replica of the state; the test decides whether it is the leader."""
 
@@ -108,6 +124,9 @@
         self.on_restored: list[Callable[[], None]] = []
         self.on_role_change: list[Callable[[], None]] = []
         self.leads = True
+        # How long a commit takes; none overtakes an earlier one.
+        self.commit_seconds = COMMIT_LATENCY_SECONDS
+        self._newest_commit_at = 0.0
         self._clock = clock
         self._term = term
 
@@ -116,9 +135,10 @@
             return fail(NotLeaderError(None))
         committed: Deferred[Outcome] = Deferred()
         packed = pack(command)
-        self._clock.callLater(
-            COMMIT_LATENCY_SECONDS, self._commit, packed, committed
-        )
+        now = self._clock.seconds()
+        commit_at = max(now + self.commit_seconds, self._newest_commit_at)
+        self._newest_commit_at = commit_at
+        self._clock.callLater(commit_at - now, self._commit, packed, committed)
         return committed
 
     def _commit(self, packed: bytes, committed: Deferred[Outcome]) -> None:
@@ -487,23 +507,20 @@
             self.run(CLOCK_STEP_SECONDS * 5)
         raise AssertionError('all attempts to call the leader failed')
 
-    def put_routing(self, version: int = 1, attempts: int = 2) -> None:
-        terms = Terms(
-            service_name='service',
-            attempts=attempts,
-            stretch=2,
-            slack_ms=500,
-        )
-        queue = Queue(
-            name='queue',
-            host=HOST,
-            prefix=PREFIX,
-            timeout_ms=3000,
-            terms=terms,
+    def put_routing(
+        self,
+        version: int = 1,
+        attempts: int = 2,
+        other_services: Sequence[str] = (),
+    ) -> None:
+        """Commit a queue of ``service``, and one of each other service."""
+        queues = [_create_queue('queue', 'service', attempts)]
+        queues.extend(
+            _create_queue(name, name, attempts) for name in other_services
         )
         self.run(0.1)
         document = b'%d' % version
-        self._queues_by_document[document] = [queue]
+        self._queues_by_document[document] = queues
         routing = Routing(version=version, document=document)
         self.call_leader(Method.put_routing, PutRouting(routing=routing))
 
@@ -512,8 +529,10 @@
         job_id: str,
         steps: list[Step],
         work: SimulatedWork | None = None,
+        queue: str = 'queue',
     ) -> JobAnswer:
         call = self.create_submission(job_id, steps, work)
+        call = attrs.evolve(call, path=f'/{queue}/{job_id}')
         answer: JobAnswer = self.call_leader(Method.job, call)
         return answer
 
