Give lasting tasks a turn between suspects that hold the only room

Cause: suspects start one after the other on the worker where least work would be lost, which is the emptiest. After a crash that is the new life of a worker, often the only one with room, and nothing else starts there until the suspect is proven (0.5 s; 3 s after two crashes). The next suspect then goes first again, so lasting tasks wait for as long as there are suspects.

Change: once suspects have kept workers from others for 2 s on end, lasting tasks that wait start first, on workers without a suspect on trial. Whether a run is started elsewhere while an order is out isn't touched.

The new test fails before for [9-2] and [30-1].

--- a/tests/batch/test_isolation.py
+++ b/tests/batch/test_isolation.py
@@ -1,5 +1,7 @@
 """Tests of where suspects are placed, and what they keep others from."""
 
+import pytest
+
 from tests.batch.jobs_fakes import (
     accept,
     add_run,
@@ -8,12 +10,13 @@
     create_worker,
     step,
 )
-from tests.batch.test_decisions import NOW, plan
+from tests.batch.test_decisions import LASTING, NOW, plan
 from wasabiturn.batch import BatchState, apply_batch_change
 from wasabiturn.batch.fleet import Fleet, Worker
 from wasabiturn.batch.gang_isolation import MAX_GANG_WAIT_SECONDS
+from wasabiturn.batch.isolation_state import MAX_WITHHELD_SECONDS
 from wasabiturn.batch.ordering import Moment
-from wasabiturn.batch.proofs import PROOF_SECONDS
+from wasabiturn.batch.proofs import PROOF_SECONDS, SLOW_PROOF_SECONDS
 from wasabiturn.messages.batch import BatchChange
 
 
@@ -214,3 +217,61 @@
     batch_state.tasks_by_name['j.0.0.0'].crash_agents = ['a0']
     begun = plan(batch_state, create_fleet(flapping, other))
     assert begun == {'j.0.0.0': other.name}
+
+
+def create_fleet_with_room_at_one(count: int) -> Fleet:
+    """Create workers of which only the last has room for a lasting task."""
+    workers = create_workers(count)
+    for worker in workers[:-1]:
+        name = f'of-{worker.name}'
+        batch_state = create_batch_state(
+            accept(name, step(1, lasting=True, millicores=9000))
+        )
+        add_run(worker, batch_state.tasks_by_name[f'{name}.0.0.0'])
+        allocation = worker.allocations_by_task[f'{name}.0.0.0']
+        allocation.confirm(NOW.now - 60)
+    return create_fleet(*workers)
+
+
+def start_of_lasting_task(
+    batch_state: BatchState, fleet: Fleet, seconds: float
+) -> float | None:
+    """Plan each 0.1 s; return when the lasting task starts, if it does."""
+    for tenths in range(round(seconds * 10)):
+        now = NOW.now + tenths / 10
+        for worker in fleet.workers_by_incarnation.values():
+            worker.heard_at = now
+            for allocation in worker.allocations_by_task.values():
+                if allocation.confirmed_at is None:
+                    allocation.confirm(now)
+        if 'l.0.0.0' in plan(batch_state, fleet, later(now - NOW.now)):
+            return now - NOW.now
+    return None
+
+
+@pytest.mark.parametrize(('tasks', 'crashes'), [(9, 2), (30, 1)])
+def test_suspects_in_turn_leave_room_to_a_lasting_task(
+    tasks: int, crashes: int
+) -> None:
+    fleet = create_fleet_with_room_at_one(5)
+    batch_state = create_batch_state(
+        accept('j', step(tasks, millicores=100)), accept('l', LASTING)
+    )
+    suspect(batch_state, *[f'j.0.0.{index}' for index in range(tasks)])
+    for task in batch_state.suspects_by_name.values():
+        task.crashes = crashes
+    begun = start_of_lasting_task(batch_state, fleet, seconds=20)
+    assert begun is not None
+    assert begun <= MAX_WITHHELD_SECONDS + SLOW_PROOF_SECONDS
+
+
+def test_lasting_task_never_starts_beside_a_suspect_that_is_tried() -> None:
+    fleet = create_fleet_with_room_at_one(2)
+    batch_state = create_batch_state(
+        accept('j', step(1, millicores=100)), accept('l', LASTING)
+    )
+    suspect(batch_state, 'j.0.0.0')
+    batch_state.tasks_by_name['j.0.0.0'].crashes = 2
+    begun = start_of_lasting_task(batch_state, fleet, seconds=20)
+    assert begun is not None
+    assert begun >= SLOW_PROOF_SECONDS > MAX_WITHHELD_SECONDS
--- a/wasabiturn/batch/isolation.py
+++ b/wasabiturn/batch/isolation.py
@@ -60,6 +60,7 @@
         taken.extend(room.isolating)
         reserved |= room.reserve(tasks)
     fleet.isolation.reserved = reserved
+    fleet.isolation.follow_withheld(bool(taken or reserved), moment.now)
     candidates.workers = [
         worker
         for worker in candidates.workers
--- a/wasabiturn/batch/isolation_state.py
+++ b/wasabiturn/batch/isolation_state.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+# Workers are kept from lasting tasks for so long, before these have a turn.
+MAX_WITHHELD_SECONDS = 2.0
+
 
 @final
 @attrs.define
@@ -19,6 +22,9 @@
     held_tasks: set[str] = attrs.field(factory=set)
     # Position among the suspects of a crash, and its time: newest starts last.
     rank_by_task: dict[str, tuple[float, int]] = attrs.field(factory=dict)
+    # Since when suspects have kept workers from others without a pause, or the
+    # last turn of the lasting tasks among these.
+    withheld_since: float | None = None
     # Since when a gang with suspects waits to start, by the name of its part.
     waits_since_by_gang: dict[str, float] = attrs.field(factory=dict)
 
@@ -26,8 +32,21 @@
         """Return the key of a suspect; the highest starts first."""
         return self.rank_by_task.get(task, (0, 0))
 
+    def follow_withheld(self, is_withheld: bool, now: float) -> None:
+        """Record whether suspects keep workers from others at ``now``."""
+        if not is_withheld:
+            self.withheld_since = None
+        elif self.withheld_since is None:
+            self.withheld_since = now
+
+    def withholds_too_long(self, now: float) -> bool:
+        """Return whether lasting tasks are to have a turn before suspects."""
+        since = self.withheld_since
+        return since is not None and now >= since + MAX_WITHHELD_SECONDS
+
     def forget_all(self) -> None:
         """Forget all, as there are no suspects."""
         self.reserved.clear()
+        self.withheld_since = None
         self.rank_by_task.clear()
         self.waits_since_by_gang.clear()
--- a/wasabiturn/batch/planning.py
+++ b/wasabiturn/batch/planning.py
@@ -3,10 +3,12 @@
 from collections.abc import Iterator
 from itertools import islice
 
+import attrs
+
 from wasabiturn.batch.fleet import Allocation, Fleet
 from wasabiturn.batch.forecast import Forecasts
 from wasabiturn.batch.gangs import start_gang
-from wasabiturn.batch.isolation import start_suspects
+from wasabiturn.batch.isolation import find_isolating_workers, start_suspects
 from wasabiturn.batch.jobs import Part
 from wasabiturn.batch.ordering import Moment, has_no_chance, order_parts
 from wasabiturn.batch.placing import (
@@ -46,6 +48,7 @@
         moment.now,
         fleet.bound_until_by_task.keys(),
     )
+    yield from _start_lasting_first(batch_state, fleet, candidates, moment)
     yield from start_suspects(batch_state, fleet, candidates, moment)
     if candidates.workers:
         parts = [
@@ -57,6 +60,38 @@
         yield from islice(started, MAX_STARTS_PER_PLAN)
 
 
+def _start_lasting_first(
+    batch_state: BatchState,
+    fleet: Fleet,
+    candidates: Candidates,
+    moment: Moment,
+) -> Iterator[StartRun]:
+    """Yield lasting tasks that suspects have kept from workers for too long.
+
+    Each suspect holds a worker for a moment only, but many in turn would hold
+    the only one with room for as long as they are.
+    """
+    isolation = fleet.isolation
+    if not isolation.withholds_too_long(moment.now):
+        return
+    isolating = find_isolating_workers(batch_state, fleet, moment.now)
+    others = attrs.evolve(
+        candidates,
+        workers=[
+            worker for worker in candidates.workers if worker not in isolating
+        ],
+    )
+    parts = [
+        part
+        for part in order_parts(batch_state, moment)
+        if part.step.lasting and _has_ordinary(part)
+    ]
+    started = _start_parts(parts, others, fleet, moment.now)
+    for start in islice(started, MAX_STARTS_PER_PLAN):
+        isolation.withheld_since = moment.now
+        yield start
+
+
 def plan_moves(
     batch_state: BatchState,
     fleet: Fleet,
