A next life that has not listed its runs holds a lasting task; a binding lasts

Cause: the early release ended the binding, and took a life that says nothing for one that has nothing. Now a lasting task stays bound until its orders have expired, as others do, and whether it may start elsewhere is decided at each plan: a life of that name or agent lists its runs without it, its port has been closed for 3 s, or it was lost under way.

--- a/wasabiturn/batch/bindings.py
+++ b/wasabiturn/batch/bindings.py
@@ -77,37 +77,56 @@
         bind_task(fleet, task, until, now)
 
 
+def find_held_tasks(
+    fleet: Fleet, batch_state: BatchState, now: float
+) -> set[str]:
+    """Return the bound tasks that start only at the name of their worker now.
+
+    A lasting task stays bound as long as others, for lives that are yet to come.
+    """
+    return {
+        name
+        for name in fleet.bound_until_by_task
+        if not _may_start_elsewhere(fleet, batch_state, name, now)
+    }
+
+
+def _may_start_elsewhere(
+    fleet: Fleet, batch_state: BatchState, name: str, now: float
+) -> bool:
+    task = batch_state.tasks_by_name.get(name)
+    if task is None or not task.step.lasting:
+        return False
+    return may_start_elsewhere(fleet, task, now)
+
+
 def release_tasks(
     fleet: Fleet, batch_state: BatchState, lease_seconds: float, now: float
 ) -> list[Task]:
-    """Release the tasks that no order keeps; return those that wait.
+    """Release the tasks whose orders have expired; return those that wait.
 
     A late order may have begun a run just before it expired. The task is kept
     until a list shows that there is none, or the lease of the run has ended.
     """
+    expired = [
+        name
+        for name, until in fleet.bound_until_by_task.items()
+        if now >= until
+    ]
     released: list[Task] = []
-    for name, until in list(fleet.bound_until_by_task.items()):
+    for name in expired:
         task = batch_state.tasks_by_name.get(name)
+        until = fleet.bound_until_by_task[name]
         if task is None:
-            if now >= until:
-                fleet.unbind(name)
-        elif _is_released(fleet, task, lease_seconds, now):
+            fleet.unbind(name)
+        elif _is_over(fleet, task, until) or not _may_have_lease(
+            fleet, task, until, lease_seconds, now
+        ):
             fleet.unbind(name)
             released.append(task)
     return [each for each in released if each.state is BatchTaskState.waiting]
 
 
-def _is_released(
-    fleet: Fleet, task: Task, lease_seconds: float, now: float
-) -> bool:
-    until = fleet.bound_until_by_task[task.name]
-    if now < until:
-        return task.step.lasting and may_start_elsewhere(fleet, task, now)
-    return _is_over(fleet, task, until) or not _may_have_lease(
-        fleet, task, until, lease_seconds, now
-    )
-
-
 def find_resumed_runs(
     worker: Worker, batch_state: BatchState
 ) -> Iterator[StartRun]:
--- a/wasabiturn/batch/early_release.py
+++ b/wasabiturn/batch/early_release.py
@@ -3,10 +3,11 @@
 An order was sent to one life of a worker. There it can begin nothing any more
 once that life has listed its runs under a raised fencing token, or the lease in
 the order has ended. A later life under the same name may still carry it out,
-but only until its agent first reaches it.
+but only until its agent first reaches it, and for a lease if none does.
 
 Callers miss a lasting task all the while that it does not run, so it does not
-wait for such a life. Other tasks do; see ``bindings.py``.
+wait for such a life. Other tasks do; see ``bindings.py``. Once a next life is
+known it is waited for, until it has listed its runs.
 """
 
 from wasabiturn.batch.fleet import Allocation, Fleet, Worker
@@ -30,16 +31,27 @@
 
 
 def may_start_elsewhere(fleet: Fleet, task: Task, now: float) -> bool:
-    """Return whether no life that is known can begin a run of ``task``."""
+    """Return whether no life that reports can begin a run of ``task``.
+
+    A life that has not listed its runs yet can.
+    """
+    successor = fleet.reporting_by_name.get(task.worker)
     worker = fleet.reporting_by_agent.get(task.agent)
+    if _lacks(successor, task, now) or _lacks(worker, task, now):
+        return True
     if worker is None or _is_silent(worker, now):
         is_lost = task.name in fleet.tasks_lost_under_way
         return is_lost and not _may_have_lease(fleet, task, now)
-    if worker.report.refuses:
-        return _is_closed(worker, now)
-    if worker.is_reconciled and worker.report.listed:
-        return True
-    return not _may_have_lease(fleet, task, now)
+    return worker.report.refuses and _is_closed(worker, now)
+
+
+def _lacks(worker: Worker | None, task: Task, now: float) -> bool:
+    """Return whether the runs that ``worker`` lists now are without the task."""
+    if worker is None or worker.is_superseded or _is_silent(worker, now):
+        return False
+    if not worker.is_reconciled or not worker.report.listed:
+        return False
+    return task.name not in worker.unexpected_runs_by_task
 
 
 def _is_silent(worker: Worker, now: float) -> bool:
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -314,7 +314,7 @@
         self.reporting_by_name[worker.name] = worker
 
     def unbind(self, task: str) -> None:
-        """Let a task start anywhere."""
+        """Let a task start anywhere, whatever the state says."""
         self.bound_until_by_task.pop(task, None)
         self.tasks_lost_under_way.discard(task)
 
--- a/wasabiturn/batch/planning.py
+++ b/wasabiturn/batch/planning.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from wasabiturn.batch.bindings import find_held_tasks
 from wasabiturn.batch.fleet import Allocation, Fleet
 from wasabiturn.batch.forecast import Forecasts
 from wasabiturn.batch.gangs import start_gang
@@ -46,7 +47,7 @@
         batch_state,
         forecasts,
         moment.now,
-        fleet.bound_until_by_task.keys(),
+        find_held_tasks(fleet, batch_state, moment.now),
     )
     yield from _start_lasting_first(batch_state, fleet, candidates, moment)
     yield from start_suspects(batch_state, fleet, candidates, moment)
@@ -113,7 +114,11 @@
     if not stalled:
         return
     candidates = find_candidates(
-        workers, batch_state, forecasts, now, fleet.bound_until_by_task.keys()
+        workers,
+        batch_state,
+        forecasts,
+        now,
+        find_held_tasks(fleet, batch_state, now),
     )
     for worker, allocation in stalled:
         found = choose_worker(allocation.task, candidates)
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -194,6 +194,8 @@
             agent=task.agent,
         )
         worker.allocate(task, now)
+        if not task.is_bound:
+            self.fleet.unbind(task.name)
         worker.allocations_by_task[task.name].is_ordered = False
 
     def _release_capacity(self, task: Task) -> None:
