Lasting tasks that fail don't wait for workers with failures for long

Cause: a worker where two runs in a row have failed gets no new tasks, for 2 s and twice as long with each further failure, up to 16 s. Only an end `done` stops the count, and lasting tasks hardly ever end so: each failure of one closes its worker for 16 s, on an idle service, without any disruption.

Ruled out: not counting failures of lasting tasks, since a worker that fails all it starts would then take them again and again.

Now a lasting task goes to such a worker, if no other takes it, 2 s after the newest failure there. Others wait as before.

--- a/wasabiturn/batch/bindings.py
+++ b/wasabiturn/batch/bindings.py
@@ -82,7 +82,7 @@
 ) -> set[str]:
     """Return the bound tasks that start only at the name of their worker now.
 
-    A lasting task stays bound as long as others, for lives that are yet to come.
+    A lasting task stays bound as long as others, for lives yet to come.
     """
     return {
         name
--- a/wasabiturn/batch/early_release.py
+++ b/wasabiturn/batch/early_release.py
@@ -46,7 +46,7 @@
 
 
 def _lacks(worker: Worker | None, task: Task, now: float) -> bool:
-    """Return whether the runs that ``worker`` lists now are without the task."""
+    """Return whether ``worker`` lists its runs now, without the task."""
     if worker is None or worker.is_superseded or _is_silent(worker, now):
         return False
     if not worker.is_reconciled or not worker.report.listed:
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -180,7 +180,9 @@
         factory=dict
     )
     consecutive_failures: int = 0
-    # The worker gets no new tasks before this time.
+    # The worker gets no new tasks before ``avoided_until``, for a failure at
+    # ``avoided_since``.
+    avoided_since: float = NEVER
     avoided_until: float = NEVER
 
     def allocate(self, task: Task, now: float) -> None:
--- a/wasabiturn/batch/placing.py
+++ b/wasabiturn/batch/placing.py
@@ -26,7 +26,7 @@
 # Agents report at least each second. A worker that is silent for longer may be
 # lost; a lasting task that is started there then waits until its order expires.
 FRESH_REPORT_SECONDS = 1.3
-# Score penalty of such a worker, as a multiple of its size.
+# Score penalty of a silent worker, as a multiple of its size.
 SILENCE_PENALTY = 10
 # Score penalty of the last worker of a task that has failed before, as a
 # multiple of the worker's size.
@@ -70,9 +70,12 @@
     now: float,
     bound_tasks: Collection[str] = (),
 ) -> Candidates:
-    """Return the workers that accept work at ``now``."""
+    """Return the workers that accept any work at ``now``."""
     accepting = [
-        worker for worker in workers if _accepts_work(worker, batch_state, now)
+        worker
+        for worker in workers
+        if accepts_work(worker, batch_state, now)
+        and worker.avoided_until <= now
     ]
     return Candidates(
         workers=accepting,
@@ -177,7 +180,8 @@
     return worker.unused_millicores() - worker.filling_millicores
 
 
-def _accepts_work(worker: Worker, batch_state: BatchState, now: float) -> bool:
+def accepts_work(worker: Worker, batch_state: BatchState, now: float) -> bool:
+    """Return whether a worker accepts work, whatever failed there before."""
     report = worker.report
     if not worker.is_reconciled or worker.is_gone:
         return False
@@ -188,9 +192,7 @@
         return False
     if report.data_centre in batch_state.out_data_centres:
         return False
-    return (
-        worker.avoided_until <= now < worker.heard_at + REPORT_TIMEOUT_SECONDS
-    )
+    return now < worker.heard_at + REPORT_TIMEOUT_SECONDS
 
 
 def can_take(part: Part, worker: Worker, counts: dict[str, int]) -> bool:
--- a/wasabiturn/batch/planning.py
+++ b/wasabiturn/batch/planning.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from wasabiturn.batch.avoidance import find_avoided_candidates
 from wasabiturn.batch.bindings import find_held_tasks
 from wasabiturn.batch.fleet import Allocation, Fleet
 from wasabiturn.batch.forecast import Forecasts
@@ -59,6 +60,40 @@
         ]
         started = _start_parts(parts, candidates, fleet, moment.now)
         yield from islice(started, MAX_STARTS_PER_PLAN)
+    yield from _start_lasting_last(batch_state, fleet, candidates, moment)
+
+
+def _start_lasting_last(
+    batch_state: BatchState,
+    fleet: Fleet,
+    candidates: Candidates,
+    moment: Moment,
+) -> Iterator[StartRun]:
+    """Yield lasting tasks that only workers with failures have room for.
+
+    A lasting task may fail at any time, which tells little of its worker.
+    """
+    isolating = find_isolating_workers(batch_state, fleet, moment.now)
+    workers = [
+        worker
+        for incarnation, worker in fleet.workers_by_incarnation.items()
+        if moment.now < worker.avoided_until
+        and worker not in isolating
+        and incarnation not in fleet.isolation.reserved
+    ]
+    avoided = find_avoided_candidates(candidates, workers, batch_state)
+    if avoided.workers:
+        parts = _list_lasting_parts(batch_state, moment)
+        started = _start_parts(parts, avoided, fleet, moment.now)
+        yield from islice(started, MAX_STARTS_PER_PLAN)
+
+
+def _list_lasting_parts(batch_state: BatchState, moment: Moment) -> list[Part]:
+    return [
+        part
+        for part in order_parts(batch_state, moment)
+        if part.step.lasting and _has_ordinary(part)
+    ]
 
 
 def _start_lasting_first(
@@ -82,11 +117,7 @@
             worker for worker in candidates.workers if worker not in isolating
         ],
     )
-    parts = [
-        part
-        for part in order_parts(batch_state, moment)
-        if part.step.lasting and _has_ordinary(part)
-    ]
+    parts = _list_lasting_parts(batch_state, moment)
     started = _start_parts(parts, others, fleet, moment.now)
     for start in islice(started, MAX_STARTS_PER_PLAN):
         isolation.withheld_since = moment.now
--- a/wasabiturn/batch/reports.py
+++ b/wasabiturn/batch/reports.py
@@ -220,4 +220,5 @@
         excess_failures = worker.consecutive_failures - AVOID_AFTER_FAILURES
         if excess_failures >= 0:
             seconds = FIRST_AVOIDANCE_SECONDS * 2**excess_failures
+            worker.avoided_since = now
             worker.avoided_until = now + min(seconds, MAX_AVOIDANCE_SECONDS)
