--- a/wasabiturn/batch/bindings.py
+++ b/wasabiturn/batch/bindings.py
@@ -5,7 +5,7 @@
 unanswered.
 While there may be such an order for a task, the task starts at this name only:
 there a new incarnation has lost all newer runs of the task as well. A lasting
-task is released earlier; see ``early_release.py``.
+task may start elsewhere sooner; see ``early_release.py``.
 
 The replicated state has until when a task is bound, on a clock of its own. A
 leader of an earlier version stored only that it is; then a new one binds it for
--- a/wasabiturn/batch/early_release.py
+++ b/wasabiturn/batch/early_release.py
@@ -21,9 +21,9 @@
 def is_lost_under_way(
     worker: Worker, allocation: Allocation, now: float
 ) -> bool:
-    """Return whether an order was under way when its machine fell silent.
+    """Return whether a run went with its machine, before its order was overdue.
 
-    One that the agent has named as overdue is carried out late, if it is.
+    An order that the agent has named as overdue may be carried out late.
     """
     if allocation.task.has_overdue_order or now < worker.lease_ends_at:
         return False
@@ -41,7 +41,7 @@
         return True
     if worker is None or _is_silent(worker, now):
         is_lost = task.name in fleet.tasks_lost_under_way
-        return is_lost and not _may_have_lease(fleet, task, now)
+        return is_lost and not _may_be_leased(fleet, task, now)
     return worker.report.refuses and _is_closed(worker, now)
 
 
@@ -65,7 +65,7 @@
     return now >= worker.refuses_since + CLOSED_PORT_SECONDS
 
 
-def _may_have_lease(fleet: Fleet, task: Task, now: float) -> bool:
+def _may_be_leased(fleet: Fleet, task: Task, now: float) -> bool:
     """Return whether a life under the worker's name may hold a lease."""
     leases_end_at = [
         worker.lease_ends_at
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -290,7 +290,7 @@
     # Until when each bound task is bound, by the name of the task; see
     # ``wasabiturn/batch/bindings.py``.
     bound_until_by_task: dict[str, float] = attrs.field(factory=dict)
-    # Those of them whose order was under way when their machine fell silent.
+    # Those of them whose machine fell silent before their order was overdue.
     tasks_lost_under_way: set[str] = attrs.field(factory=set)
     # By then all leases of earlier leaders have ended.
     earlier_leases_end_at: float = NEVER
@@ -316,7 +316,7 @@
         self.reporting_by_name[worker.name] = worker
 
     def unbind(self, task: str) -> None:
-        """Let a task start anywhere, whatever the state says."""
+        """Let a task start anywhere; the replicated state is as it was."""
         self.bound_until_by_task.pop(task, None)
         self.tasks_lost_under_way.discard(task)
 
--- a/wasabiturn/batch/lost_runs.py
+++ b/wasabiturn/batch/lost_runs.py
@@ -41,7 +41,7 @@
     A run with an order that a new incarnation of the same name may carry out
     is over only once that one has listed its runs, or the order has expired.
     Its task is bound even then: the order may have begun a run just before.
-    That of a lasting task ends at once, and binds it.
+    The run of a lasting task ends at once, and its task is bound.
     """
     if not worker.is_gone and not awaits_results(worker, now):
         worker.is_gone = True
