Look for lasting tasks without ordering all waiting work again

The two turns of lasting tasks each listed their parts by ordering all jobs that wait, a second time in a plan, and stood beside each other as two copies. Avoided workers are common where tasks fail, and so are long queues then.

order_lasting_parts sorts only jobs with lasting steps, by the same key; one _start_lasting serves both turns, and suspects are looked at only if a worker is avoided. Which tasks start, and where, is as before.

--- a/wasabiturn/batch/ordering.py
+++ b/wasabiturn/batch/ordering.py
@@ -43,10 +43,25 @@
 
 def order_parts(batch_state: BatchState, moment: Moment) -> list[Part]:
     """Return the parts with tasks that may start now, most urgent first."""
-    jobs = [
+    jobs = _list_waiting_jobs(batch_state)
+    jobs.sort(key=lambda job: _sort_key(job, moment))
+    return _list_parts(jobs, moment)
+
+
+def order_lasting_parts(batch_state: BatchState, moment: Moment) -> list[Part]:
+    """Return those of lasting tasks, without a look at what the others need."""
+    jobs = list(filter(_has_lasting_step, _list_waiting_jobs(batch_state)))
+    jobs.sort(key=lambda job: _sort_key(job, moment))
+    return [part for part in _list_parts(jobs, moment) if part.step.lasting]
+
+
+def _list_waiting_jobs(batch_state: BatchState) -> list[Job]:
+    return [
         job for job in batch_state.open_jobs_by_id.values() if job.waiting_tasks
     ]
-    jobs.sort(key=lambda job: _sort_key(job, moment))
+
+
+def _list_parts(jobs: list[Job], moment: Moment) -> list[Part]:
     return [
         part
         for job in jobs
@@ -92,9 +107,13 @@
     return priority_class, 0, accepted_ms
 
 
+def _has_lasting_step(job: Job) -> bool:
+    return any(step.lasting for step in job.accepted.declaration.steps)
+
+
 def classify_job(job: Job, moment: Moment) -> PriorityClass:
     """Return the class of a job if its remaining work started at once."""
-    if any(step.lasting for step in job.accepted.declaration.steps):
+    if _has_lasting_step(job):
         return PriorityClass.lasting
     expected_done_ms = moment.wall_ms + job.remaining_ms()
     turnaround_ms = expected_done_ms - job.due_ms()
--- a/wasabiturn/batch/planning.py
+++ b/wasabiturn/batch/planning.py
@@ -12,7 +12,12 @@
 from wasabiturn.batch.gangs import start_gang
 from wasabiturn.batch.isolation import find_isolating_workers, start_suspects
 from wasabiturn.batch.jobs import Part
-from wasabiturn.batch.ordering import Moment, has_no_chance, order_parts
+from wasabiturn.batch.ordering import (
+    Moment,
+    has_no_chance,
+    order_lasting_parts,
+    order_parts,
+)
 from wasabiturn.batch.placing import (
     Candidates,
     choose_worker,
@@ -63,39 +68,6 @@
     yield from _start_lasting_last(batch_state, fleet, candidates, moment)
 
 
-def _start_lasting_last(
-    batch_state: BatchState,
-    fleet: Fleet,
-    candidates: Candidates,
-    moment: Moment,
-) -> Iterator[StartRun]:
-    """Yield lasting tasks that only workers with failures have room for.
-
-    A lasting task may fail at any time, which tells little of its worker.
-    """
-    isolating = find_isolating_workers(batch_state, fleet, moment.now)
-    workers = [
-        worker
-        for incarnation, worker in fleet.workers_by_incarnation.items()
-        if moment.now < worker.avoided_until
-        and worker not in isolating
-        and incarnation not in fleet.isolation.reserved
-    ]
-    avoided = find_avoided_candidates(candidates, workers, batch_state)
-    if avoided.workers:
-        parts = _list_lasting_parts(batch_state, moment)
-        started = _start_parts(parts, avoided, fleet, moment.now)
-        yield from islice(started, MAX_STARTS_PER_PLAN)
-
-
-def _list_lasting_parts(batch_state: BatchState, moment: Moment) -> list[Part]:
-    return [
-        part
-        for part in order_parts(batch_state, moment)
-        if part.step.lasting and _has_ordinary(part)
-    ]
-
-
 def _start_lasting_first(
     batch_state: BatchState,
     fleet: Fleet,
@@ -117,13 +89,51 @@
             worker for worker in candidates.workers if worker not in isolating
         ],
     )
-    parts = _list_lasting_parts(batch_state, moment)
-    started = _start_parts(parts, others, fleet, moment.now)
-    for start in islice(started, MAX_STARTS_PER_PLAN):
+    for start in _start_lasting(batch_state, fleet, others, moment):
         isolation.withheld_since = moment.now
         yield start
 
 
+def _start_lasting_last(
+    batch_state: BatchState,
+    fleet: Fleet,
+    candidates: Candidates,
+    moment: Moment,
+) -> Iterator[StartRun]:
+    """Yield lasting tasks that only workers with failures have room for.
+
+    A lasting task may fail at any time, which tells little of its worker.
+    """
+    avoided = find_avoided_candidates(
+        candidates, fleet.workers_by_incarnation.values(), batch_state
+    )
+    if not avoided.workers:
+        return
+    isolating = find_isolating_workers(batch_state, fleet, moment.now)
+    others = attrs.evolve(
+        avoided,
+        workers=[
+            worker
+            for worker in avoided.workers
+            if worker not in isolating
+            and (worker.name, worker.born_ms) not in fleet.isolation.reserved
+        ],
+    )
+    if others.workers:
+        yield from _start_lasting(batch_state, fleet, others, moment)
+
+
+def _start_lasting(
+    batch_state: BatchState,
+    fleet: Fleet,
+    candidates: Candidates,
+    moment: Moment,
+) -> Iterator[StartRun]:
+    parts = filter(_has_ordinary, order_lasting_parts(batch_state, moment))
+    started = _start_parts(list(parts), candidates, fleet, moment.now)
+    yield from islice(started, MAX_STARTS_PER_PLAN)
+
+
 def plan_moves(
     batch_state: BatchState,
     fleet: Fleet,
