A lost task that is not bound leaves nothing behind at the leader

The names of tasks that went with their machine were noted also where nothing binds the task any more: its state still says so, but all orders were answered. Only a release or a start elsewhere removes a name, so that of a job cancelled meanwhile stayed for the term of the leader. Found by reading. The new test fails before.

--- a/tests/batch/test_early_release.py
+++ b/tests/batch/test_early_release.py
@@ -15,7 +15,11 @@
     dump_batch_state,
     load_batch_state,
 )
-from wasabiturn.batch.bindings import bind_task, find_held_tasks
+from wasabiturn.batch.bindings import (
+    bind_ended_task,
+    bind_task,
+    find_held_tasks,
+)
 from wasabiturn.batch.early_release import (
     CLOSED_PORT_SECONDS,
     is_lost_under_way,
@@ -147,6 +151,16 @@
     assert not is_lost_under_way(bound.worker, allocation, now=LEASE_ENDS_AT)
 
 
+def test_nothing_is_kept_of_a_lost_task_that_is_not_bound() -> None:
+    bound = BoundTask()
+    bound.fleet.unbind(TASK)
+    bound.hear(now=0)
+    allocation = Allocation(task=bound.task, run=1, started_at=0)
+    allocation.settle_orders()
+    bind_ended_task(bound.fleet, bound.worker, allocation, now=LEASE_ENDS_AT)
+    assert not bound.fleet.tasks_lost_under_way
+
+
 def test_snapshot_keeps_that_an_order_is_overdue() -> None:
     overdue = BatchChange(overdue=[OverdueStart(task=TASK, run=1)])
     batch_state = create_batch_state(
--- a/wasabiturn/batch/bindings.py
+++ b/wasabiturn/batch/bindings.py
@@ -54,11 +54,12 @@
     """Bind the task of a run that has ended beside an open order."""
     if not allocation.is_ordered:
         return
+    name = allocation.task.name
     bind_task(fleet, allocation.task, allocation.orders_end_at, now)
-    if is_lost_under_way(worker, allocation, now):
-        fleet.tasks_lost_under_way.add(allocation.task.name)
-    else:
-        fleet.tasks_lost_under_way.discard(allocation.task.name)
+    fleet.tasks_lost_under_way.discard(name)
+    is_bound = name in fleet.bound_until_by_task
+    if is_bound and is_lost_under_way(worker, allocation, now):
+        fleet.tasks_lost_under_way.add(name)
 
 
 def restore_bindings(
