One test of silence, and results awaited once for each worker

early_release.py asked in words of its own whether an agent was silent, as placing.py does; both now call Worker.is_silent. give_up_runs asked for each lasting run anew whether results are awaited, over all runs of the worker. refuses_since alone tells that nothing listens. Behaviour is as before.

--- a/wasabiturn/batch/early_release.py
+++ b/wasabiturn/batch/early_release.py
@@ -12,7 +12,6 @@
 
 from wasabiturn.batch.fleet import Allocation, Fleet, Worker
 from wasabiturn.batch.jobs import Task
-from wasabiturn.batch.placing import REPORT_TIMEOUT_SECONDS
 
 # A worker that crashed is often back sooner, and can take the task again.
 CLOSED_PORT_SECONDS = 3.0
@@ -27,7 +26,7 @@
     """
     if allocation.task.has_overdue_order or now < worker.lease_ends_at:
         return False
-    return _is_silent(worker, now)
+    return worker.is_silent(now)
 
 
 def may_start_elsewhere(fleet: Fleet, task: Task, now: float) -> bool:
@@ -39,25 +38,21 @@
     worker = fleet.reporting_by_agent.get(task.agent)
     if _lacks(successor, task, now) or _lacks(worker, task, now):
         return True
-    if worker is None or _is_silent(worker, now):
+    if worker is None or worker.is_silent(now):
         is_lost = task.name in fleet.tasks_lost_under_way
         return is_lost and not _may_be_leased(fleet, task, now)
-    return worker.report.refuses and _is_closed(worker, now)
+    return _is_closed(worker, now)
 
 
 def _lacks(worker: Worker | None, task: Task, now: float) -> bool:
     """Return whether ``worker`` lists its runs now, without the task."""
-    if worker is None or worker.is_superseded or _is_silent(worker, now):
+    if worker is None or worker.is_superseded or worker.is_silent(now):
         return False
     if not worker.is_reconciled or not worker.report.listed:
         return False
     return task.name not in worker.unexpected_runs_by_task
 
 
-def _is_silent(worker: Worker, now: float) -> bool:
-    return now >= worker.heard_at + REPORT_TIMEOUT_SECONDS
-
-
 def _is_closed(worker: Worker, now: float) -> bool:
     """Return whether nothing has listened for long."""
     if worker.refuses_since is None:
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -29,6 +29,8 @@
 NEVER = float('-inf')
 UNKNOWN = float('inf')
 _MS = 1000
+# A worker without a report for this long gets no new work.
+REPORT_TIMEOUT_SECONDS = 2.5
 # Share of its declared CPU that a lasting task is expected to use.
 LASTING_CPU_USE = 0.55
 # Jobs that end while idle are not removed one by one; above this number all
@@ -223,6 +225,10 @@
             and self.accelerators + accelerator_count <= report.accelerators
         )
 
+    def is_silent(self, now: float) -> bool:
+        """Return whether its agent was not heard for too long."""
+        return now >= self.heard_at + REPORT_TIMEOUT_SECONDS
+
     def list_allocations(self) -> list[Allocation]:
         """Return the runs of the worker and of its predecessors."""
         return [
--- a/wasabiturn/batch/lost_runs.py
+++ b/wasabiturn/batch/lost_runs.py
@@ -43,26 +43,22 @@
     Its task is bound even then: the order may have begun a run just before.
     The run of a lasting task ends at once, and its task is bound.
     """
-    if not worker.is_gone and not awaits_results(worker, now):
+    is_awaiting = awaits_results(worker, now)
+    if not worker.is_gone and not is_awaiting:
         worker.is_gone = True
         raise_fence(fleet, worker)
     ends: list[EndRun] = []
     for allocation in worker.allocations_by_task.values():
         last_order_at = max(worker.heard_at, allocation.started_at)
         allocation.limit_orders(last_order_at + START_PERMIT_SECONDS)
-        is_kept = allocation.has_open_order(now)
-        if not is_kept or _ends_at_once(worker, allocation, now):
+        ends_at_once = allocation.task.step.lasting and not is_awaiting
+        if ends_at_once or not allocation.has_open_order(now):
             end = lost_end(allocation, now)
             end.has_open_order = allocation.may_have_late_run(now)
             ends.append(end)
     return ends
 
 
-def _ends_at_once(worker: Worker, allocation: Allocation, now: float) -> bool:
-    is_lasting = allocation.task.step.lasting
-    return is_lasting and not awaits_results(worker, now)
-
-
 def give_up_all_runs(worker: Worker, now: float) -> list[EndRun]:
     """Mark a worker gone that has been replaced by one of another name.
 
--- a/wasabiturn/batch/placing.py
+++ b/wasabiturn/batch/placing.py
@@ -21,8 +21,6 @@
 from wasabiturn.messages.batch import StartRun, Step
 from wasabiturn.messages.kinds import BatchTaskState
 
-# A worker without a report for this long gets no new work.
-REPORT_TIMEOUT_SECONDS = 2.5
 # Agents report at least each second. A worker that is silent for longer may be
 # lost; a lasting task that is started there then waits until its order expires.
 FRESH_REPORT_SECONDS = 1.3
@@ -192,7 +190,7 @@
         return False
     if report.data_centre in batch_state.out_data_centres:
         return False
-    return now < worker.heard_at + REPORT_TIMEOUT_SECONDS
+    return not worker.is_silent(now)
 
 
 def can_take(part: Part, worker: Worker, counts: dict[str, int]) -> bool:
--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -57,7 +57,7 @@
         )
     if worker.is_reconciled and not was_reconciled:
         resume_runs(leader_term.pipeline, worker, now)
-    _store_settled_starts(leader_term, worker, report, now)
+    _store_start_outcomes(leader_term, worker, report, now)
     _follow_refusals(worker, report, now)
     if report.refuses:
         leader_term.crash_watch.record_crash(worker, heard_at, now)
@@ -245,15 +245,13 @@
     succeed_worker(leader_term.fleet, successor, worker)
 
 
-def _store_settled_starts(
+def _store_start_outcomes(
     leader_term: LeaderTerm, worker: Worker, report: WorkerReport, now: float
 ) -> None:
     """Store which starts were answered, and which are overdue.
 
-    Answered ones of lasting tasks are stored at once.
-
-    A new leader that does not learn of it takes their orders for open, and
-    starts them nowhere else if their machine is lost.
+    Answered ones of lasting tasks are stored at once: a new leader that does
+    not learn of it takes their orders for open.
     """
     settled = find_settled_starts(worker, now)
     overdue = find_overdue_starts(worker, report, now)
