--- a/tests/batch/test_early_release.py
+++ b/tests/batch/test_early_release.py
@@ -10,6 +10,7 @@
     start,
     step,
 )
+from tests.batch.test_bindings import TASK, end_with_open_order
 from wasabiturn.batch import (
     apply_batch_change,
     dump_batch_state,
@@ -29,25 +30,15 @@
 from wasabiturn.messages.batch import (
     BatchChange,
     BatchDump,
-    EndRun,
     OverdueStart,
 )
 from wasabiturn.messages.codec import pack, unpack
-from wasabiturn.messages.kinds import RunEnding
 
-TASK = 'j.0.0.0'
 AGENT = 'a'
 LEASE_ENDS_AT = 8.0
 ORDERS_END_AT = 15.0
 
 
-def end_run() -> BatchChange:
-    ended = EndRun(
-        task=TASK, run=1, ending=RunEnding.not_started, has_open_order=True
-    )
-    return BatchChange(ends=[ended])
-
-
 class BoundTask:
     """One waiting task, bound to the worker ``w`` that agent ``a`` reports."""
 
@@ -55,7 +46,7 @@
         self.batch_state: BatchState = create_batch_state(
             accept('j', step(1, lasting=lasting)),
             start(TASK),
-            end_run(),
+            end_with_open_order(),
         )
         self.task = self.batch_state.tasks_by_name[TASK]
         self.task.agent = AGENT
@@ -169,6 +160,6 @@
     packed = pack(dump_batch_state(batch_state))
     loaded = load_batch_state(unpack(BatchDump, packed))
     assert loaded.tasks_by_name[TASK].has_overdue_order
-    apply_batch_change(loaded, end_run())
+    apply_batch_change(loaded, end_with_open_order())
     apply_batch_change(loaded, start(TASK, run=2))
     assert not loaded.tasks_by_name[TASK].has_overdue_order
--- a/tests/sessions/test_held_lasting_tasks.py
+++ b/tests/sessions/test_held_lasting_tasks.py
@@ -1,10 +1,10 @@
 """Lasting tasks whose orders had no answer when their workers went."""
 
-from tests.sessions.batch_fakes import (
-    BatchFleet,
-    FakeAgent,
-    create_step,
-)
+import pytest
+
+from tests.sessions.batch_fakes import BatchFleet, FakeAgent, create_step
+from tests.sessions.test_bound_tasks import open_both_data_centres
+from tests.sessions.test_lost_machines import lose_machine
 from tests.sessions.test_start_orders import (
     LATE_SECONDS,
     TASK,
@@ -12,7 +12,6 @@
     find_starts,
     restart_unseen,
 )
-from wasabiturn.messages.batch import BatchChange, DataCentreMark
 from wasabiturn.messages.kinds import RunEnding
 from wasabiturn.standins.batch_worker import Fault, SimulatedWork
 
@@ -39,17 +38,10 @@
     fleet.submit('a', [create_step(1, lasting=True)], work)
     while not fleet.start_orders:
         fleet.run(0.01)
-    open_all(fleet)
+    open_both_data_centres(fleet)
     return agent
 
 
-def open_all(fleet: BatchFleet) -> None:
-    marks = [
-        DataCentreMark(data_centre=name, out=False) for name in ('dc-1', 'dc-2')
-    ]
-    fleet.mark_data_centres(BatchChange(marks=marks))
-
-
 def assert_runs_on_second(fleet: BatchFleet) -> None:
     fleet.run(MAX_AWAY_SECONDS)
     assert fleet.find_workers_by_task()[TASK] == ['worker-2']
@@ -62,19 +54,13 @@
     assert_runs_on_second(fleet)
 
 
-def test_lasting_task_of_a_replaced_worker_is_not_held() -> None:
-    fleet = BatchFleet(workers=2)
-    agent = start_unanswered(fleet)
-    agent.worker.start_incarnation('other')
-    agent.worker.change_capacity(millicores=500)
-    agent.announce()
-    assert_runs_on_second(fleet)
-
-
-def test_lasting_task_is_not_held_by_a_next_life_without_room() -> None:
+@pytest.mark.parametrize('name', ['', 'other'])
+def test_lasting_task_is_not_held_by_a_next_life_without_room(
+    name: str,
+) -> None:
     fleet = BatchFleet(workers=2)
     agent = start_unanswered(fleet)
-    agent.worker.start_incarnation()
+    agent.worker.start_incarnation(name)
     agent.worker.change_capacity(millicores=500)
     agent.announce()
     assert_runs_on_second(fleet)
@@ -102,9 +88,7 @@
 def test_lasting_task_under_way_to_a_lost_machine_is_not_held() -> None:
     fleet = BatchFleet(workers=2)
     agent = start_unanswered(fleet)
-    agent.is_partitioned = True
-    agent.pause()
-    agent.worker.crash()
+    lose_machine(agent)
     assert_runs_on_second(fleet)
 
 
@@ -151,7 +135,7 @@
     start_unanswered(fleet, Fault.late, Fault.refused, late_seconds=6)
     choose_worker(fleet, 1)
     fleet.run(3)
-    open_all(fleet)
+    open_both_data_centres(fleet)
     late_at = fleet.start_orders[0].at + 6
     fleet.run(late_at - 0.3 - fleet.clock.seconds())
     restart_unseen(fleet, agent, until=late_at + 0.2)
@@ -164,9 +148,7 @@
     fleet = BatchFleet(workers=3)
     agent = start_unanswered(fleet, late_seconds=14)
     fleet.run(0.2)
-    agent.is_partitioned = True
-    agent.pause()
-    agent.worker.crash()
+    lose_machine(agent)
     other = fleet.agents[1].worker
     other.start_incarnation('worker-1')
     other.change_capacity(millicores=500)
--- a/tests/sessions/test_lasting_tasks_properties.py
+++ b/tests/sessions/test_lasting_tasks_properties.py
@@ -72,14 +72,17 @@
         ]
 
     def play(self) -> None:
+        self.play_actions()
+        self.run(RETURN_SECONDS)
+        self.run(CALM_SECONDS)
+
+    def play_actions(self) -> None:
         self.run(1)
         self.submit_lasting(self.fleet.agents[0])
         self.run(0.5)
         for _ in range(self.random.randint(3, 9)):
             self.random.choice(self.actions)(self._choose_agent())
             self.run(self.random.choice(WAITS))
-        self.run(RETURN_SECONDS)
-        self.run(CALM_SECONDS)
 
     def run(self, seconds: float) -> None:
         """Go on; workers that are due come back, some under another name."""
--- a/tests/sessions/test_lasting_tasks_wide_properties.py
+++ b/tests/sessions/test_lasting_tasks_wide_properties.py
@@ -18,10 +18,11 @@
 )
 from tests.sessions.capacity_checks import capacity_of, size_of
 from tests.sessions.test_lasting_tasks_properties import (
+    CALM_SECONDS,
     RETURN_SECONDS,
-    WAITS,
     LastingSession,
 )
+from tests.sessions.test_lost_machines import lose_machine
 from tests.sessions.test_start_orders_properties import FIRST_SEED, SEED_COUNT
 from wasabiturn.batch.jobs import Task
 from wasabiturn.messages.batch import Step
@@ -30,8 +31,6 @@
 
 # Each condition plays this share of the seeds.
 SEEDS = range(FIRST_SEED, FIRST_SEED + max(SEED_COUNT // 5, 1))
-# 4 s without disruptions, and 3 s more.
-CALM_SECONDS = 7.0
 # Orders that were left unanswered count as a disruption for so long.
 LATE_ORDERS_SECONDS = 12.0
 # A task that crashes workers goes on for no longer than this.
@@ -106,7 +105,9 @@
         self._equip()
 
     def play(self) -> None:
-        self._play_actions()
+        if self.condition is Condition.unanswered:
+            self.fleet.fault_probability = FAULT_PROBABILITY
+        self.play_actions()
         self.fleet.fault_probability = 0
         self.fleet.replica.commit_seconds = COMMIT_LATENCY_SECONDS
         if self.condition is Condition.unanswered:
@@ -171,16 +172,6 @@
         if agent.name not in self.lost_at:
             agent.resume()
 
-    def _play_actions(self) -> None:
-        self.run(1)
-        if self.condition is Condition.unanswered:
-            self.fleet.fault_probability = FAULT_PROBABILITY
-        self.submit_lasting(self.fleet.agents[0])
-        self.run(0.5)
-        for _ in range(self.random.randint(3, 9)):
-            self.random.choice(self.actions)(self._choose_agent())
-            self.run(self.random.choice(WAITS))
-
     def _equip(self) -> None:
         """Give the workers what the condition is about."""
         if self.condition is Condition.few_workers:
@@ -248,9 +239,7 @@
 
     def _remove(self, agent: FakeAgent) -> None:
         self.lost_at[agent.name] = 0.0
-        agent.is_partitioned = True
-        agent.pause()
-        agent.worker.crash()
+        lose_machine(agent)
 
     def _crash(self, agent: FakeAgent) -> None:
         if agent.worker.is_up and agent.name not in self.lost_at:
