--- /dev/null
+++ b/tests/batch/test_progress.py
@@ -0,0 +1,94 @@
+"""Tests of what the leader knows of the runs of a job."""
+
+from tests.batch.jobs_fakes import (
+    accept,
+    create_batch_state,
+    create_fleet,
+    create_worker,
+    start,
+    step,
+)
+from wasabiturn.batch import apply_batch_change
+from wasabiturn.batch.fleet import Allocation
+from wasabiturn.batch.idle_state import IdleState
+from wasabiturn.batch.progress import START_ANSWER_SECONDS, idle_seconds
+
+TASK = 'j.0.0.0'
+
+
+class Case:
+    """A job of two tasks, of which one was started on a worker at 0."""
+
+    def __init__(self) -> None:
+        self.batch_state = create_batch_state(accept('j', step(2)))
+        self.worker = create_worker('w')
+        self.fleet = create_fleet(self.worker)
+        self.idle_state = IdleState()
+        self.batch_state.on_start = lambda task: self.worker.allocate(task, 0)
+        self.batch_state.on_end = self.worker.release
+        self.read(0)
+        apply_batch_change(self.batch_state, start(TASK))
+
+    @property
+    def run(self) -> Allocation:
+        return self.worker.allocations_by_task[TASK]
+
+    def list_at(self, now: float) -> None:
+        self.worker.heard_at = self.worker.listed_at = now
+        self.run.confirm(now)
+
+    def read(self, now: float) -> float:
+        job = self.batch_state.jobs_by_id['j']
+        return idle_seconds(self.fleet, self.idle_state, job, now)
+
+
+def test_job_with_a_run_that_is_listed_is_not_idle() -> None:
+    case = Case()
+    for now in range(1, 10):
+        case.list_at(now)
+        assert case.read(now + 0.9) == 0
+
+
+def test_run_of_a_silent_worker_does_not_keep_its_job_from_being_idle() -> None:
+    case = Case()
+    case.list_at(5)
+    assert case.read(7.5) == 2.5
+
+
+def test_agent_that_cannot_list_runs_does_not_tell_that_they_work() -> None:
+    case = Case()
+    case.list_at(5)
+    case.worker.heard_at = 8
+    assert case.read(8) == 3
+
+
+def test_order_without_an_answer_counts_for_a_moment_only() -> None:
+    case = Case()
+    assert case.read(START_ANSWER_SECONDS - 0.1) == 0
+    assert case.read(START_ANSWER_SECONDS + 1) == START_ANSWER_SECONDS + 1
+
+
+def test_run_that_is_to_stop_or_is_held_for_lost_does_not_count() -> None:
+    for name in ('is_gone', 'is_superseded'):
+        case = Case()
+        case.list_at(5)
+        setattr(case.worker, name, True)
+        case.worker.listed_at = 8
+        assert case.read(8) == 8
+    case = Case()
+    case.list_at(5)
+    case.run.is_stop_requested = True
+    case.worker.listed_at = 8
+    assert case.read(8) == 8
+
+
+def test_second_run_is_found_when_the_known_one_falls_silent() -> None:
+    case = Case()
+    case.list_at(5)
+    other = create_worker('v')
+    case.fleet.workers_by_incarnation['v', 1] = other
+    case.batch_state.on_start = lambda task: other.allocate(task, 5)
+    apply_batch_change(case.batch_state, start('j.0.0.1', worker='v'))
+    assert case.read(5) == 0
+    other.allocations_by_task['j.0.0.1'].confirm(9)
+    assert case.read(9.5) == 0
--- /dev/null
+++ b/tests/sessions/test_idle_jobs.py
@@ -0,0 +1,68 @@
+"""Jobs that run nothing while tasks of theirs wait."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+from eliot import add_destinations, remove_destination
+
+from tests.sessions.batch_fakes import BatchFleet, FakeAgent, create_step
+from wasabiturn.standins.batch_worker import SimulatedWork
+
+LONG = SimulatedWork(1000)
+
+
+@pytest.fixture
+def idle_lines() -> Iterator[list[dict[str, Any]]]:
+    """Collect the log lines about idle jobs."""
+    lines: list[dict[str, Any]] = []
+
+    def collect(message: dict[str, Any]) -> None:
+        if message.get('text') == 'queues: job runs nothing':
+            lines.append(message)
+
+    add_destinations(collect)
+    yield lines
+    remove_destination(collect)
+
+
+def lose_machine(agent: FakeAgent) -> None:
+    agent.is_partitioned = True
+    agent.pause()
+    agent.worker.crash()
+
+
+def find_agent(fleet: BatchFleet, worker: str) -> FakeAgent:
+    return next(
+        each for each in fleet.agents if each.worker.identity.worker == worker
+    )
+
+
+def test_job_that_runs_nothing_is_logged_with_reasons_and_not_too_often(
+    idle_lines: list[dict[str, Any]],
+) -> None:
+    fleet = BatchFleet(workers=2)
+    fleet.run(1.5)
+    fleet.submit('j', [create_step(2, memory_mb=3000)], LONG)
+    fleet.submit('k', [create_step(1, memory_mb=3000)], LONG)
+    fleet.run(1)
+    assert len(fleet.run_starts) == 2
+    for agent in fleet.agents:
+        if any(task[0] == 'j' for task in agent.worker.runs_by_task):
+            lose_machine(agent)
+    fleet.run(9)
+    of_k = [line for line in idle_lines if line['job'] == 'k']
+    assert 1 <= len(of_k) <= 2
+    assert of_k[0]['waiting'] == {'no worker accepts work': 1}
+    assert 3 <= of_k[0]['idle_seconds'] < 4
+
+
+def test_job_with_a_run_is_not_logged(
+    idle_lines: list[dict[str, Any]],
+) -> None:
+    fleet = BatchFleet(workers=1)
+    fleet.run(1.5)
+    fleet.submit('j', [create_step(8)], SimulatedWork(6))
+    fleet.run(20)
+    assert len(fleet.run_starts) == 8
+    assert not idle_lines
--- /dev/null
+++ b/wasabiturn/batch/progress.py
@@ -0,0 +1,97 @@
+"""What the leader knows of the runs of a job, as opposed to what it assumes.
+
+A run is known to work if its worker has confirmed it and was heard recently. A
+run of a worker that is silent, was given up, or has not answered its order is
+only assumed, and does not keep its job from being idle.
+"""
+
+from collections.abc import Iterator
+
+from wasabiturn.batch.fleet import NEVER, Allocation, Fleet, Worker
+from wasabiturn.batch.idle_state import IdleState
+from wasabiturn.batch.jobs import Job, Task
+from wasabiturn.messages.kinds import BatchTaskState
+
+# Agents report at least each second, and a report answers a start.
+START_ANSWER_SECONDS = 1.3
+# A run that was listed so recently is known to work.
+FRESH_LIST_SECONDS = 1.3
+
+
+def idle_seconds(
+    fleet: Fleet, idle_state: IdleState, job: Job, now: float
+) -> float:
+    """Return for how long no run of a job has been known to work.
+
+    It is 0 while an order to start one is on its way for a moment, so that no
+    more than needed is started instead.
+    """
+    since = idle_state.since_by_job.setdefault(job.job_id, now)
+    since = max(since, last_known_at(fleet, idle_state, job, now))
+    idle_state.since_by_job[job.job_id] = since
+    if now < since + FRESH_LIST_SECONDS or _awaits_start(fleet, job, now):
+        return 0
+    return now - since
+
+
+def last_known_at(
+    fleet: Fleet, idle_state: IdleState, job: Job, now: float
+) -> float:
+    """Return when a run of a job was last known to work, ``NEVER`` if none."""
+    if not job.active_tasks:
+        return NEVER
+    known = idle_state.known_task_by_job.get(job.job_id)
+    newest = NEVER if known is None else known_at(fleet, known)
+    if now < newest + FRESH_LIST_SECONDS:
+        return newest
+    for task in list_active_tasks(job):
+        at = known_at(fleet, task)
+        if at > newest:
+            newest = at
+            idle_state.known_task_by_job[job.job_id] = task
+    return newest
+
+
+def known_at(fleet: Fleet, task: Task) -> float:
+    """Return when the run of a task was last known to work."""
+    worker = fleet.worker_of(task)
+    if worker is None or task.state is not BatchTaskState.active:
+        return NEVER
+    allocation = worker.allocations_by_task.get(task.name)
+    if allocation is None or _is_over(worker, allocation):
+        return NEVER
+    if not allocation.is_confirmed or allocation.confirmed_at is None:
+        return NEVER
+    return max(worker.listed_at, allocation.confirmed_at)
+
+
+def list_active_tasks(job: Job) -> Iterator[Task]:
+    """Yield the tasks of a job that have a run, as far as is assumed."""
+    if not job.active_tasks:
+        return
+    for task in job.tasks_by_name.values():
+        if task.state is BatchTaskState.active:
+            yield task
+
+
+def _awaits_start(fleet: Fleet, job: Job, now: float) -> bool:
+    """Return whether an order of a moment ago may yet start a run."""
+    return any(
+        _is_on_its_way(fleet, task, now) for task in list_active_tasks(job)
+    )
+
+
+def _is_on_its_way(fleet: Fleet, task: Task, now: float) -> bool:
+    worker = fleet.worker_of(task)
+    allocation = worker and worker.allocations_by_task.get(task.name)
+    if worker is None or allocation is None or _is_over(worker, allocation):
+        return False
+    is_recent = now < allocation.started_at + START_ANSWER_SECONDS
+    return is_recent and not allocation.is_confirmed
+
+
+def _is_over(worker: Worker, allocation: Allocation) -> bool:
+    """Return whether a run is to end, or is held to be lost."""
+    return (
+        worker.is_gone or worker.is_superseded or allocation.is_stop_requested
+    )
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -13,6 +13,7 @@
 )
 from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.lost_runs import find_expired_workers, give_up_runs
+from wasabiturn.batch.ordering import Moment
 from wasabiturn.batch.state_clock import StateClock
 from wasabiturn.connection.link import Link
 from wasabiturn.messages.batch import (
@@ -27,9 +28,13 @@
     report_bound_tasks,
 )
 from wasabiturn.process.control.batch.crash_watch import CrashWatch
+from wasabiturn.process.control.batch.idle_jobs import IdleJobWatch
 from wasabiturn.process.control.batch.orders import create_orders
 from wasabiturn.process.control.batch.pipeline import Pipeline
-from wasabiturn.process.control.batch.starts import start_planned_runs
+from wasabiturn.process.control.batch.starts import (
+    start_planned_runs,
+    wall_clock_ms,
+)
 from wasabiturn.process.control.batch.stops import stop_unwanted_runs
 from wasabiturn.utils.logs import create_component_log
 from wasabiturn.version.replica import Replica
@@ -95,6 +100,7 @@
             on_failure=on_failure,
         )
         self.crash_watch = CrashWatch(self.fleet, self.pipeline)
+        self._idle_watch = IdleJobWatch(batch_state, self.fleet)
         _log.event(
             'leadership taken over',
             fence=self.fleet.fence,
@@ -130,6 +136,7 @@
         self._forecasts.drop_outdated(now)
         self._store_pressures(now)
         self._forget_ended_jobs()
+        self._idle_watch.review(self._forecasts, Moment(now, wall_clock_ms()))
         self.pipeline.schedule_flush()
 
     def give_up_runs(self, worker: Worker, reason: str, now: float) -> None:
--- a/wasabiturn/process/exposition.py
+++ b/wasabiturn/process/exposition.py
@@ -5,6 +5,7 @@
 from prometheus_client import (
     CollectorRegistry,
     Counter,
+    Gauge,
     Histogram,
     generate_latest,
 )
@@ -58,6 +59,11 @@
     ('event',),
     registry=registry,
 )
+idle_jobs = Gauge(
+    'wasabiturn_idle_jobs',
+    'Jobs with no run known to work for 3 s though tasks wait to start.',
+    registry=registry,
+)
 suspects = Counter(
     'wasabiturn_suspects',
     'Runs that may have crashed their workers.',
