--- a/benchmarks/queues/simulation.py
+++ b/benchmarks/queues/simulation.py
@@ -159,6 +159,7 @@
         assert worker is not None
         worker.allocate(task, self.now)
         allocation = worker.allocations_by_task[task.name]
+        allocation.confirm(self.now)
         tail = None
         if task.step.lasting:
             phase = self._phase_by_job_id.setdefault(
@@ -257,6 +258,7 @@
         if self.now < worker.heard_at + REPORT_INTERVAL_SECONDS:
             return
         worker.heard_at = self.now
+        worker.listed_at = self.now
         rows: list[RunningRow] = []
         for name, allocation in worker.allocations_by_task.items():
             allocation.row = self._create_row(name, allocation)
--- a/tests/batch/test_progress.py
+++ b/tests/batch/test_progress.py
@@ -5,13 +5,18 @@
     create_batch_state,
     create_fleet,
     create_worker,
+    end,
     start,
     step,
 )
 from wasabiturn.batch import apply_batch_change
 from wasabiturn.batch.fleet import Allocation
-from wasabiturn.batch.idle_state import IdleState
-from wasabiturn.batch.progress import START_ANSWER_SECONDS, idle_seconds
+from wasabiturn.batch.progress import (
+    START_ANSWER_SECONDS,
+    idle_seconds,
+    record_end,
+)
+from wasabiturn.messages.kinds import RunEnding
 
 TASK = 'j.0.0.0'
 
@@ -23,7 +28,6 @@
         self.batch_state = create_batch_state(accept('j', step(2)))
         self.worker = create_worker('w')
         self.fleet = create_fleet(self.worker)
-        self.idle_state = IdleState()
         self.batch_state.on_start = lambda task: self.worker.allocate(task, 0)
         self.batch_state.on_end = self.worker.release
         self.read(0)
@@ -39,7 +43,7 @@
 
     def read(self, now: float) -> float:
         job = self.batch_state.jobs_by_id['j']
-        return idle_seconds(self.fleet, self.idle_state, job, now)
+        return idle_seconds(self.fleet, job, now)
 
 
 def test_job_with_a_run_that_is_listed_is_not_idle() -> None:
@@ -92,3 +96,13 @@
     assert case.read(5) == 0
     other.allocations_by_task['j.0.0.1'].confirm(9)
     assert case.read(9.5) == 0
+
+
+def test_job_is_idle_since_its_lost_run_was_last_listed() -> None:
+    case = Case()
+    case.list_at(5)
+    worker, run = case.worker, case.run
+    worker.heard_at = 6
+    apply_batch_change(case.batch_state, end(TASK, ending=RunEnding.lost))
+    record_end(case.fleet, worker, run)
+    assert case.read(12) == 7
--- a/tests/sessions/test_idle_jobs.py
+++ b/tests/sessions/test_idle_jobs.py
@@ -66,3 +66,20 @@
     fleet.run(20)
     assert len(fleet.run_starts) == 8
     assert not idle_lines
+
+
+def test_job_on_a_lost_machine_soon_runs_where_others_fill_the_processors() -> (
+    None
+):
+    fleet = BatchFleet(workers=3)
+    fleet.run(1.5)
+    full = {'fills': True, 'image': 'f', 'millicores': 4000}
+    fleet.submit('k', [create_step(2, **full)], LONG)
+    fleet.run(0.5)
+    fleet.submit('j', [create_step(2, **full)], LONG)
+    fleet.run(3)
+    (first,) = (run for run in fleet.run_starts if run[1].startswith('j.'))
+    lose_machine(find_agent(fleet, first[3]))
+    fleet.run(2.9)
+    workers_by_task = fleet.find_workers_by_task()
+    assert [task for task in workers_by_task if task.startswith('j.')]
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -11,8 +11,9 @@
 
 import attrs
 
+from wasabiturn.batch.idle_state import IdleState
 from wasabiturn.batch.isolation_state import IsolationState
-from wasabiturn.batch.jobs import Job, Task
+from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.state_clock import StateClock
 from wasabiturn.messages.batch import (
     BatchChange,
@@ -33,9 +34,9 @@
 REPORT_TIMEOUT_SECONDS = 2.5
 # Share of its declared CPU that a lasting task is expected to use.
 LASTING_CPU_USE = 0.55
-# Jobs that end while idle are not removed one by one; above this number all
-# entries are dropped.
-MAX_IDLE_JOBS = 10_000
+# Parts that end are not removed one by one; above this number all entries are
+# dropped.
+MAX_REFUSED_PARTS = 10_000
 
 
 @final
@@ -287,7 +288,7 @@
     workers_by_incarnation: dict[tuple[str, int], Worker] = attrs.field(
         factory=dict
     )
-    idle_since_by_job: dict[str, float] = attrs.field(factory=dict)
+    idle: IdleState = attrs.field(factory=IdleState)
     # When a filling part last found no worker, by the name of the part.
     refused_at_by_part: dict[str, float] = attrs.field(factory=dict)
     # The incarnation that reported last, by its agent and by its name.
@@ -326,13 +327,6 @@
         self.bound_until_by_task.pop(task, None)
         self.tasks_lost_under_way.discard(task)
 
-    def idle_seconds(self, job: Job, now: float) -> float:
-        """Return how long a job with tasks to start has had none running."""
-        if job.active_tasks:
-            self.idle_since_by_job.pop(job.job_id, None)
-            return 0
-        return now - self.idle_since_by_job.setdefault(job.job_id, now)
-
     def invalidate_paces(self, now: float) -> None:
         """Have all paces ordered again: an earlier leader may have set any."""
         for worker in self.workers_by_incarnation.values():
@@ -386,8 +380,7 @@
 
     def remove_superseded(self) -> None:
         """Remove superseded incarnations that have no runs."""
-        if len(self.idle_since_by_job) > MAX_IDLE_JOBS:
-            self.idle_since_by_job.clear()
+        if len(self.refused_at_by_part) > MAX_REFUSED_PARTS:
             self.refused_at_by_part.clear()
         self.workers_by_incarnation = {
             incarnation: worker
--- a/wasabiturn/batch/idle_state.py
+++ b/wasabiturn/batch/idle_state.py
@@ -1,15 +1,12 @@
 """What the leader remembers of jobs that run nothing."""
 
+from collections.abc import Container
 from typing import final
 
 import attrs
 
 from wasabiturn.batch.jobs import Task
 
-# Jobs that end while idle are not removed one by one; above this number all
-# entries are dropped.
-MAX_IDLE_JOBS = 10_000
-
 
 @final
 @attrs.define
@@ -27,8 +24,8 @@
         self.since_by_job.pop(job_id, None)
         self.known_task_by_job.pop(job_id, None)
 
-    def bound_size(self) -> None:
-        """Drop all entries if there are too many."""
-        if len(self.since_by_job) > MAX_IDLE_JOBS:
-            self.since_by_job.clear()
-            self.known_task_by_job.clear()
+    def keep_only(self, job_ids: Container[str]) -> None:
+        """Forget all jobs but these."""
+        for job_id in list(self.since_by_job):
+            if job_id not in job_ids:
+                self.forget(job_id)
--- a/wasabiturn/batch/planning.py
+++ b/wasabiturn/batch/planning.py
@@ -25,6 +25,7 @@
     find_candidates,
     may_start,
 )
+from wasabiturn.batch.progress import idle_seconds
 from wasabiturn.batch.ranking import create_ranking
 from wasabiturn.batch.stalls import find_stalled
 from wasabiturn.batch.state import BatchState
@@ -33,7 +34,7 @@
 MAX_STARTS_PER_PLAN = 200
 # A filling part without a worker is not tried again for this long.
 REFUSED_PART_SECONDS = 0.05
-# A job that has run nothing for longer accepts any worker with room.
+# A job with no run known to work for longer accepts any worker with room.
 MAX_IDLE_SECONDS = 2.0
 
 
@@ -176,8 +177,8 @@
 ) -> Iterator[StartRun]:
     unplaced: list[Part] = []
     for part in parts:
-        idle_seconds = fleet.idle_seconds(part.job, now)
-        candidates.accepts_any_worker = idle_seconds >= MAX_IDLE_SECONDS
+        seconds = idle_seconds(fleet, part.job, now)
+        candidates.accepts_any_worker = seconds >= MAX_IDLE_SECONDS
         if not candidates.accepts_any_worker and any(
             has_no_chance(part, each) for each in unplaced
         ):
@@ -237,7 +238,7 @@
             continue
         yield create_start(task, worker, task.run + 1)
         if candidates.accepts_any_worker:
-            # The job is no longer idle.
+            # An order is on its way; the job is idle again if nothing begins.
             candidates.accepts_any_worker = False
             ranking = create_ranking(part, candidates)
         else:
--- a/wasabiturn/batch/progress.py
+++ b/wasabiturn/batch/progress.py
@@ -8,7 +8,6 @@
 from collections.abc import Iterator
 
 from wasabiturn.batch.fleet import NEVER, Allocation, Fleet, Worker
-from wasabiturn.batch.idle_state import IdleState
 from wasabiturn.batch.jobs import Job, Task
 from wasabiturn.messages.kinds import BatchTaskState
 
@@ -18,29 +17,36 @@
 FRESH_LIST_SECONDS = 1.3
 
 
-def idle_seconds(
-    fleet: Fleet, idle_state: IdleState, job: Job, now: float
-) -> float:
+def idle_seconds(fleet: Fleet, job: Job, now: float) -> float:
     """Return for how long no run of a job has been known to work.
 
     It is 0 while an order to start one is on its way for a moment, so that no
     more than needed is started instead.
     """
-    since = idle_state.since_by_job.setdefault(job.job_id, now)
-    since = max(since, last_known_at(fleet, idle_state, job, now))
-    idle_state.since_by_job[job.job_id] = since
+    since_by_job = fleet.idle.since_by_job
+    since = since_by_job.get(job.job_id, now)
+    since = max(since, last_known_at(fleet, job, now))
+    since_by_job[job.job_id] = since
     if now < since + FRESH_LIST_SECONDS or _awaits_start(fleet, job, now):
         return 0
     return now - since
 
 
-def last_known_at(
-    fleet: Fleet, idle_state: IdleState, job: Job, now: float
-) -> float:
+def record_end(fleet: Fleet, worker: Worker, allocation: Allocation) -> None:
+    """Record until when a run was known to work that has ended."""
+    if allocation.confirmed_at is None:
+        return
+    since_by_job = fleet.idle.since_by_job
+    job_id = allocation.task.job.job_id
+    worked_until = max(worker.listed_at, allocation.confirmed_at)
+    since_by_job[job_id] = max(since_by_job.get(job_id, NEVER), worked_until)
+
+
+def last_known_at(fleet: Fleet, job: Job, now: float) -> float:
     """Return when a run of a job was last known to work, ``NEVER`` if none."""
     if not job.active_tasks:
         return NEVER
-    known = idle_state.known_task_by_job.get(job.job_id)
+    known = fleet.idle.known_task_by_job.get(job.job_id)
     newest = NEVER if known is None else known_at(fleet, known)
     if now < newest + FRESH_LIST_SECONDS:
         return newest
@@ -48,7 +54,7 @@
         at = known_at(fleet, task)
         if at > newest:
             newest = at
-            idle_state.known_task_by_job[job.job_id] = task
+            fleet.idle.known_task_by_job[job.job_id] = task
     return newest
 
 
--- a/wasabiturn/process/control/batch/idle_jobs.py
+++ b/wasabiturn/process/control/batch/idle_jobs.py
@@ -6,7 +6,6 @@
 from wasabiturn.batch.bindings import find_held_tasks
 from wasabiturn.batch.fleet import NEVER, Fleet
 from wasabiturn.batch.forecast import Forecasts
-from wasabiturn.batch.idle_state import IdleState
 from wasabiturn.batch.jobs import Job
 from wasabiturn.batch.ordering import Moment
 from wasabiturn.batch.placing import find_candidates
@@ -19,6 +18,7 @@
     list_due_parts,
 )
 from wasabiturn.process import exposition
+from wasabiturn.process.control.batch.starts import wall_clock_ms
 from wasabiturn.utils.logs import create_component_log
 
 # How often jobs are looked at, and how often one of them is reported.
@@ -39,22 +39,22 @@
         """Create a watch that has seen no idle jobs."""
         self._batch_state = batch_state
         self._fleet = fleet
-        self._idle_state = IdleState()
         self._reported_at_by_job: dict[str, float] = {}
         self._reviewed_at = NEVER
 
-    def review(self, forecasts: Forecasts, moment: Moment) -> None:
+    def review(self, forecasts: Forecasts, now: float) -> None:
         """Report the jobs that have been idle for too long."""
-        if moment.now < self._reviewed_at + REVIEW_SECONDS:
+        if now < self._reviewed_at + REVIEW_SECONDS:
             return
-        self._reviewed_at = moment.now
+        self._reviewed_at = now
+        moment = Moment(now=now, wall_ms=wall_clock_ms())
         idle = self._find_idle(moment)
         exposition.idle_jobs.set(len(idle))
         self._forget_others(idle)
         due = [
             job
             for job in idle
-            if moment.now
+            if now
             >= self._reported_at_by_job.get(job.job_id, NEVER) + REPEAT_SECONDS
         ]
         if due:
@@ -62,20 +62,20 @@
 
     def _find_idle(self, moment: Moment) -> list[Job]:
         idle: list[Job] = []
+        self._fleet.idle.keep_only(self._batch_state.open_jobs_by_id)
         for job in self._batch_state.open_jobs_by_id.values():
             if not job.waiting_tasks or not list_due_parts(job, moment):
-                self._idle_state.forget(job.job_id)
+                self._fleet.idle.forget(job.job_id)
             elif self._is_idle(job, moment.now):
                 idle.append(job)
         return idle
 
     def _is_idle(self, job: Job, now: float) -> bool:
-        seconds = idle_seconds(self._fleet, self._idle_state, job, now)
+        seconds = idle_seconds(self._fleet, job, now)
         return seconds >= REPORTED_AFTER_SECONDS
 
     def _forget_others(self, idle: list[Job]) -> None:
         """Forget when jobs were reported that are idle no more."""
-        self._idle_state.bound_size()
         idle_ids = {job.job_id for job in idle}
         self._reported_at_by_job = {
             job_id: reported_at
@@ -96,7 +96,7 @@
         view = create_view(self._batch_state, self._fleet, candidates, moment)
         for job in jobs:
             self._reported_at_by_job[job.job_id] = moment.now
-            since = self._idle_state.since_by_job[job.job_id]
+            since = self._fleet.idle.since_by_job[job.job_id]
             _log_idle(job, moment.now - since, explain_waiting(job, view))
 
 
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -13,7 +13,7 @@
 )
 from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.lost_runs import find_expired_workers, give_up_runs
-from wasabiturn.batch.ordering import Moment
+from wasabiturn.batch.progress import record_end
 from wasabiturn.batch.state_clock import StateClock
 from wasabiturn.connection.link import Link
 from wasabiturn.messages.batch import (
@@ -31,10 +31,7 @@
 from wasabiturn.process.control.batch.idle_jobs import IdleJobWatch
 from wasabiturn.process.control.batch.orders import create_orders
 from wasabiturn.process.control.batch.pipeline import Pipeline
-from wasabiturn.process.control.batch.starts import (
-    start_planned_runs,
-    wall_clock_ms,
-)
+from wasabiturn.process.control.batch.starts import start_planned_runs
 from wasabiturn.process.control.batch.stops import stop_unwanted_runs
 from wasabiturn.utils.logs import create_component_log
 from wasabiturn.version.replica import Replica
@@ -136,7 +133,7 @@
         self._forecasts.drop_outdated(now)
         self._store_pressures(now)
         self._forget_ended_jobs()
-        self._idle_watch.review(self._forecasts, Moment(now, wall_clock_ms()))
+        self._idle_watch.review(self._forecasts, now)
         self.pipeline.schedule_flush()
 
     def give_up_runs(self, worker: Worker, reason: str, now: float) -> None:
@@ -210,6 +207,8 @@
         self._committed_starts.discard((task.name, task.run))
         if worker is not None:
             allocation = worker.release(task)
+            if allocation is not None:
+                record_end(self.fleet, worker, allocation)
             if task.is_bound and allocation is not None:
                 bind_ended_task(self.fleet, worker, allocation, self._now())
 
