A closed port of an ended life tells nothing about the next

Callers saw two runs of one task: a worker's runs were given up and started elsewhere while they went on.

Cause: the sender of the life before reports a start that found the port closed to the reconciler, which took it for the present life. If the failure is heard after the next life under the name was followed (late answer), the agent reported "nothing listens" and raised its token, and the leader gave up the runs that the new life had begun 0.5 s before.

Ruled out: the late order itself (it was refused by a closed port), the answers of holds (they are compared with the present life already).

--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -169,13 +169,14 @@
         self._send_report()
 
     def _create_sender(self) -> OrderSender:
+        identity = self._identity
         return OrderSender(
             port=self._port,
             clock=self._clock,
             open_orders=self._open_orders,
             token=self._contact.token,
             on_start_outcome=self._send_report,
-            on_closed_port=self._handle_closed_port,
+            on_closed_port=lambda: self._handle_closed_port(identity),
             on_stop_confirmed=lambda: self._send_hold(0),
         )
 
@@ -189,7 +190,7 @@
         """Send starts if the worker has listed its runs under this token."""
         if self._contact.is_connection_refused:
             if self._sender.refuse_unsent_starts():
-                self._handle_closed_port()
+                self._handle_closed_port(self._identity)
         elif self._contact.has_listed:
             self._sender.send_starts()
 
@@ -283,8 +284,13 @@
         ):
             self._clock.callLater(HOLD_RETRY_SECONDS, self._send_hold, 0)
 
-    def _handle_closed_port(self) -> None:
-        """Report that nothing listens, once starts in flight are refused."""
+    def _handle_closed_port(self, identity: WorkerIdentity | None) -> None:
+        """Report that nothing listens, once starts in flight are refused.
+
+        Orders to an earlier life than the present one tell nothing about it.
+        """
+        if identity is None or not _is_same_life(self._identity, identity):
+            return
         self._contact.record_closed_port()
 
         def report() -> None:
