--- a/benchmarks/queues/simulation.py
+++ b/benchmarks/queues/simulation.py
@@ -17,6 +17,7 @@
 from wasabiturn.batch.forecast import Forecasts
 from wasabiturn.batch.interference import Interference
 from wasabiturn.batch.jobs import Task
+from wasabiturn.batch.moves import reserve_place
 from wasabiturn.batch.ordering import Moment
 from wasabiturn.batch.planning import plan_moves, plan_starts
 from wasabiturn.batch.sharing import adjust_pace, set_pace
@@ -149,10 +150,11 @@
                 start.worker, start.born_ms
             ]
             set_pace(worker, self.interference, self.now)
-        for allocation in list(
+        for planned in list(
             plan_moves(self.batch_state, self.fleet, self._forecasts, self.now),
         ):
-            self._end_run(allocation, RunEnding.stopped)
+            reserve_place(self.fleet, planned, self.now)
+            self._end_run(planned.allocation, RunEnding.stopped)
 
     def _start_run(self, task: Task) -> None:
         worker = self.fleet.worker_of(task)
--- a/tests/batch/test_bindings.py
+++ b/tests/batch/test_bindings.py
@@ -29,6 +29,7 @@
 from wasabiturn.batch.forecast import Forecasts
 from wasabiturn.batch.interference import Interference
 from wasabiturn.batch.jobs import Part
+from wasabiturn.batch.moves import PlannedMove
 from wasabiturn.batch.planning import plan_moves
 from wasabiturn.batch.ranking import create_ranking
 from wasabiturn.batch.state_clock import StateClock
@@ -286,7 +287,9 @@
     worker = create_worker('a')
     add_run(worker, batch_state.tasks_by_name[TASK])
     worker.stalled_at_by_image['f'] = 0
-    fleet = create_fleet(worker, create_worker('b'))
+    free = create_worker('b')
+    worker.heard_at = free.heard_at = 2
+    fleet = create_fleet(worker, free)
     # Its own worker is no candidate.
     worker.report.leaving = True
     allocation = worker.allocations_by_task[TASK]
@@ -294,5 +297,5 @@
     forecasts = Forecasts(Interference())
     assert not list(plan_moves(batch_state, fleet, forecasts, now=2.3))
     assert list(plan_moves(batch_state, fleet, forecasts, now=2.4)) == [
-        allocation
+        PlannedMove(allocation, free)
     ]
--- a/tests/batch/test_decisions.py
+++ b/tests/batch/test_decisions.py
@@ -406,7 +406,9 @@
         known,
         now=1.1,
     )
-    assert [allocation.task.name for allocation in moves] == ['j.0.0.0']
+    (planned,) = moves
+    assert planned.allocation.task.name == 'j.0.0.0'
+    assert planned.worker is free
 
 
 def test_lasting_task_joins_tasks_sensitive_to_the_same_images() -> None:
--- a/wasabiturn/batch/avoidance.py
+++ b/wasabiturn/batch/avoidance.py
@@ -9,8 +9,9 @@
 
 import attrs
 
+from wasabiturn.batch.acceptance import accepts_work
 from wasabiturn.batch.fleet import Worker
-from wasabiturn.batch.placing import Candidates, accepts_work
+from wasabiturn.batch.placing import Candidates
 from wasabiturn.batch.state import BatchState
 
 # After the newest failure.
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -14,6 +14,7 @@
 from wasabiturn.batch.idle_state import IdleState
 from wasabiturn.batch.isolation_state import IsolationState
 from wasabiturn.batch.jobs import Task
+from wasabiturn.batch.move_state import Move
 from wasabiturn.batch.state_clock import StateClock
 from wasabiturn.messages.batch import (
     BatchChange,
@@ -157,6 +158,8 @@
     # Number of changes of the charged resources.
     charges: int = 0
     lasting_millicores: int = 0
+    # Steps of the filling tasks that move here, by task; see ``moves.py``.
+    reserved_steps: dict[str, Step] = attrs.field(factory=dict)
     # Number of the newest run end that was received, and of the newest that is
     # committed; those in between are pending.
     seen_end: int = 0
@@ -226,6 +229,30 @@
             and self.accelerators + accelerator_count <= report.accelerators
         )
 
+    def has_room_for(self, step: Step) -> bool:
+        """Return whether a task fits; lasting ones take reserved places."""
+        millicores = 0 if step.fills else step.millicores
+        memory_mb, accelerators = step.memory_mb, step.accelerators
+        if self.reserved_steps and not step.lasting:
+            memory_mb += self.reserved_memory_mb
+            accelerators += self.reserved_accelerators
+        return self.has_room(millicores, memory_mb, accelerators)
+
+    @property
+    def reserved_memory_mb(self) -> int:
+        """Return the memory of the places that are reserved for moves."""
+        return sum(step.memory_mb for step in self.reserved_steps.values())
+
+    @property
+    def reserved_accelerators(self) -> int:
+        """Return the accelerators of these places."""
+        return sum(step.accelerators for step in self.reserved_steps.values())
+
+    @property
+    def reserved_millicores(self) -> int:
+        """Return the CPU for filling tasks of these places."""
+        return sum(step.millicores for step in self.reserved_steps.values())
+
     def is_silent(self, now: float) -> bool:
         """Return whether its agent was not heard for too long."""
         return now >= self.heard_at + REPORT_TIMEOUT_SECONDS
@@ -299,6 +326,8 @@
     bound_until_by_task: dict[str, float] = attrs.field(factory=dict)
     # Those of them whose machine fell silent before their order was overdue.
     tasks_lost_under_way: set[str] = attrs.field(factory=set)
+    # Runs that move to other workers, by task.
+    moves_by_task: dict[str, Move] = attrs.field(factory=dict)
     # By then all leases of earlier leaders have ended.
     earlier_leases_end_at: float = NEVER
     isolation: IsolationState = attrs.field(factory=IsolationState)
--- a/wasabiturn/batch/placing.py
+++ b/wasabiturn/batch/placing.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from wasabiturn.batch.acceptance import accepts_work, is_fresh
 from wasabiturn.batch.fleet import Worker
 from wasabiturn.batch.forecast import Forecasts
 from wasabiturn.batch.jobs import Part, Task
@@ -21,9 +22,6 @@
 from wasabiturn.messages.batch import StartRun, Step
 from wasabiturn.messages.kinds import BatchTaskState
 
-# Agents report at least each second. A worker that is silent for longer may be
-# lost; a lasting task that is started there then waits until its order expires.
-FRESH_REPORT_SECONDS = 1.3
 # Score penalty of a silent worker, as a multiple of its size.
 SILENCE_PENALTY = 10
 # Score penalty of the last worker of a task that has failed before, as a
@@ -175,29 +173,14 @@
 
 def leftover_millicores(worker: Worker) -> float:
     """Return the CPU for more filling tasks before they slow each other."""
-    return worker.unused_millicores() - worker.filling_millicores
-
-
-def accepts_work(worker: Worker, batch_state: BatchState, now: float) -> bool:
-    """Return whether a worker accepts work, whatever failed there before."""
-    report = worker.report
-    if not worker.is_reconciled or worker.is_gone:
-        return False
-    if report.leaving or report.refuses:
-        return False
-    if worker.unexpected_runs_by_task:
-        # Its runs that are to be stopped take resources that are not charged.
-        return False
-    if report.data_centre in batch_state.out_data_centres:
-        return False
-    return not worker.is_silent(now)
+    taken = worker.filling_millicores + worker.reserved_millicores
+    return worker.unused_millicores() - taken
 
 
 def can_take(part: Part, worker: Worker, counts: dict[str, int]) -> bool:
     """Return whether a worker has room for a task and may run it."""
     step = part.step
-    millicores = 0 if step.fills else step.millicores
-    if not worker.has_room(millicores, step.memory_mb, step.accelerators):
+    if not worker.has_room_for(step):
         return False
     report = worker.report
     if step.fills and not report.millicores:
@@ -219,7 +202,7 @@
         )
         for image, count in worker.lasting_count_by_image.items()
     )
-    if candidates.now >= worker.heard_at + FRESH_REPORT_SECONDS:
+    if not is_fresh(worker, candidates.now):
         similarity -= SILENCE_PENALTY
     score = float(worker.lasting_millicores - worker.filling_millicores)
     return score + similarity * worker.report.millicores
@@ -228,7 +211,8 @@
 def _score_filling(step: Step, worker: Worker, candidates: Candidates) -> float:
     size = worker.report.millicores
     left = leftover_millicores(worker)
-    is_full = left < step.millicores and worker.filling_millicores
+    has_filling = worker.filling_millicores or worker.reserved_steps
+    is_full = has_filling and left < step.millicores
     if is_full and not candidates.accepts_any_worker:
         return UNSUITABLE
     use = step.millicores / size
--- a/wasabiturn/batch/planning.py
+++ b/wasabiturn/batch/planning.py
@@ -5,13 +5,15 @@
 
 import attrs
 
+from wasabiturn.batch.acceptance import is_fresh
 from wasabiturn.batch.avoidance import find_avoided_candidates
 from wasabiturn.batch.bindings import find_held_tasks
-from wasabiturn.batch.fleet import Allocation, Fleet
+from wasabiturn.batch.fleet import Fleet
 from wasabiturn.batch.forecast import Forecasts
 from wasabiturn.batch.gangs import start_gang
 from wasabiturn.batch.isolation import find_isolating_workers, start_suspects
 from wasabiturn.batch.jobs import Part
+from wasabiturn.batch.moves import PlannedMove, lacks_place, start_moved
 from wasabiturn.batch.ordering import (
     Moment,
     has_no_chance,
@@ -58,6 +60,7 @@
     )
     yield from _start_lasting_first(batch_state, fleet, candidates, moment)
     yield from start_suspects(batch_state, fleet, candidates, moment)
+    yield from start_moved(fleet, candidates)
     if candidates.workers:
         parts = [
             part
@@ -140,15 +143,21 @@
     fleet: Fleet,
     forecasts: Forecasts,
     now: float,
-) -> Iterator[Allocation]:
+) -> Iterator[PlannedMove]:
     """Yield a stalled run to stop, if another worker can take its task.
 
+    That worker and its own must have reported a moment ago.
+
     Yields at most one, as its task may take the room of the next.
     """
-    workers = list(fleet.workers_by_incarnation.values())
+    fresh = [
+        worker
+        for worker in fleet.workers_by_incarnation.values()
+        if is_fresh(worker, now)
+    ]
     stalled = [
         (worker, allocation)
-        for worker in workers
+        for worker in fresh
         for allocation in find_stalled(worker, now)
         # An open order would bind the task to this worker.
         if not allocation.has_open_order(now)
@@ -156,7 +165,7 @@
     if not stalled:
         return
     candidates = find_candidates(
-        workers,
+        fresh,
         batch_state,
         forecasts,
         now,
@@ -165,7 +174,7 @@
     for worker, allocation in stalled:
         found = choose_worker(allocation.task, candidates)
         if found is not None and found is not worker:
-            yield allocation
+            yield PlannedMove(allocation, found)
             return
 
 
@@ -177,8 +186,7 @@
 ) -> Iterator[StartRun]:
     unplaced: list[Part] = []
     for part in parts:
-        seconds = idle_seconds(fleet, part.job, now)
-        candidates.accepts_any_worker = seconds >= MAX_IDLE_SECONDS
+        candidates.accepts_any_worker = _accepts_any_worker(part, fleet, now)
         if not candidates.accepts_any_worker and any(
             has_no_chance(part, each) for each in unplaced
         ):
@@ -194,6 +202,13 @@
             fleet.refused_at_by_part.pop(part.name, None)
 
 
+def _accepts_any_worker(part: Part, fleet: Fleet, now: float) -> bool:
+    """Return whether a task of an idle job starts at any pace."""
+    if idle_seconds(fleet, part.job, now) >= MAX_IDLE_SECONDS:
+        return True
+    return lacks_place(fleet, part.job, now)
+
+
 def _is_due(part: Part, fleet: Fleet, now: float) -> bool:
     """Return whether to look for workers for a part.
 
--- a/wasabiturn/batch/progress.py
+++ b/wasabiturn/batch/progress.py
@@ -27,9 +27,14 @@
     since = since_by_job.get(job.job_id, now)
     since = max(since, last_known_at(fleet, job, now))
     since_by_job[job.job_id] = since
-    if now < since + FRESH_LIST_SECONDS or _awaits_start(fleet, job, now):
-        return 0
-    return now - since
+    return now - since if runs_nothing(fleet, job, now) else 0
+
+
+def runs_nothing(fleet: Fleet, job: Job, now: float) -> bool:
+    """Return whether no run of a job is known to work, or on its way."""
+    if now < last_known_at(fleet, job, now) + FRESH_LIST_SECONDS:
+        return False
+    return not _awaits_start(fleet, job, now)
 
 
 def record_end(fleet: Fleet, worker: Worker, allocation: Allocation) -> None:
--- a/wasabiturn/batch/waiting_reasons.py
+++ b/wasabiturn/batch/waiting_reasons.py
@@ -11,13 +11,13 @@
 
 import attrs
 
+from wasabiturn.batch.acceptance import accepts_work
 from wasabiturn.batch.fleet import NEVER, Fleet, Worker
 from wasabiturn.batch.jobs import Job, Part, Task
 from wasabiturn.batch.ordering import Moment
 from wasabiturn.batch.placing import (
     UNSUITABLE,
     Candidates,
-    accepts_work,
     can_take,
     count_by_worker,
     score_worker,
--- a/wasabiturn/process/control/batch/stops.py
+++ b/wasabiturn/process/control/batch/stops.py
@@ -5,6 +5,7 @@
 from wasabiturn.batch import BatchState
 from wasabiturn.batch.fleet import Allocation, Fleet
 from wasabiturn.batch.forecast import Forecasts
+from wasabiturn.batch.moves import reserve_place
 from wasabiturn.batch.planning import plan_moves
 from wasabiturn.batch.withdrawals import find_withdrawn_starts, list_gang
 from wasabiturn.utils.logs import create_component_log
@@ -20,8 +21,10 @@
     Returns the worker incarnations that are to be told.
     """
     incarnations_to_notify: set[tuple[str, int]] = set()
-    for moved in plan_moves(batch_state, fleet, forecasts, now):
-        _mark_to_stop(moved, 'moves run')
+    for planned in plan_moves(batch_state, fleet, forecasts, now):
+        reserve_place(fleet, planned, now)
+        moved = planned.allocation
+        _mark_to_stop(moved, 'moves run', place=planned.worker.name)
         incarnations_to_notify.add((moved.task.worker, moved.task.born_ms))
     withdrawn = find_withdrawn_starts(fleet, batch_state.out_data_centres, now)
     return incarnations_to_notify | withdraw_starts(fleet, withdrawn)
@@ -40,10 +43,14 @@
     return incarnations_to_notify
 
 
-def _mark_to_stop(allocation: Allocation, decision: str) -> None:
+def _mark_to_stop(allocation: Allocation, decision: str, **fields: str) -> None:
     """Have the next orders to its worker stop a run, or a start of it."""
     allocation.is_stop_requested = True
     task = allocation.task
     _log.decision(
-        decision, task=task.name, run=allocation.run, worker=task.worker
+        decision,
+        task=task.name,
+        run=allocation.run,
+        worker=task.worker,
+        **fields,
     )
