--- a/tests/batch/test_moves.py
+++ b/tests/batch/test_moves.py
@@ -195,3 +195,8 @@
     assert not case.find_moves()
     case.b.heard_at = MOVED_AT - 1.2
     assert case.find_moves()
+
+
+def test_member_of_a_gang_does_not_move_alone() -> None:
+    assert not Case(tasks=1, gang=True).find_moves()
+    assert Case().find_moves()
--- a/wasabiturn/batch/stalls.py
+++ b/wasabiturn/batch/stalls.py
@@ -1,6 +1,7 @@
 """Detection of filling runs that are paced so low that they stall."""
 
 from wasabiturn.batch.fleet import Allocation, Worker
+from wasabiturn.messages.batch import Step
 
 # A run below this pace for so long is moved, if another worker can take it.
 STALLED_BELOW_PERCENT = 20
@@ -30,8 +31,16 @@
 def _is_stalled(worker: Worker, allocation: Allocation, now: float) -> bool:
     step = allocation.task.step
     since = worker.stalled_at_by_image.get(step.image)
-    if not step.fills or not step.checkpoints or since is None:
+    if since is None or not _may_move(step):
         return False
     if allocation.is_stop_requested or allocation.task.job.is_final:
         return False
     return now >= max(since, allocation.started_at) + STALL_SECONDS
+
+
+def _may_move(step: Step) -> bool:
+    """Return whether a task may go on elsewhere, with little work lost.
+
+    A member of a gang would leave the others alone.
+    """
+    return step.fills and step.checkpoints and not step.gang
