--- a/tests/batch/test_idle_jobs.py
+++ b/tests/batch/test_idle_jobs.py
@@ -1,5 +1,7 @@
 """Tests of the starts of jobs that run nothing."""
 
+from typing import Any
+
 import pytest
 
 from tests.batch.jobs_fakes import (
@@ -94,3 +96,28 @@
     for allocation in case.b.allocations_by_task.values():
         allocation.started_at = MAX_IDLE_SECONDS
     assert not case.plan_at(MAX_IDLE_SECONDS + 1, a_lists=True)
+
+
+@pytest.mark.parametrize(
+    'fields', [{}, {'fills': True, 'image': 'f'}, {'preferred_rack': 'r1'}]
+)
+def test_ordinary_task_starts_on_no_machine_that_may_be_lost(
+    fields: dict[str, Any],
+) -> None:
+    batch_state = create_batch_state(accept('j', step(2, **fields)))
+    late = create_worker('a')
+    # It fits best, and is on the preferred rack.
+    fresh = create_worker('b', rack='r2', millicores=12_000)
+    late.heard_at, fresh.heard_at = 0, 1
+    moment = Moment(now=1.4, wall_ms=ACCEPTED_MS)
+    placed = plan(batch_state, create_fleet(late, fresh), moment)
+    assert set(placed.values()) == {'b'}
+
+
+def test_ordinary_task_starts_on_a_machine_with_a_late_report_if_need_be() -> (
+    None
+):
+    batch_state = create_batch_state(accept('j', step(1)))
+    moment = Moment(now=1.4, wall_ms=ACCEPTED_MS)
+    fleet = create_fleet(create_worker('a'))
+    assert plan(batch_state, fleet, moment) == {'j.0.0.0': 'a'}
--- a/tests/batch/test_ranking.py
+++ b/tests/batch/test_ranking.py
@@ -79,6 +79,9 @@
         for task in list(self.batch_state.tasks_by_name.values()):
             if task.job.job_id != 'new' and random.random() < 0.2:
                 add_run(random.choice(self.workers), task, figure=40)
+        for worker in self.workers:
+            # The last report of some is overdue.
+            worker.heard_at = random.choice((0, 0, -1.5))
         self.part: Part = self.batch_state.jobs_by_id['new'].parts_by_key[0, 0]
         for task in self.part.waiting_by_name.values():
             if random.random() < 0.2:
--- a/wasabiturn/batch/placing.py
+++ b/wasabiturn/batch/placing.py
@@ -150,6 +150,8 @@
         score -= 0 if worker.lasting_millicores else size
     if step.preferred_rack and step.preferred_rack == worker.report.rack:
         score += size
+    if not is_fresh(worker, candidates.now):
+        score -= SILENCE_PENALTY * size
     return score
 
 
@@ -202,8 +204,6 @@
         )
         for image, count in worker.lasting_count_by_image.items()
     )
-    if not is_fresh(worker, candidates.now):
-        similarity -= SILENCE_PENALTY
     score = float(worker.lasting_millicores - worker.filling_millicores)
     return score + similarity * worker.report.millicores
 
