--- a/tests/sessions/test_idle_jobs.py
+++ b/tests/sessions/test_idle_jobs.py
@@ -7,6 +7,7 @@
 from eliot import add_destinations, remove_destination
 
 from tests.sessions.batch_fakes import BatchFleet, FakeAgent, create_step
+from wasabiturn.messages.kinds import JobState, RunEnding
 from wasabiturn.standins.batch_worker import SimulatedWork
 
 LONG = SimulatedWork(1000)
@@ -83,3 +84,17 @@
     fleet.run(2.9)
     workers_by_task = fleet.find_workers_by_task()
     assert [task for task in workers_by_task if task.startswith('j.')]
+
+
+def test_sound_job_starts_though_failing_tasks_have_been_on_all_workers() -> (
+    None
+):
+    fleet = BatchFleet(workers=2)
+    fleet.run(1.5)
+    failing = SimulatedWork(0.2, ending=RunEnding.failed)
+    fleet.submit('p', [create_step(8)], failing)
+    while not fleet.run_ends:
+        fleet.run(0.01)
+    fleet.submit('j', [create_step(1)], SimulatedWork(1))
+    # An idle job starts within 3 s.
+    fleet.run_until('j', JobState.done, seconds=5)
--- a/wasabiturn/batch/ordering.py
+++ b/wasabiturn/batch/ordering.py
@@ -62,9 +62,13 @@
 
 
 def _list_parts(jobs: list[Job], moment: Moment) -> list[Part]:
+    return [part for job in jobs for part in list_due_parts(job, moment)]
+
+
+def list_due_parts(job: Job, moment: Moment) -> list[Part]:
+    """Return the parts of a job with waiting tasks whose turn has come."""
     return [
         part
-        for job in jobs
         for part in job.parts_by_key.values()
         if part.waiting_by_name
         and part.due_ms <= moment.wall_ms
--- a/wasabiturn/batch/planning.py
+++ b/wasabiturn/batch/planning.py
@@ -6,7 +6,7 @@
 import attrs
 
 from wasabiturn.batch.acceptance import is_fresh
-from wasabiturn.batch.avoidance import find_avoided_candidates
+from wasabiturn.batch.avoidance import find_avoided_candidates, start_idle
 from wasabiturn.batch.bindings import find_held_tasks
 from wasabiturn.batch.fleet import Fleet
 from wasabiturn.batch.forecast import Forecasts
@@ -27,7 +27,7 @@
     find_candidates,
     may_start,
 )
-from wasabiturn.batch.progress import idle_seconds
+from wasabiturn.batch.progress import MAX_IDLE_SECONDS, idle_seconds
 from wasabiturn.batch.ranking import create_ranking
 from wasabiturn.batch.stalls import find_stalled
 from wasabiturn.batch.state import BatchState
@@ -36,8 +36,6 @@
 MAX_STARTS_PER_PLAN = 200
 # A filling part without a worker is not tried again for this long.
 REFUSED_PART_SECONDS = 0.05
-# A job with no run known to work for longer accepts any worker with room.
-MAX_IDLE_SECONDS = 2.0
 
 
 def plan_starts(
@@ -69,7 +67,7 @@
         ]
         started = _start_parts(parts, candidates, fleet, moment.now)
         yield from islice(started, MAX_STARTS_PER_PLAN)
-    yield from _start_lasting_last(batch_state, fleet, candidates, moment)
+    yield from _start_at_avoided(batch_state, fleet, candidates, moment)
 
 
 def _start_lasting_first(
@@ -98,15 +96,15 @@
         yield start
 
 
-def _start_lasting_last(
+def _start_at_avoided(
     batch_state: BatchState,
     fleet: Fleet,
     candidates: Candidates,
     moment: Moment,
 ) -> Iterator[StartRun]:
-    """Yield lasting tasks that only workers with failures have room for.
+    """Yield tasks that only workers with failures have room for.
 
-    A lasting task may fail at any time, which tells little of its worker.
+    Those are lasting tasks, and one task of each job that runs nothing.
     """
     avoided = find_avoided_candidates(
         candidates, fleet.workers_by_incarnation.values(), batch_state
@@ -125,6 +123,7 @@
     )
     if others.workers:
         yield from _start_lasting(batch_state, fleet, others, moment)
+        yield from start_idle(batch_state, fleet, others, moment)
 
 
 def _start_lasting(
--- a/wasabiturn/batch/progress.py
+++ b/wasabiturn/batch/progress.py
@@ -13,6 +13,8 @@
 
 # Agents report at least each second, and a report answers a start.
 START_ANSWER_SECONDS = 1.3
+# A job with no run known to work for longer accepts any worker with room.
+MAX_IDLE_SECONDS = 2.0
 # A run that was listed so recently is known to work.
 FRESH_LIST_SECONDS = 1.3
 
--- a/wasabiturn/batch/waiting_reasons.py
+++ b/wasabiturn/batch/waiting_reasons.py
@@ -14,7 +14,7 @@
 from wasabiturn.batch.acceptance import accepts_work
 from wasabiturn.batch.fleet import NEVER, Fleet, Worker
 from wasabiturn.batch.jobs import Job, Part, Task
-from wasabiturn.batch.ordering import Moment
+from wasabiturn.batch.ordering import Moment, list_due_parts
 from wasabiturn.batch.placing import (
     UNSUITABLE,
     Candidates,
@@ -116,17 +116,6 @@
     return WaitingView(batch_state, fleet, candidates, avoided, moment)
 
 
-def list_due_parts(job: Job, moment: Moment) -> list[Part]:
-    """Return the parts of a job with waiting tasks whose turn has come."""
-    return [
-        part
-        for part in job.parts_by_key.values()
-        if part.waiting_by_name
-        and part.due_ms <= moment.wall_ms
-        and part.is_ready()
-    ]
-
-
 def explain_waiting(job: Job, view: WaitingView) -> Waiting:
     """Return why the tasks of a job wait."""
     tasks_by_reason: Counter[WaitingReason] = Counter()
--- a/wasabiturn/process/control/batch/idle_jobs.py
+++ b/wasabiturn/process/control/batch/idle_jobs.py
@@ -7,7 +7,7 @@
 from wasabiturn.batch.fleet import NEVER, Fleet
 from wasabiturn.batch.forecast import Forecasts
 from wasabiturn.batch.jobs import Job
-from wasabiturn.batch.ordering import Moment
+from wasabiturn.batch.ordering import Moment, list_due_parts
 from wasabiturn.batch.placing import find_candidates
 from wasabiturn.batch.progress import idle_seconds
 from wasabiturn.batch.waiting_reasons import (
@@ -15,7 +15,6 @@
     Waiting,
     create_view,
     explain_waiting,
-    list_due_parts,
 )
 from wasabiturn.process import exposition
 from wasabiturn.process.control.batch.starts import wall_clock_ms
