A task is given up only if chance hardly explains its crashes

Cause: the verdict asked how often a task was the only suspect of alike crashes, and not how often workers crash under anything just then. Five crashes of any kind ended it, however many workers crashed meanwhile.

Now the chance that all crashes but the first came by chance, from the rate of crashes without a known cause, must be at most 0.001 (wasabiturn/batch/crash_rates.py). In calm the rate is 0: nothing changes.

test_crash_beside_another_one_is_no_proof: that a crash in another data centre never matters was the fault. It is replaced by three cases: the same data centre, another one among 60 workers, another one among 8.

--- a/tests/batch/test_crashes.py
+++ b/tests/batch/test_crashes.py
@@ -44,6 +44,7 @@
 
 NOW = 100.0
 QUICK = 0.01
+WORKERS = 8
 
 
 def create_state(tasks: int) -> BatchState:
@@ -244,10 +245,14 @@
 
 
 def decide(
-    batch_state: BatchState, crash_log: CrashLog, seconds: float
+    batch_state: BatchState,
+    crash_log: CrashLog,
+    seconds: float,
+    workers: int = WORKERS,
 ) -> list[str]:
     return [
-        give_up.task for give_up in crash_log.decide(batch_state, NOW + seconds)
+        give_up.task
+        for give_up in crash_log.decide(batch_state, workers, NOW + seconds)
     ]
 
 
@@ -275,16 +280,21 @@
     assert not decide(batch_state, crash_log, COMMON_CAUSE_SECONDS)
 
 
-@pytest.mark.parametrize('data_centre', ['dc', 'other'])
-def test_crash_beside_another_one_is_no_proof(data_centre: str) -> None:
+@pytest.mark.parametrize(
+    ('data_centre', 'workers', 'is_proof'),
+    [('dc', 60, False), ('other', 60, True), ('other', 8, False)],
+)
+def test_crash_beside_another_one_is_no_proof(
+    data_centre: str, workers: int, is_proof: bool
+) -> None:
     batch_state, crash_log = create_state(2), CrashLog()
     count_crashes(batch_state, 1)
     crash_again(batch_state, crash_log)
     other = create_worker('o', data_centre=data_centre)
     add_runs(other, batch_state, t1=5)
     crash_log.record(judge(other)[0])
-    given_up = decide(batch_state, crash_log, COMMON_CAUSE_SECONDS)
-    assert bool(given_up) is (data_centre == 'other')
+    given_up = decide(batch_state, crash_log, COMMON_CAUSE_SECONDS, workers)
+    assert bool(given_up) is is_proof
 
 
 def test_many_crashes_give_a_task_up_at_once() -> None:
--- a/wasabiturn/batch/crashes.py
+++ b/wasabiturn/batch/crashes.py
@@ -30,12 +30,14 @@
 class Suspicion:
     """A run that may have crashed its worker.
 
-    ``crashes_before`` counted against its task before. ``is_alike`` tells
-    that the newest of them came as long after its start.
+    It had worked for ``worked_ms``. ``crashes_before`` counted against its task
+    before; ``is_alike`` tells that the newest of them came as long after its
+    start.
     """
 
     task: str
     run: int
+    worked_ms: int
     crashes_before: int
     is_alike: bool
 
@@ -172,6 +174,7 @@
     return Suspicion(
         task=task.name,
         run=allocation.run,
+        worked_ms=allocation.worked_ms,
         crashes_before=task.crashes,
         is_alike=task.crashes > 0 and difference_ms <= QUICK_SECONDS * _MS,
     )
--- a/wasabiturn/batch/verdicts.py
+++ b/wasabiturn/batch/verdicts.py
@@ -3,7 +3,11 @@
 A task is given up when workers on several machines crash while it is the only
 suspect there, each as long after its start as the one before. Crashes of other
 workers at the same time tell that the cause may be another one, so this verdict
-waits a moment. A task that is suspected of many crashes is given up anyway.
+waits a moment. A task that is suspected of many crashes is given up without.
+
+Neither holds while workers crash so often, for no known cause, that the task
+may have met its crashes by chance (``crash_rates.py``): then it runs in
+isolation once more.
 """
 
 from collections.abc import Iterator
@@ -11,6 +15,7 @@
 
 import attrs
 
+from wasabiturn.batch.crash_rates import chance_of_crashes
 from wasabiturn.batch.crashes import Crash, Suspicion
 from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.state import BatchState
@@ -24,11 +29,14 @@
 ALIKE_CRASHES = 3
 # A machine that goes down again and again takes whatever runs there along.
 MIN_MACHINES = 2
-# Crashes after which a suspect is given up without proof. Callers expect that
-# it is started at most twice more after the third.
+# Crashes after which a suspect is given up without such proof. Callers expect
+# that it is started at most twice more after the third.
 MAX_CRASHES = 5
 # Crashes in one data centre within this time may have one cause.
 COMMON_CAUSE_SECONDS = 0.5
+# A task is given up only if it is less likely that it met all its crashes by
+# chance.
+MAX_CHANCE = 0.001
 MAX_REMEMBERED_CRASHES = 500
 
 
@@ -71,8 +79,10 @@
             if task is not None and task.crashes < REPEATED_CRASHES
         ]
 
-    def decide(self, batch_state: BatchState, now: float) -> Iterator[GiveUp]:
-        """Yield the tasks to give up.
+    def decide(
+        self, batch_state: BatchState, workers: int, now: float
+    ) -> Iterator[GiveUp]:
+        """Yield the tasks to give up; there are so many workers.
 
         To be called once the ends of the runs are recorded. Suspects that
         can't be decided on yet are kept.
@@ -87,7 +97,7 @@
                 continue
             self.undecided_by_task.pop(task_name)
             reason = self._find_reason(task, crash, suspicion)
-            if reason:
+            if reason and not self._may_be_chance(task, workers, now):
                 yield GiveUp(task=task_name, reason=reason)
 
     def list_workers(self, task: str) -> list[str]:
@@ -137,6 +147,17 @@
             return ''
         return f'the only suspect of the newest of {task.crashes} crashes'
 
+    def _may_be_chance(
+        self, task: Task | None, workers: int, now: float
+    ) -> bool:
+        """Return whether the crashes of a task may well have other causes."""
+        if task is None:
+            return False
+        chance = chance_of_crashes(
+            task.name, task.crashes, self.crashes, workers, now
+        )
+        return chance > MAX_CHANCE
+
     def _has_common_cause(self, crash: Crash) -> bool:
         return any(
             other is not crash
--- a/wasabiturn/process/control/batch/crash_watch.py
+++ b/wasabiturn/process/control/batch/crash_watch.py
@@ -39,9 +39,8 @@
         acquitted = find_acquitted(worker, heard_at)
         self._clear(acquitted, 'its run worked on before this crash')
         crash = judge_crash(worker, heard_at, now)
-        if not crash.suspects and not crash.bystanders:
-            return
-        _log_crash(crash)
+        if crash.suspects or crash.bystanders:
+            _log_crash(crash)
         self._rank(crash)
         batch_state = self._pipeline.batch_state
         cleared = self._crash_log.find_cleared(batch_state, crash)
@@ -51,7 +50,8 @@
     def review(self, now: float) -> None:
         """Give up or clear the tasks about which enough is known."""
         batch_state = self._pipeline.batch_state
-        give_ups = list(self._crash_log.decide(batch_state, now))
+        workers = len(self._fleet.workers_by_incarnation)
+        give_ups = list(self._crash_log.decide(batch_state, workers, now))
         if give_ups:
             self._give_up(give_ups)
         self._fleet.isolation.held_tasks = set(
