A start whose answer is lost is looked for before it is repeated

Callers saw nothing at once, but a second order for a run that had begun stayed open for 15 s: after a crash its task was bound to the worker's name, and such orders are what begins done tasks again in a next life.

Cause: 0.2 s after an order without an answer the agent repeated it, although the open hold may not answer for a second; a list that has the run settles the order, if it is the only one.

Change: an order without an answer has the agent ask for a list at once. on_stop_confirmed is on_list_needed now, as both want the same.

Tried and not chosen: not repeating an order at all until a list has its run or it has expired.

--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -177,7 +177,7 @@
             token=self._contact.token,
             on_start_outcome=self._send_report,
             on_closed_port=lambda: self._handle_closed_port(identity),
-            on_stop_confirmed=lambda: self._send_hold(0),
+            on_list_needed=lambda: self._send_hold(0),
         )
 
     def _follow_fence(self, fence: int) -> None:
--- a/wasabiturn/process/agent/runs/sender.py
+++ b/wasabiturn/process/agent/runs/sender.py
@@ -42,14 +42,15 @@
         token: FencingToken,
         on_start_outcome: Callable[[], None],
         on_closed_port: Callable[[], None],
-        on_stop_confirmed: Callable[[], None],
+        on_list_needed: Callable[[], None],
     ) -> None:
         """Create the sender, which keeps ``open_orders`` up to date.
 
         Orders go out under what ``token`` is then.
         ``on_start_outcome`` is called for each outcome to report at once,
         ``on_closed_port`` for each start that found the worker's port closed,
-        ``on_stop_confirmed`` once no other stop awaits confirmation.
+        ``on_list_needed`` when a list tells what became of orders: once no
+        other stop awaits confirmation, or a start order got no answer.
         """
         self.grants = Grants()
         self.table = StartTable()
@@ -63,8 +64,9 @@
             on_outcome=on_start_outcome,
             on_closed_port=on_closed_port,
             on_revoked=self._confirm_stop,
+            on_unanswered=on_list_needed,
         )
-        self._on_stop_confirmed = on_stop_confirmed
+        self._on_list_needed = on_list_needed
         # Those in the newest orders, and those sent without an answer yet.
         self._ordered_stops: set[RunKey] = set()
         self._pending_stops: set[RunKey] = set()
@@ -170,4 +172,4 @@
     def _confirm_stop(self, key: RunKey) -> None:
         self.table.confirmed_stops[key] = self._sent_holds
         if not self._pending_stops - {key}:
-            self._on_stop_confirmed()
+            self._on_list_needed()
--- a/wasabiturn/process/agent/runs/start_sender.py
+++ b/wasabiturn/process/agent/runs/start_sender.py
@@ -56,12 +56,15 @@
         on_outcome: Callable[[], None],
         on_closed_port: Callable[[], None],
         on_revoked: Callable[[RunKey], None],
+        on_unanswered: Callable[[], None],
     ) -> None:
         """Create the sender.
 
         ``on_outcome`` is called for each outcome to report at once,
         ``on_closed_port`` for each start that found the worker's port closed,
-        ``on_revoked`` with each run whose start the worker was told to forget.
+        ``on_revoked`` with each run whose start the worker was told to forget,
+        ``on_unanswered`` for each order without an answer: a list of runs may
+        tell that it was carried out, so that it need not be repeated.
         """
         self._channel = channel
         self._table = table
@@ -69,6 +72,7 @@
         self._on_outcome = on_outcome
         self._on_closed_port = on_closed_port
         self._on_revoked = on_revoked
+        self._on_unanswered = on_unanswered
 
     def send_starts(self) -> None:
         """Send the queued starts, if the leader has answered recently."""
@@ -212,6 +216,7 @@
                 seconds=self._seconds_since(sent_order),
                 error=str(error),
             )
+            self._on_unanswered()
             self._retry_later(start)
 
     def _handle_refusal(self, start: Start, reason: str) -> None:
