The limit of a plan never cuts a gang

Callers: a gang whose starts reached MAX_STARTS_PER_PLAN began with a part of its members. The others could not join it, as a gang starts only if all its members wait; those begun would end `alone` and use up attempts. Cause: islice over the starts of a plan, whatever part they belong to. Change: the plan ends with the start that reaches the limit, or with the last member of the gang that it belongs to. A gang larger than the limit starts whole. Ruled out: having the gang wait for the next plan; others would take its room.

--- a/wasabiturn/batch/planning.py
+++ b/wasabiturn/batch/planning.py
@@ -1,7 +1,6 @@
 """Selection of the tasks to start and of the runs to move."""
 
 from collections.abc import Iterator
-from itertools import islice
 
 import attrs
 
@@ -30,6 +29,7 @@
 from wasabiturn.batch.state import BatchState
 from wasabiturn.messages.batch import StartRun
 
+# The gang that reaches it is completed.
 MAX_STARTS_PER_PLAN = 200
 # A filling part without a worker is not tried again for this long.
 REFUSED_PART_SECONDS = 0.05
@@ -64,7 +64,7 @@
             if _has_ordinary(part)
         ]
         started = _start_parts(parts, candidates, fleet, moment.now)
-        yield from islice(started, MAX_STARTS_PER_PLAN)
+        yield from _limit_starts(batch_state, started)
     yield from _start_lasting_last(batch_state, fleet, candidates, moment)
 
 
@@ -131,7 +131,7 @@
 ) -> Iterator[StartRun]:
     parts = filter(_has_ordinary, order_lasting_parts(batch_state, moment))
     started = _start_parts(list(parts), candidates, fleet, moment.now)
-    yield from islice(started, MAX_STARTS_PER_PLAN)
+    yield from _limit_starts(batch_state, started)
 
 
 def plan_moves(
@@ -168,6 +168,18 @@
             return
 
 
+def _limit_starts(
+    batch_state: BatchState, starts: Iterator[StartRun]
+) -> Iterator[StartRun]:
+    """Yield the first starts, and the others of a gang that these begin."""
+    for count, start in enumerate(starts, 1):
+        yield start
+        part = batch_state.tasks_by_name[start.task].part
+        is_cut = part.step.gang and part.waiting_by_name
+        if count >= MAX_STARTS_PER_PLAN and not is_cut:
+            return
+
+
 def _start_parts(
     parts: list[Part],
     candidates: Candidates,
