New starts are offered to an agent, and ordered once it has sent a receipt

Cause: the push was a notice, so an order that never reached its agent looked like one that the agent had sent to its worker.

Now a push offers new starts; the agent answers the push, which became a call, with a receipt, and the leader then orders them. Replies to reports order at once. Agents that do not say that they send receipts get their orders as before; the fields are optional.

The simulated links of the tests carry calls to agents as well as notices.

Conclusion: orders that never reached their agent hold nothing any more. Those that were ordered and have no answer are still open.

--- a/tests/sessions/batch_fakes.py
+++ b/tests/sessions/batch_fakes.py
@@ -192,20 +192,56 @@
         return self.peer.incarnation == self._agent.incarnation
 
     def notify(self, method: Method, message: Any) -> None:
+        self._send(message, lambda receipt: None)
+
+    def call(
+        self,
+        method: Method,
+        message: Any,
+        reply_class: type,
+        timeout_seconds: float,
+    ) -> Deferred[Any]:
+        pending_reply: Deferred[Any] = Deferred()
+        clock = self._fleet.clock
+        error = CallError(FailureCode.timeout, 'no reply in time')
+        timer = clock.callLater(timeout_seconds, pending_reply.errback, error)
+
+        def complete(packed: bytes) -> None:
+            if timer.active() and not self._agent.is_partitioned:
+                timer.cancel()
+                pending_reply.callback(unpack(reply_class, packed))
+
+        self._send(
+            message,
+            lambda reply: clock.callLater(
+                LATENCY_SECONDS, complete, pack(reply)
+            ),
+        )
+        return pending_reply
+
+    def _send(self, message: Any, on_reply: Callable[[Any], Any]) -> None:
         if not self._agent.is_partitioned:
-            packed = pack(message)
             self._fleet.clock.callLater(
                 self._agent.notice_delay_seconds,
                 self._deliver,
                 type(message),
-                packed,
+                pack(message),
+                on_reply,
             )
 
-    def _deliver(self, message_class: type, packed: bytes) -> None:
+    def _deliver(
+        self,
+        message_class: type,
+        packed: bytes,
+        on_reply: Callable[[Any], Any],
+    ) -> None:
         if not self._agent.is_partitioned:
             self._agent.gate.run(
-                self._agent.reconciler.apply_orders,
-                unpack(message_class, packed),
+                lambda: on_reply(
+                    self._agent.reconciler.apply_orders(
+                        unpack(message_class, packed)
+                    )
+                )
             )
 
 
--- /dev/null
+++ b/tests/sessions/test_offered_starts.py
@@ -0,0 +1,108 @@
+"""Starts that are offered to an agent before they may be carried out."""
+
+import pytest
+
+from tests.sessions.batch_fakes import BatchFleet, FakeAgent, create_step
+from tests.sessions.test_lost_machines import lose_machine
+from wasabiturn.messages.kinds import JobState
+from wasabiturn.standins.batch_worker import SimulatedWork
+
+# A receipt is awaited for up to half a second, a commit takes 10 ms.
+MAX_START_SECONDS = 0.7
+LONG_WORK = SimulatedWork(60)
+
+
+def find_starts(fleet: BatchFleet, agent: FakeAgent) -> list[str]:
+    name = agent.worker.identity.worker
+    return [task for _, task, _, worker in fleet.run_starts if worker == name]
+
+
+@pytest.mark.parametrize('lost_seconds', [0.1, 0.5, 1.2, 2.4])
+def test_task_does_not_wait_for_an_order_that_never_reached_its_agent(
+    lost_seconds: float,
+) -> None:
+    fleet = BatchFleet(workers=3)
+    fleet.run(1.5)
+    lose_machine(fleet.agents[0])
+    fleet.run(lost_seconds)
+    fleet.submit('j', [create_step(6, millicores=500)], LONG_WORK)
+    fleet.run(MAX_START_SECONDS)
+    assert len({task for _, task, _, _ in fleet.run_starts}) == 6
+    assert find_starts(fleet, fleet.agents[0]) == []
+
+
+def test_silent_agent_gets_no_second_offer_before_it_is_heard() -> None:
+    fleet = BatchFleet(workers=2)
+    fleet.run(1.5)
+    fleet.agents[0].pause()
+    fleet.submit('a', [create_step(2, millicores=500)], LONG_WORK)
+    fleet.run(MAX_START_SECONDS)
+    fleet.submit('b', [create_step(2, millicores=500)], LONG_WORK)
+    fleet.run(0.1)
+    assert len(find_starts(fleet, fleet.agents[1])) == 4
+
+
+def test_agent_that_is_heard_again_gets_starts() -> None:
+    fleet = BatchFleet(workers=1)
+    fleet.run(1.5)
+    fleet.agents[0].pause()
+    fleet.submit('j', [create_step(2, millicores=500)], SimulatedWork(0.1))
+    fleet.run(MAX_START_SECONDS)
+    fleet.agents[0].resume()
+    fleet.run_until('j', JobState.done, seconds=2)
+
+
+def test_withdrawn_offer_is_not_permitted_by_a_late_receipt() -> None:
+    fleet = BatchFleet(workers=2)
+    fleet.run(1.5)
+    fleet.agents[0].pause()
+    fleet.submit('j', [create_step(4, millicores=500)], LONG_WORK)
+    fleet.run(MAX_START_SECONDS)
+    fleet.agents[0].resume()
+    fleet.run(2)
+    assert len(fleet.run_starts) == 4
+    assert find_starts(fleet, fleet.agents[0]) == []
+
+
+def test_gang_is_not_left_half_started_beside_an_agent_without_a_receipt() -> (
+    None
+):
+    fleet = BatchFleet(workers=3)
+    fleet.run(1.5)
+    fleet.agents[0].pause()
+    step = create_step(2, millicores=3000, gang=True)
+    fleet.submit('j', [step], SimulatedWork(1))
+    fleet.run_until('j', JobState.done, seconds=4)
+
+
+def test_agent_that_sends_no_receipts_gets_its_starts_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    fleet = BatchFleet(workers=1)
+    forget_receipts(fleet.agents[0], monkeypatch)
+    fleet.run(1.5)
+    fleet.submit('j', [create_step(2, millicores=500)], SimulatedWork(0.1))
+    fleet.run(0.1)
+    assert len(find_starts(fleet, fleet.agents[0])) == 2
+
+
+def forget_receipts(agent: FakeAgent, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have an agent report as one of an earlier version does."""
+    call = agent.call
+
+    def call_without_receipts(method: object, message: object, *rest: object):  # type: ignore[no-untyped-def]
+        if hasattr(message, 'sends_receipts'):
+            message.sends_receipts = False
+        return call(method, message, *rest)  # type: ignore[arg-type]
+
+    monkeypatch.setattr(agent, 'call', call_without_receipts)
+
+
+def test_new_leader_offers_and_starts_what_the_one_before_had_offered() -> None:
+    fleet = BatchFleet(workers=1)
+    fleet.run(1.5)
+    fleet.agents[0].notice_delay_seconds = 0.1
+    fleet.submit('j', [create_step(2, millicores=500)], SimulatedWork(0.1))
+    fleet.run(0.05)
+    fleet.change_leader(0.2)
+    fleet.run_until('j', JobState.done, seconds=4)
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -51,6 +51,12 @@
     confirmed_at: float | None = None
     # Its start has been among the orders to the worker.
     is_ordered: bool = True
+    # When its start was first offered to the agent, and the number of those
+    # orders; see ``wasabiturn/batch/offers.py``.
+    offered_at: float | None = None
+    offer_number: int = 0
+    # Number of reviews that found the receipt overdue.
+    overdue_reviews: int = 0
     # What the crash of its worker tells of its task.
     crash_role: CrashRole = CrashRole.none
     worked_ms: int = 0
@@ -131,6 +137,8 @@
     # Number of the newest orders to it.
     order_number: int = 0
     heard_at: float = NEVER
+    # When an offer to its agent was withdrawn for want of a receipt.
+    offer_missed_at: float = NEVER
     # When a report with a current list of its runs came.
     listed_at: float = NEVER
     # It has listed its runs under its fencing token.
--- a/wasabiturn/batch/placing.py
+++ b/wasabiturn/batch/placing.py
@@ -185,6 +185,8 @@
         return False
     if report.leaving or report.refuses:
         return False
+    if worker.heard_at <= worker.offer_missed_at:
+        return False
     if worker.unexpected_runs_by_task:
         # Its runs that are to be stopped take resources that are not charged.
         return False
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -433,6 +433,7 @@
     truncated: bool = False
     open_orders: OpenOrders | None = None
     sequence: int = 0
+    sends_receipts: bool = False
 
 
 @bind(_idl)
@@ -486,3 +487,16 @@
     born_ms: int = 0
     number: int = 0
     is_service_unknown: bool = False
+    offered: int = 0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class OrderReceipt:
+    """Answer to orders with offered starts: the newest that an agent has."""
+
+    worker: str = ''
+    born_ms: int = 0
+    fence: int = 0
+    number: int = 0
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -263,6 +263,7 @@
   17: bool truncated,       // more ended runs than the lists have
   18: optional OpenOrders open_orders,
   19: i64 sequence,         // of the announcement that the capacity is from
+  20: bool sends_receipts,  // the agent answers orders with OrderReceipt
 }
 
 struct StartOrder {
@@ -297,4 +298,13 @@
   8: i64 born_ms,
   9: i64 number,            // increases under one fence; 0: not numbered
   10: bool is_service_unknown, // no configured queue uses the service
+  11: i32 offered,          // further starts, which follow after a receipt
+}
+
+// Answer of an agent to orders with offered starts: what it knows now.
+struct OrderReceipt {
+  1: string worker,
+  2: i64 born_ms,
+  3: i64 fence,
+  4: i64 number,            // of the newest orders that it has
 }
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -10,7 +10,11 @@
 from twisted.internet.defer import maybeDeferred
 from twisted.python.failure import Failure
 
-from wasabiturn.messages.batch import WorkerOrders, WorkerReport
+from wasabiturn.messages.batch import (
+    OrderReceipt,
+    WorkerOrders,
+    WorkerReport,
+)
 from wasabiturn.messages.kinds import Method
 from wasabiturn.process import exposition
 from wasabiturn.process.agent.runs.announced_place import is_followed
@@ -105,16 +109,18 @@
         self._is_closed = True
         self._verifier.forget_all()
 
-    def apply_orders(self, orders: WorkerOrders) -> None:
+    def apply_orders(self, orders: WorkerOrders) -> OrderReceipt:
         """Carry out the orders, unless they are outdated.
 
-        Orders of earlier leaders or for other incarnations are ignored.
+        Orders of earlier leaders or for other incarnations are ignored. The
+        receipt names the newest orders that the agent has; it is empty for
+        orders that were ignored.
         """
         identity = self._identity
         if identity is None or orders.fence < self._contact.token.fence:
-            return
+            return OrderReceipt()
         if identity.life != (orders.worker, orders.born_ms):
-            return
+            return OrderReceipt()
         if orders.fence > self._contact.token.fence:
             self._follow_fence(orders.fence)
         self._acknowledged_end = max(
@@ -124,6 +130,12 @@
         self._send_starts()
         if has_acknowledged_all(self._listing, self._acknowledged_end):
             self._hold_delay.finish()
+        return OrderReceipt(
+            worker=identity.worker,
+            born_ms=identity.born_ms,
+            fence=self._contact.token.fence,
+            number=self._sender.newest_orders,
+        )
 
     def _follow_life(self, identity: WorkerIdentity) -> None:
         """Follow a life that the worker has confirmed."""
@@ -357,6 +369,7 @@
             truncated=listing is not None and listing.is_truncated,
             results=self._sender.table.list_results(),
             open_orders=self._open_orders.describe(),
+            sends_receipts=True,
         )
 
     def _handle_report_reply(
--- a/wasabiturn/process/agent/runs/sender.py
+++ b/wasabiturn/process/agent/runs/sender.py
@@ -68,12 +68,13 @@
         # Those in the newest orders, and those sent without an answer yet.
         self._ordered_stops: set[RunKey] = set()
         self._pending_stops: set[RunKey] = set()
-        self._newest_orders = 0
+        # Number of the newest orders under the present fence.
+        self.newest_orders = 0
         self._sent_holds = 0
 
     def follow_fence(self, fence: int) -> None:
         """Discard the starts that were ordered before ``fence``."""
-        self._newest_orders = 0
+        self.newest_orders = 0
         self._ordered_stops.clear()
         self.table.drop_superseded(fence)
 
@@ -93,8 +94,8 @@
         self._channel.open(identity)
         if self._channel.is_closed:
             return
-        if orders.number >= self._newest_orders:
-            self._newest_orders = orders.number
+        if orders.number >= self.newest_orders:
+            self.newest_orders = orders.number
             self._ordered_stops = {
                 (each.task, each.run) for each in orders.stops
             }
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -13,24 +13,32 @@
 )
 from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.lost_runs import find_expired_workers, give_up_runs
+from wasabiturn.batch.offers import accept_receipt, find_missed_offers
 from wasabiturn.batch.state_clock import StateClock
 from wasabiturn.connection.link import Link
 from wasabiturn.messages.batch import (
     BatchChange,
     EndRun,
+    OrderReceipt,
     WorkerOrders,
 )
-from wasabiturn.messages.kinds import Method
 from wasabiturn.process import exposition
 from wasabiturn.process.control.batch.bound_tasks import (
     release_bound_tasks,
     report_bound_tasks,
 )
 from wasabiturn.process.control.batch.crash_watch import CrashWatch
+from wasabiturn.process.control.batch.offers import (
+    end_missed_offers,
+    push_orders,
+)
 from wasabiturn.process.control.batch.orders import create_orders
 from wasabiturn.process.control.batch.pipeline import Pipeline
 from wasabiturn.process.control.batch.starts import start_planned_runs
-from wasabiturn.process.control.batch.stops import stop_unwanted_runs
+from wasabiturn.process.control.batch.stops import (
+    stop_unwanted_runs,
+    withdraw_starts,
+)
 from wasabiturn.utils.logs import create_component_log
 from wasabiturn.version.replica import Replica
 
@@ -117,6 +125,7 @@
             return
         for worker in find_expired_workers(self.fleet, now):
             self.give_up_runs(worker, 'lease expired', now)
+        self._withdraw_missed_offers(now)
         self.crash_watch.review(now)
         self._stop_unwanted_runs(now)
         release_bound_tasks(
@@ -174,7 +183,7 @@
         return now + seconds + LEASE_MARGIN_SECONDS
 
     def orders_for(self, worker: Worker, lease_ms: int) -> WorkerOrders:
-        """Return the current orders for ``worker``."""
+        """Return the current orders for ``worker``, whose agent has called."""
         return create_orders(
             worker,
             self._committed_starts,
@@ -259,9 +268,37 @@
         """Send its current orders to an incarnation with a link."""
         worker = self.fleet.workers_by_incarnation.get(incarnation)
         link = self.links_by_incarnation.get(incarnation)
-        if worker is not None and link is not None:
-            orders = self.orders_for(worker, lease_ms=0)
-            link.notify(Method.worker_orders, orders)
+        if worker is None or link is None:
+            return
+        orders = create_orders(
+            worker,
+            self._committed_starts,
+            lease_ms=0,
+            now=self._now(),
+            offers_new_starts=worker.report.sends_receipts,
+        )
+        push_orders(link, orders, self._order_offered)
+
+    def _order_offered(self, receipt: OrderReceipt) -> None:
+        """Order the starts whose offer has reached an agent."""
+        if self.pipeline.is_closed or not self._replica.holds_lease(
+            self._now()
+        ):
+            return
+        incarnation = (receipt.worker, receipt.born_ms)
+        worker = self.fleet.workers_by_incarnation.get(incarnation)
+        if worker is not None and accept_receipt(worker, receipt):
+            self.send_orders(incarnation)
+
+    def _withdraw_missed_offers(self, now: float) -> None:
+        """End the starts without a receipt, and stop their gangs."""
+        missed = find_missed_offers(self.fleet, now)
+        gangs = [each for each in missed if each.task.step.gang]
+        incarnations = withdraw_starts(self.fleet, gangs)
+        if missed:
+            self.store_ends(end_missed_offers(missed, now))
+        for incarnation in incarnations:
+            self.send_orders(incarnation)
 
 
 def _advance_committed_end(worker: Worker, change: BatchChange) -> bool:
--- a/wasabiturn/process/control/batch/orders.py
+++ b/wasabiturn/process/control/batch/orders.py
@@ -2,6 +2,7 @@
 
 from wasabiturn.batch.fleet import Allocation, Worker
 from wasabiturn.batch.jobs import Task
+from wasabiturn.batch.offers import record_offers
 from wasabiturn.batch.sharing import find_pace_updates, target_percent
 from wasabiturn.messages.batch import (
     PaceOrder,
@@ -16,10 +17,12 @@
     committed_starts: set[tuple[str, int]],
     lease_ms: int,
     now: float,
+    offers_new_starts: bool = False,
 ) -> WorkerOrders:
     """Return all orders for the worker at ``now``, with the next number.
 
-    ``committed_starts`` has the task and run of each committed start.
+    ``committed_starts`` has the task and run of each committed start. Those not
+    ordered before are only offered if ``offers_new_starts``.
     """
     worker.order_number += 1
     orders = WorkerOrders(
@@ -32,12 +35,18 @@
     )
     if not worker.is_reconciled:
         return orders
-    orders.starts = [
-        create_start_order(worker, allocation, now)
+    due = [
+        allocation
         for allocation in worker.allocations_by_task.values()
         if _awaits_start(allocation)
         and (allocation.task.name, allocation.run) in committed_starts
     ]
+    if offers_new_starts:
+        offered = [each for each in due if not each.is_ordered]
+        due = [each for each in due if each.is_ordered]
+        record_offers(worker, offered, now)
+        orders.offered = len(offered)
+    orders.starts = [create_start_order(worker, each, now) for each in due]
     orders.stops = list_stops(worker)
     orders.paces = _list_paces(worker, now)
     return orders
--- a/wasabiturn/process/exposition.py
+++ b/wasabiturn/process/exposition.py
@@ -52,6 +52,11 @@
     ('reason',),
     registry=registry,
 )
+missed_offers = Counter(
+    'wasabiturn_missed_offers',
+    'Starts that were withdrawn, as no agent acknowledged their offer.',
+    registry=registry,
+)
 bound_tasks = Counter(
     'wasabiturn_bound_tasks',
     'Tasks that start at one worker name only, as an order is open there.',
