--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -19,9 +19,9 @@
 from wasabiturn.messages.batch import (
     BatchChange,
     EndRun,
+    OrderReceipt,
     WorkerOrders,
 )
-from wasabiturn.messages.kinds import Method
 from wasabiturn.process import exposition
 from wasabiturn.process.control.batch.bound_tasks import (
     release_bound_tasks,
@@ -29,6 +29,11 @@
 )
 from wasabiturn.process.control.batch.crash_watch import CrashWatch
 from wasabiturn.process.control.batch.idle_jobs import IdleJobWatch
+from wasabiturn.process.control.batch.offers import (
+    order_received,
+    push_orders,
+    withdraw_missed_offers,
+)
 from wasabiturn.process.control.batch.orders import create_orders
 from wasabiturn.process.control.batch.pipeline import Pipeline
 from wasabiturn.process.control.batch.starts import start_planned_runs
@@ -120,6 +125,7 @@
             return
         for worker in find_expired_workers(self.fleet, now):
             self.give_up_runs(worker, 'lease expired', now)
+        self._withdraw_missed_offers(now)
         self.crash_watch.review(now)
         self._stop_unwanted_runs(now)
         release_bound_tasks(
@@ -178,7 +184,7 @@
         return now + seconds + LEASE_MARGIN_SECONDS
 
     def orders_for(self, worker: Worker, lease_ms: int) -> WorkerOrders:
-        """Return the current orders for ``worker``."""
+        """Return the current orders for ``worker``, whose agent has called."""
         return create_orders(
             worker,
             self._committed_starts,
@@ -265,9 +271,33 @@
         """Send its current orders to an incarnation with a link."""
         worker = self.fleet.workers_by_incarnation.get(incarnation)
         link = self.links_by_incarnation.get(incarnation)
-        if worker is not None and link is not None:
-            orders = self.orders_for(worker, lease_ms=0)
-            link.notify(Method.worker_orders, orders)
+        if worker is None or link is None:
+            return
+        orders = create_orders(
+            worker,
+            self._committed_starts,
+            lease_ms=0,
+            now=self._now(),
+            offers_new_starts=worker.report.sends_receipts,
+        )
+        push_orders(link, orders, self._order_offered)
+
+    def _order_offered(self, receipt: OrderReceipt) -> None:
+        """Order the starts whose offer has reached an agent."""
+        if self.pipeline.is_closed or not self._replica.holds_lease(
+            self._now()
+        ):
+            return
+        incarnation = order_received(self.fleet, receipt)
+        if incarnation is not None:
+            self.send_orders(incarnation)
+
+    def _withdraw_missed_offers(self, now: float) -> None:
+        withdrawal = withdraw_missed_offers(self.fleet, now)
+        if withdrawal.ends:
+            self.store_ends(withdrawal.ends)
+        for incarnation in withdrawal.incarnations_to_notify:
+            self.send_orders(incarnation)
 
 
 def _advance_committed_end(worker: Worker, change: BatchChange) -> bool:
--- /dev/null
+++ b/wasabiturn/process/control/batch/offers.py
@@ -0,0 +1,95 @@
+"""Delivery of orders to agents, and the end of offers without a receipt.
+
+See ``wasabiturn/batch/offers.py``.
+"""
+
+from collections.abc import Callable
+from typing import final
+
+import attrs
+from twisted.python.failure import Failure
+
+from wasabiturn.batch.fleet import Fleet
+from wasabiturn.batch.lost_runs import not_started_end
+from wasabiturn.batch.offers import accept_receipt, find_missed_offers
+from wasabiturn.connection.link import Link
+from wasabiturn.messages.batch import EndRun, OrderReceipt, WorkerOrders
+from wasabiturn.messages.kinds import Method
+from wasabiturn.process import exposition
+from wasabiturn.process.control.batch.stops import withdraw_starts
+from wasabiturn.utils.logs import create_component_log
+
+# A receipt that comes later is of no use: the offer has been withdrawn.
+RECEIPT_TIMEOUT_SECONDS = 1.0
+
+_log = create_component_log('queues')
+
+
+@final
+@attrs.frozen
+class Withdrawal:
+    """Ends of withdrawn starts, and the workers whose orders have changed."""
+
+    ends: list[EndRun]
+    incarnations_to_notify: set[tuple[str, int]]
+
+
+def push_orders(
+    link: Link,
+    orders: WorkerOrders,
+    on_receipt: Callable[[OrderReceipt], None],
+) -> None:
+    """Send orders; ``on_receipt`` gets the receipt if they offer starts."""
+    if not orders.offered:
+        link.notify(Method.worker_orders, orders)
+        return
+    answered = link.call(
+        Method.worker_orders, orders, OrderReceipt, RECEIPT_TIMEOUT_SECONDS
+    )
+    answered.addCallback(on_receipt)
+    answered.addErrback(_log_failure, orders)
+
+
+def order_received(
+    fleet: Fleet, receipt: OrderReceipt
+) -> tuple[str, int] | None:
+    """Have the starts ordered that a receipt is for.
+
+    Returns the incarnation that is to get orders now, if any are.
+    """
+    incarnation = (receipt.worker, receipt.born_ms)
+    worker = fleet.workers_by_incarnation.get(incarnation)
+    if worker is None or not accept_receipt(worker, receipt):
+        return None
+    return incarnation
+
+
+def withdraw_missed_offers(fleet: Fleet, now: float) -> Withdrawal:
+    """Withdraw the starts that were offered without a receipt.
+
+    The other members of their gangs are withdrawn as well.
+    """
+    missed = find_missed_offers(fleet, now)
+    for allocation in missed:
+        exposition.missed_offers.inc()
+        _log.decision(
+            'withdraws offer without a receipt',
+            task=allocation.task.name,
+            run=allocation.run,
+            worker=allocation.task.worker,
+        )
+    gangs = [each for each in missed if each.task.step.gang]
+    return Withdrawal(
+        ends=[not_started_end(each, now) for each in missed],
+        incarnations_to_notify=withdraw_starts(fleet, gangs),
+    )
+
+
+def _log_failure(failure: Failure, orders: WorkerOrders) -> None:
+    _log.event(
+        'no receipt for offered starts',
+        worker=orders.worker,
+        number=orders.number,
+        offered=orders.offered,
+        error=repr(failure.value),
+    )
