--- a/wasabiturn/batch/crash_rates.py
+++ b/wasabiturn/batch/crash_rates.py
@@ -10,8 +10,9 @@
 from wasabiturn.batch.crashes import QUICK_SECONDS, Crash
 from wasabiturn.batch.suspicions import SAME_TIME_MS
 
-# Span in which crashes are counted for their rate.
-RATE_SECONDS = 10.0
+# Spans in which crashes are counted; the highest rate holds, as crashes come in
+# bursts.
+RATE_SPANS_SECONDS = (2.0, 10.0)
 # Crashes of several workers within this time may have one cause.
 BLOW_SECONDS = 0.1
 # A crash counts as alike, or counts at all, if it comes at most half of this
@@ -67,10 +68,17 @@
 
     Crashes that a task is suspected of don't tell of other causes.
     """
-    recent = [each for each in crashes if each.at > now - RATE_SECONDS]
+    recent = [
+        each for each in crashes if each.at > now - max(RATE_SPANS_SECONDS)
+    ]
     known = {each.culprit for each in recent if _is_repeated(each)} | {task}
-    unexplained = sum(not _has_suspect(each, known) for each in recent)
-    return unexplained / RATE_SECONDS / max(workers, 1)
+    unexplained = [each for each in recent if not _has_suspect(each, known)]
+    return max(
+        sum(each.at > now - seconds for each in unexplained)
+        / seconds
+        / max(workers, 1)
+        for seconds in RATE_SPANS_SECONDS
+    )
 
 
 def _is_repeated(crash: Crash) -> bool:
