--- a/tests/batch/test_avoidance.py
+++ b/tests/batch/test_avoidance.py
@@ -87,3 +87,13 @@
     )
     batch_state.mark_suspect(batch_state.tasks_by_name['k.0.0.0'])
     assert not plan_idle(batch_state, create_fleet(create_avoided('a')))
+
+
+def test_held_task_does_not_keep_others_of_its_job_from_an_avoided_worker() -> (
+    None
+):
+    batch_state = create_batch_state(accept('j', step(2)))
+    fleet = create_fleet(create_avoided('a'))
+    batch_state.tasks_by_name['j.0.0.0'].worker = 'elsewhere'
+    fleet.bound_until_by_task['j.0.0.0'] = AVOIDED_UNTIL
+    assert list(plan_idle(batch_state, fleet)) == ['j.0.0.1']
--- a/wasabiturn/batch/avoidance.py
+++ b/wasabiturn/batch/avoidance.py
@@ -21,6 +21,7 @@
     Candidates,
     choose_worker,
     create_start,
+    may_start,
 )
 from wasabiturn.batch.progress import MAX_IDLE_SECONDS, idle_seconds
 from wasabiturn.batch.state import BatchState
@@ -53,7 +54,7 @@
     free = attrs.evolve(avoided, workers=list(avoided.workers))
     free.accepts_any_worker = True
     for job in _list_idle(batch_state, fleet, moment):
-        for task in _list_tasks_to_try(job, moment):
+        for task in _list_tasks_to_try(job, free, moment):
             worker = choose_worker(task, free)
             if worker is not None:
                 free.workers.remove(worker)
@@ -78,14 +79,18 @@
     return sorted(jobs, key=lambda job: since_by_job[job.job_id])
 
 
-def _list_tasks_to_try(job: Job, moment: Moment) -> list[Task]:
-    """Return a task of each step that may fail once more."""
+def _list_tasks_to_try(
+    job: Job, avoided: Candidates, moment: Moment
+) -> list[Task]:
+    """Return a task of each step that may start, and fail once more."""
     tasks: list[Task] = []
     for part in list_due_parts(job, moment):
         to_try = [
             task
             for task in part.waiting_by_name.values()
-            if not task.is_suspect and _has_attempts_to_spare(task)
+            if not task.is_suspect
+            and _has_attempts_to_spare(task)
+            and may_start(task, avoided)
         ]
         if to_try and not part.step.gang:
             tasks.append(min(to_try, key=lambda task: task.failures))
