Answered starts are told to the leader within 50 ms

Cause: only suspects and lasting tasks were reported once answered; others with the next list of the worker, up to 1 s later. Until then the leader took their order for open.

Now answers are reported together, 50 ms after the first. Ruled out: a report for each answer, as starts come in groups.

--- a/wasabiturn/process/agent/runs/start_sender.py
+++ b/wasabiturn/process/agent/runs/start_sender.py
@@ -32,6 +32,8 @@
 from wasabiturn.utils.logs import create_component_log
 
 RETRY_SECONDS = 0.2
+# Answers that come within this time go into one report.
+ANSWERS_SECONDS = 0.05
 # Reasons for a refusal, as the worker sends them: the worker has already had
 # this run, or the lease in the order had expired.
 REASON_RUN_OUTDATED = 'old'
@@ -69,6 +71,7 @@
         self._on_outcome = on_outcome
         self._on_closed_port = on_closed_port
         self._on_revoked = on_revoked
+        self._is_outcome_due = False
 
     def send_starts(self) -> None:
         """Send the queued starts, if the leader has answered recently."""
@@ -184,6 +187,19 @@
             self._channel.send_pace(identity, pace)
         if order.reports_at_once:
             self._on_outcome()
+        else:
+            self._report_soon()
+
+    def _report_soon(self) -> None:
+        """Report answers together; a lost machine leaves others in doubt."""
+
+        def report() -> None:
+            self._is_outcome_due = False
+            self._on_outcome()
+
+        if not self._is_outcome_due:
+            self._is_outcome_due = True
+            self._channel.clock.callLater(ANSWERS_SECONDS, report)
 
     def _handle_failure(
         self, failure: Failure, start: Start, sent_order: SentOrder
