A repeat of a run that has begun is not taken for what began it

Callers saw a done task begun once more: an order that was out counted as carried out.

Cause: a list settles the only order of its run. If the list was asked for under an older token, the start's outcome stays pending, so the order is repeated; the next list then took the repeat for the only order and settled it as well, though it had begun nothing. The agent now remembers for as long as it names orders (30 s) that the beginning of a run is explained.

Ruled out: the withholding itself, which saw no open order. The new unit test failed before (0 open orders, not 1).

--- a/tests/process/agent/test_open_orders.py
+++ b/tests/process/agent/test_open_orders.py
@@ -133,3 +133,14 @@
     assert len(registry.describe().orders) == 1
     registry.settle_listed(LISTING)
     assert len(registry.describe().orders) == 1
+
+
+def test_repeat_of_a_listed_run_is_not_what_began_it() -> None:
+    clock = Clock()
+    registry = OrderRegistry(clock)
+    registry.record(ORDER, IDENTITY)
+    registry.settle_listed(LISTING)
+    clock.advance(0.5)
+    registry.stop_awaiting(registry.record(ORDER, IDENTITY))
+    registry.settle_listed(LISTING)
+    assert len(registry.describe().orders) == 1
--- a/wasabiturn/process/agent/runs/open_orders.py
+++ b/wasabiturn/process/agent/runs/open_orders.py
@@ -53,6 +53,8 @@
         self._clock = clock
         self._begun_at = clock.seconds()
         self._sent_orders: list[SentOrder] = []
+        # When it became known what has begun each run.
+        self._explained_at_by_run: dict[tuple[str, int], float] = {}
 
     def record(self, order: StartOrder, identity: WorkerIdentity) -> SentOrder:
         """Record an order that is sent now."""
@@ -62,6 +64,7 @@
             worker=identity.worker,
             born_ms=identity.born_ms,
             sent_at=self._clock.seconds(),
+            is_spare=(order.task, order.run) in self._explained_at_by_run,
         )
         self._sent_orders.append(sent_order)
         return sent_order
@@ -124,6 +127,7 @@
                 yield sent_order
 
     def _mark_spare(self, task: str, run: int) -> None:
+        self._explained_at_by_run[task, run] = self._clock.seconds()
         for sent_order in self._find(task, run):
             sent_order.is_spare = True
 
@@ -154,6 +158,11 @@
             for sent_order in self._sent_orders
             if now < sent_order.sent_at + _RECORD_SECONDS
         ]
+        self._explained_at_by_run = {
+            key: explained_at
+            for key, explained_at in self._explained_at_by_run.items()
+            if now < explained_at + _RECORD_SECONDS
+        }
         newest_by_key = {
             (
                 sent_order.task,
