Ended jobs are forgotten in the order of their ends, after 120 s at least

Callers: beyond 4,000 ended jobs, a job read right after its end was answered 410 if it had been submitted before the others; PROTOCOL.md promises its state for `status_s` (120 s). Cause: the surplus was taken in the order of jobs_by_id, which is that of submission, and without regard to time. Change: ended_jobs_by_id keeps the order of ends, ended_ms their time on the clock of the state (a new field of JobRecord with default 0; jobs ended under an earlier version count as ended long ago, as before). The surplus over 4,000 is forgotten once 120 s old (batch/ended_jobs.py). With 10,000 that are kept, new jobs are refused as busy with the time until the first may go; a log line and wasabiturn_refused_jobs_total{reason} tell it. Evidence on, MAX_ENDED_JOBS set to 1: of three jobs that ended within 5 s one is unknown; a job that ends 5 s after a later submitted one is unknown 1 s after its end. After: test_ended_jobs.py and test_open_tasks.py pass. Not measured: a take-over with 10,000 ended jobs (CAPACITY.md: 4,000 in 32 ms).

--- a/wasabiturn/batch/apply.py
+++ b/wasabiturn/batch/apply.py
@@ -83,7 +83,7 @@
 def _delete_job(batch_state: BatchState, job_id: str) -> None:
     job = batch_state.jobs_by_id.get(job_id)
     if job is not None and job.is_final and not job.tasks_by_name:
-        batch_state.jobs_by_id.pop(job_id)
+        batch_state.forget_job(job)
 
 
 def _start_run(batch_state: BatchState, start: StartRun) -> None:
--- a/wasabiturn/batch/dump.py
+++ b/wasabiturn/batch/dump.py
@@ -33,6 +33,7 @@
     )
     for record in dump.jobs:
         _load_job(batch_state, record)
+    batch_state.sort_ended_jobs()
     return batch_state
 
 
@@ -49,12 +50,14 @@
     for job in source.jobs_by_id.values():
         _load_job(target, _dump_job(job))
         yield
+    target.sort_ended_jobs()
 
 
 def _dump_job(job: Job) -> JobRecord:
     return JobRecord(
         accepted=job.accepted,
         state=job.state,
+        ended_ms=job.ended_ms,
         tasks=[
             _dump_task(task)
             for task in job.tasks_by_name.values()
@@ -90,7 +93,11 @@
 
 def _load_job(batch_state: BatchState, record: JobRecord) -> None:
     if record.state in FINAL_STATES and not record.tasks:
-        ended = Job(accepted=record.accepted, state=record.state)
+        ended = Job(
+            accepted=record.accepted,
+            state=record.state,
+            ended_ms=record.ended_ms,
+        )
         batch_state.add_ended_job(ended)
         return
     job = create_job(record.accepted)
@@ -104,6 +111,7 @@
     job.state = record.state
     if job.is_final:
         batch_state.close_job(job, record.state)
+        job.ended_ms = record.ended_ms
 
 
 def _load_task(batch_state: BatchState, task: Task, record: TaskRecord) -> None:
--- a/wasabiturn/batch/jobs.py
+++ b/wasabiturn/batch/jobs.py
@@ -156,6 +156,8 @@
     # A run of one of its tasks has certainly begun. Replicas that do not lead
     # learn it from the ends of runs only.
     has_begun: bool = False
+    # When it ended on the clock of the state; 0 if that is not known.
+    ended_ms: int = 0
 
     @property
     def job_id(self) -> str:
--- a/wasabiturn/batch/state.py
+++ b/wasabiturn/batch/state.py
@@ -24,6 +24,8 @@
     out_data_centres: set[str] = attrs.field(factory=set)
     jobs_by_id: dict[str, Job] = attrs.field(factory=dict)
     open_jobs_by_id: dict[str, Job] = attrs.field(factory=dict)
+    # Those that have ended, in the order of their ends.
+    ended_jobs_by_id: dict[str, Job] = attrs.field(factory=dict)
     tasks_by_name: dict[str, Task] = attrs.field(factory=dict)
     active_by_name: dict[str, Task] = attrs.field(factory=dict)
     suspects_by_name: dict[str, Task] = attrs.field(factory=dict)
@@ -50,6 +52,19 @@
         """Add a job of which only the state is kept."""
         job.shrink()
         self.jobs_by_id[job.job_id] = job
+        self.ended_jobs_by_id[job.job_id] = job
+
+    def sort_ended_jobs(self) -> None:
+        """Order the ended jobs by their ends, after they were loaded."""
+        ended = self.ended_jobs_by_id.items()
+        self.ended_jobs_by_id = dict(
+            sorted(ended, key=lambda item: item[1].ended_ms)
+        )
+
+    def forget_job(self, job: Job) -> None:
+        """Remove an ended job."""
+        self.jobs_by_id.pop(job.job_id)
+        self.ended_jobs_by_id.pop(job.job_id)
 
     def begin_run(self, task: Task) -> None:
         """Mark ``task`` active and call ``on_start``."""
@@ -71,7 +86,9 @@
     def close_job(self, job: Job, state: JobState) -> None:
         """Put a job in a final state and drop its tasks that don't run."""
         job.state = state
+        job.ended_ms = self.clock_ms
         self.open_jobs_by_id.pop(job.job_id, None)
+        self.ended_jobs_by_id[job.job_id] = job
         for task in list(job.tasks_by_name.values()):
             if task.state is not BatchTaskState.active:
                 self.drop_task(task)
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -266,6 +266,7 @@
     accepted: AcceptJob = attrs.field(factory=AcceptJob)
     state: JobState = attrs.field(default=JobState.queued, converter=JobState)
     tasks: list[TaskRecord] = attrs.field(factory=list)
+    ended_ms: int = 0
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -159,6 +159,7 @@
   1: AcceptJob accepted,
   2: i32 state,             // JobState
   3: list<TaskRecord> tasks, // tasks that have changed since their creation
+  4: i64 ended_ms,          // on the clock of the state; 0 if not known
 }
 
 struct BatchDump {
--- a/wasabiturn/process/control/batch/job_calls.py
+++ b/wasabiturn/process/control/batch/job_calls.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from wasabiturn.batch import BatchState
+from wasabiturn.batch.ended_jobs import find_refusal_ms
 from wasabiturn.batch.jobs import Job, count_tasks
 from wasabiturn.batch.queue_table import QueueTable
 from wasabiturn.messages.batch import (
@@ -18,6 +19,7 @@
     Queue,
 )
 from wasabiturn.messages.kinds import JobAction, JobOutcome
+from wasabiturn.process import exposition
 from wasabiturn.process.control.batch.pipeline import Pipeline
 from wasabiturn.utils.logs import create_component_log
 
@@ -97,7 +99,13 @@
             accepted_ms=wall_ms,
         )
         if not self._has_room(accepted.declaration):
+            exposition.refused_jobs.labels('open tasks').inc()
             return succeed(JobAnswer(outcome=JobOutcome.busy))
+        refusal_ms = self._find_refusal_ms(job_id)
+        if refusal_ms:
+            return succeed(
+                JobAnswer(outcome=JobOutcome.busy, retry_after_ms=refusal_ms)
+            )
         _log_accept(call, accepted.declaration)
         recorded = self.pipeline.record(BatchChange(accepts=[accepted]))
         return recorded.addCallback(lambda _: accepted_answer)
@@ -117,6 +125,20 @@
         )
         return False
 
+    def _find_refusal_ms(self, job_id: str) -> int:
+        """Return for how long ended jobs leave no room for a new one, or 0."""
+        batch_state = self.pipeline.batch_state
+        refusal_ms = find_refusal_ms(batch_state, self.pipeline.read_clock())
+        if refusal_ms:
+            exposition.refused_jobs.labels('ended jobs').inc()
+            _log.warning(
+                'refuses job: too many jobs have ended lately',
+                job=job_id,
+                ended_jobs=len(batch_state.ended_jobs_by_id),
+                retry_after_ms=refusal_ms,
+            )
+        return refusal_ms
+
     def _cancel(
         self,
         call: JobCall,
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -5,6 +5,7 @@
 
 from wasabiturn.batch import BatchState
 from wasabiturn.batch.bindings import bind_ended_task, restore_bindings
+from wasabiturn.batch.ended_jobs import find_forgettable
 from wasabiturn.batch.fleet import Fleet, Worker
 from wasabiturn.batch.forecast import Forecasts
 from wasabiturn.batch.interference import (
@@ -34,8 +35,6 @@
 from wasabiturn.utils.logs import create_component_log
 from wasabiturn.version.replica import Replica
 
-# Beyond this number of ended jobs, the oldest are forgotten.
-MAX_ENDED_JOBS = 4000
 # Added to a lease before its runs are given up: a worker's clock may run 2 %
 # slow, and an answer takes some time to arrive.
 LEASE_DRIFT_FACTOR = 1.03
@@ -224,16 +223,10 @@
             self.send_orders(incarnation)
 
     def _forget_ended_jobs(self) -> None:
-        batch_state = self.pipeline.batch_state
-        surplus = len(batch_state.jobs_by_id) - len(batch_state.open_jobs_by_id)
-        surplus -= MAX_ENDED_JOBS
-        if surplus > 0:
-            ended = [
-                job_id
-                for job_id, job in batch_state.jobs_by_id.items()
-                if job.is_final
-            ]
-            self.pipeline.add(BatchChange(forgets=ended[:surplus]))
+        now_ms = self.pipeline.read_clock()
+        forgets = list(find_forgettable(self.pipeline.batch_state, now_ms))
+        if forgets:
+            self.pipeline.add(BatchChange(forgets=forgets))
 
     def _plan(self) -> None:
         now = self._now()
--- a/wasabiturn/process/control/batch/pipeline.py
+++ b/wasabiturn/process/control/batch/pipeline.py
@@ -83,8 +83,11 @@
 
         Commits the time, behind them. Fails as ``record`` does.
         """
-        now_ms = self._state_clock.read(self._clock.seconds())
-        return self.record(BatchChange(clock_ms=max(now_ms, 1)))
+        return self.record(BatchChange(clock_ms=max(self.read_clock(), 1)))
+
+    def read_clock(self) -> int:
+        """Return the present time on the clock of the state, in ms."""
+        return self._state_clock.read(self._clock.seconds())
 
     def add(self, change: BatchChange) -> BatchChange:
         """Apply and commit ``change`` without reporting the outcome.
@@ -100,7 +103,7 @@
     def add_to_next(self, change: BatchChange) -> None:
         """Apply ``change`` and commit it with the next one that is flushed."""
         if change != BatchChange():
-            change.clock_ms = self._state_clock.read(self._clock.seconds())
+            change.clock_ms = self.read_clock()
         apply_batch_change(self.batch_state, change)
         _merge_change(self._batch.change, change)
 
--- a/wasabiturn/process/exposition.py
+++ b/wasabiturn/process/exposition.py
@@ -68,6 +68,12 @@
     'Tasks given up, and their jobs failed, for crashes of workers.',
     registry=registry,
 )
+refused_jobs = Counter(
+    'wasabiturn_refused_jobs',
+    'Jobs that were refused as the state has no room for them.',
+    ('reason',),
+    registry=registry,
+)
 turns_left = Counter(
     'wasabiturn_turns_left',
     'Times that this member led, stood still and left the turn to others.',
