--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -16,13 +16,7 @@
 from wasabiturn.batch.lost_runs import find_expired_workers, give_up_runs
 from wasabiturn.batch.progress import record_end
 from wasabiturn.batch.state_clock import StateClock
-from wasabiturn.connection.link import Link
-from wasabiturn.messages.batch import (
-    BatchChange,
-    EndRun,
-    OrderReceipt,
-    WorkerOrders,
-)
+from wasabiturn.messages.batch import BatchChange, EndRun
 from wasabiturn.process import exposition
 from wasabiturn.process.control.batch.bound_tasks import (
     release_bound_tasks,
@@ -30,12 +24,8 @@
 )
 from wasabiturn.process.control.batch.crash_watch import CrashWatch
 from wasabiturn.process.control.batch.idle_jobs import IdleJobWatch
-from wasabiturn.process.control.batch.offers import (
-    order_received,
-    push_orders,
-    withdraw_missed_offers,
-)
-from wasabiturn.process.control.batch.orders import create_orders
+from wasabiturn.process.control.batch.offers import withdraw_missed_offers
+from wasabiturn.process.control.batch.order_delivery import OrderDelivery
 from wasabiturn.process.control.batch.pipeline import Pipeline
 from wasabiturn.process.control.batch.starts import start_planned_runs
 from wasabiturn.process.control.batch.stops import stop_unwanted_runs
@@ -74,15 +64,14 @@
         """
         now = float(clock.seconds())
         self.lease_ms = lease_ms
-        self.links_by_incarnation: dict[tuple[str, int], Link] = {}
         self._replica = replica
         self._clock = clock
-        self._committed_starts: set[tuple[str, int]] = set()
         self.fleet = Fleet(fence=fence)
+        self.delivery = OrderDelivery(self.fleet, clock, self._may_order)
         self.fleet.earlier_leases_end_at = self.lease_expiry(now)
         for task in batch_state.active_by_name.values():
             self._reserve_capacity(task)
-            self._committed_starts.add((task.name, task.run))
+            self.delivery.committed_starts.add((task.name, task.run))
         self.fleet.mark_inherited(state_clock, now)
         restore_bindings(self.fleet, batch_state, state_clock, now)
         self.fleet.invalidate_paces(now)
@@ -146,7 +135,7 @@
         was_gone = worker.is_gone
         ends = give_up_runs(self.fleet, worker, now)
         if not was_gone:
-            self.send_orders((worker.name, worker.born_ms))
+            self.delivery.send((worker.name, worker.born_ms))
         self.store_lost_runs(worker, ends, reason, now)
 
     def store_lost_runs(
@@ -182,18 +171,14 @@
         seconds = self.lease_ms / _MS * LEASE_DRIFT_FACTOR
         return now + seconds + LEASE_MARGIN_SECONDS
 
-    def orders_for(self, worker: Worker, lease_ms: int) -> WorkerOrders:
-        """Return the current orders for ``worker``, whose agent has called."""
-        return create_orders(
-            worker,
-            self._committed_starts,
-            lease_ms,
-            self._now(),
-        )
-
     def _now(self) -> float:
         return float(self._clock.seconds())
 
+    def _may_order(self) -> bool:
+        if self.pipeline.is_closed:
+            return False
+        return self._replica.holds_lease(self._now())
+
     def _reserve_capacity(self, task: Task) -> None:
         now = self._now()
         worker = self.fleet.open(
@@ -209,7 +194,7 @@
 
     def _release_capacity(self, task: Task) -> None:
         worker = self.fleet.worker_of(task)
-        self._committed_starts.discard((task.name, task.run))
+        self.delivery.committed_starts.discard((task.name, task.run))
         if worker is not None:
             allocation = worker.release(task)
             if allocation is not None:
@@ -231,8 +216,7 @@
         incarnations = stop_unwanted_runs(
             self.pipeline.batch_state, self.fleet, self._forecasts, now
         )
-        for incarnation in incarnations:
-            self.send_orders(incarnation)
+        self.delivery.send_all(incarnations)
 
     def _forget_ended_jobs(self) -> None:
         now_ms = self.pipeline.read_clock()
@@ -250,47 +234,20 @@
         """Send orders to the agents that a committed change concerns."""
         incarnations_to_notify: set[tuple[str, int]] = set()
         for start in change.starts:
-            self._committed_starts.add((start.task, start.run))
+            self.delivery.committed_starts.add((start.task, start.run))
             incarnations_to_notify.add((start.worker, start.born_ms))
         if change.cancels or change.give_ups:
-            incarnations_to_notify.update(self.links_by_incarnation)
+            incarnations_to_notify.update(self.delivery.links_by_incarnation)
         for incarnation, worker in self.fleet.workers_by_incarnation.items():
             if _advance_committed_end(worker, change):
                 incarnations_to_notify.add(incarnation)
-        for incarnation in incarnations_to_notify:
-            self.send_orders(incarnation)
-
-    def send_orders(self, incarnation: tuple[str, int]) -> None:
-        """Send its current orders to an incarnation with a link."""
-        worker = self.fleet.workers_by_incarnation.get(incarnation)
-        link = self.links_by_incarnation.get(incarnation)
-        if worker is None or link is None:
-            return
-        orders = create_orders(
-            worker,
-            self._committed_starts,
-            lease_ms=0,
-            now=self._now(),
-            offers_new_starts=worker.report.sends_receipts,
-        )
-        push_orders(link, orders, self._order_offered)
-
-    def _order_offered(self, receipt: OrderReceipt) -> None:
-        """Order the starts whose offer has reached an agent."""
-        if self.pipeline.is_closed or not self._replica.holds_lease(
-            self._now()
-        ):
-            return
-        incarnation = order_received(self.fleet, receipt)
-        if incarnation is not None:
-            self.send_orders(incarnation)
+        self.delivery.send_all(incarnations_to_notify)
 
     def _withdraw_missed_offers(self, now: float) -> None:
         withdrawal = withdraw_missed_offers(self.fleet, now)
         if withdrawal.ends:
             self.store_ends(withdrawal.ends)
-        for incarnation in withdrawal.incarnations_to_notify:
-            self.send_orders(incarnation)
+        self.delivery.send_all(withdrawal.incarnations_to_notify)
 
 
 def _advance_committed_end(worker: Worker, change: BatchChange) -> bool:
--- /dev/null
+++ b/wasabiturn/process/control/batch/order_delivery.py
@@ -0,0 +1,69 @@
+"""Delivery of the leader's orders to the agents, over their links."""
+
+from collections.abc import Callable, Iterable
+from typing import Any, final
+
+from wasabiturn.batch.fleet import Fleet, Worker
+from wasabiturn.connection.link import Link
+from wasabiturn.messages.batch import OrderReceipt, WorkerOrders
+from wasabiturn.process.control.batch.offers import (
+    order_received,
+    push_orders,
+)
+from wasabiturn.process.control.batch.orders import create_orders
+
+
+@final
+class OrderDelivery:
+    """Sends each agent what it is to do, of the starts that are committed."""
+
+    def __init__(
+        self, fleet: Fleet, clock: Any, may_order: Callable[[], bool]
+    ) -> None:
+        """Create the delivery of one term.
+
+        ``may_order`` tells whether this instance still leads.
+        """
+        self.links_by_incarnation: dict[tuple[str, int], Link] = {}
+        # Task and run of each committed start.
+        self.committed_starts: set[tuple[str, int]] = set()
+        self._fleet = fleet
+        self._clock = clock
+        self._may_order = may_order
+
+    def orders_for(self, worker: Worker, lease_ms: int) -> WorkerOrders:
+        """Return the current orders for ``worker``, whose agent has called."""
+        return create_orders(
+            worker, self.committed_starts, lease_ms, self._now()
+        )
+
+    def send_all(self, incarnations: Iterable[tuple[str, int]]) -> None:
+        """Send their current orders to several incarnations."""
+        for incarnation in sorted(incarnations):
+            self.send(incarnation)
+
+    def send(self, incarnation: tuple[str, int]) -> None:
+        """Send its current orders to an incarnation with a link."""
+        worker = self._fleet.workers_by_incarnation.get(incarnation)
+        link = self.links_by_incarnation.get(incarnation)
+        if worker is None or link is None:
+            return
+        orders = create_orders(
+            worker,
+            self.committed_starts,
+            lease_ms=0,
+            now=self._now(),
+            offers_new_starts=worker.report.sends_receipts,
+        )
+        push_orders(link, orders, self._order_offered)
+
+    def _now(self) -> float:
+        return float(self._clock.seconds())
+
+    def _order_offered(self, receipt: OrderReceipt) -> None:
+        """Order the starts whose offer has reached an agent."""
+        if not self._may_order():
+            return
+        incarnation = order_received(self._fleet, receipt)
+        if incarnation is not None:
+            self.send(incarnation)
--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -64,7 +64,7 @@
         leader_term.give_up_runs(worker, 'nothing listens', now)
     _withdraw_starts_without_room(leader_term, worker)
     _adjust_pace(leader_term, worker, now)
-    return leader_term.orders_for(
+    return leader_term.delivery.orders_for(
         worker, _grant_lease(leader_term, worker, report, now)
     )
 
@@ -106,8 +106,7 @@
     withdrawn = withdraw_starts(
         leader_term.fleet, find_starts_without_room(worker)
     )
-    for incarnation in withdrawn - {(worker.name, worker.born_ms)}:
-        leader_term.send_orders(incarnation)
+    leader_term.delivery.send_all(withdrawn - {(worker.name, worker.born_ms)})
 
 
 def _adjust_pace(leader_term: LeaderTerm, worker: Worker, now: float) -> None:
@@ -138,7 +137,9 @@
     if worker is None or not leader_term.fleet.is_reporting(worker, agent):
         worker = _take_over_from_others(leader_term, link, report, now)
     _follow_agent(leader_term.fleet, worker, link.peer.incarnation)
-    leader_term.links_by_incarnation[worker.name, worker.born_ms] = link
+    leader_term.delivery.links_by_incarnation[worker.name, worker.born_ms] = (
+        link
+    )
     return worker
 
 
@@ -198,7 +199,7 @@
     if other.agent_incarnation == link.peer.incarnation:
         return False
     incarnation = (other.name, other.born_ms)
-    other_link = leader_term.links_by_incarnation.get(incarnation)
+    other_link = leader_term.delivery.links_by_incarnation.get(incarnation)
     return other_link is not None and other_link.is_open
 
 
@@ -236,7 +237,9 @@
         runs=sorted(worker.allocations_by_task),
     )
     worker.is_superseded = True
-    leader_term.links_by_incarnation.pop((worker.name, worker.born_ms), None)
+    leader_term.delivery.links_by_incarnation.pop(
+        (worker.name, worker.born_ms), None
+    )
     if worker.name == successor.name:
         leader_term.give_up_runs(worker, 'new incarnation', now)
     else:
