The count of pending jobs has no job that is not committed

Callers: GET PREFIX counted jobs whose hand-in had no quorum yet and might be lost, and left out those whose cancelling had none. Found with the test of the seconds without a quorum. Cause: the count was taken over the leader's working copy, as only that knows which ordered runs have begun. Change: committed jobs are counted; the working copy only tells which have begun. Before: test_count_has_no_job_that_is_not_committed fails on the commit before; after: passes.

--- a/tests/sessions/test_without_quorum.py
+++ b/tests/sessions/test_without_quorum.py
@@ -91,3 +91,11 @@
     fleet.replica.leads = False
     fleet.run(NEVER_SECONDS + 1)
     assert isinstance(answers[0], Failure)
+
+
+def test_count_has_no_job_that_is_not_committed() -> None:
+    fleet = FleetWithoutQuorum()
+    (before,) = fleet.send_job(JobAction.count, '')
+    fleet.send_change('submit')
+    (after,) = fleet.send_job(JobAction.count, '')
+    assert after.pending == before.pending
--- a/wasabiturn/process/control/batch/job_calls.py
+++ b/wasabiturn/process/control/batch/job_calls.py
@@ -162,8 +162,11 @@
 
     def _count(self, queue: Queue) -> JobAnswer:
         # Only the leader's copy knows which ordered runs have begun.
-        batch_state = self.pipeline.batch_state
-        pending = batch_state.count_pending(queue_key(queue))
+        ahead = self.pipeline.batch_state.jobs_by_id
+        pending = sum(
+            not ahead.get(job.job_id, job).has_begun
+            for job in self.committed_state().list_pending(queue_key(queue))
+        )
         return JobAnswer(outcome=JobOutcome.ok, pending=pending)
 
     def _find_job(
