--- a/tests/batch/test_offers.py
+++ b/tests/batch/test_offers.py
@@ -18,6 +18,8 @@
     accept_receipt,
     find_missed_offers,
     record_offers,
+    record_receipt,
+    takes_offers,
 )
 from wasabiturn.batch.placing import accepts_work
 from wasabiturn.messages.batch import OrderReceipt
@@ -107,6 +109,22 @@
         assert not find_missed_offers(create_fleet(worker), OVERDUE_AT)
 
 
+def test_agent_that_missed_an_offer_gets_orders_at_once_once_it_is_heard() -> (
+    None
+):
+    worker, _ = create_offered()
+    worker.report.sends_receipts = True
+    for _ in range(OVERDUE_REVIEWS):
+        find_missed_offers(create_fleet(worker), OVERDUE_AT)
+    assert takes_offers(worker)
+    worker.heard_at = 1
+    assert not takes_offers(worker)
+    record_receipt(worker, pushed_at=1, now=1 + OVERDUE_AT)
+    assert not takes_offers(worker)
+    record_receipt(worker, pushed_at=2, now=2 + RECEIPT_SECONDS / 2)
+    assert takes_offers(worker)
+
+
 def test_start_without_an_offer_is_not_missed() -> None:
     worker, allocation = create_offered()
     allocation.offered_at = None
--- a/tests/sessions/test_offered_starts.py
+++ b/tests/sessions/test_offered_starts.py
@@ -86,6 +86,35 @@
     assert len(find_starts(fleet, fleet.agents[0])) == 2
 
 
+@pytest.mark.parametrize('delay_seconds', [0.35, 0.5, 0.9, 1.5])
+def test_jobs_are_done_though_every_receipt_comes_too_late(
+    delay_seconds: float,
+) -> None:
+    fleet = BatchFleet(workers=2)
+    fleet.run(1.5)
+    for agent in fleet.agents:
+        agent.notice_delay_seconds = delay_seconds
+    for job_id in ('a', 'b', 'c'):
+        steps = [create_step(2, millicores=500)]
+        fleet.submit(job_id, steps, SimulatedWork(0.1))
+        fleet.run_until(job_id, JobState.done, seconds=4)
+
+
+def test_dark_agent_that_was_slow_before_is_offered_starts_again() -> None:
+    fleet = BatchFleet(workers=2)
+    fleet.run(1.5)
+    slow = fleet.agents[0]
+    slow.notice_delay_seconds = 0.5
+    fleet.submit('a', [create_step(4, millicores=500)], SimulatedWork(0.1))
+    fleet.run_until('a', JobState.done, seconds=4)
+    slow.notice_delay_seconds = 0.001
+    fleet.submit('b', [create_step(4, millicores=500)], SimulatedWork(0.1))
+    fleet.run_until('b', JobState.done, seconds=4)
+    lose_machine(slow)
+    fleet.submit('c', [create_step(4, millicores=500)], SimulatedWork(0.1))
+    fleet.run_until('c', JobState.done, seconds=2)
+
+
 def forget_receipts(agent: FakeAgent, monkeypatch: pytest.MonkeyPatch) -> None:
     """Have an agent report as one of an earlier version does."""
     call = agent.call
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -141,6 +141,8 @@
     heard_at: float = NEVER
     # When an offer to its agent was withdrawn for want of a receipt.
     offer_missed_at: float = NEVER
+    # No receipt has come in time since then.
+    has_late_receipts: bool = False
     # When a report with a current list of its runs came.
     listed_at: float = NEVER
     # It has listed its runs under its fencing token.
--- a/wasabiturn/batch/offers.py
+++ b/wasabiturn/batch/offers.py
@@ -6,13 +6,15 @@
 out, so an offer without a receipt ends as not started, and its task may start
 elsewhere at once.
 
-Agents of earlier versions send no receipts; they get their orders at once.
+Agents of earlier versions send no receipts; they get their orders at once. So
+do agents that missed an offer and were heard since, until one of their receipts
+comes in time: behind a slow link they would miss each offer.
 """
 
 from collections.abc import Iterable
 
 from wasabiturn.batch.fleet import Allocation, Fleet, Worker
-from wasabiturn.messages.batch import OrderReceipt
+from wasabiturn.messages.batch import OrderReceipt, WorkerOrders
 
 # Several round trips between data centres.
 RECEIPT_SECONDS = 0.2
@@ -30,6 +32,27 @@
             allocation.offer_number = worker.order_number
 
 
+def takes_offers(worker: Worker) -> bool:
+    """Return whether new starts are offered to a worker's agent first."""
+    if not worker.report.sends_receipts:
+        return False
+    was_heard_since = worker.heard_at > worker.offer_missed_at
+    return not (worker.has_late_receipts and was_heard_since)
+
+
+def wants_receipt(worker: Worker, orders: WorkerOrders) -> bool:
+    """Return whether the agent is asked to acknowledge pushed orders."""
+    return orders.offered > 0 or (
+        worker.has_late_receipts and worker.report.sends_receipts
+    )
+
+
+def record_receipt(worker: Worker, pushed_at: float, now: float) -> None:
+    """Record that the agent acknowledged orders that were then pushed."""
+    if now < pushed_at + RECEIPT_SECONDS:
+        worker.has_late_receipts = False
+
+
 def accept_receipt(worker: Worker, receipt: OrderReceipt) -> bool:
     """Have the starts ordered that a receipt is for; return if any are.
 
@@ -66,6 +89,7 @@
             allocation.overdue_reviews += 1
             if allocation.overdue_reviews >= OVERDUE_REVIEWS:
                 worker.offer_missed_at = now
+                worker.has_late_receipts = True
                 missed.append(allocation)
     return missed
 
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -273,22 +273,27 @@
         link = self.links_by_incarnation.get(incarnation)
         if worker is None or link is None:
             return
+        now = self._now()
         orders = create_orders(
             worker,
             self._committed_starts,
             lease_ms=0,
-            now=self._now(),
-            offers_new_starts=worker.report.sends_receipts,
+            now=now,
+            is_pushed=True,
+        )
+        push_orders(
+            link,
+            worker,
+            orders,
+            lambda receipt: self._order_offered(receipt, now),
         )
-        push_orders(link, orders, self._order_offered)
 
-    def _order_offered(self, receipt: OrderReceipt) -> None:
+    def _order_offered(self, receipt: OrderReceipt, pushed_at: float) -> None:
         """Order the starts whose offer has reached an agent."""
-        if self.pipeline.is_closed or not self._replica.holds_lease(
-            self._now()
-        ):
+        now = self._now()
+        if self.pipeline.is_closed or not self._replica.holds_lease(now):
             return
-        incarnation = order_received(self.fleet, receipt)
+        incarnation = order_received(self.fleet, receipt, pushed_at, now)
         if incarnation is not None:
             self.send_orders(incarnation)
 
--- a/wasabiturn/process/control/batch/offers.py
+++ b/wasabiturn/process/control/batch/offers.py
@@ -9,9 +9,14 @@
 import attrs
 from twisted.python.failure import Failure
 
-from wasabiturn.batch.fleet import Fleet
+from wasabiturn.batch.fleet import Fleet, Worker
 from wasabiturn.batch.lost_runs import not_started_end
-from wasabiturn.batch.offers import accept_receipt, find_missed_offers
+from wasabiturn.batch.offers import (
+    accept_receipt,
+    find_missed_offers,
+    record_receipt,
+    wants_receipt,
+)
 from wasabiturn.connection.link import Link
 from wasabiturn.messages.batch import EndRun, OrderReceipt, WorkerOrders
 from wasabiturn.messages.kinds import Method
@@ -36,11 +41,12 @@
 
 def push_orders(
     link: Link,
+    worker: Worker,
     orders: WorkerOrders,
     on_receipt: Callable[[OrderReceipt], None],
 ) -> None:
-    """Send orders; ``on_receipt`` gets the receipt if they offer starts."""
-    if not orders.offered:
+    """Send orders; ``on_receipt`` gets the receipt if one is wanted."""
+    if not wants_receipt(worker, orders):
         link.notify(Method.worker_orders, orders)
         return
     answered = link.call(
@@ -51,17 +57,20 @@
 
 
 def order_received(
-    fleet: Fleet, receipt: OrderReceipt
+    fleet: Fleet, receipt: OrderReceipt, pushed_at: float, now: float
 ) -> tuple[str, int] | None:
     """Have the starts ordered that a receipt is for.
 
+    It answers orders that were sent at ``pushed_at``.
+
     Returns the incarnation that is to get orders now, if any are.
     """
     incarnation = (receipt.worker, receipt.born_ms)
     worker = fleet.workers_by_incarnation.get(incarnation)
-    if worker is None or not accept_receipt(worker, receipt):
+    if worker is None:
         return None
-    return incarnation
+    record_receipt(worker, pushed_at, now)
+    return incarnation if accept_receipt(worker, receipt) else None
 
 
 def withdraw_missed_offers(fleet: Fleet, now: float) -> Withdrawal:
@@ -87,7 +96,7 @@
 
 def _log_failure(failure: Failure, orders: WorkerOrders) -> None:
     _log.event(
-        'no receipt for offered starts',
+        'no receipt for orders',
         worker=orders.worker,
         number=orders.number,
         offered=orders.offered,
--- a/wasabiturn/process/control/batch/orders.py
+++ b/wasabiturn/process/control/batch/orders.py
@@ -2,7 +2,7 @@
 
 from wasabiturn.batch.fleet import Allocation, Worker
 from wasabiturn.batch.jobs import Task
-from wasabiturn.batch.offers import record_offers
+from wasabiturn.batch.offers import record_offers, takes_offers
 from wasabiturn.batch.sharing import find_pace_updates, target_percent
 from wasabiturn.messages.batch import (
     PaceOrder,
@@ -17,12 +17,13 @@
     committed_starts: set[tuple[str, int]],
     lease_ms: int,
     now: float,
-    offers_new_starts: bool = False,
+    is_pushed: bool = False,
 ) -> WorkerOrders:
     """Return all orders for the worker at ``now``, with the next number.
 
     ``committed_starts`` has the task and run of each committed start. Those not
-    ordered before are only offered if ``offers_new_starts``.
+    ordered before are only offered if the orders are pushed, unless the agent
+    takes no offers.
     """
     worker.order_number += 1
     orders = WorkerOrders(
@@ -41,7 +42,7 @@
         if _awaits_start(allocation)
         and (allocation.task.name, allocation.run) in committed_starts
     ]
-    if offers_new_starts:
+    if is_pushed and takes_offers(worker):
         offered = [each for each in due if not each.is_ordered]
         due = [each for each in due if each.is_ordered]
         record_offers(worker, offered, now)
