--- a/wasabiturn/process/control/batch/order_delivery.py
+++ b/wasabiturn/process/control/batch/order_delivery.py
@@ -48,22 +48,30 @@
         link = self.links_by_incarnation.get(incarnation)
         if worker is None or link is None:
             return
+        now = self._now()
         orders = create_orders(
             worker,
             self.committed_starts,
             lease_ms=0,
-            now=self._now(),
-            offers_new_starts=worker.report.sends_receipts,
+            now=now,
+            is_pushed=True,
+        )
+        push_orders(
+            link,
+            worker,
+            orders,
+            lambda receipt: self._order_offered(receipt, now),
         )
-        push_orders(link, orders, self._order_offered)
 
     def _now(self) -> float:
         return float(self._clock.seconds())
 
-    def _order_offered(self, receipt: OrderReceipt) -> None:
+    def _order_offered(self, receipt: OrderReceipt, pushed_at: float) -> None:
         """Order the starts whose offer has reached an agent."""
         if not self._may_order():
             return
-        incarnation = order_received(self._fleet, receipt)
+        incarnation = order_received(
+            self._fleet, receipt, pushed_at, self._now()
+        )
         if incarnation is not None:
             self.send(incarnation)
