--- a/tests/batch/test_apply.py
+++ b/tests/batch/test_apply.py
@@ -195,7 +195,7 @@
     job = batch_state.jobs_by_id['j']
     assert job.state is JobState.done
     assert not job.waiting_tasks
-    assert not job.active_tasks
+    assert not job.active_by_name
 
 
 def test_ended_job_keeps_nothing_of_its_tasks() -> None:
--- a/tests/batch/test_progress.py
+++ b/tests/batch/test_progress.py
@@ -1,5 +1,7 @@
 """Tests of what the leader knows of the runs of a job."""
 
+from typing import NoReturn
+
 from tests.batch.jobs_fakes import (
     accept,
     create_batch_state,
@@ -11,6 +13,7 @@
 )
 from wasabiturn.batch import apply_batch_change
 from wasabiturn.batch.fleet import Allocation
+from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.progress import (
     START_ANSWER_SECONDS,
     idle_seconds,
@@ -106,3 +109,17 @@
     apply_batch_change(case.batch_state, end(TASK, ending=RunEnding.lost))
     record_end(case.fleet, worker, run)
     assert case.read(12) == 7
+
+
+class Unread(dict[str, Task]):
+    """Tasks that must not be gone through."""
+
+    def values(self) -> NoReturn:
+        raise AssertionError('all tasks of a job were gone through')
+
+
+def test_look_at_an_idle_job_does_not_go_through_its_waiting_tasks() -> None:
+    case = Case()
+    job = case.batch_state.jobs_by_id['j']
+    job.tasks_by_name = Unread(job.tasks_by_name)
+    assert case.read(START_ANSWER_SECONDS + 1) > 0
--- a/wasabiturn/batch/jobs.py
+++ b/wasabiturn/batch/jobs.py
@@ -151,7 +151,8 @@
     parts_by_key: dict[tuple[int, int], Part] = attrs.field(factory=dict)
     tasks_by_name: dict[str, Task] = attrs.field(factory=dict)
     waiting_tasks: int = 0
-    active_tasks: int = 0
+    # Tasks that have a run, as far as is assumed.
+    active_by_name: dict[str, Task] = attrs.field(factory=dict)
     objective_ms: float = 0
     # A run of one of its tasks has certainly begun. Replicas that do not lead
     # learn it from the ends of runs only.
--- a/wasabiturn/batch/progress.py
+++ b/wasabiturn/batch/progress.py
@@ -5,8 +5,6 @@
 only assumed, and does not keep its job from being idle.
 """
 
-from collections.abc import Iterator
-
 from wasabiturn.batch.fleet import NEVER, Allocation, Fleet, Worker
 from wasabiturn.batch.jobs import Job, Task
 from wasabiturn.messages.kinds import BatchTaskState
@@ -51,13 +49,11 @@
 
 def last_known_at(fleet: Fleet, job: Job, now: float) -> float:
     """Return when a run of a job was last known to work, ``NEVER`` if none."""
-    if not job.active_tasks:
-        return NEVER
     known = fleet.idle.known_task_by_job.get(job.job_id)
     newest = NEVER if known is None else known_at(fleet, known)
     if now < newest + FRESH_LIST_SECONDS:
         return newest
-    for task in list_active_tasks(job):
+    for task in job.active_by_name.values():
         at = known_at(fleet, task)
         if at > newest:
             newest = at
@@ -78,19 +74,10 @@
     return max(worker.listed_at, allocation.confirmed_at)
 
 
-def list_active_tasks(job: Job) -> Iterator[Task]:
-    """Yield the tasks of a job that have a run, as far as is assumed."""
-    if not job.active_tasks:
-        return
-    for task in job.tasks_by_name.values():
-        if task.state is BatchTaskState.active:
-            yield task
-
-
 def _awaits_start(fleet: Fleet, job: Job, now: float) -> bool:
     """Return whether an order of a moment ago may yet start a run."""
     return any(
-        _is_on_its_way(fleet, task, now) for task in list_active_tasks(job)
+        _is_on_its_way(fleet, task, now) for task in job.active_by_name.values()
     )
 
 
--- a/wasabiturn/batch/state.py
+++ b/wasabiturn/batch/state.py
@@ -70,7 +70,7 @@
         task.state = BatchTaskState.active
         task.part.waiting_by_name.pop(task.name, None)
         task.job.waiting_tasks -= 1
-        task.job.active_tasks += 1
+        task.job.active_by_name[task.name] = task
         self.active_by_name[task.name] = task
         if self.on_start is not None:
             self.on_start(task)
@@ -78,7 +78,7 @@
     def end_run(self, task: Task) -> None:
         """Remove ``task`` from the active tasks and call ``on_end``."""
         self.active_by_name.pop(task.name, None)
-        task.job.active_tasks -= 1
+        task.job.active_by_name.pop(task.name, None)
         if self.on_end is not None:
             self.on_end(task)
 
--- a/wasabiturn/batch/waiting_reasons.py
+++ b/wasabiturn/batch/waiting_reasons.py
@@ -22,7 +22,7 @@
     count_by_worker,
     score_worker,
 )
-from wasabiturn.batch.progress import known_at, list_active_tasks
+from wasabiturn.batch.progress import known_at
 from wasabiturn.batch.state import BatchState
 
 # A job that runs nothing for longer is reported.
@@ -131,7 +131,7 @@
         tasks_by_reason=tasks_by_reason,
         held_seconds=max(held_until) - view.moment.now,
         assumed_runs=[
-            _describe_run(task, view) for task in list_active_tasks(job)
+            _describe_run(task, view) for task in job.active_by_name.values()
         ],
     )
 
