--- a/tests/batch/test_moves.py
+++ b/tests/batch/test_moves.py
@@ -114,6 +114,15 @@
     assert not case.b.reserved_steps
 
 
+def test_place_of_a_moved_run_is_kept_from_gangs() -> None:
+    case = Case()
+    case.move()
+    case.submit('k', fills=True, image='g', gang=True)
+    assert not case.plan_at(MOVED_AT)
+    case.end_run(MOVED_AT + 0.5)
+    assert case.plan_at(MOVED_AT + 0.5) == {TASK: 'b'}
+
+
 def test_lasting_task_takes_the_place_of_a_moved_run() -> None:
     case = Case()
     case.move()
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -239,10 +239,11 @@
             and self.accelerators + accelerator_count <= report.accelerators
         )
 
-    def has_room_for(self, step: Step) -> bool:
-        """Return whether a task fits; lasting ones take reserved places."""
-        millicores = 0 if step.fills else step.millicores
-        memory_mb, accelerators = step.memory_mb, step.accelerators
+    def has_room_for(self, step: Step, tasks: int = 1) -> bool:
+        """Return whether tasks fit; lasting ones take reserved places."""
+        millicores = 0 if step.fills else step.millicores * tasks
+        memory_mb = step.memory_mb * tasks
+        accelerators = step.accelerators * tasks
         if self.reserved_steps and not step.lasting:
             memory_mb += self.reserved_memory_mb
             accelerators += self.reserved_accelerators
--- a/wasabiturn/batch/gangs.py
+++ b/wasabiturn/batch/gangs.py
@@ -87,6 +87,4 @@
         return False
     if step.required_label and step.required_label not in worker.report.labels:
         return False
-    millicores = 0 if step.fills else step.millicores * members
-    memory_mb = step.memory_mb * members
-    return worker.has_room(millicores, memory_mb, step.accelerators * members)
+    return worker.has_room_for(step, members)
