--- a/tests/sessions/test_offered_starts.py
+++ b/tests/sessions/test_offered_starts.py
@@ -3,7 +3,7 @@
 import pytest
 
 from tests.sessions.batch_fakes import BatchFleet, FakeAgent, create_step
-from tests.sessions.test_lost_machines import lose_machine
+from tests.sessions.test_lost_machines import MAX_AWAY_SECONDS, lose_machine
 from wasabiturn.messages.kinds import JobState
 from wasabiturn.standins.batch_worker import SimulatedWork
 
@@ -115,6 +115,21 @@
     fleet.run_until('c', JobState.done, seconds=2)
 
 
+@pytest.mark.parametrize('seconds', [0.05, 0.15, 0.35])
+def test_offers_under_way_hold_no_task_under_the_next_leader(
+    seconds: float,
+) -> None:
+    fleet = BatchFleet(workers=3)
+    fleet.run(1.5)
+    lose_machine(fleet.agents[0])
+    fleet.run(0.1)
+    fleet.submit('j', [create_step(6, millicores=500)], SimulatedWork(60))
+    fleet.run(seconds)
+    fleet.change_leader(0.2)
+    fleet.run(MAX_AWAY_SECONDS)
+    assert len({task for _, task, *_ in fleet.run_starts}) == 6
+
+
 def forget_receipts(agent: FakeAgent, monkeypatch: pytest.MonkeyPatch) -> None:
     """Have an agent report as one of an earlier version does."""
     call = agent.call
