--- a/tests/sessions/test_paused_agents.py
+++ b/tests/sessions/test_paused_agents.py
@@ -5,9 +5,9 @@
 from tests.sessions.batch_fakes import (
     MAX_STARTS_AFTER_CRASHES,
     BatchFleet,
-    FakeAgent,
     create_step,
 )
+from tests.sessions.test_lost_machines import find_agent
 from wasabiturn.messages.kinds import JobState
 from wasabiturn.standins.batch_worker import SimulatedWork
 
@@ -18,14 +18,6 @@
 SECONDS = 40
 
 
-def find_agent(fleet: BatchFleet, worker: str) -> FakeAgent:
-    return next(
-        agent
-        for agent in fleet.agents
-        if agent.worker.identity.worker == worker
-    )
-
-
 @pytest.mark.parametrize('pause_seconds', [0.4, 0.8, 1.2, 1.8])
 def test_crashing_task_is_not_proven_by_the_silence_of_a_paused_agent(
     pause_seconds: float,
