The view of waiting jobs keeps no state that nobody reads

WaitingView.batch_state was only passed through; create_view needs it, its view doesn't. Found by reading the whole change again.

--- a/wasabiturn/batch/waiting_reasons.py
+++ b/wasabiturn/batch/waiting_reasons.py
@@ -84,7 +84,6 @@
 class WaitingView:
     """All that the reasons depend on at one moment."""
 
-    batch_state: BatchState
     fleet: Fleet
     # Workers without failures; ``avoided`` are those with.
     candidates: Candidates
@@ -113,7 +112,7 @@
             and accepts_work(worker, batch_state, moment.now)
         ],
     )
-    return WaitingView(batch_state, fleet, candidates, avoided, moment)
+    return WaitingView(fleet, candidates, avoided, moment)
 
 
 def explain_waiting(job: Job, view: WaitingView) -> Waiting:
