--- a/tests/batch/test_offers.py
+++ b/tests/batch/test_offers.py
@@ -50,14 +50,14 @@
 
 def test_offer_with_a_receipt_is_ordered_once() -> None:
     worker, allocation = create_offered()
-    assert accept_receipt(worker, create_receipt())
+    assert accept_receipt(worker, create_receipt(), now=0.1)
     assert allocation.is_ordered
-    assert not accept_receipt(worker, create_receipt())
+    assert not accept_receipt(worker, create_receipt(), now=0.1)
 
 
 def test_receipt_of_earlier_orders_permits_no_later_offer() -> None:
     worker, allocation = create_offered()
-    assert not accept_receipt(worker, create_receipt(OFFER_NUMBER - 1))
+    assert not accept_receipt(worker, create_receipt(OFFER_NUMBER - 1), now=0.1)
     assert not allocation.is_ordered
 
 
@@ -66,7 +66,7 @@
     worker.order_number += 1
     record_offers(worker, [allocation], now=0.1)
     assert allocation.offered_at == 0
-    assert accept_receipt(worker, create_receipt())
+    assert accept_receipt(worker, create_receipt(), now=0.1)
 
 
 def test_receipt_of_another_life_or_fence_permits_nothing() -> None:
@@ -78,7 +78,7 @@
         attrs.evolve(receipt, fence=FENCE - 1),
         OrderReceipt(),
     ):
-        assert not accept_receipt(worker, other)
+        assert not accept_receipt(worker, other, now=0.1)
     assert not allocation.is_ordered
 
 
--- a/tests/process/control/test_pipeline.py
+++ b/tests/process/control/test_pipeline.py
@@ -17,7 +17,7 @@
 )
 from wasabiturn.messages.kinds import JobState
 from wasabiturn.messages.state import Command, Outcome
-from wasabiturn.process.control.batch.pipeline import Pipeline
+from wasabiturn.process.control.batch.pipeline import Pipeline, PipelineHooks
 
 
 class FakeReplica:
@@ -40,9 +40,12 @@
         clock=clock,
         batch_state=BatchState(),
         state_clock=StateClock(noted_at=0),
-        on_flush=lambda: None,
-        on_commit=lambda change: None,
-        on_failure=lambda: None,
+        hooks=PipelineHooks(
+            on_flush=lambda: None,
+            on_commit=lambda change: None,
+            on_failure=lambda: None,
+            before_apply=lambda change: None,
+        ),
     )
 
 
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -53,10 +53,14 @@
     confirmed_at: float | None = None
     # Its start has been among the orders to the worker.
     is_ordered: bool = True
+    # Its start is not committed; see ``planned_starts.py``.
+    is_planned: bool = False
     # When its start was first offered to the agent, and the number of those
     # orders; see ``wasabiturn/batch/offers.py``.
     offered_at: float | None = None
     offer_number: int = 0
+    # When the agent was last known to be there for it.
+    received_at: float = NEVER
     # Number of reviews that found the receipt overdue.
     overdue_reviews: int = 0
     # What the crash of its worker tells of its task.
@@ -97,6 +101,11 @@
         until = min(self.orders_end_at, now + ORDER_LIFETIME_SECONDS)
         return int((until - now) * _MS) or 1
 
+    @property
+    def is_received(self) -> bool:
+        """Return whether the agent has shown that it is there."""
+        return self.received_at > NEVER
+
     def confirm(self, now: float) -> None:
         """Record that the run has started; no further order is sent."""
         self.is_confirmed = True
--- a/wasabiturn/batch/offers.py
+++ b/wasabiturn/batch/offers.py
@@ -2,18 +2,21 @@
 
 The leader pushes new starts to an agent of which it does not know whether it
 still runs. The push only offers them; the agent answers with a receipt, after
-which the leader orders them. What was never ordered cannot have been carried
-out, so an offer without a receipt ends as not started, and its task may start
-elsewhere at once.
-
-Agents of earlier versions send no receipts; they get their orders at once. So
-do agents that missed an offer and were heard since, until one of their receipts
-comes in time: behind a slow link they would miss each offer.
+which the leader commits the starts, and then orders them. What was never
+ordered cannot have been carried out, so an offer without a receipt ends as not
+started, and its task may start elsewhere at once. A report of the agent counts
+as a receipt. If the commit takes longer than a receipt may, the start is
+offered again.
+
+Agents of earlier versions send no receipts; their starts are committed and
+ordered at once. So are those of agents that missed an offer and were heard
+since, until one of their receipts comes in time: behind a slow link they would
+miss each offer.
 """
 
 from collections.abc import Iterable
 
-from wasabiturn.batch.fleet import Allocation, Fleet, Worker
+from wasabiturn.batch.fleet import NEVER, Allocation, Fleet, Worker
 from wasabiturn.messages.batch import OrderReceipt, WorkerOrders
 
 # Several round trips between data centres.
@@ -27,6 +30,11 @@
 ) -> None:
     """Record that the newest orders to ``worker`` offer these starts."""
     for allocation in allocations:
+        if allocation.is_received:
+            # Its commit took long; the agent may be gone since.
+            allocation.received_at = NEVER
+            allocation.offered_at = None
+            allocation.overdue_reviews = 0
         if allocation.offered_at is None:
             allocation.offered_at = now
             allocation.offer_number = worker.order_number
@@ -40,6 +48,15 @@
     return not (worker.has_late_receipts and was_heard_since)
 
 
+def needs_offer(worker: Worker, allocation: Allocation, now: float) -> bool:
+    """Return whether a push to the agent only offers a start."""
+    if allocation.is_planned:
+        return not allocation.is_received
+    if allocation.is_ordered or not takes_offers(worker):
+        return False
+    return now >= allocation.received_at + RECEIPT_SECONDS
+
+
 def wants_receipt(worker: Worker, orders: WorkerOrders) -> bool:
     """Return whether the agent is asked to acknowledge pushed orders."""
     return orders.offered > 0 or (
@@ -53,15 +70,32 @@
         worker.has_late_receipts = False
 
 
-def accept_receipt(worker: Worker, receipt: OrderReceipt) -> bool:
-    """Have the starts ordered that a receipt is for; return if any are.
+def record_contact(worker: Worker, now: float) -> bool:
+    """Take a report for a receipt; return whether planned starts got one."""
+    if not worker.is_reconciled or worker.is_gone:
+        return False
+    planned = [
+        allocation
+        for allocation in worker.allocations_by_task.values()
+        if allocation.is_planned
+    ]
+    for allocation in planned:
+        allocation.received_at = now
+    return bool(planned)
+
+
+def accept_receipt(
+    worker: Worker, receipt: OrderReceipt, now: float
+) -> list[Allocation]:
+    """Return the starts that a receipt is for, which are then received.
 
-    Receipts of other lives, or under another fencing token, are for none.
+    Committed ones are to be ordered. Receipts of other lives, or under another
+    fencing token, are for none.
     """
     if (receipt.worker, receipt.born_ms) != (worker.name, worker.born_ms):
-        return False
+        return []
     if receipt.fence != worker.fence:
-        return False
+        return []
     received = [
         allocation
         for allocation in worker.allocations_by_task.values()
@@ -69,8 +103,9 @@
         and allocation.offer_number <= receipt.number
     ]
     for allocation in received:
-        allocation.is_ordered = True
-    return bool(received)
+        allocation.received_at = now
+        allocation.is_ordered = not allocation.is_planned
+    return received
 
 
 def find_missed_offers(fleet: Fleet, now: float) -> list[Allocation]:
@@ -88,19 +123,30 @@
         for allocation in overdue:
             allocation.overdue_reviews += 1
             if allocation.overdue_reviews >= OVERDUE_REVIEWS:
-                worker.offer_missed_at = now
-                worker.has_late_receipts = True
+                _record_missed(worker, allocation, now)
                 missed.append(allocation)
     return missed
 
 
+def _record_missed(worker: Worker, allocation: Allocation, now: float) -> None:
+    if allocation.offered_at is not None:
+        worker.offer_missed_at = now
+        worker.has_late_receipts = True
+
+
 def _awaits_receipt(allocation: Allocation) -> bool:
-    is_awaited = allocation.offered_at is not None
-    return is_awaited and not allocation.is_ordered
+    if allocation.offered_at is None or allocation.is_received:
+        return False
+    return not allocation.is_ordered
 
 
 def _is_overdue(allocation: Allocation, now: float) -> bool:
-    offered_at = allocation.offered_at
-    if offered_at is None or allocation.is_ordered or allocation.is_confirmed:
+    if allocation.is_received or allocation.is_ordered:
         return False
+    if allocation.is_confirmed:
+        return False
+    offered_at = allocation.offered_at
+    if offered_at is None:
+        # The fencing token of its worker was raised before it was offered.
+        offered_at = allocation.started_at if allocation.is_planned else now
     return now >= offered_at + RECEIPT_SECONDS
--- /dev/null
+++ b/wasabiturn/batch/planned_starts.py
@@ -0,0 +1,200 @@
+"""Starts that the leader has planned and has not committed yet.
+
+They are applied to its working copy of the state only, where they take room. A
+start is committed once its agent has shown that it is there, and is ordered
+after that. So the committed state has no start that a dark machine never got,
+and a new leader takes no such start for one that may be carried out.
+
+A change of the state that concerns the task or its job revokes a planned start
+first, so that the working copy goes the way of the committed state.
+"""
+
+from collections.abc import Iterable, Iterator
+from typing import final
+
+import attrs
+
+from wasabiturn.batch.apply import apply_batch_change
+from wasabiturn.batch.fleet import Allocation, Fleet
+from wasabiturn.batch.jobs import Task
+from wasabiturn.batch.offers import takes_offers
+from wasabiturn.batch.run_ends import requeue_task
+from wasabiturn.batch.state import BatchState
+from wasabiturn.messages.batch import BatchChange, StartRun
+
+
+@final
+@attrs.frozen
+class NewestRun:
+    """What a task has of its newest run, to be restored."""
+
+    run: int
+    worker: str
+    born_ms: int
+    agent: str
+    is_bound: bool
+    bound_until_ms: int
+    is_settled: bool
+    orders_end_ms: int
+    has_overdue_order: bool
+
+
+@final
+@attrs.frozen
+class PlannedStart:
+    """A planned start, and what it has replaced in the working copy."""
+
+    start: StartRun
+    task: Task
+    before: NewestRun
+    # Time of the loop; None if the task was not bound.
+    bound_until: float | None
+    was_lost_under_way: bool
+
+
+@final
+@attrs.define
+class PlannedStarts:
+    """The planned starts of one leader term, by the name of the task."""
+
+    _batch_state: BatchState
+    _fleet: Fleet
+    _planned_by_task: dict[str, PlannedStart] = attrs.field(
+        factory=dict, init=False
+    )
+
+    def plan(self, start: StartRun, now: float) -> bool:
+        """Apply a start of a waiting task to the working copy.
+
+        Returns whether it is to be offered; an agent that takes no offers is
+        taken to be there.
+        """
+        task = self._batch_state.tasks_by_name[start.task]
+        planned = PlannedStart(
+            start=start,
+            task=task,
+            before=_read_newest_run(task),
+            bound_until=self._fleet.bound_until_by_task.get(task.name),
+            was_lost_under_way=task.name in self._fleet.tasks_lost_under_way,
+        )
+        apply_batch_change(self._batch_state, BatchChange(starts=[start]))
+        self._planned_by_task[task.name] = planned
+        worker = self._fleet.worker_of(task)
+        allocation = self._find_allocation(planned)
+        if worker is None or allocation is None:
+            return False
+        allocation.is_planned = True
+        if not takes_offers(worker):
+            allocation.received_at = now
+        return not allocation.is_received
+
+    def revoke(self, task_names: Iterable[str]) -> None:
+        """Have tasks wait again as before, with their gangs."""
+        for name in list(task_names):
+            planned = self._planned_by_task.get(name)
+            if planned is None:
+                continue
+            for member in self._list_gang(planned):
+                self._revoke_one(member)
+
+    def revoke_before(self, change: BatchChange) -> None:
+        """Revoke the starts of tasks and jobs that ``change`` concerns."""
+        if not self._planned_by_task:
+            return
+        self.revoke(end.task for end in change.ends)
+        closed_jobs = set(change.cancels)
+        for give_up in change.give_ups:
+            task = self._batch_state.tasks_by_name.get(give_up.task)
+            if task is not None:
+                closed_jobs.add(task.job.job_id)
+        if closed_jobs:
+            self.revoke(self._list_tasks_of(closed_jobs))
+
+    def revoke_unwanted(self) -> None:
+        """Revoke starts that were withdrawn, or whose jobs have ended."""
+        unwanted = [
+            name
+            for name, planned in self._planned_by_task.items()
+            if self._is_unwanted(planned)
+        ]
+        self.revoke(unwanted)
+
+    def take_ready(self) -> list[StartRun]:
+        """Return the starts to commit now, which are not planned any more.
+
+        Those are the ones whose agents have them; of a gang, all or none.
+        """
+        self.revoke_unwanted()
+        ready = list(filter(self._is_ready, self._planned_by_task.values()))
+        return [self._take_one(planned) for planned in ready]
+
+    def _take_one(self, planned: PlannedStart) -> StartRun:
+        self._planned_by_task.pop(planned.task.name)
+        allocation = self._find_allocation(planned)
+        if allocation is not None:
+            allocation.is_planned = False
+        return planned.start
+
+    def _revoke_one(self, planned: PlannedStart) -> None:
+        task = planned.task
+        self._planned_by_task.pop(task.name)
+        self._batch_state.end_run(task)
+        _restore_newest_run(task, planned.before)
+        if planned.bound_until is not None:
+            self._fleet.bound_until_by_task[task.name] = planned.bound_until
+        if planned.was_lost_under_way:
+            self._fleet.tasks_lost_under_way.add(task.name)
+        if task.job.is_final:
+            self._batch_state.drop_task(task)
+        else:
+            requeue_task(task)
+
+    def _find_allocation(self, planned: PlannedStart) -> Allocation | None:
+        worker = self._fleet.worker_of(planned.task)
+        if worker is None:
+            return None
+        return worker.allocations_by_task.get(planned.task.name)
+
+    def _list_gang(self, planned: PlannedStart) -> list[PlannedStart]:
+        if not planned.task.step.gang:
+            return [planned]
+        return [
+            other
+            for other in self._planned_by_task.values()
+            if other.task.part is planned.task.part
+        ]
+
+    def _list_tasks_of(self, job_ids: set[str]) -> Iterator[str]:
+        for name, planned in self._planned_by_task.items():
+            if planned.task.job.job_id in job_ids:
+                yield name
+
+    def _is_unwanted(self, planned: PlannedStart) -> bool:
+        allocation = self._find_allocation(planned)
+        if allocation is None or allocation.is_stop_requested:
+            return True
+        return planned.task.job.is_final
+
+    def _is_ready(self, planned: PlannedStart) -> bool:
+        if planned.task.step.gang and planned.task.part.waiting_by_name:
+            # The plan goes on with the other members.
+            return False
+        return all(map(self._is_received, self._list_gang(planned)))
+
+    def _is_received(self, planned: PlannedStart) -> bool:
+        allocation = self._find_allocation(planned)
+        return allocation is not None and allocation.is_received
+
+
+def _read_newest_run(task: Task) -> NewestRun:
+    return NewestRun(
+        **{
+            field.name: getattr(task, field.name)
+            for field in attrs.fields(NewestRun)
+        }
+    )
+
+
+def _restore_newest_run(task: Task, before: NewestRun) -> None:
+    for field in attrs.fields(NewestRun):
+        setattr(task, field.name, getattr(before, field.name))
--- a/wasabiturn/batch/run_ends.py
+++ b/wasabiturn/batch/run_ends.py
@@ -14,7 +14,7 @@
 def finish_or_requeue(batch_state: BatchState, task: Task, end: EndRun) -> None:
     """Follow the end of the newest run of a task."""
     if task.step.lasting:
-        _requeue(task)
+        requeue_task(task)
     elif end.ending is RunEnding.done or task.is_completed:
         _finish_task(batch_state, task)
     else:
@@ -22,7 +22,7 @@
         if _has_used_attempts(task):
             _fail_task(batch_state, task)
         else:
-            _requeue(task)
+            requeue_task(task)
 
 
 def end_passed_run(batch_state: BatchState, task: Task, end: EndRun) -> None:
@@ -43,7 +43,8 @@
         _fail_task(batch_state, task)
 
 
-def _requeue(task: Task) -> None:
+def requeue_task(task: Task) -> None:
+    """Have a task without a run wait for its next start."""
     task.state = BatchTaskState.waiting
     task.part.waiting_by_name[task.name] = task
     task.job.waiting_tasks += 1
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -14,6 +14,7 @@
 )
 from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.lost_runs import find_expired_workers, give_up_runs
+from wasabiturn.batch.planned_starts import PlannedStarts
 from wasabiturn.batch.progress import record_end
 from wasabiturn.batch.state_clock import StateClock
 from wasabiturn.messages.batch import BatchChange, EndRun
@@ -24,10 +25,12 @@
 )
 from wasabiturn.process.control.batch.crash_watch import CrashWatch
 from wasabiturn.process.control.batch.idle_jobs import IdleJobWatch
-from wasabiturn.process.control.batch.offers import withdraw_missed_offers
 from wasabiturn.process.control.batch.order_delivery import OrderDelivery
-from wasabiturn.process.control.batch.pipeline import Pipeline
-from wasabiturn.process.control.batch.starts import start_planned_runs
+from wasabiturn.process.control.batch.pipeline import (
+    Pipeline,
+    PipelineHooks,
+)
+from wasabiturn.process.control.batch.starts import RunStarter
 from wasabiturn.process.control.batch.stops import stop_unwanted_runs
 from wasabiturn.utils.logs import create_component_log
 from wasabiturn.version.replica import Replica
@@ -67,7 +70,12 @@
         self._replica = replica
         self._clock = clock
         self.fleet = Fleet(fence=fence)
-        self.delivery = OrderDelivery(self.fleet, clock, self._may_order)
+        self.delivery = OrderDelivery(
+            self.fleet,
+            clock,
+            self._may_order,
+            on_received=lambda: self.starter.commit_soon(),
+        )
         self.fleet.earlier_leases_end_at = self.lease_expiry(now)
         for task in batch_state.active_by_name.values():
             self._reserve_capacity(task)
@@ -80,14 +88,21 @@
         self._pressures_due_at = now + PRESSURES_STORE_SECONDS
         batch_state.on_start = self._reserve_capacity
         batch_state.on_end = self._release_capacity
+        planned_starts = PlannedStarts(batch_state, self.fleet)
         self.pipeline = Pipeline(
             replica=replica,
             clock=clock,
             batch_state=batch_state,
             state_clock=state_clock,
-            on_flush=self._plan,
-            on_commit=self._notify_agents,
-            on_failure=on_failure,
+            hooks=PipelineHooks(
+                on_flush=self._plan,
+                on_commit=self._notify_agents,
+                on_failure=on_failure,
+                before_apply=planned_starts.revoke_before,
+            ),
+        )
+        self.starter = RunStarter(
+            self.pipeline, planned_starts, self.fleet, clock
         )
         self.crash_watch = CrashWatch(self.fleet, self.pipeline)
         self._idle_watch = IdleJobWatch(batch_state, self.fleet)
@@ -104,6 +119,7 @@
         _log.event('leadership ended', fence=self.fleet.fence)
         self.pipeline.batch_state.on_start = None
         self.pipeline.batch_state.on_end = None
+        self.starter.close()
         self.pipeline.close()
 
     def tick(self) -> None:
@@ -116,6 +132,7 @@
         self._withdraw_missed_offers(now)
         self.crash_watch.review(now)
         self._stop_unwanted_runs(now)
+        self.starter.planned_starts.revoke_unwanted()
         release_bound_tasks(
             self.fleet,
             self.pipeline.batch_state,
@@ -228,7 +245,7 @@
         now = self._now()
         if not self._replica.holds_lease(now):
             return
-        start_planned_runs(self.pipeline, self.fleet, self._forecasts, now)
+        self.delivery.send_all(self.starter.plan(self._forecasts, now))
 
     def _notify_agents(self, change: BatchChange) -> None:
         """Send orders to the agents that a committed change concerns."""
@@ -244,7 +261,7 @@
         self.delivery.send_all(incarnations_to_notify)
 
     def _withdraw_missed_offers(self, now: float) -> None:
-        withdrawal = withdraw_missed_offers(self.fleet, now)
+        withdrawal = self.starter.withdraw_missed(now)
         if withdrawal.ends:
             self.store_ends(withdrawal.ends)
         self.delivery.send_all(withdrawal.incarnations_to_notify)
--- a/wasabiturn/process/control/batch/offers.py
+++ b/wasabiturn/process/control/batch/offers.py
@@ -9,7 +9,7 @@
 import attrs
 from twisted.python.failure import Failure
 
-from wasabiturn.batch.fleet import Fleet, Worker
+from wasabiturn.batch.fleet import Allocation, Fleet, Worker
 from wasabiturn.batch.lost_runs import not_started_end
 from wasabiturn.batch.offers import (
     accept_receipt,
@@ -17,6 +17,7 @@
     record_receipt,
     wants_receipt,
 )
+from wasabiturn.batch.planned_starts import PlannedStarts
 from wasabiturn.connection.link import Link
 from wasabiturn.messages.batch import EndRun, OrderReceipt, WorkerOrders
 from wasabiturn.messages.kinds import Method
@@ -56,24 +57,24 @@
     answered.addErrback(_log_failure, orders)
 
 
-def order_received(
+def accept_offers(
     fleet: Fleet, receipt: OrderReceipt, pushed_at: float, now: float
-) -> tuple[str, int] | None:
-    """Have the starts ordered that a receipt is for.
+) -> list[Allocation]:
+    """Return the starts that a receipt is for.
 
     It answers orders that were sent at ``pushed_at``.
-
-    Returns the incarnation that is to get orders now, if any are.
     """
     incarnation = (receipt.worker, receipt.born_ms)
     worker = fleet.workers_by_incarnation.get(incarnation)
     if worker is None:
-        return None
+        return []
     record_receipt(worker, pushed_at, now)
-    return incarnation if accept_receipt(worker, receipt) else None
+    return accept_receipt(worker, receipt, now)
 
 
-def withdraw_missed_offers(fleet: Fleet, now: float) -> Withdrawal:
+def withdraw_missed_offers(
+    fleet: Fleet, planned_starts: PlannedStarts, now: float
+) -> Withdrawal:
     """Withdraw the starts that were offered without a receipt.
 
     The other members of their gangs are withdrawn as well.
@@ -86,10 +87,13 @@
             task=allocation.task.name,
             run=allocation.run,
             worker=allocation.task.worker,
+            is_planned=allocation.is_planned,
         )
-    gangs = [each for each in missed if each.task.step.gang]
+    committed = [each for each in missed if not each.is_planned]
+    planned_starts.revoke(each.task.name for each in missed if each.is_planned)
+    gangs = [each for each in committed if each.task.step.gang]
     return Withdrawal(
-        ends=[not_started_end(each, now) for each in missed],
+        ends=[not_started_end(each, now) for each in committed],
         incarnations_to_notify=withdraw_starts(fleet, gangs),
     )
 
--- a/wasabiturn/process/control/batch/order_delivery.py
+++ b/wasabiturn/process/control/batch/order_delivery.py
@@ -7,7 +7,7 @@
 from wasabiturn.connection.link import Link
 from wasabiturn.messages.batch import OrderReceipt, WorkerOrders
 from wasabiturn.process.control.batch.offers import (
-    order_received,
+    accept_offers,
     push_orders,
 )
 from wasabiturn.process.control.batch.orders import create_orders
@@ -18,11 +18,16 @@
     """Sends each agent what it is to do, of the starts that are committed."""
 
     def __init__(
-        self, fleet: Fleet, clock: Any, may_order: Callable[[], bool]
+        self,
+        fleet: Fleet,
+        clock: Any,
+        may_order: Callable[[], bool],
+        on_received: Callable[[], None],
     ) -> None:
         """Create the delivery of one term.
 
-        ``may_order`` tells whether this instance still leads.
+        ``may_order`` tells whether this instance still leads. ``on_received``
+        is called when agents have got offers of planned starts.
         """
         self.links_by_incarnation: dict[tuple[str, int], Link] = {}
         # Task and run of each committed start.
@@ -30,6 +35,7 @@
         self._fleet = fleet
         self._clock = clock
         self._may_order = may_order
+        self._on_received = on_received
 
     def orders_for(self, worker: Worker, lease_ms: int) -> WorkerOrders:
         """Return the current orders for ``worker``, whose agent has called."""
@@ -67,11 +73,11 @@
         return float(self._clock.seconds())
 
     def _order_offered(self, receipt: OrderReceipt, pushed_at: float) -> None:
-        """Order the starts whose offer has reached an agent."""
+        """Commit or order the starts whose offer has reached an agent."""
         if not self._may_order():
             return
-        incarnation = order_received(
-            self._fleet, receipt, pushed_at, self._now()
-        )
-        if incarnation is not None:
-            self.send(incarnation)
+        received = accept_offers(self._fleet, receipt, pushed_at, self._now())
+        if any(allocation.is_planned for allocation in received):
+            self._on_received()
+        if any(allocation.is_ordered for allocation in received):
+            self.send((receipt.worker, receipt.born_ms))
--- a/wasabiturn/process/control/batch/orders.py
+++ b/wasabiturn/process/control/batch/orders.py
@@ -2,7 +2,7 @@
 
 from wasabiturn.batch.fleet import Allocation, Worker
 from wasabiturn.batch.jobs import Task
-from wasabiturn.batch.offers import record_offers, takes_offers
+from wasabiturn.batch.offers import needs_offer, record_offers
 from wasabiturn.batch.sharing import find_pace_updates, target_percent
 from wasabiturn.messages.batch import (
     PaceOrder,
@@ -21,9 +21,9 @@
 ) -> WorkerOrders:
     """Return all orders for the worker at ``now``, with the next number.
 
-    ``committed_starts`` has the task and run of each committed start. Those not
-    ordered before are only offered if the orders are pushed, unless the agent
-    takes no offers.
+    ``committed_starts`` has the task and run of each committed start. Planned
+    ones, and those not ordered before, are only offered if the orders are
+    pushed; see ``wasabiturn/batch/offers.py``.
     """
     worker.order_number += 1
     orders = WorkerOrders(
@@ -36,15 +36,18 @@
     )
     if not worker.is_reconciled:
         return orders
+    awaiting = list(filter(_awaits_start, worker.allocations_by_task.values()))
     due = [
         allocation
-        for allocation in worker.allocations_by_task.values()
-        if _awaits_start(allocation)
-        and (allocation.task.name, allocation.run) in committed_starts
+        for allocation in awaiting
+        if (allocation.task.name, allocation.run) in committed_starts
     ]
-    if is_pushed and takes_offers(worker):
-        offered = [each for each in due if not each.is_ordered]
-        due = [each for each in due if each.is_ordered]
+    if is_pushed:
+        planned = [each for each in awaiting if each.is_planned]
+        offered = [
+            each for each in planned + due if needs_offer(worker, each, now)
+        ]
+        due = [each for each in due if each not in offered]
         record_offers(worker, offered, now)
         orders.offered = len(offered)
     orders.starts = [create_start_order(worker, each, now) for each in due]
--- a/wasabiturn/process/control/batch/pipeline.py
+++ b/wasabiturn/process/control/batch/pipeline.py
@@ -17,7 +17,7 @@
 from wasabiturn.batch import BatchState, apply_batch_change
 from wasabiturn.batch.state_clock import StateClock
 from wasabiturn.connection.calls import CallError
-from wasabiturn.messages.batch import BatchChange
+from wasabiturn.messages.batch import BatchChange, StartRun
 from wasabiturn.messages.kinds import FailureCode
 from wasabiturn.messages.state import Command, Outcome
 from wasabiturn.process import exposition
@@ -38,6 +38,21 @@
     submitted_at: float = 0.0
 
 
+@final
+@attrs.frozen
+class PipelineHooks:
+    """What a pipeline calls.
+
+    ``on_flush`` may record more changes; ``before_apply`` is called with each
+    change before it is applied to the working copy.
+    """
+
+    on_flush: Callable[[], None]
+    on_commit: Callable[[BatchChange], None]
+    on_failure: Callable[[], None]
+    before_apply: Callable[[BatchChange], None]
+
+
 @final
 class Pipeline:
     """Commits the changes of one leader term."""
@@ -48,11 +63,9 @@
         clock: Any,
         batch_state: BatchState,
         state_clock: StateClock,
-        on_flush: Callable[[], None],
-        on_commit: Callable[[BatchChange], None],
-        on_failure: Callable[[], None],
+        hooks: PipelineHooks,
     ) -> None:
-        """Create the pipeline; ``on_flush`` may record more changes.
+        """Create the pipeline.
 
         ``batch_state`` is the working copy of the committed state, and
         ``state_clock`` gives the time of each change.
@@ -61,9 +74,7 @@
         self.is_closed = False
         self._replica = replica
         self._clock = clock
-        self._on_flush = on_flush
-        self._on_commit = on_commit
-        self._on_failure = on_failure
+        self._hooks = hooks
         self._state_clock = state_clock
         self._batch = _Batch()
         self._flush_call: Any = None
@@ -104,9 +115,20 @@
         """Apply ``change`` and commit it with the next one that is flushed."""
         if change != BatchChange():
             change.clock_ms = self.read_clock()
+        self._hooks.before_apply(change)
         apply_batch_change(self.batch_state, change)
         _merge_change(self._batch.change, change)
 
+    def commit_planned(self, starts: list[StartRun]) -> None:
+        """Commit starts that the working copy has already, without a plan."""
+        if not starts:
+            return
+        change = BatchChange(starts=starts, clock_ms=self.read_clock())
+        if not _can_merge(self._batch.change, change):
+            self._submit(self._take_batch())
+        _merge_change(self._batch.change, change)
+        self._submit(self._take_batch())
+
     def schedule_flush(self) -> None:
         """Plan and flush at the end of this event loop iteration."""
         if self._flush_call is None and not self.is_closed:
@@ -123,7 +145,7 @@
 
     def _flush(self) -> None:
         try:
-            self._on_flush()
+            self._hooks.on_flush()
         except Exception:
             # What callers recorded must still be committed and answered.
             _log.warning('planning failed', trace=traceback.format_exc())
@@ -153,7 +175,7 @@
         elapsed_seconds = self._clock.seconds() - batch.submitted_at
         exposition.commit_seconds.observe(elapsed_seconds)
         if not self.is_closed:
-            self._on_commit(batch.change)
+            self._hooks.on_commit(batch.change)
         _resolve_all(batch.waiters)
 
     def _handle_commit_failure(self, failure: Failure, batch: _Batch) -> None:
@@ -162,7 +184,7 @@
             error = CallError(FailureCode.outcome_unknown, repr(error))
         _fail_all(batch.waiters, error)
         if not self.is_closed:
-            self._on_failure()
+            self._hooks.on_failure()
 
 
 def _merge_change(merged: BatchChange, change: BatchChange) -> None:
--- a/wasabiturn/process/control/batch/starts.py
+++ b/wasabiturn/process/control/batch/starts.py
@@ -1,17 +1,29 @@
-"""Starts of the runs that the leader has planned."""
+"""Starts of runs: planned, offered to their agents, then committed.
+
+The orders follow the commit; see ``wasabiturn/batch/planned_starts.py``.
+"""
 
 import time
+from typing import Any, final
 
-from wasabiturn.batch.fleet import Fleet
+from wasabiturn.batch.fleet import Fleet, Worker
 from wasabiturn.batch.forecast import Forecasts
+from wasabiturn.batch.offers import record_contact
 from wasabiturn.batch.ordering import Moment
+from wasabiturn.batch.planned_starts import PlannedStarts
 from wasabiturn.batch.planning import plan_starts
 from wasabiturn.batch.sharing import set_pace
-from wasabiturn.messages.batch import BatchChange, StartRun
+from wasabiturn.messages.batch import StartRun
 from wasabiturn.process import exposition
+from wasabiturn.process.control.batch.offers import (
+    Withdrawal,
+    withdraw_missed_offers,
+)
 from wasabiturn.process.control.batch.pipeline import Pipeline
 from wasabiturn.utils.logs import create_component_log
 
+# Receipts that come within this time go into one commit.
+RECEIPTS_SECONDS = 0.004
 _MS = 1000
 
 _log = create_component_log('queues')
@@ -22,16 +34,69 @@
     return int(time.time() * _MS)
 
 
-def start_planned_runs(
-    pipeline: Pipeline, fleet: Fleet, forecasts: Forecasts, now: float
-) -> None:
-    """Plan runs, and commit the start of each."""
-    moment = Moment(now=now, wall_ms=wall_clock_ms())
-    for start in plan_starts(pipeline.batch_state, fleet, forecasts, moment):
-        pipeline.add(BatchChange(starts=[start]))
-        _set_initial_pace(fleet, forecasts, start, now)
-        exposition.runs.labels('started').inc()
-        _log_start(pipeline, start)
+@final
+class RunStarter:
+    """Plans the starts of one leader term, and commits them."""
+
+    def __init__(
+        self,
+        pipeline: Pipeline,
+        planned_starts: PlannedStarts,
+        fleet: Fleet,
+        clock: Any,
+    ) -> None:
+        """Create it; ``clock`` is that of the loop."""
+        self.planned_starts = planned_starts
+        self._pipeline = pipeline
+        self._fleet = fleet
+        self._clock = clock
+        self._commit_call: Any = None
+
+    def plan(self, forecasts: Forecasts, now: float) -> set[tuple[str, int]]:
+        """Plan runs, and commit the start of each that needs no offer.
+
+        Returns the worker incarnations that are to be offered starts.
+        """
+        incarnations_to_offer: set[tuple[str, int]] = set()
+        batch_state = self._pipeline.batch_state
+        moment = Moment(now=now, wall_ms=wall_clock_ms())
+        for start in plan_starts(batch_state, self._fleet, forecasts, moment):
+            if self.planned_starts.plan(start, now):
+                incarnations_to_offer.add((start.worker, start.born_ms))
+            _set_initial_pace(self._fleet, forecasts, start, now)
+            exposition.runs.labels('started').inc()
+            _log_start(self._pipeline, start)
+        self._commit_ready()
+        return incarnations_to_offer
+
+    def record_contact(self, worker: Worker, now: float) -> None:
+        """Take a report of a worker's agent for a receipt of its offers."""
+        if record_contact(worker, now):
+            self.commit_soon()
+
+    def commit_soon(self) -> None:
+        """Commit the starts that their agents have got, in a moment."""
+        if self._commit_call is None and not self._pipeline.is_closed:
+            self._commit_call = self._clock.callLater(
+                RECEIPTS_SECONDS, self._commit_received
+            )
+
+    def withdraw_missed(self, now: float) -> Withdrawal:
+        """Withdraw the starts that were offered without a receipt."""
+        return withdraw_missed_offers(self._fleet, self.planned_starts, now)
+
+    def close(self) -> None:
+        """Commit no more starts."""
+        if self._commit_call is not None:
+            self._commit_call.cancel()
+            self._commit_call = None
+
+    def _commit_received(self) -> None:
+        self._commit_call = None
+        self._commit_ready()
+
+    def _commit_ready(self) -> None:
+        self._pipeline.commit_planned(self.planned_starts.take_ready())
 
 
 def _set_initial_pace(
