--- a/tests/sessions/test_offered_starts.py
+++ b/tests/sessions/test_offered_starts.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from tests.sessions.batch_fakes import BatchFleet, FakeAgent, create_step
+from tests.sessions.batch_fakes import (
+    CLOCK_STEP_SECONDS,
+    COMMIT_LATENCY_SECONDS,
+    BatchFleet,
+    FakeAgent,
+    create_step,
+)
 from tests.sessions.test_lost_machines import MAX_AWAY_SECONDS, lose_machine
 from wasabiturn.messages.kinds import JobState
 from wasabiturn.standins.batch_worker import SimulatedWork
@@ -10,6 +16,8 @@
 # A receipt is awaited for up to half a second, a commit takes 10 ms.
 MAX_START_SECONDS = 0.7
 LONG_WORK = SimulatedWork(60)
+# Two commits (job, start) and four messages; each may wait for a clock step.
+MAX_CALM_START_SECONDS = 2 * COMMIT_LATENCY_SECONDS + 6 * CLOCK_STEP_SECONDS
 
 
 def find_starts(fleet: BatchFleet, agent: FakeAgent) -> list[str]:
@@ -150,3 +158,41 @@
     fleet.run(0.05)
     fleet.change_leader(0.2)
     fleet.run_until('j', JobState.done, seconds=4)
+
+
+def test_slow_commit_orders_nothing_at_a_machine_that_went_meanwhile() -> None:
+    fleet = BatchFleet(workers=2)
+    fleet.run(1.5)
+    for agent in fleet.agents:
+        agent.notice_delay_seconds = 0.05
+    fleet.submit('j', [create_step(4, millicores=500)], LONG_WORK)
+    fleet.replica.commit_seconds = 0.5
+    fleet.run(0.2)
+    lose_machine(fleet.agents[0])
+    fleet.run(0.2)
+    fleet.replica.commit_seconds = COMMIT_LATENCY_SECONDS
+    fleet.run(2)
+    assert len({task for _, task, *_ in fleet.run_starts}) == 4
+
+
+def test_cancelled_job_starts_nothing_that_was_only_offered() -> None:
+    fleet = BatchFleet(workers=1)
+    fleet.run(1.5)
+    fleet.agents[0].notice_delay_seconds = 0.1
+    fleet.submit('j', [create_step(2, millicores=500)], LONG_WORK)
+    fleet.run(0.03)
+    fleet.cancel('j')
+    fleet.run(2)
+    assert fleet.run_starts == []
+    fleet.submit('k', [create_step(4, millicores=1000)], SimulatedWork(0.1))
+    fleet.run_until('k', JobState.done, seconds=3)
+
+
+def test_start_takes_no_longer_than_its_trips_and_a_commit() -> None:
+    fleet = BatchFleet(workers=2)
+    fleet.run(1.5)
+    submitted_at = fleet.clock.seconds()
+    fleet.submit('j', [create_step(4, millicores=500)], LONG_WORK)
+    fleet.run(0.2)
+    slowest = max(at for at, *_ in fleet.run_starts)
+    assert slowest <= submitted_at + MAX_CALM_START_SECONDS
--- a/wasabiturn/batch/planned_starts.py
+++ b/wasabiturn/batch/planned_starts.py
@@ -5,8 +5,8 @@
 after that. So the committed state has no start that a dark machine never got,
 and a new leader takes no such start for one that may be carried out.
 
-A change of the state that concerns the task or its job revokes a planned start
-first, so that the working copy goes the way of the committed state.
+The end of another run of the task revokes a planned start first, so that the
+working copy goes the way of the committed state.
 """
 
 from collections.abc import Iterable, Iterator
@@ -16,11 +16,12 @@
 
 from wasabiturn.batch.apply import apply_batch_change
 from wasabiturn.batch.fleet import Allocation, Fleet
-from wasabiturn.batch.jobs import Task
+from wasabiturn.batch.jobs import Job, Task
 from wasabiturn.batch.offers import takes_offers
 from wasabiturn.batch.run_ends import requeue_task
 from wasabiturn.batch.state import BatchState
 from wasabiturn.messages.batch import BatchChange, StartRun
+from wasabiturn.messages.kinds import JobState
 
 
 @final
@@ -62,6 +63,8 @@
     _planned_by_task: dict[str, PlannedStart] = attrs.field(
         factory=dict, init=False
     )
+    # Jobs of which no start is committed.
+    _queued_job_ids: set[str] = attrs.field(factory=set, init=False)
 
     def plan(self, start: StartRun, now: float) -> bool:
         """Apply a start of a waiting task to the working copy.
@@ -77,6 +80,8 @@
             bound_until=self._fleet.bound_until_by_task.get(task.name),
             was_lost_under_way=task.name in self._fleet.tasks_lost_under_way,
         )
+        if task.job.state is JobState.queued:
+            self._queued_job_ids.add(task.job.job_id)
         apply_batch_change(self._batch_state, BatchChange(starts=[start]))
         self._planned_by_task[task.name] = planned
         worker = self._fleet.worker_of(task)
@@ -98,17 +103,9 @@
                 self._revoke_one(member)
 
     def revoke_before(self, change: BatchChange) -> None:
-        """Revoke the starts of tasks and jobs that ``change`` concerns."""
-        if not self._planned_by_task:
-            return
-        self.revoke(end.task for end in change.ends)
-        closed_jobs = set(change.cancels)
-        for give_up in change.give_ups:
-            task = self._batch_state.tasks_by_name.get(give_up.task)
-            if task is not None:
-                closed_jobs.add(task.job.job_id)
-        if closed_jobs:
-            self.revoke(self._list_tasks_of(closed_jobs))
+        """Revoke the starts of tasks with runs that ``change`` ends."""
+        if self._planned_by_task:
+            self.revoke(end.task for end in change.ends)
 
     def revoke_unwanted(self) -> None:
         """Revoke starts that were withdrawn, or whose jobs have ended."""
@@ -130,6 +127,7 @@
 
     def _take_one(self, planned: PlannedStart) -> StartRun:
         self._planned_by_task.pop(planned.task.name)
+        self._queued_job_ids.discard(planned.task.job.job_id)
         allocation = self._find_allocation(planned)
         if allocation is not None:
             allocation.is_planned = False
@@ -148,6 +146,15 @@
             self._batch_state.drop_task(task)
         else:
             requeue_task(task)
+        self._restore_job(task.job)
+
+    def _restore_job(self, job: Job) -> None:
+        """Have a job without a start be queued again, or forget that it was."""
+        if any(self._list_tasks_of({job.job_id})):
+            return
+        if job.job_id in self._queued_job_ids:
+            self._queued_job_ids.discard(job.job_id)
+            job.state = job.state if job.is_final else JobState.queued
 
     def _find_allocation(self, planned: PlannedStart) -> Allocation | None:
         worker = self._fleet.worker_of(planned.task)
