--- a/wasabiturn/batch/offers.py
+++ b/wasabiturn/batch/offers.py
@@ -4,9 +4,8 @@
 still runs. The push only offers them; the agent answers with a receipt, after
 which the leader commits the starts, and then orders them. What was never
 ordered cannot have been carried out, so an offer without a receipt ends as not
-started, and its task may start elsewhere at once. A report of the agent counts
-as a receipt. If the commit takes longer than a receipt may, the start is
-offered again.
+started, and its task may start elsewhere at once. If the commit takes longer
+than a receipt may, the start is offered again.
 
 Agents of earlier versions send no receipts; their starts are committed and
 ordered at once. So are those of agents that missed an offer and were heard
@@ -70,20 +69,6 @@
         worker.has_late_receipts = False
 
 
-def record_contact(worker: Worker, now: float) -> bool:
-    """Take a report for a receipt; return whether planned starts got one."""
-    if not worker.is_reconciled or worker.is_gone:
-        return False
-    planned = [
-        allocation
-        for allocation in worker.allocations_by_task.values()
-        if allocation.is_planned
-    ]
-    for allocation in planned:
-        allocation.received_at = now
-    return bool(planned)
-
-
 def accept_receipt(
     worker: Worker, receipt: OrderReceipt, now: float
 ) -> list[Allocation]:
--- a/wasabiturn/process/control/batch/starts.py
+++ b/wasabiturn/process/control/batch/starts.py
@@ -6,9 +6,8 @@
 import time
 from typing import Any, final
 
-from wasabiturn.batch.fleet import Fleet, Worker
+from wasabiturn.batch.fleet import Fleet
 from wasabiturn.batch.forecast import Forecasts
-from wasabiturn.batch.offers import record_contact
 from wasabiturn.batch.ordering import Moment
 from wasabiturn.batch.planned_starts import PlannedStarts
 from wasabiturn.batch.planning import plan_starts
@@ -23,7 +22,7 @@
 from wasabiturn.utils.logs import create_component_log
 
 # Receipts that come within this time go into one commit.
-RECEIPTS_SECONDS = 0.004
+RECEIPTS_SECONDS = 0.001
 _MS = 1000
 
 _log = create_component_log('queues')
@@ -69,11 +68,6 @@
         self._commit_ready()
         return incarnations_to_offer
 
-    def record_contact(self, worker: Worker, now: float) -> None:
-        """Take a report of a worker's agent for a receipt of its offers."""
-        if record_contact(worker, now):
-            self.commit_soon()
-
     def commit_soon(self) -> None:
         """Commit the starts that their agents have got, in a moment."""
         if self._commit_call is None and not self._pipeline.is_closed:
--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -64,7 +64,6 @@
         leader_term.give_up_runs(worker, 'nothing listens', now)
     _withdraw_starts_without_room(leader_term, worker)
     _adjust_pace(leader_term, worker, now)
-    leader_term.starter.record_contact(worker, now)
     return leader_term.delivery.orders_for(
         worker, _grant_lease(leader_term, worker, report, now)
     )
