--- a/tests/version/raft/test_open_group.py
+++ b/tests/version/raft/test_open_group.py
@@ -9,6 +9,7 @@
 
 from wasabiturn.messages.raft import Envelope, Introduce
 from wasabiturn.version.raft import core, membership
+from wasabiturn.version.raft.founding import Gap, Missing, find_gap
 from wasabiturn.version.raft.membership import name_of
 from wasabiturn.version.raft.state import GroupRules, RaftState, Recovered
 
@@ -196,3 +197,140 @@
     core.step(core.Contacts(('a', 'b', 'c')), group.members['d'], group.now)
     group.run(2)
     assert 'd/1' in str(membership.current(group.leader()))
+
+
+def create_group_without_member_seeds(*names: str) -> OpenGroup:
+    """Return members whose seeds, instances without a disk, list them all."""
+    group = OpenGroup(seeds=('x', 'y', 'z'))
+    group.memberless = frozenset('xyz')
+    for name in names:
+        group.add(name)
+    return group
+
+
+def list_members(group: OpenGroup, *names: str, seeds: str = 'xyz') -> None:
+    for member in group.members.values():
+        for seed in seeds:
+            contacts = core.Contacts(names, lister=seed)
+            core.step(contacts, member, group.now)
+
+
+def count_leaders(group: OpenGroup) -> int:
+    return sum(
+        member.leadership is not None for member in group.members.values()
+    )
+
+
+def test_a_group_forms_when_no_seed_runs_a_member() -> None:
+    group = create_group_without_member_seeds('d', 'e', 'f', 'g')
+    group.run(0.5)
+    list_members(group, 'd', 'e', 'f', 'g')
+    group.run(3)
+    assert group.voter_ids() == {'d/1', 'e/1', 'f/1'}
+
+
+def test_a_single_member_founds_the_group_after_a_wait() -> None:
+    """The others that the settings allow for may never come."""
+    group = create_group_without_member_seeds('d')
+    list_members(group, 'd')
+    group.run(2)
+    assert not count_leaders(group)
+    group.run(3)
+    assert group.voter_ids() == {'d/1'}
+
+
+def test_later_members_join_a_group_that_one_has_founded() -> None:
+    group = create_group_without_member_seeds('d')
+    list_members(group, 'd')
+    group.run(5)
+    group.add('b')
+    group.add('c')
+    list_members(group, 'b', 'c', 'd')
+    group.run(8)
+    assert count_leaders(group) == 1
+    assert group.voter_ids() == {'b/1', 'c/1', 'd/1'}
+
+
+@pytest.mark.parametrize('seeds', ['', 'x', 'xy'])
+def test_no_group_forms_before_each_seed_has_listed_its_members(
+    seeds: str,
+) -> None:
+    """A member that only the silent seed knows may have founded a group."""
+    group = create_group_without_member_seeds('d', 'e')
+    list_members(group, 'd', 'e', seeds=seeds)
+    group.run(6)
+    assert not count_leaders(group)
+
+
+def test_a_list_from_before_the_own_link_does_not_count() -> None:
+    """Of two members, one at least must know the other."""
+    group = create_group_without_member_seeds('d', 'e')
+    list_members(group, 'e')
+    group.run(6)
+    assert not group.members['d'].ballot.cluster
+
+
+def test_no_group_forms_while_a_listed_member_is_silent() -> None:
+    group = create_group_without_member_seeds('d', 'e')
+    list_members(group, 'c', 'd', 'e')
+    group.run(6)
+    assert not count_leaders(group)
+
+
+@pytest.mark.parametrize('late_seconds', [0, 1, 2.9, 3, 3.1, 4, 6])
+@pytest.mark.parametrize('names', ['de', 'ed'])
+def test_two_members_that_start_apart_found_one_group(
+    late_seconds: float, names: str
+) -> None:
+    """The earlier member was listed before the later one was known."""
+    earlier, later = names
+    group = create_group_without_member_seeds(earlier)
+    list_members(group, earlier)
+    group.run(late_seconds)
+    group.add(later)
+    later_member = {later: group.members[later]}
+    known = group.members
+    group.members = later_member
+    list_members(group, earlier, later)
+    group.members = known
+    group.run(10)
+    clusters = {member.ballot.cluster for member in known.values()}
+    assert len(clusters) == 1
+    assert count_leaders(group) == 1
+
+
+@pytest.mark.parametrize(
+    ('may_found', 'listed', 'gap'),
+    [
+        (False, 'de', Gap.permission),
+        (True, '', Gap.lists),
+        (True, 'cde', Gap.members),
+        (True, 'bde', Gap.members),
+        (True, 'd', Gap.wait),
+    ],
+)
+def test_a_member_without_a_group_tells_what_is_missing(
+    may_found: bool, listed: str, gap: Gap
+) -> None:
+    group = create_group_without_member_seeds()
+    group.add('d', may_found=may_found)
+    if listed:
+        list_members(group, *listed)
+    group.run(0.5)
+    found = find_gap(group.members['d'], group.now)
+    assert found is not None
+    assert found.gap is gap
+
+
+def test_a_member_tells_which_seeds_are_missing() -> None:
+    group = create_group_without_member_seeds('d')
+    group.memberless = frozenset('xz')
+    group.run(0.5)
+    found = find_gap(group.members['d'], group.now)
+    assert found == Missing(Gap.seeds, ('y',))
+
+
+def test_a_member_of_a_group_misses_nothing() -> None:
+    group = create_formed_group()
+    for member in group.members.values():
+        assert find_gap(member, group.now) is None
--- a/wasabiturn/platform/control_program.py
+++ b/wasabiturn/platform/control_program.py
@@ -7,6 +7,7 @@
 from wasabiturn.process.control.batch import create_batch_leader
 from wasabiturn.process.control.consensus import create_replica
 from wasabiturn.process.daemon import Context
+from wasabiturn.process.group_gap import GroupGap, GroupGapReporter
 from wasabiturn.version.raft.core import Contacts
 
 
@@ -26,7 +27,14 @@
             read_queues,
         ),
     ]
+
+    def find_gap() -> GroupGap | None:
+        missing = replica.member_status().missing
+        return missing and GroupGap(missing.gap.value, missing.names)
+
+    program.services.append(GroupGapReporter(find_gap, context.reactor))
+    program.group.needs_all_lists = lambda: find_gap() is not None
     program.group.on_members.append(
-        lambda names: replica.step(Contacts(tuple(names))),
+        lambda names, lister: replica.step(Contacts(tuple(names), lister)),
     )
     return program
--- a/wasabiturn/platform/entry_program.py
+++ b/wasabiturn/platform/entry_program.py
@@ -39,7 +39,7 @@
         is_ready = leader_contact.is_fresh() and not program.is_draining
         return Response(status=OK if is_ready else UNAVAILABLE)
 
-    program.services = [leader_contact]
+    program.services.append(leader_contact)
     operators = OperatorHandler(program.group.calls, platform.data_centres)
     program.servers = [
         (platform.callers_listen, callers),
--- a/wasabiturn/platform/program.py
+++ b/wasabiturn/platform/program.py
@@ -22,6 +22,7 @@
 from wasabiturn.process.control_group import ControlGroup
 from wasabiturn.process.daemon import Component, Context, listen
 from wasabiturn.process.exposition import open_metrics_site
+from wasabiturn.process.group_gap import GroupGapReporter, find_contact_gap
 from wasabiturn.utils.pauses import PauseDetector
 from wasabiturn.utils.ticker import Ticker
 
@@ -59,6 +60,12 @@
             links_to_all=role is Role.control,
         )
         self.services: list[Component] = []
+        if role is not Role.control:
+            self.services.append(
+                GroupGapReporter(
+                    lambda: find_contact_gap(self.group), context.reactor
+                )
+            )
         self.servers: list[tuple[Endpoint | None, JsonServer]] = []
         # For programs whose clients ask another instance after a while.
         self.pause_detector: PauseDetector | None = None
--- a/wasabiturn/process/control/consensus.py
+++ b/wasabiturn/process/control/consensus.py
@@ -30,7 +30,7 @@
 from wasabiturn.process.daemon import Context
 from wasabiturn.utils.logs import create_component_log
 from wasabiturn.utils.ticker import Ticker
-from wasabiturn.version.raft import lease, membership, replication
+from wasabiturn.version.raft import founding, lease, membership, replication
 from wasabiturn.version.raft.core import step
 from wasabiturn.version.replica import MemberStatus, NotLeaderError
 from wasabiturn.version.state import State
@@ -156,6 +156,7 @@
             term=member.raft.ballot.term,
             members=tuple(self.members().members),
             lag_by_id=replication.replication_lag(member.raft),
+            missing=founding.find_gap(member.raft, self._now()),
         )
 
     def holds_lease(self, now: float) -> bool:
--- a/wasabiturn/process/control_group.py
+++ b/wasabiturn/process/control_group.py
@@ -29,7 +29,9 @@
 KEPT_LINKS = 2
 NEVER = float('-inf')
 
-MembersCallback = Callable[[list[str]], None]
+# Called with the names of the members, and the name of the instance that lists
+# them.
+MembersCallback = Callable[[list[str], str], None]
 
 _log = create_component_log('group')
 
@@ -52,11 +54,13 @@
         A member has ``links_to_all`` other members and seeds, so that seeds
         without a member learn of it.
         """
-        # Called with the names of the members whenever a member lists them.
+        # Called whenever an instance lists the members.
         self.on_members: list[MembersCallback] = []
+        # Returns whether this process waits for the lists of all instances.
+        self.needs_all_lists: Callable[[], bool] = _need_no_list
         self.member_names: list[str] = []
         self._links_to_all = links_to_all
-        self._seeds = seeds
+        self.seeds = seeds
         self._port = port
         self._dispatch = dispatch
         self._reactor = reactor
@@ -83,7 +87,7 @@
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seeds; they are dialled when links are missing."""
-        self._seeds = seeds
+        self.seeds = seeds
 
     def add_member(self, name: str) -> None:
         """Add a member that has opened a link to this process."""
@@ -94,11 +98,12 @@
         """Return the open links to members."""
         return [
             link
-            for link in self._all_open_links()
+            for link in self.all_open_links()
             if link.peer.role is Role.control
         ]
 
-    def _all_open_links(self) -> list[Link]:
+    def all_open_links(self) -> list[Link]:
+        """Return the open links, also to instances that run no member."""
         links = [dialer.link for dialer in self._dialers_by_name.values()]
         return [link for link in links if link is not None and link.is_open]
 
@@ -113,18 +118,21 @@
         else:
             self._drop_surplus(open_names)
         now = self._reactor.seconds()
-        if now >= self._refreshed_at + MEMBERS_REFRESH_SECONDS:
+        if self.needs_all_lists():
+            for link in self.all_open_links():
+                self._request_members(link)
+        elif now >= self._refreshed_at + MEMBERS_REFRESH_SECONDS:
             self._refresh(now)
 
     def _dial_all(self) -> None:
-        names = {*self.member_names, *self._seeds}
+        names = {*self.member_names, *self.seeds}
         for name in names:
             self._dial(name)
         self._forget_departed(names)
 
     def _dial_another(self) -> None:
         """Dial one more of the known instances, if there is one."""
-        names = {*self.member_names, *self._seeds}
+        names = {*self.member_names, *self.seeds}
         candidates = sorted(names - self._dialers_by_name.keys())
         if candidates:
             self._dial(self._random.choice(candidates))
@@ -161,11 +169,13 @@
         self._dialers_by_name.pop(name).stop()
 
     def _refresh(self, now: float) -> None:
-        links = self._all_open_links()
+        links = self.all_open_links()
         if not links:
             return
         self._refreshed_at = now + self._random.uniform(-1, 0)
-        link = self._random.choice(links)
+        self._request_members(self._random.choice(links))
+
+    def _request_members(self, link: Link) -> None:
         members_call = link.call(
             Method.members,
             Nothing(),
@@ -185,7 +195,7 @@
         for name in members.names:
             self.add_member(name)
         for callback in self.on_members:
-            callback(members.names)
+            callback(members.names, link.peer.name)
 
     def _handle_refresh_failure(self, failure: Failure) -> None:
         self._refreshed_at = NEVER
@@ -195,6 +205,10 @@
         )
 
 
+def _need_no_list() -> bool:
+    return False
+
+
 def _is_in_use(dialer: Dialer) -> bool:
     link = dialer.link
     return link is not None and bool(link.calls.pending_by_exchange)
--- a/wasabiturn/process/exposition.py
+++ b/wasabiturn/process/exposition.py
@@ -85,6 +85,12 @@
     ('reason',),
     registry=registry,
 )
+group_gaps = Gauge(
+    'wasabiturn_group_gap',
+    '1 for what this process lacks to reach or form the control group.',
+    ('missing',),
+    registry=registry,
+)
 turns_left = Counter(
     'wasabiturn_turns_left',
     'Times that this member led, stood still and left the turn to others.',
--- a/wasabiturn/version/raft/core.py
+++ b/wasabiturn/version/raft/core.py
@@ -15,6 +15,7 @@
 from wasabiturn.messages.kinds import EntryKind
 from wasabiturn.messages.raft import Entry, Envelope
 from wasabiturn.version.raft import (
+    contacts,
     election,
     introduction,
     lease,
@@ -55,9 +56,10 @@
 @final
 @attrs.frozen
 class Contacts:
-    """Names of members that this process knows from others."""
+    """Names of members that the instance ``lister`` knows."""
 
     names: tuple[str, ...]
+    lister: str = ''
 
 
 @final
@@ -136,8 +138,7 @@
 
 @step.register
 def _(message: Contacts, state: RaftState, now: float) -> None:
-    if state.rules.is_open:
-        state.reported_names.update(message.names)
+    contacts.record_list(state, message.names, message.lister, now)
 
 
 @step.register
--- a/wasabiturn/version/raft/state.py
+++ b/wasabiturn/version/raft/state.py
@@ -189,6 +189,10 @@
     incoming_snapshot: IncomingSnapshot | None = None
     # Instances that other members of an open group have reported.
     reported_names: set[str] = attrs.field(factory=set)
+    # Seeds that have listed this member among those that they know, and since
+    # when all have.
+    listing_names: set[str] = attrs.field(factory=set)
+    listed_at: float = NEVER
     # Instances that answered, but run no member.
     memberless_names: frozenset[str] = frozenset()
     introductions_by_name: dict[str, Introduction] = attrs.field(factory=dict)
--- a/wasabiturn/version/replica.py
+++ b/wasabiturn/version/replica.py
@@ -10,6 +10,7 @@
 from wasabiturn.ids import InstanceName, LogIndex
 from wasabiturn.messages.raft import Member
 from wasabiturn.messages.state import Change, Command, Outcome
+from wasabiturn.version.raft.founding import Missing
 from wasabiturn.version.state import State
 
 
@@ -54,6 +55,8 @@
     term: int
     members: tuple[Member, ...]
     lag_by_id: dict[str, int] = attrs.field(factory=dict)
+    # What this member lacks to found or join a group.
+    missing: Missing | None = None
 
 
 class Replica(Protocol):
