--- /dev/null
+++ b/benchmarks/platform_soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak of the programs on the users' platform."""
--- a/benchmarks/soak/programs.py
+++ b/benchmarks/soak/programs.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Mapping
 from pathlib import Path
 from typing import IO, final
 
@@ -20,6 +21,7 @@
     name: str
     arguments: tuple[str, ...]
     output: Path
+    environment: Mapping[str, str] = attrs.field(factory=dict)
     process: subprocess.Popen[bytes] | None = None
     frozen: bool = False
 
@@ -69,7 +71,11 @@
             stdout=stream,
             stderr=stream,
             cwd=str(self.output.parent),
-            env={**os.environ, 'PYTHONPATH': str(Path.cwd())},
+            env={
+                **os.environ,
+                'PYTHONPATH': str(Path.cwd()),
+                **self.environment,
+            },
         )
 
     def _signal(self, number: int) -> None:
--- a/benchmarks/soak/relay.py
+++ b/benchmarks/soak/relay.py
@@ -1,4 +1,4 @@
-"""TCP relay that can drop the data of a path, or of its open connections."""
+"""TCP relay that can drop or delay the data of a path or its connections."""
 
 from typing import Any, final
 
@@ -7,6 +7,9 @@
 
 from wasabiturn.connection.endpoint import Endpoint
 
+# Calls that are due at the same time may come in any order.
+MIN_GAP_SECONDS = 1e-5
+
 
 @final
 @attrs.define(eq=False)
@@ -21,6 +24,9 @@
     cut_backward: bool = False
     # Payload in both directions, without TCP headers.
     carried_bytes: int = 0
+    # How much later data is passed on, in the same order; needs ``clock``.
+    delay_seconds: float = 0.0
+    clock: Any = None
     sides: set['RelaySide'] = attrs.field(factory=set)
 
     def cut(self) -> None:
@@ -57,6 +63,7 @@
         self.other: RelaySide | None = None
         self.silent = False
         self.early_data: list[bytes] = []
+        self.delayed_until = 0.0
 
     def connectionMade(self) -> None:
         """Send the data that was received before this side was connected."""
@@ -72,6 +79,19 @@
         if self.silent or self._is_cut():
             return
         self.path.carried_bytes += len(data)
+        clock = self.path.clock
+        now = clock.seconds() if clock else 0.0
+        due_at = max(
+            now + self.path.delay_seconds, self.delayed_until + MIN_GAP_SECONDS
+        )
+        if due_at > now:
+            # What follows may not overtake it, also without a delay.
+            self.delayed_until = due_at
+            clock.callLater(due_at - now, self._pass_on, data)
+        else:
+            self._pass_on(data)
+
+    def _pass_on(self, data: bytes) -> None:
         other = self.other
         if other is None:
             return
@@ -100,12 +120,15 @@
 
 
 @final
-class _RelayFactory(Factory):
+class RelayFactory(Factory):
+    """Factory of the accepted sides of one relay."""
+
     noisy = False
 
     def __init__(
         self, path: NetworkPath, target: Endpoint, reactor: Any
     ) -> None:
+        """Create a relay of ``path`` to ``target``."""
         self.path = path
         self.target = target
         self.reactor = reactor
@@ -156,10 +179,10 @@
     reactor: Any, endpoint: Endpoint, target: Endpoint
 ) -> NetworkPath:
     """Relay connections at ``endpoint`` to ``target``; return the path."""
-    path = NetworkPath()
+    path = NetworkPath(clock=reactor)
     reactor.listenTCP(
         endpoint.port,
-        _RelayFactory(path, target, reactor),
+        RelayFactory(path, target, reactor),
         interface=endpoint.host,
     )
     return path
