Platform soak: what the machine held up is no fault of the programs

Cause: on a busy machine (load 27 to 31 on 8 cores) processes stood still for seconds without a fault of the soak.

Ruled out: the injected faults (the entry had been frozen until 42.9 s and answered after it) and the soak's own loop alone (its longest gap was 1.6 s).

Each program's wait for a processor is read twice a second from the kernel (/proc/PID/schedstat). A wait of over 0.25 s counts as a fault of its program: its calls are not judged until it answers again, and idle spells count only where nothing was held up for 4 s, as after the other faults. On a calm machine both checks are as strict as before. All other promises are judged always.

--- a/benchmarks/platform_soak/__main__.py
+++ b/benchmarks/platform_soak/__main__.py
@@ -17,9 +17,10 @@
 from benchmarks.platform_soak.calls import send_call
 from benchmarks.platform_soak.faults import FaultInjector
 from benchmarks.platform_soak.fleet import Fleet, FleetSize, create_fleet
-from benchmarks.platform_soak.idle import IdleWatch
+from benchmarks.platform_soak.idle import CALM_SECONDS, IdleWatch
 from benchmarks.platform_soak.journal import Journal
 from benchmarks.platform_soak.settings import create_routing
+from benchmarks.platform_soak.starvation import StarvationWatch
 from benchmarks.soak.checker import Report
 from wasabiturn.connection.http_messages import HttpRequest
 from wasabiturn.utils.clock import use_boot_clock
@@ -31,8 +32,6 @@
 # without an answer may be carried out for 15 s, a lease lasts 6 s, and the jobs
 # that then start take two steps of 4.4 s.
 SETTLE_SECONDS = 45.0
-# Idle jobs count from so long after the last fault.
-CALM_SECONDS = 4.0
 LOOK_SECONDS = 0.1
 CALL_SECONDS = 1.0
 JOB_PAUSE_SECONDS = (0.2, 0.7)
@@ -49,12 +48,14 @@
     callers: Callers
     faults: FaultInjector
     idle: IdleWatch
+    starvation: StarvationWatch
 
     @inlineCallbacks
     def run(self, seconds: float) -> Any:
         """Run load and faults, settle, and return the report."""
         self.fleet.start()
         yield self._configure()
+        self.starvation.start()
         submitted = self.callers.run()
         self.faults.start()
         yield self._pause(seconds)
@@ -111,7 +112,7 @@
         checks.check_runs(report, self.journal.runs)
         checks.check_jobs(report, self.callers.jobs, self.journal.runs)
         checks.check_calls(report, self.journal)
-        idle = '; '.join(self.idle.violations_by_job.values())
+        idle = '; '.join(self.idle.find_violations())
         report.check('no job idle beside room at the end', not idle, idle)
         ended = self.fleet.find_ended()
         report.check('no program ends by itself', not ended, f'{ended}')
@@ -153,6 +154,7 @@
             random=Random(seed + 1),
         ),
         idle=IdleWatch(journal, list(fleet.workers_by_name.values())),
+        starvation=StarvationWatch(reactor, fleet, journal),
     )
 
 
--- a/benchmarks/platform_soak/idle.py
+++ b/benchmarks/platform_soak/idle.py
@@ -5,10 +5,12 @@
 import attrs
 
 from benchmarks.platform_soak.callers import MILLICORES, Job
-from benchmarks.platform_soak.journal import BEGIN, Journal
+from benchmarks.platform_soak.journal import BEGIN, STARVED, Journal
 from benchmarks.platform_soak.workers import MILLICORES as WORKER_MILLICORES
 from benchmarks.platform_soak.workers import Worker
 
+# Idle jobs count from so long after the last fault.
+CALM_SECONDS = 4.0
 # A task may wait beside room for so long.
 MAX_IDLE_SECONDS = 3.0
 
@@ -22,7 +24,8 @@
     workers: list[Worker]
     idle_since_by_job: dict[str, float] = attrs.field(factory=dict)
     longest_seconds: float = 0
-    violations_by_job: dict[str, str] = attrs.field(factory=dict)
+    # Job, and from when to when it was idle.
+    spells: dict[tuple[str, float], float] = attrs.field(factory=dict)
     _done: set[str] = attrs.field(factory=set)
     _read_events: int = 0
 
@@ -42,8 +45,24 @@
         for job_id in idle:
             since = self.idle_since_by_job.setdefault(job_id, now)
             self.longest_seconds = max(self.longest_seconds, now - since)
-            if now > since + MAX_IDLE_SECONDS:
-                self.violations_by_job[job_id] = f'{job_id} since {since:.1f}'
+            self.spells[job_id, since] = now
+
+    def find_violations(self) -> list[str]:
+        """Return the jobs that were idle for too long, and from when on.
+
+        As at the end of the faults, jobs may be idle until ``CALM_SECONDS``
+        after the machine held a program up.
+        """
+        starved = [
+            (fault.at, fault.at + fault.seconds + CALM_SECONDS)
+            for fault in self.journal.faults
+            if fault.kind == STARVED
+        ]
+        return [
+            f'{job_id} from {since:.1f} to {until:.1f}'
+            for (job_id, since), until in self.spells.items()
+            if _measure_calm(since, until, starved) > MAX_IDLE_SECONDS
+        ]
 
     def _read_ends(self) -> None:
         for event in self.journal.runs[self._read_events :]:
@@ -67,3 +86,14 @@
     def _is_idle(self, job: Job, running: set[str]) -> bool:
         tasks = set(job.tasks())
         return bool(tasks - self._done) and not tasks & running
+
+
+def _measure_calm(
+    since: float, until: float, starved: list[tuple[float, float]]
+) -> float:
+    """Return the longest part of a spell in which nothing was held up."""
+    longest = 0.0
+    for begins_at, ends_at in sorted(starved):
+        longest = max(longest, min(begins_at, until) - since)
+        since = max(since, ends_at)
+    return max(longest, until - since)
--- a/benchmarks/platform_soak/journal.py
+++ b/benchmarks/platform_soak/journal.py
@@ -58,6 +58,8 @@
 BEGIN = 'begin'
 END = 'end'
 ACKNOWLEDGED = 'acknowledged'
+# Kind of a fault of the machine, not of the soak: see ``starvation``.
+STARVED = 'starved'
 
 
 @final
--- a/tests/process/test_platform_soak.py
+++ b/tests/process/test_platform_soak.py
@@ -19,6 +19,7 @@
     ACKNOWLEDGED,
     BEGIN,
     END,
+    STARVED,
     CallEvent,
     FaultEvent,
     Journal,
@@ -189,9 +190,20 @@
 def test_a_job_that_is_idle_beside_room_is_found(tmp_path: Path) -> None:
     looks = create_looks(tmp_path)
     looks.look(MAX_IDLE_SECONDS)
-    assert not looks.watch.violations_by_job
+    assert not looks.watch.find_violations()
     looks.look(1)
-    assert list(looks.watch.violations_by_job) == [JOB]
+    assert len(looks.watch.find_violations()) == 1
+
+
+@pytest.mark.parametrize(('at', 'is_found'), [(1, False), (5, True)])
+def test_a_job_that_the_machine_held_up_is_not_idle(
+    tmp_path: Path, at: float, is_found: bool
+) -> None:
+    looks = create_looks(tmp_path)
+    looks.look(2 * MAX_IDLE_SECONDS)
+    fault = FaultEvent(at, STARVED, 'control-1', 1)
+    looks.watch.journal.add_fault(fault)
+    assert bool(looks.watch.find_violations()) is is_found
 
 
 @pytest.mark.parametrize('has_room', [True, False])
@@ -205,4 +217,4 @@
         else {f'00000000000000bb.0.0.{index}': 1 for index in range(7)}
     )
     looks.look(2 * MAX_IDLE_SECONDS)
-    assert not looks.watch.violations_by_job
+    assert not looks.watch.find_violations()
