--- a/tests/batch/test_progress.py
+++ b/tests/batch/test_progress.py
@@ -2,6 +2,8 @@
 
 from typing import NoReturn
 
+import attrs
+
 from tests.batch.jobs_fakes import (
     accept,
     create_batch_state,
@@ -11,14 +13,25 @@
     start,
     step,
 )
-from wasabiturn.batch import apply_batch_change
+from wasabiturn.batch import (
+    BatchState,
+    apply_batch_change,
+    dump_batch_state,
+    load_batch_state,
+)
 from wasabiturn.batch.fleet import Allocation
 from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.progress import (
+    FIRST_REPORTS_SECONDS,
+    MAX_IDLE_SECONDS,
     START_ANSWER_SECONDS,
     idle_seconds,
     record_end,
+    restore_idle_times,
 )
+from wasabiturn.batch.reports import apply_report
+from wasabiturn.batch.state_clock import StateClock
+from wasabiturn.messages.batch import BatchChange, EndedRow
 from wasabiturn.messages.kinds import RunEnding
 
 TASK = 'j.0.0.0'
@@ -123,3 +136,54 @@
     job = case.batch_state.jobs_by_id['j']
     job.tasks_by_name = Unread(job.tasks_by_name)
     assert case.read(START_ANSWER_SECONDS + 1) > 0
+
+
+def restore(*changes: BatchChange) -> float:
+    """Return the idle time of `j` for a leader that begins at 100 s.
+
+    Its clock of the state reads 60 s then.
+    """
+    batch_state = BatchState()
+    for change in changes:
+        apply_batch_change(batch_state, change)
+    batch_state = load_batch_state(dump_batch_state(batch_state))
+    fleet = create_fleet()
+    clock = StateClock(noted_at=100, elapsed_ms=60_000)
+    restore_idle_times(fleet, batch_state, clock, now=100)
+    return idle_seconds(fleet, batch_state.jobs_by_id['j'], 100)
+
+
+def at(clock_ms: int, change: BatchChange) -> BatchChange:
+    return attrs.evolve(change, clock_ms=clock_ms)
+
+
+def test_idle_time_is_kept_for_the_next_leader() -> None:
+    accepted = at(59_000, accept('j', step(2)))
+    assert restore(accepted) == 1
+    early = at(1000, accept('j', step(2)))
+    ended = at(59_500, end(TASK))
+    assert restore(early, start(TASK), ended) == 0.5
+
+
+def test_job_is_not_idle_for_a_new_leader_before_workers_have_reported() -> (
+    None
+):
+    early = at(1000, accept('j', step(2)))
+    assert restore(early) == MAX_IDLE_SECONDS - FIRST_REPORTS_SECONDS
+    lost = at(59_900, end(TASK, ending=RunEnding.lost))
+    known = MAX_IDLE_SECONDS - FIRST_REPORTS_SECONDS
+    assert restore(early, start(TASK), lost) == known
+
+
+def test_time_of_a_leader_of_an_earlier_version_is_not_known() -> None:
+    assert restore(accept('j', step(2))) == 0
+
+
+def test_run_that_ended_before_its_first_report_has_worked() -> None:
+    case = Case()
+    ended = EndedRow(number=1, task=TASK, run=1, ending=RunEnding.done)
+    report = attrs.evolve(case.worker.report, ended=[ended])
+    run = case.run
+    assert apply_report(case.worker, report, now=9)
+    record_end(case.fleet, case.worker, run)
+    assert case.read(9.5) == 0.5
--- a/tests/sessions/batch_fakes.py
+++ b/tests/sessions/batch_fakes.py
@@ -127,6 +127,8 @@
         # How long a commit takes; none overtakes an earlier one.
         self.commit_seconds = COMMIT_LATENCY_SECONDS
         self._newest_commit_at = 0.0
+        # When the clock of the state was last set.
+        self.clock_set_at = clock.seconds()
         self._clock = clock
         self._term = term
 
@@ -145,7 +147,10 @@
         if not self.leads:
             committed.errback(NotLeaderError(None))
             return
+        clock_ms = self.state.batch.clock_ms
         effect = apply_command(self.state, unpack(Command, packed))
+        if self.state.batch.clock_ms != clock_ms:
+            self.clock_set_at = self._clock.seconds()
         committed.callback(effect.outcome)
 
     def read_barrier(self) -> Deferred[None]:
@@ -513,15 +518,26 @@
         )
         self.leader.start()
 
-    def change_leader(self, seconds: float = 1.5) -> None:
-        """Stop the leader, and start another one after ``seconds``."""
+    def change_leader(
+        self, seconds: float = 1.5, *, was_up: bool = False
+    ) -> None:
+        """Stop the leader, and start another one after ``seconds``.
+
+        That one has just begun to read the clock of the state, unless it
+        ``was_up`` and has followed all changes.
+        """
         self.replica.leads = False
         self.leader.close()
         self.run(seconds)
         self._term += 1
+        clock_set_at = self.replica.clock_set_at
         state = load_state(dump_state(self.replica.state))
         self.replica = FakeReplica(self.clock, self._term, state)
         self._start_leader()
+        if was_up:
+            self.replica.clock_set_at = clock_set_at
+            state_clock = self.leader._clock_follower._state_clock
+            state_clock.noted_at = clock_set_at
 
     # Callers and operators
 
--- a/wasabiturn/batch/apply.py
+++ b/wasabiturn/batch/apply.py
@@ -24,6 +24,9 @@
 )
 from wasabiturn.messages.kinds import BatchTaskState, JobState, RunEnding
 
+# A run with one of these may have stopped working long before.
+_UNHEARD_ENDINGS = frozenset((RunEnding.lost, RunEnding.not_started))
+
 
 def apply_batch_change(batch_state: BatchState, change: BatchChange) -> None:
     """Apply one change, in the order of its fields."""
@@ -71,7 +74,9 @@
 
 def _accept_job(batch_state: BatchState, accepted: AcceptJob) -> None:
     if accepted.declaration.job_id not in batch_state.jobs_by_id:
-        batch_state.add_job(create_job(accepted))
+        job = create_job(accepted)
+        job.idle_since_ms = batch_state.clock_ms
+        batch_state.add_job(job)
 
 
 def _cancel_job(batch_state: BatchState, job_id: str) -> None:
@@ -139,6 +144,8 @@
         return
     if end.ending is not RunEnding.not_started:
         task.job.has_begun = True
+    if end.ending not in _UNHEARD_ENDINGS:
+        task.job.idle_since_ms = batch_state.clock_ms
     if end.checkpoint:
         task.checkpoint = end.checkpoint
     count_crash(batch_state, task, end)
--- a/wasabiturn/batch/dump.py
+++ b/wasabiturn/batch/dump.py
@@ -58,6 +58,7 @@
         accepted=job.accepted,
         state=job.state,
         ended_ms=job.ended_ms,
+        idle_since_ms=None if job.is_final else job.idle_since_ms,
         tasks=[
             _dump_task(task)
             for task in job.tasks_by_name.values()
@@ -101,6 +102,7 @@
         batch_state.add_ended_job(ended)
         return
     job = create_job(record.accepted)
+    job.idle_since_ms = record.idle_since_ms or 0
     batch_state.add_job(job)
     for task_record in record.tasks:
         _load_task(
--- a/wasabiturn/batch/jobs.py
+++ b/wasabiturn/batch/jobs.py
@@ -159,6 +159,9 @@
     has_begun: bool = False
     # When it ended on the clock of the state; 0 if that is not known.
     ended_ms: int = 0
+    # Likewise, when it was accepted or the newest end of a run was stored. A
+    # run may have gone on since; a new leader hears of it from its worker.
+    idle_since_ms: int = 0
 
     @property
     def job_id(self) -> str:
--- a/wasabiturn/batch/progress.py
+++ b/wasabiturn/batch/progress.py
@@ -7,6 +7,8 @@
 
 from wasabiturn.batch.fleet import NEVER, Allocation, Fleet, Worker
 from wasabiturn.batch.jobs import Job, Task
+from wasabiturn.batch.state import BatchState
+from wasabiturn.batch.state_clock import StateClock
 from wasabiturn.messages.kinds import BatchTaskState
 
 # Agents report at least each second, and a report answers a start.
@@ -15,6 +17,24 @@
 MAX_IDLE_SECONDS = 2.0
 # A run that was listed so recently is known to work.
 FRESH_LIST_SECONDS = 1.3
+# The first workers to report to a new leader aren't the best for each task.
+FIRST_REPORTS_SECONDS = 0.5
+
+
+def restore_idle_times(
+    fleet: Fleet, batch_state: BatchState, state_clock: StateClock, now: float
+) -> None:
+    """Take over since when jobs with waiting tasks may have been idle.
+
+    Their runs that go on are known again with the first reports. Occurrences of
+    a periodic job begin to wait when they are due.
+    """
+    latest = now + FIRST_REPORTS_SECONDS - MAX_IDLE_SECONDS
+    for job in batch_state.open_jobs_by_id.values():
+        is_periodic = job.accepted.declaration.occurrences > 0
+        if job.idle_since_ms and job.waiting_tasks and not is_periodic:
+            since = state_clock.to_loop(job.idle_since_ms, now)
+            fleet.idle.since_by_job[job.job_id] = min(max(since, latest), now)
 
 
 def idle_seconds(fleet: Fleet, job: Job, now: float) -> float:
--- a/wasabiturn/batch/reports.py
+++ b/wasabiturn/batch/reports.py
@@ -130,6 +130,9 @@
 ) -> EndRun:
     allocation = _find_allocation(worker, row.task, row.run)
     if allocation is not None:
+        if allocation.confirmed_at is None:
+            # It has worked, until a moment ago as far as is known.
+            allocation.confirmed_at = now
         _conclude_orders(worker, allocation, account, now)
     return EndRun(
         task=row.task,
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -267,6 +267,7 @@
     state: JobState = attrs.field(default=JobState.queued, converter=JobState)
     tasks: list[TaskRecord] = attrs.field(factory=list)
     ended_ms: int = 0
+    idle_since_ms: int | None = None
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -160,6 +160,7 @@
   2: i32 state,             // JobState
   3: list<TaskRecord> tasks, // tasks that have changed since their creation
   4: i64 ended_ms,          // on the clock of the state; 0 if not known
+  5: optional i64 idle_since_ms, // likewise, of an open job
 }
 
 struct BatchDump {
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -15,7 +15,7 @@
 from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.lost_runs import find_expired_workers, give_up_runs
 from wasabiturn.batch.planned_starts import PlannedStarts
-from wasabiturn.batch.progress import record_end
+from wasabiturn.batch.progress import record_end, restore_idle_times
 from wasabiturn.batch.state_clock import StateClock
 from wasabiturn.messages.batch import BatchChange, EndRun
 from wasabiturn.process import exposition
@@ -82,6 +82,7 @@
             self.delivery.committed_starts.add((task.name, task.run))
         self.fleet.mark_inherited(state_clock, now)
         restore_bindings(self.fleet, batch_state, state_clock, now)
+        restore_idle_times(self.fleet, batch_state, state_clock, now)
         self.fleet.invalidate_paces(now)
         self.interference = restore_interference(batch_state.pressures, now)
         self._forecasts = Forecasts(self.interference)
