--- a/tests/sessions/test_moves.py
+++ b/tests/sessions/test_moves.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tests.sessions.batch_fakes import BatchFleet, create_step
+from tests.sessions.test_lost_machines import find_agent
 from wasabiturn.standins.batch_worker import SimulatedWork
 
 LONG = SimulatedWork(1000)
@@ -51,3 +52,30 @@
     assert second != first
     (stopped_at,) = (at for at, task, *_ in fleet.run_ends if task == TASK)
     assert started_at - stopped_at <= MAX_AWAY_SECONDS
+
+
+@pytest.mark.parametrize('leaders', [1, 2, 3])
+def test_run_stopped_under_an_earlier_leader_leaves_its_job_idle_no_longer(
+    leaders: int,
+) -> None:
+    fleet = BatchFleet(workers=2)
+    fleet.run(1.5)
+    full = {'fills': True, 'image': 'f', 'millicores': 4000}
+    fleet.submit('j', [create_step(1, checkpoints=True, **full)], LONG)
+    fleet.run(2)
+    ((_, first),) = find_starts(fleet, TASK)
+    agent = find_agent(fleet, first)
+    move_run(fleet)
+    fleet.run(0.05)
+    # Its end is told to a later leader, when the other worker is in use.
+    agent.is_partitioned = True
+    agent.announce_draining()
+    for _ in range(leaders):
+        fleet.change_leader(0.3)
+        fleet.run(0.3)
+    fleet.submit('k', [create_step(1, **full)], LONG)
+    fleet.run(1)
+    assert len(find_starts(fleet, 'k.0.0.0')) == 1
+    agent.is_partitioned = False
+    fleet.run(MAX_AWAY_SECONDS)
+    assert len(find_starts(fleet, TASK)) == 2
--- a/wasabiturn/batch/moves.py
+++ b/wasabiturn/batch/moves.py
@@ -6,14 +6,14 @@
 anywhere if its job runs nothing.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import final
 
 import attrs
 
 from wasabiturn.batch.acceptance import is_fresh
-from wasabiturn.batch.fleet import Allocation, Fleet, Worker
-from wasabiturn.batch.jobs import Job
+from wasabiturn.batch.fleet import NEVER, Allocation, Fleet, Worker
+from wasabiturn.batch.jobs import Job, Task
 from wasabiturn.batch.move_state import Move
 from wasabiturn.batch.placing import (
     Candidates,
@@ -22,8 +22,10 @@
     create_start,
 )
 from wasabiturn.batch.progress import runs_nothing
-from wasabiturn.messages.batch import StartRun
-from wasabiturn.messages.kinds import BatchTaskState
+from wasabiturn.batch.stalls import may_move
+from wasabiturn.batch.state import BatchState
+from wasabiturn.messages.batch import EndRun, StartRun
+from wasabiturn.messages.kinds import BatchTaskState, RunEnding
 
 # The end of a run is listed with the next report after its stop.
 PLACE_SECONDS = 3.0
@@ -51,6 +53,23 @@
     )
 
 
+def record_earlier_moves(
+    fleet: Fleet, batch_state: BatchState, ends: Iterable[EndRun]
+) -> None:
+    """Record the moves that an earlier leader began, before their runs end.
+
+    Their places are not known, so they have lost them.
+    """
+    for end in ends:
+        task = batch_state.tasks_by_name.get(end.task)
+        if end.ending is not RunEnding.stopped or task is None:
+            continue
+        if task.run == end.run and _was_stopped_before(fleet, task):
+            fleet.moves_by_task[task.name] = Move(
+                task=task, run=end.run, place=None, until=NEVER
+            )
+
+
 def start_moved(fleet: Fleet, candidates: Candidates) -> Iterator[StartRun]:
     """Yield starts of the tasks whose runs have ended, at their places.
 
@@ -76,6 +95,14 @@
     return has_lost_place and runs_nothing(fleet, job, now)
 
 
+def _was_stopped_before(fleet: Fleet, task: Task) -> bool:
+    worker = fleet.worker_of(task)
+    allocation = worker and worker.allocations_by_task.get(task.name)
+    if not allocation or allocation.is_stop_requested:
+        return False
+    return allocation.is_inherited and may_move(task.step)
+
+
 def _start_at_place(
     fleet: Fleet, move: Move, candidates: Candidates
 ) -> Iterator[StartRun]:
--- a/wasabiturn/batch/stalls.py
+++ b/wasabiturn/batch/stalls.py
@@ -31,14 +31,14 @@
 def _is_stalled(worker: Worker, allocation: Allocation, now: float) -> bool:
     step = allocation.task.step
     since = worker.stalled_at_by_image.get(step.image)
-    if since is None or not _may_move(step):
+    if since is None or not may_move(step):
         return False
     if allocation.is_stop_requested or allocation.task.job.is_final:
         return False
     return now >= max(since, allocation.started_at) + STALL_SECONDS
 
 
-def _may_move(step: Step) -> bool:
+def may_move(step: Step) -> bool:
     """Return whether a task may go on elsewhere, with little work lost.
 
     A member of a gang would leave the others alone.
--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -4,6 +4,7 @@
 from wasabiturn.batch.fences import raise_fence, succeed_worker
 from wasabiturn.batch.fleet import NEVER, Fleet, Worker
 from wasabiturn.batch.lost_runs import give_up_all_runs
+from wasabiturn.batch.moves import record_earlier_moves
 from wasabiturn.batch.open_orders import (
     find_overdue_starts,
     find_settled_starts,
@@ -280,6 +281,9 @@
             has_open_order=end.has_open_order,
         )
     if ends:
+        record_earlier_moves(
+            leader_term.fleet, leader_term.pipeline.batch_state, ends
+        )
         change = leader_term.store_ends(ends)
         worker.pending_ends.append((worker.seen_end, change))
     elif not worker.pending_ends:
