--- a/tests/sessions/test_bound_tasks.py
+++ b/tests/sessions/test_bound_tasks.py
@@ -18,7 +18,10 @@
 )
 from wasabiturn.messages.batch import BatchChange, DataCentreMark
 from wasabiturn.messages.kinds import JobState, RunEnding
-from wasabiturn.messages.limits import ORDER_LIFETIME_SECONDS
+from wasabiturn.messages.limits import (
+    ORDER_LIFETIME_SECONDS,
+    START_PERMIT_SECONDS,
+)
 from wasabiturn.standins.batch_worker import Fault, SimulatedWork
 
 # A hold, a report, a commit and an order, each of them once again.
@@ -119,6 +122,24 @@
     start_run_elsewhere(fleet, fleet.start_orders[-1].at)
 
 
+def test_machine_that_returns_prolongs_no_wait_for_its_orders() -> None:
+    """A new process of its agent can't tell what the one before had sent."""
+    fleet = BatchFleet(workers=2)
+    agent = start_with_faults(fleet, Fault.late)
+    ordered_at = fleet.start_orders[0].at
+    fleet.run(0.1)
+    agent.is_partitioned = True
+    agent.worker.crash()
+    # Its lease has not ended yet.
+    fleet.run(LEASE_SECONDS - 0.9)
+    agent.restart()
+    agent.is_partitioned = False
+    restart_elsewhere(agent)
+    latest = ordered_at + START_PERMIT_SECONDS + ORDER_LIFETIME_SECONDS
+    fleet.run(latest + REACTION_SECONDS - fleet.clock.seconds())
+    assert [worker for _, worker in find_starts(fleet)][-1:] == ['worker-2']
+
+
 def test_new_leader_waits_for_the_order_of_a_bound_task() -> None:
     fleet = BatchFleet(workers=2)
     bind_revoked_start(fleet)
--- a/wasabiturn/batch/lost_runs.py
+++ b/wasabiturn/batch/lost_runs.py
@@ -49,8 +49,7 @@
         raise_fence(fleet, worker)
     ends: list[EndRun] = []
     for allocation in worker.allocations_by_task.values():
-        last_order_at = max(worker.heard_at, allocation.started_at)
-        allocation.limit_orders(last_order_at + START_PERMIT_SECONDS)
+        _limit_to_permit(worker, allocation)
         ends_at_once = allocation.task.step.lasting and not is_awaiting
         if ends_at_once or not allocation.has_open_order(now):
             end = lost_end(allocation, now)
@@ -65,11 +64,20 @@
     A task with an open order is bound to the old name, which may return.
     """
     worker.is_gone = True
+    for each in (worker, *worker.predecessors):
+        for allocation in each.allocations_by_task.values():
+            _limit_to_permit(each, allocation)
     return [
         lost_end(allocation, now) for allocation in worker.list_allocations()
     ]
 
 
+def _limit_to_permit(worker: Worker, allocation: Allocation) -> None:
+    """Record that an agent sends no start long after it was last heard."""
+    last_order_at = max(worker.heard_at, allocation.started_at)
+    allocation.limit_orders(last_order_at + START_PERMIT_SECONDS)
+
+
 def lost_end(allocation: Allocation, now: float) -> EndRun:
     """Return the end of a run that is over without a listed end."""
     if not allocation.is_confirmed:
