--- a/wasabiturn/batch/lost_runs.py
+++ b/wasabiturn/batch/lost_runs.py
@@ -65,8 +65,8 @@
     """
     worker.is_gone = True
     for each in (worker, *worker.predecessors):
-        for allocation in each.allocations_by_task.values():
-            _limit_to_permit(each, allocation)
+        for charged in each.allocations_by_task.values():
+            _limit_to_permit(each, charged)
     return [
         lost_end(allocation, now) for allocation in worker.list_allocations()
     ]
