--- a/tests/sessions/test_answered_starts.py
+++ b/tests/sessions/test_answered_starts.py
@@ -14,7 +14,7 @@
 LONG_WORK = SimulatedWork(60)
 
 
-@pytest.mark.parametrize('lost_after_seconds', [0.1, 0.3, 0.6, 0.9])
+@pytest.mark.parametrize('lost_after_seconds', [0.04, 0.1, 0.3, 0.6, 0.9])
 def test_ordinary_task_of_a_lost_machine_does_not_wait_for_answered_order(
     lost_after_seconds: float,
 ) -> None:
--- a/wasabiturn/process/agent/runs/start_sender.py
+++ b/wasabiturn/process/agent/runs/start_sender.py
@@ -32,7 +32,7 @@
 from wasabiturn.utils.logs import create_component_log
 
 RETRY_SECONDS = 0.2
-# Answers that come within this time go into one report.
+# Answers that come within this time go into one report, while others are due.
 ANSWERS_SECONDS = 0.05
 # Reasons for a refusal, as the worker sends them: the worker has already had
 # this run, or the lease in the order had expired.
@@ -189,7 +189,8 @@
         if order.percent < FULL_PERCENT and identity is not None:
             pace = PaceOrder(order.task, order.run, order.percent)
             self._channel.send_pace(identity, pace)
-        if order.reports_at_once:
+        if order.reports_at_once or not self._table.has_open():
+            self._is_outcome_due = False
             self._on_outcome()
         else:
             self._report_soon()
@@ -198,8 +199,9 @@
         """Report answers together; a lost machine leaves others in doubt."""
 
         def report() -> None:
-            self._is_outcome_due = False
-            self._on_outcome()
+            if self._is_outcome_due:
+                self._is_outcome_due = False
+                self._on_outcome()
 
         if not self._is_outcome_due:
             self._is_outcome_due = True
--- a/wasabiturn/process/agent/runs/starts.py
+++ b/wasabiturn/process/agent/runs/starts.py
@@ -95,6 +95,10 @@
         """Return whether the start is still ordered and has no outcome."""
         return self.has(start) and start.outcome is StartOutcome.pending
 
+    def has_open(self) -> bool:
+        """Return whether an answer to a start is due."""
+        return any(start.is_open for start in self.starts_by_run.values())
+
     def list_unsent(self) -> list[Start]:
         """Return the pending starts that are not yet sent to the worker."""
         return [
