--- a/wasabiturn/batch/apply.py
+++ b/wasabiturn/batch/apply.py
@@ -5,6 +5,7 @@
 """
 
 from wasabiturn.batch.jobs import Task, create_job
+from wasabiturn.batch.limit_changes import forget_limits, move_limits
 from wasabiturn.batch.run_ends import end_passed_run, finish_or_requeue
 from wasabiturn.batch.state import BatchState
 from wasabiturn.batch.suspicions import (
@@ -27,6 +28,8 @@
 
 def apply_batch_change(batch_state: BatchState, change: BatchChange) -> None:
     """Apply one change, in the order of its fields."""
+    if change == BatchChange():
+        forget_limits(batch_state)
     batch_state.clock_ms = max(batch_state.clock_ms, change.clock_ms)
     if change.routing is not None:
         _apply_routing(batch_state, change.routing)
@@ -44,6 +47,7 @@
         _settle_start(batch_state, settled)
     for overdue in change.overdue:
         _mark_overdue(batch_state, overdue)
+    move_limits(batch_state, change.limits)
     for job_id in change.forgets:
         _delete_job(batch_state, job_id)
     if change.pressures:
@@ -98,6 +102,7 @@
     task.is_settled = False
     task.orders_end_ms = 0
     task.has_overdue_order = False
+    task.order_limit_ms = start.order_limit_ms
     task.run = start.run
     task.worker = start.worker
     task.born_ms = start.born_ms
--- a/wasabiturn/batch/dump.py
+++ b/wasabiturn/batch/dump.py
@@ -88,6 +88,7 @@
         bound_until_ms=task.bound_until_ms,
         orders_end_ms=task.orders_end_ms,
         has_overdue_order=task.has_overdue_order,
+        order_limit_ms=task.order_limit_ms,
     )
 
 
@@ -132,6 +133,7 @@
     task.bound_until_ms = record.bound_until_ms
     task.orders_end_ms = record.orders_end_ms
     task.has_overdue_order = record.has_overdue_order
+    task.order_limit_ms = record.order_limit_ms
     if record.is_suspect:
         batch_state.mark_suspect(task)
     if record.state is BatchTaskState.active:
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -70,6 +70,9 @@
     # a new incarnation of the worker, which has seen no fencing token. UNKNOWN
     # while orders are sent, NEVER once all were answered.
     orders_end_at: float = UNKNOWN
+    # After it no order for the run leaves the agent, as far as committed; see
+    # ``order_limits.py``.
+    order_limit_at: float = UNKNOWN
     # Newest report of the run.
     row: RunningRow | None = None
     # Newest pace order; ``pace_ordered_at`` is None if none was sent.
@@ -118,6 +121,18 @@
         """Return for how long the run is known to have worked."""
         return 0 if self.confirmed_at is None else now - self.confirmed_at
 
+    def inherit(self, state_clock: StateClock, now: float) -> None:
+        """Take from the state what it tells of orders of earlier leaders."""
+        self.is_inherited = True
+        self.is_ordered = True
+        task = self.task
+        if task.is_settled:
+            self.settle_orders()
+        elif task.orders_end_ms:
+            self.orders_end_at = state_clock.to_loop(task.orders_end_ms, now)
+        elif task.order_limit_ms:
+            self.order_limit_at = state_clock.to_loop(task.order_limit_ms, now)
+
     def settle_orders(self) -> None:
         """Record that all orders to start the run were answered."""
         self.orders_end_at = NEVER
@@ -390,14 +405,17 @@
         """
         for worker in self.workers_by_incarnation.values():
             for allocation in worker.allocations_by_task.values():
-                allocation.is_inherited = True
-                allocation.is_ordered = True
-                if allocation.task.is_settled:
-                    allocation.settle_orders()
-                elif allocation.task.orders_end_ms:
-                    allocation.orders_end_at = state_clock.to_loop(
-                        allocation.task.orders_end_ms, now
-                    )
+                allocation.inherit(state_clock, now)
+
+    def awaits_state_clock(self) -> bool:
+        """Return whether tasks may wait for a time that the state has."""
+        if self.bound_until_by_task:
+            return True
+        return any(
+            allocation.order_limit_at != UNKNOWN and not allocation.is_confirmed
+            for worker in self.workers_by_incarnation.values()
+            for allocation in worker.allocations_by_task.values()
+        )
 
     def worker_of(self, task: Task) -> Worker | None:
         """Return the worker incarnation with the newest run of a task."""
--- a/wasabiturn/batch/jobs.py
+++ b/wasabiturn/batch/jobs.py
@@ -45,6 +45,9 @@
     # the state; 0 if that is not known.
     bound_until_ms: int = 0
     orders_end_ms: int = 0
+    # After it no order to start the newest run leaves the agent; likewise. See
+    # ``order_limits.py``.
+    order_limit_ms: int = 0
     # An order to start the newest run has long been out.
     has_overdue_order: bool = False
     # An older run than the newest has ended ``done``.
--- a/wasabiturn/batch/lost_runs.py
+++ b/wasabiturn/batch/lost_runs.py
@@ -49,8 +49,13 @@
         raise_fence(fleet, worker)
     ends: list[EndRun] = []
     for allocation in worker.allocations_by_task.values():
-        last_order_at = max(worker.heard_at, allocation.started_at)
-        allocation.limit_orders(last_order_at + START_PERMIT_SECONDS)
+        last_contact_at = max(worker.heard_at, allocation.started_at)
+        allocation.limit_orders(
+            min(
+                last_contact_at + START_PERMIT_SECONDS,
+                allocation.order_limit_at,
+            )
+        )
         ends_at_once = allocation.task.step.lasting and not is_awaiting
         if ends_at_once or not allocation.has_open_order(now):
             end = lost_end(allocation, now)
--- a/wasabiturn/batch/planned_starts.py
+++ b/wasabiturn/batch/planned_starts.py
@@ -18,6 +18,7 @@
 from wasabiturn.batch.fleet import Allocation, Fleet
 from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.offers import takes_offers
+from wasabiturn.batch.order_limits import first_limit, keeps_limits
 from wasabiturn.batch.run_ends import requeue_task
 from wasabiturn.batch.state import BatchState
 from wasabiturn.messages.batch import BatchChange, StartRun
@@ -37,6 +38,7 @@
     is_settled: bool
     orders_end_ms: int
     has_overdue_order: bool
+    order_limit_ms: int
 
 
 @final
@@ -119,20 +121,25 @@
         ]
         self.revoke(unwanted)
 
-    def take_ready(self) -> list[StartRun]:
+    def take_ready(self, clock_ms: int) -> list[StartRun]:
         """Return the starts to commit now, which are not planned any more.
 
         Those are the ones whose agents have them; of a gang, all or none.
+        ``clock_ms`` is the time on the clock of the state.
         """
         self.revoke_unwanted()
         ready = list(filter(self._is_ready, self._planned_by_task.values()))
-        return [self._take_one(planned) for planned in ready]
+        return [self._take_one(planned, clock_ms) for planned in ready]
 
-    def _take_one(self, planned: PlannedStart) -> StartRun:
+    def _take_one(self, planned: PlannedStart, clock_ms: int) -> StartRun:
         self._planned_by_task.pop(planned.task.name)
         allocation = self._find_allocation(planned)
         if allocation is not None:
             allocation.is_planned = False
+        worker = self._fleet.worker_of(planned.task)
+        if worker is not None and keeps_limits(worker):
+            planned.start.order_limit_ms = first_limit(clock_ms)
+            planned.task.order_limit_ms = planned.start.order_limit_ms
         return planned.start
 
     def _revoke_one(self, planned: PlannedStart) -> None:
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -98,6 +98,7 @@
     worker: str = ''
     born_ms: int = 0
     agent: str = ''
+    order_limit_ms: int = 0
 
 
 @bind(_idl)
@@ -146,6 +147,17 @@
     run: int = 0
 
 
+@bind(_idl)
+@final
+@attrs.define
+class MoveLimit:
+    """Move the time after which no order for a run leaves its agent."""
+
+    task: str = ''
+    run: int = 0
+    order_limit_ms: int = 0
+
+
 @bind(_idl)
 @final
 @attrs.define
@@ -225,6 +237,8 @@
     cleared: list[str] = attrs.field(factory=list)
     clock_ms: int = 0
     overdue: list[OverdueStart] = attrs.field(factory=list)
+    limits: list[MoveLimit] = attrs.field(factory=list)
+    keeps_limits: bool = False
 
 
 @bind(_idl)
@@ -255,6 +269,7 @@
     orders_end_ms: int = 0
     crash_agents: list[str] = attrs.field(factory=list)
     has_overdue_order: bool = False
+    order_limit_ms: int = 0
 
 
 @bind(_idl)
@@ -435,6 +450,7 @@
     open_orders: OpenOrders | None = None
     sequence: int = 0
     sends_receipts: bool = False
+    agent_clock_ms: int = 0
 
 
 @bind(_idl)
@@ -449,6 +465,7 @@
     checkpoint: str = ''
     percent: int = 100
     reports_at_once: bool = False
+    send_until_ms: int = 0
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -54,6 +54,8 @@
   3: string worker,
   4: i64 born_ms,           // start of the worker; tells its incarnations apart
   5: string agent,          // instance name of the agent of the worker
+  6: i64 order_limit_ms,    // clock of the state; no order leaves after it;
+                            // 0: not known
 }
 
 struct EndRun {
@@ -80,6 +82,13 @@
   2: i64 run,
 }
 
+// Moves the limit of a start that has no answer yet.
+struct MoveLimit {
+  1: string task,
+  2: i64 run,
+  3: i64 order_limit_ms,    // as in StartRun
+}
+
 // Gives a task up for the crashes of the workers that ran it; its job fails.
 struct GiveUp {
   1: string task,
@@ -130,6 +139,8 @@
   11: list<string> cleared, // tasks that are no suspects any more
   12: i64 clock_ms,         // clock of the state, of the leader
   13: list<OverdueStart> overdue, // independent of the other fields
+  14: list<MoveLimit> limits, // independent of the other fields
+  15: bool keeps_limits,    // a leader takes over that keeps these limits
 }
 
 struct TaskRecord {
@@ -153,6 +164,7 @@
   18: i64 orders_end_ms,    // likewise, of orders for the newest run
   19: list<string> crash_agents, // agents whose workers crashed so
   20: bool has_overdue_order, // an order for the newest run has long been out
+  21: i64 order_limit_ms,   // as in StartRun, of the newest run
 }
 
 struct JobRecord {
@@ -265,6 +277,7 @@
   18: optional OpenOrders open_orders,
   19: i64 sequence,         // of the announcement that the capacity is from
   20: bool sends_receipts,  // the agent answers orders with OrderReceipt
+  21: i64 agent_clock_ms,   // when it was sent; 0: the agent keeps no limits
 }
 
 struct StartOrder {
@@ -274,6 +287,7 @@
   4: string checkpoint,
   5: i32 percent,           // initial pace
   6: bool reports_at_once,  // the agent reports as soon as it is answered
+  7: i64 send_until_ms,     // clock of the agent; 0: no limit
 }
 
 struct StopOrder {
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -51,6 +51,7 @@
 SHARED_HOLD_WAIT_MS = 500
 CLOSED_PORT_REPORT_SECONDS = 0.01
 REPORT_TIMEOUT_SECONDS = 1.0
+_MS = 1000
 
 _log = create_component_log('runs')
 
@@ -376,6 +377,7 @@
             results=self._sender.table.list_results(),
             open_orders=self._open_orders.describe(),
             sends_receipts=True,
+            agent_clock_ms=int(self._clock.seconds() * _MS),
         )
 
     def _handle_report_reply(
--- a/wasabiturn/process/agent/runs/start_sender.py
+++ b/wasabiturn/process/agent/runs/start_sender.py
@@ -86,7 +86,7 @@
             objection = self._find_objection(start, identity)
             if objection:
                 self._refuse(start, objection)
-            elif self._may_start():
+            elif self._may_send(start):
                 start.is_sent = True
                 self._channel.run(self._send, start)
 
@@ -113,8 +113,9 @@
             return 'the worker has shrunk'
         return ''
 
-    def _may_start(self) -> bool:
-        return self._grants.may_start(self._channel.clock.seconds())
+    def _may_send(self, start: Start) -> bool:
+        now = self._channel.clock.seconds()
+        return self._grants.may_start(now) and start.may_be_sent(now)
 
     def _send(self, start: Start) -> Deferred[None]:
         identity = self._channel.identity
@@ -125,7 +126,7 @@
         if objection:
             self._refuse(start, objection)
             return succeed(None)
-        if not self._may_start():
+        if not self._may_send(start):
             start.is_sent = False
             return succeed(None)
         start.record_order()
--- a/wasabiturn/process/agent/runs/starts.py
+++ b/wasabiturn/process/agent/runs/starts.py
@@ -10,6 +10,7 @@
 from wasabiturn.process.agent.runs.port import RunListing
 
 RunKey = tuple[str, int]
+_MS = 1000
 
 
 @final
@@ -29,6 +30,8 @@
     order_count: int = 0
     unanswered_orders: int = 0
     reason: str = ''
+    # No order is sent after it, on the clock of the loop; 0 if there is none.
+    send_until_ms: int = 0
 
     @property
     def key(self) -> RunKey:
@@ -52,6 +55,10 @@
             return False
         return self.is_sent or self.has_unanswered_order
 
+    def may_be_sent(self, now: float) -> bool:
+        """Return whether the time for orders has not passed."""
+        return not self.send_until_ms or now * _MS < self.send_until_ms
+
     def record_order(self) -> None:
         """Count an order that is sent now."""
         self.order_count += 1
@@ -81,11 +88,14 @@
     confirmed_stops: dict[RunKey, int] = attrs.field(factory=dict)
 
     def add(self, orders: Iterable[StartOrder], fence: int) -> None:
-        """Add ordered starts; those already known are left unchanged."""
+        """Add ordered starts; of those already known, the limit changes."""
         for order in orders:
             key = (order.task, order.run)
-            if key not in self.starts_by_run:
-                self.starts_by_run[key] = Start(order=order, fence=fence)
+            known = self.starts_by_run.get(key)
+            if known is None:
+                known = Start(order=order, fence=fence)
+                self.starts_by_run[key] = known
+            known.send_until_ms = order.send_until_ms
 
     def has(self, start: Start) -> bool:
         """Return whether the start is still ordered."""
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -6,7 +6,7 @@
 from wasabiturn.batch import BatchState
 from wasabiturn.batch.bindings import bind_ended_task, restore_bindings
 from wasabiturn.batch.ended_jobs import find_forgettable
-from wasabiturn.batch.fleet import Fleet, Worker
+from wasabiturn.batch.fleet import UNKNOWN, Fleet, Worker
 from wasabiturn.batch.forecast import Forecasts
 from wasabiturn.batch.interference import (
     list_pressure_records,
@@ -17,7 +17,7 @@
 from wasabiturn.batch.planned_starts import PlannedStarts
 from wasabiturn.batch.progress import record_end
 from wasabiturn.batch.state_clock import StateClock
-from wasabiturn.messages.batch import BatchChange, EndRun
+from wasabiturn.messages.batch import BatchChange, EndRun, MoveLimit, StartRun
 from wasabiturn.process import exposition
 from wasabiturn.process.control.batch.bound_tasks import (
     release_bound_tasks,
@@ -41,6 +41,8 @@
 LEASE_MARGIN_SECONDS = 0.2
 # How often the interference estimates are stored for the next leader.
 PRESSURES_STORE_SECONDS = 2.0
+# How often the time is stored, while tasks wait for the end of orders.
+CLOCK_STORE_SECONDS = 1.0
 _MS = 1000
 
 _log = create_component_log('queues')
@@ -86,6 +88,7 @@
         self.interference = restore_interference(batch_state.pressures, now)
         self._forecasts = Forecasts(self.interference)
         self._pressures_due_at = now + PRESSURES_STORE_SECONDS
+        self._clock_due_at = now
         batch_state.on_start = self._reserve_capacity
         batch_state.on_end = self._release_capacity
         planned_starts = PlannedStarts(batch_state, self.fleet)
@@ -142,7 +145,7 @@
         self.fleet.remove_superseded()
         self.interference.drop_decayed(now)
         self._forecasts.drop_outdated(now)
-        self._store_pressures(now)
+        self._store_for_next_leader(now)
         self._forget_ended_jobs()
         self._idle_watch.review(self._forecasts, now)
         self.pipeline.schedule_flush()
@@ -219,6 +222,10 @@
             if task.is_bound and allocation is not None:
                 bind_ended_task(self.fleet, worker, allocation, self._now())
 
+    def _store_for_next_leader(self, now: float) -> None:
+        self._store_pressures(now)
+        self._store_clock(now)
+
     def _store_pressures(self, now: float) -> None:
         """Store the interference estimates for the next leader."""
         if now < self._pressures_due_at:
@@ -229,6 +236,15 @@
         if records and records != self.pipeline.batch_state.pressures:
             self.pipeline.add(BatchChange(pressures=records))
 
+    def _store_clock(self, now: float) -> None:
+        """Store the time for members that restart, while it counts."""
+        if now < self._clock_due_at:
+            return
+        self._clock_due_at = now + CLOCK_STORE_SECONDS
+        if self.fleet.awaits_state_clock():
+            clock_ms = max(self.pipeline.read_clock(), 1)
+            self.pipeline.add(BatchChange(clock_ms=clock_ms))
+
     def _stop_unwanted_runs(self, now: float) -> None:
         incarnations = stop_unwanted_runs(
             self.pipeline.batch_state, self.fleet, self._forecasts, now
@@ -253,6 +269,9 @@
         for start in change.starts:
             self.delivery.committed_starts.add((start.task, start.run))
             incarnations_to_notify.add((start.worker, start.born_ms))
+            self._follow_limit(start)
+        for limit in change.limits:
+            incarnations_to_notify.update(self._follow_limit(limit))
         if change.cancels or change.give_ups:
             incarnations_to_notify.update(self.delivery.links_by_incarnation)
         for incarnation, worker in self.fleet.workers_by_incarnation.items():
@@ -260,6 +279,25 @@
                 incarnations_to_notify.add(incarnation)
         self.delivery.send_all(incarnations_to_notify)
 
+    def _follow_limit(
+        self, committed: StartRun | MoveLimit
+    ) -> list[tuple[str, int]]:
+        """Order a run until the committed limit; return its incarnation."""
+        task = self.pipeline.batch_state.active_by_name.get(committed.task)
+        worker = None if task is None else self.fleet.worker_of(task)
+        if worker is None:
+            return []
+        allocation = worker.allocations_by_task.get(committed.task)
+        if allocation is None or allocation.run != committed.run:
+            return []
+        if allocation.orders_end_at != UNKNOWN:
+            # It was counted on that no order is sent after the earlier limit.
+            return []
+        allocation.order_limit_at = self.pipeline.to_loop(
+            committed.order_limit_ms
+        )
+        return [(worker.name, worker.born_ms)]
+
     def _withdraw_missed_offers(self, now: float) -> None:
         withdrawal = self.starter.withdraw_missed(now)
         if withdrawal.ends:
--- a/wasabiturn/process/control/batch/order_delivery.py
+++ b/wasabiturn/process/control/batch/order_delivery.py
@@ -4,13 +4,14 @@
 from typing import Any, final
 
 from wasabiturn.batch.fleet import Fleet, Worker
+from wasabiturn.batch.order_limits import find_due_limits
 from wasabiturn.connection.link import Link
-from wasabiturn.messages.batch import OrderReceipt, WorkerOrders
+from wasabiturn.messages.batch import MoveLimit, OrderReceipt, WorkerOrders
 from wasabiturn.process.control.batch.offers import (
     accept_offers,
     push_orders,
 )
-from wasabiturn.process.control.batch.orders import create_orders
+from wasabiturn.process.control.batch.orders import awaits_start, create_orders
 
 
 @final
@@ -43,6 +44,22 @@
             worker, self.committed_starts, lease_ms, self._now()
         )
 
+    def find_due_limits(self, worker: Worker, clock_ms: int) -> list[MoveLimit]:
+        """Return new limits of the starts that are to be ordered further.
+
+        The agent of ``worker`` has reported; ``clock_ms`` is the time on the
+        clock of the state.
+        """
+        if not worker.is_reconciled:
+            return []
+        awaiting = [
+            allocation
+            for allocation in worker.allocations_by_task.values()
+            if awaits_start(allocation)
+            and (allocation.task.name, allocation.run) in self.committed_starts
+        ]
+        return list(find_due_limits(worker, awaiting, clock_ms, self._now()))
+
     def send_all(self, incarnations: Iterable[tuple[str, int]]) -> None:
         """Send their current orders to several incarnations."""
         for incarnation in sorted(incarnations):
--- a/wasabiturn/process/control/batch/orders.py
+++ b/wasabiturn/process/control/batch/orders.py
@@ -3,6 +3,7 @@
 from wasabiturn.batch.fleet import Allocation, Worker
 from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.offers import needs_offer, record_offers
+from wasabiturn.batch.order_limits import may_be_ordered, read_agent_limit
 from wasabiturn.batch.sharing import find_pace_updates, target_percent
 from wasabiturn.messages.batch import (
     PaceOrder,
@@ -36,11 +37,12 @@
     )
     if not worker.is_reconciled:
         return orders
-    awaiting = list(filter(_awaits_start, worker.allocations_by_task.values()))
+    awaiting = list(filter(awaits_start, worker.allocations_by_task.values()))
     due = [
         allocation
         for allocation in awaiting
         if (allocation.task.name, allocation.run) in committed_starts
+        and may_be_ordered(worker, allocation)
     ]
     if is_pushed:
         planned = [each for each in awaiting if each.is_planned]
@@ -74,6 +76,7 @@
         # While its start is not known to be answered, a lasting task is not
         # started elsewhere if the worker is lost.
         reports_at_once=task.is_suspect or task.step.lasting,
+        send_until_ms=read_agent_limit(worker, allocation),
     )
 
 
@@ -106,7 +109,8 @@
     return paces
 
 
-def _awaits_start(allocation: Allocation) -> bool:
+def awaits_start(allocation: Allocation) -> bool:
+    """Return whether the start of a run is to be ordered."""
     return not allocation.is_confirmed and not _is_unwanted(allocation)
 
 
--- a/wasabiturn/process/control/batch/pipeline.py
+++ b/wasabiturn/process/control/batch/pipeline.py
@@ -15,6 +15,7 @@
 from twisted.python.failure import Failure
 
 from wasabiturn.batch import BatchState, apply_batch_change
+from wasabiturn.batch.fleet import UNKNOWN
 from wasabiturn.batch.state_clock import StateClock
 from wasabiturn.connection.calls import CallError
 from wasabiturn.messages.batch import BatchChange, StartRun
@@ -25,7 +26,7 @@
 from wasabiturn.utils.logs import create_component_log
 from wasabiturn.version.replica import Replica
 
-_UNORDERED_FIELDS = frozenset(('settled', 'overdue', 'clock_ms'))
+_UNORDERED_FIELDS = frozenset(('settled', 'overdue', 'limits', 'clock_ms'))
 
 _log = create_component_log('queues')
 
@@ -100,6 +101,12 @@
         """Return the present time on the clock of the state, in ms."""
         return self._state_clock.read(self._clock.seconds())
 
+    def to_loop(self, limit_ms: int) -> float:
+        """Return the time of the loop of a limit; see ``order_limits.py``."""
+        if not limit_ms:
+            return UNKNOWN
+        return self._state_clock.to_loop(limit_ms, self._clock.seconds())
+
     def add(self, change: BatchChange) -> BatchChange:
         """Apply and commit ``change`` without reporting the outcome.
 
@@ -113,8 +120,9 @@
 
     def add_to_next(self, change: BatchChange) -> None:
         """Apply ``change`` and commit it with the next one that is flushed."""
-        if change != BatchChange():
-            change.clock_ms = self.read_clock()
+        if change == BatchChange():
+            return
+        change.clock_ms = self.read_clock()
         self._hooks.before_apply(change)
         apply_batch_change(self.batch_state, change)
         _merge_change(self._batch.change, change)
@@ -198,6 +206,7 @@
     merged.pressures = change.pressures or merged.pressures
     merged.settled.extend(change.settled)
     merged.overdue.extend(change.overdue)
+    merged.limits.extend(change.limits)
     merged.give_ups.extend(change.give_ups)
     merged.cleared.extend(change.cleared)
     merged.clock_ms = max(merged.clock_ms, change.clock_ms)
@@ -215,8 +224,9 @@
 def _field_positions(change: BatchChange) -> list[int]:
     """Return the positions of the fields that are set, ascending.
 
-    Settled starts matter at none: they are read for active runs only, and the
-    next start of a task resets them. Nor does the clock, which only grows.
+    Settled starts and limits matter at none: they are read for active runs
+    only, and the next start of a task resets them. Nor does the clock, which
+    only grows.
     """
     names = [field.name for field in attrs.fields(BatchChange)]
     return [
--- a/wasabiturn/process/control/batch/starts.py
+++ b/wasabiturn/process/control/batch/starts.py
@@ -96,7 +96,9 @@
         self._commit_ready()
 
     def _commit_ready(self) -> None:
-        self._pipeline.commit_planned(self.planned_starts.take_ready())
+        clock_ms = self._pipeline.read_clock()
+        ready = self.planned_starts.take_ready(clock_ms)
+        self._pipeline.commit_planned(ready)
 
 
 def _set_initial_pace(
--- a/wasabiturn/process/control/batch/take_over.py
+++ b/wasabiturn/process/control/batch/take_over.py
@@ -47,12 +47,12 @@
         self._next_slice: Any = None
 
     def start(self) -> None:
-        """Commit an empty change, behind which no earlier one is open.
+        """Commit a change without effect, behind which no earlier one is open.
 
         What this member submitted in an earlier term of the queues may still
         be on its way, as the term may have ended while the member led on.
         """
-        change = Command(batch=BatchChange())
+        change = Command(batch=BatchChange(keeps_limits=True))
         self._confirmation = submit(self._replica, change)
         self._confirmation.addCallback(self._begin_copy)
         self._confirmation.addErrback(self._fail)
--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -259,11 +259,15 @@
     """
     settled = find_settled_starts(worker, now)
     overdue = find_overdue_starts(worker, report, now)
-    change = BatchChange(settled=settled, overdue=overdue)
-    leader_term.pipeline.add_to_next(change)
+    pipeline = leader_term.pipeline
     allocations = worker.allocations_by_task
-    if any(allocations[each.task].task.step.lasting for each in settled):
-        leader_term.pipeline.schedule_flush()
+    limits = leader_term.delivery.find_due_limits(worker, pipeline.read_clock())
+    change = BatchChange(settled=settled, overdue=overdue, limits=limits)
+    pipeline.add_to_next(change)
+    if limits or any(
+        allocations[each.task].task.step.lasting for each in settled
+    ):
+        pipeline.schedule_flush()
 
 
 def _store_ends(
