--- a/tests/batch/test_planned_starts.py
+++ b/tests/batch/test_planned_starts.py
@@ -64,7 +64,7 @@
                 worker.allocations_by_task[task].received_at = 0
 
     def commit_ready(self) -> list[StartRun]:
-        starts = self.planned_starts.take_ready()
+        starts = self.planned_starts.take_ready(clock_ms=0)
         apply_batch_change(self.committed, BatchChange(starts=starts))
         return starts
 
--- a/wasabiturn/batch/lost_runs.py
+++ b/wasabiturn/batch/lost_runs.py
@@ -73,9 +73,13 @@
 
 
 def _limit_to_permit(worker: Worker, allocation: Allocation) -> None:
-    """Record that an agent sends no start long after it was last heard."""
-    last_order_at = max(worker.heard_at, allocation.started_at)
-    allocation.limit_orders(last_order_at + START_PERMIT_SECONDS)
+    """Record that an agent sends no start long after it was last heard.
+
+    Nor does it after the limit of the start.
+    """
+    last_contact_at = max(worker.heard_at, allocation.started_at)
+    permit_ends_at = last_contact_at + START_PERMIT_SECONDS
+    allocation.limit_orders(min(permit_ends_at, allocation.order_limit_at))
 
 
 def lost_end(allocation: Allocation, now: float) -> EndRun:
