--- a/tests/process/control/test_pipeline.py
+++ b/tests/process/control/test_pipeline.py
@@ -42,6 +42,7 @@
         state_clock=StateClock(noted_at=0),
         hooks=PipelineHooks(
             on_flush=lambda: None,
+            after_flush=lambda: None,
             on_commit=lambda change: None,
             on_failure=lambda: None,
             before_apply=lambda change: None,
--- a/wasabiturn/batch/planned_starts.py
+++ b/wasabiturn/batch/planned_starts.py
@@ -118,6 +118,15 @@
         ]
         self.revoke(unwanted)
 
+    def revoke_partial_gangs(self) -> None:
+        """Revoke starts of gangs that a plan has left in part."""
+        partial = [
+            name
+            for name, planned in self._planned_by_task.items()
+            if planned.task.step.gang and planned.task.part.waiting_by_name
+        ]
+        self.revoke(partial)
+
     def take_ready(self, clock_ms: int) -> list[StartRun]:
         """Return the starts to commit now, which are not planned any more.
 
@@ -191,7 +200,6 @@
 
     def _is_ready(self, planned: PlannedStart) -> bool:
         if planned.task.step.gang and planned.task.part.waiting_by_name:
-            # The plan goes on with the other members.
             return False
         return all(map(self._is_received, self._list_gang(planned)))
 
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -100,6 +100,9 @@
             state_clock=state_clock,
             hooks=PipelineHooks(
                 on_flush=self._plan,
+                after_flush=lambda: self.delivery.send_all(
+                    self.starter.finish_plan()
+                ),
                 on_commit=self._notify_agents,
                 on_failure=on_failure,
                 before_apply=planned_starts.revoke_before,
@@ -262,7 +265,7 @@
         now = self._now()
         if not self._replica.holds_lease(now):
             return
-        self.delivery.send_all(self.starter.plan(self._forecasts, now))
+        self.starter.plan(self._forecasts, now)
 
     def _notify_agents(self, change: BatchChange) -> None:
         """Send orders to the agents that a committed change concerns."""
--- a/wasabiturn/process/control/batch/orders.py
+++ b/wasabiturn/process/control/batch/orders.py
@@ -89,7 +89,7 @@
     stops.extend(
         StopOrder(task=allocation.task.name, run=allocation.run)
         for allocation in worker.allocations_by_task.values()
-        if _is_unwanted(allocation)
+        if _is_unwanted(allocation) and not allocation.is_planned
     )
     return stops
 
--- a/wasabiturn/process/control/batch/pipeline.py
+++ b/wasabiturn/process/control/batch/pipeline.py
@@ -44,11 +44,13 @@
 class PipelineHooks:
     """What a pipeline calls.
 
-    ``on_flush`` may record more changes; ``before_apply`` is called with each
-    change before it is applied to the working copy.
+    ``on_flush`` may record more changes; ``after_flush`` is called also if it
+    failed. ``before_apply`` is called with each change before it is applied to
+    the working copy.
     """
 
     on_flush: Callable[[], None]
+    after_flush: Callable[[], None]
     on_commit: Callable[[BatchChange], None]
     on_failure: Callable[[], None]
     before_apply: Callable[[BatchChange], None]
@@ -145,18 +147,18 @@
     def close(self) -> None:
         """Stop; changes not yet submitted are certainly not committed."""
         self.is_closed = True
-        if self._flush_call is not None:
+        # A commit that fails at once closes it while it is flushed.
+        if self._flush_call is not None and self._flush_call.active():
             self._flush_call.cancel()
-            self._flush_call = None
+        self._flush_call = None
         error = CallError(FailureCode.not_leader, 'leadership was lost')
         _fail_all(self._take_batch().waiters, error)
 
     def _flush(self) -> None:
-        try:
-            self._hooks.on_flush()
-        except Exception:
-            # What callers recorded must still be committed and answered.
-            _log.warning('planning failed', trace=traceback.format_exc())
+        # What callers recorded must still be committed and answered, and what
+        # was planned before an error be offered.
+        _call(self._hooks.on_flush)
+        _call(self._hooks.after_flush)
         self._flush_call = None
         self._submit(self._take_batch())
 
@@ -195,6 +197,13 @@
             self._hooks.on_failure()
 
 
+def _call(hook: Callable[[], None]) -> None:
+    try:
+        hook()
+    except Exception:
+        _log.warning('planning failed', trace=traceback.format_exc())
+
+
 def _merge_change(merged: BatchChange, change: BatchChange) -> None:
     merged.routing = merged.routing or change.routing
     merged.marks.extend(change.marks)
--- a/wasabiturn/process/control/batch/starts.py
+++ b/wasabiturn/process/control/batch/starts.py
@@ -50,23 +50,30 @@
         self._fleet = fleet
         self._clock = clock
         self._commit_call: Any = None
+        # Worker incarnations with starts that are planned and not offered.
+        self._to_offer: set[tuple[str, int]] = set()
 
-    def plan(self, forecasts: Forecasts, now: float) -> set[tuple[str, int]]:
-        """Plan runs, and commit the start of each that needs no offer.
-
-        Returns the worker incarnations that are to be offered starts.
-        """
-        incarnations_to_offer: set[tuple[str, int]] = set()
+    def plan(self, forecasts: Forecasts, now: float) -> None:
+        """Plan runs; ``finish_plan`` is to follow, also after an error."""
         batch_state = self._pipeline.batch_state
         moment = Moment(now=now, wall_ms=wall_clock_ms())
         for start in plan_starts(batch_state, self._fleet, forecasts, moment):
             if self.planned_starts.plan(start, now):
-                incarnations_to_offer.add((start.worker, start.born_ms))
+                self._to_offer.add((start.worker, start.born_ms))
             _set_initial_pace(self._fleet, forecasts, start, now)
             exposition.runs.labels('started').inc()
             _log_start(self._pipeline, start)
+
+    def finish_plan(self) -> set[tuple[str, int]]:
+        """Commit the starts that need no offer.
+
+        Returns the worker incarnations that are to be offered starts.
+        """
+        self.planned_starts.revoke_partial_gangs()
         self._commit_ready()
-        return incarnations_to_offer
+        to_offer = self._to_offer
+        self._to_offer = set()
+        return to_offer
 
     def commit_soon(self) -> None:
         """Commit the starts that their agents have got, in a moment."""
