--- a/benchmarks/queues/simulation.py
+++ b/benchmarks/queues/simulation.py
@@ -16,11 +16,11 @@
 from wasabiturn.batch.fleet import Allocation, Fleet, Worker
 from wasabiturn.batch.forecast import Forecasts
 from wasabiturn.batch.interference import Interference
-from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.moves import reserve_place
 from wasabiturn.batch.ordering import Moment
 from wasabiturn.batch.planning import plan_moves, plan_starts
 from wasabiturn.batch.sharing import adjust_pace, set_pace
+from wasabiturn.batch.state.jobs import Task
 from wasabiturn.messages.batch import (
     AcceptJob,
     BatchChange,
--- a/benchmarks/take_over.py
+++ b/benchmarks/take_over.py
@@ -15,7 +15,7 @@
 from twisted.internet.task import Clock
 
 from wasabiturn.batch import BatchState, apply_batch_change, copy_in_slices
-from wasabiturn.batch.state_clock import StateClock
+from wasabiturn.batch.state.clock import StateClock
 from wasabiturn.messages.batch import (
     AcceptJob,
     BatchChange,
--- a/tests/batch/test_crashes.py
+++ b/tests/batch/crashes/test_crash.py
@@ -17,21 +17,21 @@
     dump_batch_state,
     load_batch_state,
 )
-from wasabiturn.batch.crashes import Crash, judge_crash
-from wasabiturn.batch.fleet import Worker
-from wasabiturn.batch.lost_runs import lost_end
-from wasabiturn.batch.proofs import (
+from wasabiturn.batch.crashes.crash import Crash, judge_crash
+from wasabiturn.batch.crashes.proofs import (
     MAX_BLAMED_SECONDS,
     PROOF_SECONDS,
     SLOW_PROOF_SECONDS,
     find_acquitted,
 )
-from wasabiturn.batch.verdicts import (
+from wasabiturn.batch.crashes.verdicts import (
     COMMON_CAUSE_SECONDS,
     MAX_CRASHES,
     MAX_REMEMBERED_CRASHES,
     CrashLog,
 )
+from wasabiturn.batch.fleet import Worker
+from wasabiturn.batch.lost_runs import lost_end
 from wasabiturn.messages.batch import (
     BatchChange,
     BatchDump,
--- a/tests/batch/test_isolation.py
+++ b/tests/batch/isolation/test_suspects.py
@@ -12,14 +12,14 @@
 )
 from tests.batch.test_decisions import LASTING, NOW, plan
 from wasabiturn.batch import BatchState, apply_batch_change
+from wasabiturn.batch.crashes.proofs import PROOF_SECONDS, SLOW_PROOF_SECONDS
 from wasabiturn.batch.fleet import Fleet, Worker
-from wasabiturn.batch.gang_isolation import MAX_GANG_WAIT_SECONDS
-from wasabiturn.batch.isolation_state import (
+from wasabiturn.batch.isolation.gangs import MAX_GANG_WAIT_SECONDS
+from wasabiturn.batch.isolation.state import (
     MAX_TURN_SECONDS,
     MAX_WITHHELD_SECONDS,
 )
 from wasabiturn.batch.ordering import Moment
-from wasabiturn.batch.proofs import PROOF_SECONDS, SLOW_PROOF_SECONDS
 from wasabiturn.messages.batch import BatchChange
 
 
--- a/tests/batch/jobs_fakes.py
+++ b/tests/batch/jobs_fakes.py
@@ -4,7 +4,7 @@
 
 from wasabiturn.batch import BatchState, apply_batch_change
 from wasabiturn.batch.fleet import Fleet, Worker
-from wasabiturn.batch.jobs import Task
+from wasabiturn.batch.state.jobs import Task
 from wasabiturn.messages.batch import (
     AcceptJob,
     BatchChange,
--- a/tests/batch/test_apply.py
+++ b/tests/batch/state/test_apply.py
@@ -5,10 +5,10 @@
 from tests.batch.jobs_fakes import accept, create_batch_state, end, start, step
 from wasabiturn.batch import (
     apply_batch_change,
-    dump,
     dump_batch_state,
     load_batch_state,
 )
+from wasabiturn.batch.state import dump
 from wasabiturn.messages.batch import (
     BatchChange,
     BatchDump,
--- a/tests/batch/test_state_clock.py
+++ b/tests/batch/state/test_clock.py
@@ -8,7 +8,7 @@
     step,
 )
 from wasabiturn.batch.bindings import restore_bindings
-from wasabiturn.batch.state_clock import StateClock
+from wasabiturn.batch.state.clock import StateClock
 from wasabiturn.messages.batch import BatchChange, EndRun
 from wasabiturn.messages.kinds import RunEnding
 from wasabiturn.messages.limits import ORDER_LIFETIME_SECONDS
--- a/tests/batch/test_ended_jobs.py
+++ b/tests/batch/state/test_ended_jobs.py
@@ -7,10 +7,10 @@
     BatchState,
     apply_batch_change,
     dump_batch_state,
-    ended_jobs,
     load_batch_state,
 )
-from wasabiturn.batch.ended_jobs import (
+from wasabiturn.batch.state import ended_jobs
+from wasabiturn.batch.state.ended_jobs import (
     STATUS_SECONDS,
     find_forgettable,
     find_refusal_ms,
--- a/tests/batch/test_bindings.py
+++ b/tests/batch/test_bindings.py
@@ -28,11 +28,11 @@
 from wasabiturn.batch.fleet import NEVER, Fleet
 from wasabiturn.batch.forecast import Forecasts
 from wasabiturn.batch.interference import Interference
-from wasabiturn.batch.jobs import Part
 from wasabiturn.batch.moves import PlannedMove
 from wasabiturn.batch.planning import plan_moves
 from wasabiturn.batch.ranking import create_ranking
-from wasabiturn.batch.state_clock import StateClock
+from wasabiturn.batch.state.clock import StateClock
+from wasabiturn.batch.state.jobs import Part
 from wasabiturn.messages.batch import (
     BatchChange,
     BatchDump,
--- a/tests/batch/test_early_release.py
+++ b/tests/batch/test_early_release.py
@@ -26,7 +26,7 @@
     is_lost_under_way,
 )
 from wasabiturn.batch.fleet import Allocation, Fleet, Worker
-from wasabiturn.batch.state import BatchState
+from wasabiturn.batch.state.batch_state import BatchState
 from wasabiturn.messages.batch import (
     BatchChange,
     BatchDump,
--- a/tests/batch/test_idle_jobs_properties.py
+++ b/tests/batch/test_idle_jobs_properties.py
@@ -24,9 +24,9 @@
 from wasabiturn.batch.acceptance import accepts_work
 from wasabiturn.batch.avoidance import LASTING_AVOIDANCE_SECONDS
 from wasabiturn.batch.fleet import Worker
-from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.ordering import Moment
 from wasabiturn.batch.progress import MAX_IDLE_SECONDS, idle_seconds
+from wasabiturn.batch.state.jobs import Task
 
 SEEDS = 400
 NOW = 10.0
--- a/tests/batch/test_progress.py
+++ b/tests/batch/test_progress.py
@@ -20,7 +20,6 @@
     load_batch_state,
 )
 from wasabiturn.batch.fleet import Allocation
-from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.progress import (
     FIRST_REPORTS_SECONDS,
     MAX_IDLE_SECONDS,
@@ -30,7 +29,8 @@
     restore_idle_times,
 )
 from wasabiturn.batch.reports import apply_report
-from wasabiturn.batch.state_clock import StateClock
+from wasabiturn.batch.state.clock import StateClock
+from wasabiturn.batch.state.jobs import Task
 from wasabiturn.messages.batch import BatchChange, EndedRow
 from wasabiturn.messages.kinds import RunEnding
 
--- a/tests/process/control/test_pipeline.py
+++ b/tests/process/control/test_pipeline.py
@@ -8,7 +8,7 @@
 
 from tests.batch.jobs_fakes import accept, end, start, step
 from wasabiturn.batch import BatchState, apply_batch_change, dump_batch_state
-from wasabiturn.batch.state_clock import StateClock
+from wasabiturn.batch.state.clock import StateClock
 from wasabiturn.messages.batch import (
     BatchChange,
     DataCentreMark,
--- a/tests/sessions/test_jobs_at_the_end_properties.py
+++ b/tests/sessions/test_jobs_at_the_end_properties.py
@@ -15,7 +15,7 @@
     WideSession,
 )
 from tests.sessions.test_start_orders_properties import FIRST_SEED, SEED_COUNT
-from wasabiturn.batch.jobs import Job, Task
+from wasabiturn.batch.state.jobs import Job, Task
 from wasabiturn.messages.kinds import BatchTaskState
 
 # Each condition plays this share of the seeds.
--- a/tests/sessions/test_lasting_tasks_properties.py
+++ b/tests/sessions/test_lasting_tasks_properties.py
@@ -8,7 +8,7 @@
 
 from tests.sessions.batch_fakes import BatchFleet, FakeAgent, create_step
 from tests.sessions.test_start_orders_properties import SEEDS
-from wasabiturn.batch.jobs import Task
+from wasabiturn.batch.state.jobs import Task
 from wasabiturn.messages.batch import BatchChange, DataCentreMark
 from wasabiturn.standins.batch_worker import SimulatedWork
 
--- a/tests/sessions/test_lasting_tasks_wide_properties.py
+++ b/tests/sessions/test_lasting_tasks_wide_properties.py
@@ -24,7 +24,7 @@
 )
 from tests.sessions.test_lost_machines import lose_machine
 from tests.sessions.test_start_orders_properties import FIRST_SEED, SEED_COUNT
-from wasabiturn.batch.jobs import Task
+from wasabiturn.batch.state.jobs import Task
 from wasabiturn.messages.batch import Step
 from wasabiturn.messages.kinds import RunEnding
 from wasabiturn.standins.batch_worker import SimulatedWork
--- a/tests/sessions/test_open_tasks.py
+++ b/tests/sessions/test_open_tasks.py
@@ -3,8 +3,8 @@
 import pytest
 
 from tests.sessions.batch_fakes import BatchFleet, create_step
-from wasabiturn.batch import ended_jobs
-from wasabiturn.batch.ended_jobs import STATUS_SECONDS
+from wasabiturn.batch.state import ended_jobs
+from wasabiturn.batch.state.ended_jobs import STATUS_SECONDS
 from wasabiturn.messages.kinds import JobOutcome, JobState
 from wasabiturn.process.control.batch import job_calls
 from wasabiturn.standins.batch_worker import SimulatedWork
--- a/wasabiturn/batch/__init__.py
+++ b/wasabiturn/batch/__init__.py
@@ -6,13 +6,13 @@
 together.
 """
 
-from wasabiturn.batch.apply import apply_batch_change
-from wasabiturn.batch.dump import (
+from wasabiturn.batch.state.apply import apply_batch_change
+from wasabiturn.batch.state.batch_state import BatchState
+from wasabiturn.batch.state.dump import (
     copy_in_slices,
     dump_batch_state,
     load_batch_state,
 )
-from wasabiturn.batch.state import BatchState
 
 __all__ = (
     'BatchState',
--- a/wasabiturn/batch/acceptance.py
+++ b/wasabiturn/batch/acceptance.py
@@ -1,7 +1,7 @@
 """Whether a worker accepts work at all, whatever the work is."""
 
 from wasabiturn.batch.fleet import Worker
-from wasabiturn.batch.state import BatchState
+from wasabiturn.batch.state.batch_state import BatchState
 
 # Agents report at least each second. A worker that is silent for longer may be
 # lost; a task that is started there then waits until its order expires.
--- a/wasabiturn/batch/avoidance.py
+++ b/wasabiturn/batch/avoidance.py
@@ -15,7 +15,6 @@
 
 from wasabiturn.batch.acceptance import accepts_work
 from wasabiturn.batch.fleet import Fleet, Worker
-from wasabiturn.batch.jobs import Job, Task
 from wasabiturn.batch.ordering import Moment, list_due_parts
 from wasabiturn.batch.placing import (
     Candidates,
@@ -24,7 +23,8 @@
     may_start,
 )
 from wasabiturn.batch.progress import MAX_IDLE_SECONDS, idle_seconds
-from wasabiturn.batch.state import BatchState
+from wasabiturn.batch.state.batch_state import BatchState
+from wasabiturn.batch.state.jobs import Job, Task
 from wasabiturn.messages.batch import StartRun
 
 # After the newest failure.
--- a/wasabiturn/batch/bindings.py
+++ b/wasabiturn/batch/bindings.py
@@ -25,10 +25,10 @@
     Fleet,
     Worker,
 )
-from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.placing import create_start
-from wasabiturn.batch.state import BatchState
-from wasabiturn.batch.state_clock import StateClock
+from wasabiturn.batch.state.batch_state import BatchState
+from wasabiturn.batch.state.clock import StateClock
+from wasabiturn.batch.state.jobs import Task
 from wasabiturn.messages.batch import StartRun
 from wasabiturn.messages.kinds import BatchTaskState
 from wasabiturn.messages.limits import ORDER_LIFETIME_SECONDS
--- a/wasabiturn/batch/crashes.py
+++ b/wasabiturn/batch/crashes/crash.py
@@ -12,8 +12,8 @@
 
 import attrs
 
+from wasabiturn.batch.crashes.proofs import MAX_BLAMED_SECONDS, is_proven
 from wasabiturn.batch.fleet import Allocation, Worker
-from wasabiturn.batch.proofs import MAX_BLAMED_SECONDS, is_proven
 from wasabiturn.messages.kinds import CrashRole
 
 # A crash so soon after a start is hardly chance.
--- a/wasabiturn/batch/proofs.py
+++ b/wasabiturn/batch/crashes/proofs.py
@@ -4,10 +4,10 @@
 suspect whose run has worked long enough is cleared.
 """
 
+from wasabiturn.batch.crashes.suspicions import REPEATED_CRASHES
 from wasabiturn.batch.fleet import Allocation, Fleet, Worker
-from wasabiturn.batch.jobs import Task
-from wasabiturn.batch.state import BatchState
-from wasabiturn.batch.suspicions import REPEATED_CRASHES
+from wasabiturn.batch.state.batch_state import BatchState
+from wasabiturn.batch.state.jobs import Task
 from wasabiturn.messages.kinds import BatchTaskState
 
 # A run that has worked for so long is proven; the second figure holds for a
--- a/wasabiturn/batch/crash_rates.py
+++ b/wasabiturn/batch/crashes/rates.py
@@ -7,8 +7,8 @@
 
 from collections.abc import Iterable, Sequence
 
-from wasabiturn.batch.crashes import QUICK_SECONDS, Crash
-from wasabiturn.batch.suspicions import SAME_TIME_MS
+from wasabiturn.batch.crashes.crash import QUICK_SECONDS, Crash
+from wasabiturn.batch.crashes.suspicions import SAME_TIME_MS
 
 # Spans in which crashes are counted; the highest rate holds, as crashes come in
 # bursts.
--- a/wasabiturn/batch/suspicions.py
+++ b/wasabiturn/batch/crashes/suspicions.py
@@ -1,7 +1,7 @@
 """Changes of the replicated state by crashes of workers."""
 
-from wasabiturn.batch.jobs import Task
-from wasabiturn.batch.state import BatchState
+from wasabiturn.batch.state.batch_state import BatchState
+from wasabiturn.batch.state.jobs import Task
 from wasabiturn.messages.batch import EndRun, GiveUp
 from wasabiturn.messages.kinds import CrashRole, JobState, RunEnding
 
--- a/wasabiturn/batch/verdicts.py
+++ b/wasabiturn/batch/crashes/verdicts.py
@@ -6,7 +6,7 @@
 waits a moment. A task that is suspected of many crashes is given up without.
 
 Neither holds while workers crash so often, for no known cause, that the task
-may have met its crashes by chance (``crash_rates.py``): then it runs in
+may have met its crashes by chance (``crashes/rates.py``): then it runs in
 isolation once more.
 """
 
@@ -15,11 +15,11 @@
 
 import attrs
 
-from wasabiturn.batch.crash_rates import chance_of_crashes
-from wasabiturn.batch.crashes import Crash, Suspicion
-from wasabiturn.batch.jobs import Task
-from wasabiturn.batch.state import BatchState
-from wasabiturn.batch.suspicions import REPEATED_CRASHES
+from wasabiturn.batch.crashes.crash import Crash, Suspicion
+from wasabiturn.batch.crashes.rates import chance_of_crashes
+from wasabiturn.batch.crashes.suspicions import REPEATED_CRASHES
+from wasabiturn.batch.state.batch_state import BatchState
+from wasabiturn.batch.state.jobs import Task
 from wasabiturn.messages.batch import GiveUp
 from wasabiturn.messages.kinds import BatchTaskState
 
--- a/wasabiturn/batch/early_release.py
+++ b/wasabiturn/batch/early_release.py
@@ -11,7 +11,7 @@
 """
 
 from wasabiturn.batch.fleet import Allocation, Fleet, Worker
-from wasabiturn.batch.jobs import Task
+from wasabiturn.batch.state.jobs import Task
 
 # A worker that crashed is often back sooner, and can take the task again.
 CLOSED_PORT_SECONDS = 3.0
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -12,10 +12,10 @@
 import attrs
 
 from wasabiturn.batch.idle_state import IdleState
-from wasabiturn.batch.isolation_state import IsolationState
-from wasabiturn.batch.jobs import Task
+from wasabiturn.batch.isolation.state import IsolationState
 from wasabiturn.batch.move_state import Move
-from wasabiturn.batch.state_clock import StateClock
+from wasabiturn.batch.state.clock import StateClock
+from wasabiturn.batch.state.jobs import Task
 from wasabiturn.messages.batch import (
     BatchChange,
     RunningRow,
--- a/wasabiturn/batch/gangs.py
+++ b/wasabiturn/batch/gangs.py
@@ -6,8 +6,8 @@
 import attrs
 
 from wasabiturn.batch.fleet import Worker
-from wasabiturn.batch.jobs import Part, Task
 from wasabiturn.batch.placing import Candidates, create_start, may_start_at
+from wasabiturn.batch.state.jobs import Part, Task
 from wasabiturn.messages.batch import StartRun, Step
 from wasabiturn.messages.kinds import BatchTaskState
 
--- /dev/null
+++ b/wasabiturn/batch/isolation/__init__.py
@@ -0,0 +1,1 @@
+"""Starts of suspects apart from other tasks."""
--- a/wasabiturn/batch/gang_isolation.py
+++ b/wasabiturn/batch/isolation/gangs.py
@@ -6,14 +6,14 @@
 
 from wasabiturn.batch.fleet import Worker
 from wasabiturn.batch.gangs import fit_all, start_gang
-from wasabiturn.batch.isolation_room import IsolationRoom
-from wasabiturn.batch.jobs import Part, Task
+from wasabiturn.batch.isolation.room import IsolationRoom
 from wasabiturn.batch.placing import (
     Candidates,
     can_take,
     create_start,
     may_start_at,
 )
+from wasabiturn.batch.state.jobs import Part, Task
 from wasabiturn.messages.batch import StartRun
 from wasabiturn.messages.kinds import BatchTaskState
 
--- a/wasabiturn/batch/isolation_room.py
+++ b/wasabiturn/batch/isolation/room.py
@@ -4,9 +4,9 @@
 
 import attrs
 
+from wasabiturn.batch.crashes.proofs import is_proven
 from wasabiturn.batch.fleet import Allocation, Fleet, Worker
-from wasabiturn.batch.isolation_state import IsolationState
-from wasabiturn.batch.jobs import Task
+from wasabiturn.batch.isolation.state import IsolationState
 from wasabiturn.batch.ordering import Moment
 from wasabiturn.batch.placing import (
     UNSUITABLE,
@@ -16,7 +16,7 @@
     may_start_at,
     score_worker,
 )
-from wasabiturn.batch.proofs import is_proven
+from wasabiturn.batch.state.jobs import Task
 from wasabiturn.messages.kinds import BatchTaskState
 
 # Share of the workers of a service that suspects use or reserve at a time.
--- a/wasabiturn/batch/isolation.py
+++ b/wasabiturn/batch/isolation/suspects.py
@@ -12,16 +12,16 @@
 
 from collections.abc import Iterable, Iterator
 
+from wasabiturn.batch.crashes.proofs import SLOW_PROOF_SECONDS, is_proven
+from wasabiturn.batch.crashes.suspicions import REPEATED_CRASHES
 from wasabiturn.batch.fleet import Allocation, Fleet, Worker
-from wasabiturn.batch.gang_isolation import start_isolated_gang
-from wasabiturn.batch.isolation_room import IsolationRoom, create_room
-from wasabiturn.batch.isolation_state import IsolationState
-from wasabiturn.batch.jobs import Task
+from wasabiturn.batch.isolation.gangs import start_isolated_gang
+from wasabiturn.batch.isolation.room import IsolationRoom, create_room
+from wasabiturn.batch.isolation.state import IsolationState
 from wasabiturn.batch.ordering import Moment
 from wasabiturn.batch.placing import Candidates, create_start
-from wasabiturn.batch.proofs import SLOW_PROOF_SECONDS, is_proven
-from wasabiturn.batch.state import BatchState
-from wasabiturn.batch.suspicions import REPEATED_CRASHES
+from wasabiturn.batch.state.batch_state import BatchState
+from wasabiturn.batch.state.jobs import Task
 from wasabiturn.messages.batch import StartRun
 from wasabiturn.messages.kinds import BatchTaskState
 
--- a/wasabiturn/batch/move_state.py
+++ b/wasabiturn/batch/move_state.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from wasabiturn.batch.jobs import Task
+from wasabiturn.batch.state.jobs import Task
 
 
 @final
--- a/wasabiturn/batch/moves.py
+++ b/wasabiturn/batch/moves.py
@@ -13,7 +13,6 @@
 
 from wasabiturn.batch.acceptance import is_fresh
 from wasabiturn.batch.fleet import NEVER, Allocation, Fleet, Worker
-from wasabiturn.batch.jobs import Job, Task
 from wasabiturn.batch.move_state import Move
 from wasabiturn.batch.placing import (
     Candidates,
@@ -23,7 +22,8 @@
 )
 from wasabiturn.batch.progress import runs_nothing
 from wasabiturn.batch.stalls import may_move
-from wasabiturn.batch.state import BatchState
+from wasabiturn.batch.state.batch_state import BatchState
+from wasabiturn.batch.state.jobs import Job, Task
 from wasabiturn.messages.batch import EndRun, StartRun
 from wasabiturn.messages.kinds import BatchTaskState, RunEnding
 
--- a/wasabiturn/batch/ordering.py
+++ b/wasabiturn/batch/ordering.py
@@ -13,8 +13,8 @@
 
 import attrs
 
-from wasabiturn.batch.jobs import Job, Part
-from wasabiturn.batch.state import BatchState
+from wasabiturn.batch.state.batch_state import BatchState
+from wasabiturn.batch.state.jobs import Job, Part
 from wasabiturn.messages.batch import Step
 from wasabiturn.messages.kinds import JobState
 
--- a/wasabiturn/batch/placing.py
+++ b/wasabiturn/batch/placing.py
@@ -17,8 +17,8 @@
 from wasabiturn.batch.acceptance import accepts_work, is_fresh
 from wasabiturn.batch.fleet import Worker
 from wasabiturn.batch.forecast import Forecasts
-from wasabiturn.batch.jobs import Part, Task
-from wasabiturn.batch.state import BatchState
+from wasabiturn.batch.state.batch_state import BatchState
+from wasabiturn.batch.state.jobs import Part, Task
 from wasabiturn.messages.batch import StartRun, Step
 from wasabiturn.messages.kinds import BatchTaskState
 
--- a/wasabiturn/batch/planned_starts.py
+++ b/wasabiturn/batch/planned_starts.py
@@ -14,13 +14,13 @@
 
 import attrs
 
-from wasabiturn.batch.apply import apply_batch_change
 from wasabiturn.batch.fleet import Allocation, Fleet
-from wasabiturn.batch.jobs import Job, Task
 from wasabiturn.batch.offers import takes_offers
 from wasabiturn.batch.order_limits import first_limit, keeps_limits
-from wasabiturn.batch.run_ends import requeue_task
-from wasabiturn.batch.state import BatchState
+from wasabiturn.batch.state.apply import apply_batch_change
+from wasabiturn.batch.state.batch_state import BatchState
+from wasabiturn.batch.state.jobs import Job, Task
+from wasabiturn.batch.state.run_ends import requeue_task
 from wasabiturn.messages.batch import BatchChange, StartRun
 from wasabiturn.messages.kinds import JobState
 
--- a/wasabiturn/batch/planning.py
+++ b/wasabiturn/batch/planning.py
@@ -10,8 +10,10 @@
 from wasabiturn.batch.fleet import Fleet
 from wasabiturn.batch.forecast import Forecasts
 from wasabiturn.batch.gangs import start_gang
-from wasabiturn.batch.isolation import find_isolating_workers, start_suspects
-from wasabiturn.batch.jobs import Part
+from wasabiturn.batch.isolation.suspects import (
+    find_isolating_workers,
+    start_suspects,
+)
 from wasabiturn.batch.moves import PlannedMove, lacks_place, start_moved
 from wasabiturn.batch.ordering import (
     Moment,
@@ -29,7 +31,8 @@
 from wasabiturn.batch.progress import MAX_IDLE_SECONDS, idle_seconds
 from wasabiturn.batch.ranking import create_ranking
 from wasabiturn.batch.stalls import find_stalled
-from wasabiturn.batch.state import BatchState
+from wasabiturn.batch.state.batch_state import BatchState
+from wasabiturn.batch.state.jobs import Part
 from wasabiturn.messages.batch import StartRun
 
 # The gang that reaches it is completed.
@@ -274,7 +277,7 @@
 def _has_ordinary(part: Part) -> bool:
     """Return whether waiting tasks may start beside others.
 
-    A gang waits for its suspects, which ``isolation.py`` places.
+    A gang waits for its suspects, which ``isolation/suspects.py`` places.
     """
     tasks = part.waiting_by_name.values()
     if part.step.gang:
--- a/wasabiturn/batch/progress.py
+++ b/wasabiturn/batch/progress.py
@@ -6,9 +6,9 @@
 """
 
 from wasabiturn.batch.fleet import NEVER, Allocation, Fleet, Worker
-from wasabiturn.batch.jobs import Job, Task
-from wasabiturn.batch.state import BatchState
-from wasabiturn.batch.state_clock import StateClock
+from wasabiturn.batch.state.batch_state import BatchState
+from wasabiturn.batch.state.clock import StateClock
+from wasabiturn.batch.state.jobs import Job, Task
 from wasabiturn.messages.kinds import BatchTaskState
 
 # Agents report at least each second, and a report answers a start.
--- a/wasabiturn/batch/ranking.py
+++ b/wasabiturn/batch/ranking.py
@@ -10,7 +10,6 @@
 import attrs
 
 from wasabiturn.batch.fleet import Worker
-from wasabiturn.batch.jobs import Part, Task
 from wasabiturn.batch.placing import (
     UNSUITABLE,
     Candidates,
@@ -19,6 +18,7 @@
     penalize_failure,
     score_worker,
 )
+from wasabiturn.batch.state.jobs import Part, Task
 
 
 @final
--- /dev/null
+++ b/wasabiturn/batch/state/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated state of queues and jobs, and its changes."""
--- a/wasabiturn/batch/apply.py
+++ b/wasabiturn/batch/state/apply.py
@@ -4,15 +4,15 @@
 of a change checks the run that it names, so a repeated change has no effect.
 """
 
-from wasabiturn.batch.jobs import Task, create_job
-from wasabiturn.batch.limit_changes import forget_limits, move_limits
-from wasabiturn.batch.run_ends import end_passed_run, finish_or_requeue
-from wasabiturn.batch.state import BatchState
-from wasabiturn.batch.suspicions import (
+from wasabiturn.batch.crashes.suspicions import (
     clear_task,
     count_crash,
     give_up_task,
 )
+from wasabiturn.batch.state.batch_state import BatchState
+from wasabiturn.batch.state.jobs import Task, create_job
+from wasabiturn.batch.state.limit_changes import forget_limits, move_limits
+from wasabiturn.batch.state.run_ends import end_passed_run, finish_or_requeue
 from wasabiturn.messages.batch import (
     AcceptJob,
     BatchChange,
--- a/wasabiturn/batch/state.py
+++ b/wasabiturn/batch/state/batch_state.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from wasabiturn.batch.jobs import Job, Task
+from wasabiturn.batch.state.jobs import Job, Task
 from wasabiturn.messages.batch import PressureRecord, Routing
 from wasabiturn.messages.kinds import BatchTaskState, JobState
 
@@ -30,7 +30,7 @@
     active_by_name: dict[str, Task] = attrs.field(factory=dict)
     suspects_by_name: dict[str, Task] = attrs.field(factory=dict)
     pressures: list[PressureRecord] = attrs.field(factory=list)
-    # See ``state_clock.py``.
+    # See ``state/clock.py``.
     clock_ms: int = 0
     on_start: Callable[[Task], None] | None = None
     on_end: Callable[[Task], None] | None = None
--- a/wasabiturn/batch/dump.py
+++ b/wasabiturn/batch/state/dump.py
@@ -6,8 +6,8 @@
 
 from collections.abc import Iterator
 
-from wasabiturn.batch.jobs import FINAL_STATES, Job, Task, create_job
-from wasabiturn.batch.state import BatchState
+from wasabiturn.batch.state.batch_state import BatchState
+from wasabiturn.batch.state.jobs import FINAL_STATES, Job, Task, create_job
 from wasabiturn.messages.batch import BatchDump, JobRecord, TaskRecord
 from wasabiturn.messages.kinds import BatchTaskState
 
--- a/wasabiturn/batch/ended_jobs.py
+++ b/wasabiturn/batch/state/ended_jobs.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from itertools import islice
 
-from wasabiturn.batch.state import BatchState
+from wasabiturn.batch.state.batch_state import BatchState
 
 # Callers are promised the state of an ended job for so long.
 STATUS_SECONDS = 120
--- a/wasabiturn/batch/jobs.py
+++ b/wasabiturn/batch/state/jobs.py
@@ -54,14 +54,14 @@
     is_completed: bool = False
     # Newest run of which a failure was counted.
     failed_run: int = 0
-    # Crashes of workers that count against it; see ``crashes.py``. The late
-    # ones came after a run had worked; ``worked_ms`` is of the newest.
+    # Crashes of workers that count against it; see ``crashes/crash.py``. The
+    # late ones came after a run had worked; ``worked_ms`` is of the newest.
     crashes: int = 0
     late_crashes: int = 0
     worked_ms: int = 0
     # Agents of the workers that crashed so, each once.
     crash_agents: list[str] = attrs.field(factory=list)
-    # It starts only in isolation; see ``isolation.py``.
+    # It starts only in isolation; see ``isolation/suspects.py``.
     is_suspect: bool = False
 
     @property
--- a/wasabiturn/batch/limit_changes.py
+++ b/wasabiturn/batch/state/limit_changes.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Iterable
 
-from wasabiturn.batch.state import BatchState
+from wasabiturn.batch.state.batch_state import BatchState
 from wasabiturn.messages.batch import MoveLimit
 
 
--- a/wasabiturn/batch/run_ends.py
+++ b/wasabiturn/batch/state/run_ends.py
@@ -5,8 +5,8 @@
 run is to be stopped; its resources stay charged until its own end is listed.
 """
 
-from wasabiturn.batch.jobs import Job, Task
-from wasabiturn.batch.state import BatchState
+from wasabiturn.batch.state.batch_state import BatchState
+from wasabiturn.batch.state.jobs import Job, Task
 from wasabiturn.messages.batch import EndRun
 from wasabiturn.messages.kinds import BatchTaskState, JobState, RunEnding
 
--- a/wasabiturn/batch/waiting_reasons.py
+++ b/wasabiturn/batch/waiting_reasons.py
@@ -13,7 +13,6 @@
 
 from wasabiturn.batch.acceptance import accepts_work
 from wasabiturn.batch.fleet import NEVER, Fleet, Worker
-from wasabiturn.batch.jobs import Job, Part, Task
 from wasabiturn.batch.ordering import Moment, list_due_parts
 from wasabiturn.batch.placing import (
     UNSUITABLE,
@@ -23,7 +22,8 @@
     score_worker,
 )
 from wasabiturn.batch.progress import known_at
-from wasabiturn.batch.state import BatchState
+from wasabiturn.batch.state.batch_state import BatchState
+from wasabiturn.batch.state.jobs import Job, Part, Task
 
 # A job that runs nothing for longer is reported.
 REPORTED_AFTER_SECONDS = 3.0
--- a/wasabiturn/batch/withdrawals.py
+++ b/wasabiturn/batch/withdrawals.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 
 from wasabiturn.batch.fleet import Allocation, Fleet, Worker
-from wasabiturn.batch.jobs import Task
+from wasabiturn.batch.state.jobs import Task
 
 # A start that is not confirmed after this time waits for its worker.
 CONFIRMATION_SECONDS = 2.0
--- a/wasabiturn/process/control/batch/clock_follower.py
+++ b/wasabiturn/process/control/batch/clock_follower.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from wasabiturn.batch.state_clock import StateClock
+from wasabiturn.batch.state.clock import StateClock
 from wasabiturn.version.replica import Replica
 
 
--- a/wasabiturn/process/control/batch/crash_watch.py
+++ b/wasabiturn/process/control/batch/crash_watch.py
@@ -6,10 +6,10 @@
 
 from typing import final
 
-from wasabiturn.batch.crashes import Crash, judge_crash
+from wasabiturn.batch.crashes.crash import Crash, judge_crash
+from wasabiturn.batch.crashes.proofs import find_acquitted, find_proven_suspects
+from wasabiturn.batch.crashes.verdicts import CrashLog
 from wasabiturn.batch.fleet import Fleet, Worker
-from wasabiturn.batch.proofs import find_acquitted, find_proven_suspects
-from wasabiturn.batch.verdicts import CrashLog
 from wasabiturn.messages.batch import BatchChange, GiveUp
 from wasabiturn.process import exposition
 from wasabiturn.process.control.batch.pipeline import Pipeline
--- a/wasabiturn/process/control/batch/idle_jobs.py
+++ b/wasabiturn/process/control/batch/idle_jobs.py
@@ -6,10 +6,10 @@
 from wasabiturn.batch.bindings import find_held_tasks
 from wasabiturn.batch.fleet import NEVER, Fleet
 from wasabiturn.batch.forecast import Forecasts
-from wasabiturn.batch.jobs import Job
 from wasabiturn.batch.ordering import Moment, list_due_parts
 from wasabiturn.batch.placing import find_candidates
 from wasabiturn.batch.progress import idle_seconds
+from wasabiturn.batch.state.jobs import Job
 from wasabiturn.batch.waiting_reasons import (
     REPORTED_AFTER_SECONDS,
     Waiting,
--- a/wasabiturn/process/control/batch/job_calls.py
+++ b/wasabiturn/process/control/batch/job_calls.py
@@ -7,9 +7,9 @@
 from twisted.internet.defer import Deferred, succeed
 
 from wasabiturn.batch import BatchState
-from wasabiturn.batch.ended_jobs import find_refusal_ms
-from wasabiturn.batch.jobs import Job, count_tasks
 from wasabiturn.batch.queue_table import QueueTable
+from wasabiturn.batch.state.ended_jobs import find_refusal_ms
+from wasabiturn.batch.state.jobs import Job, count_tasks
 from wasabiturn.messages.batch import (
     AcceptJob,
     BatchChange,
--- a/wasabiturn/process/control/batch/orders.py
+++ b/wasabiturn/process/control/batch/orders.py
@@ -1,10 +1,10 @@
 """Creation of orders for one worker from the committed starts."""
 
 from wasabiturn.batch.fleet import Allocation, Worker
-from wasabiturn.batch.jobs import Task
 from wasabiturn.batch.offers import needs_offer, record_offers
 from wasabiturn.batch.order_limits import may_be_ordered, read_agent_limit
 from wasabiturn.batch.sharing import find_pace_updates, target_percent
+from wasabiturn.batch.state.jobs import Task
 from wasabiturn.messages.batch import (
     PaceOrder,
     StartOrder,
--- a/wasabiturn/process/control/batch/pipeline.py
+++ b/wasabiturn/process/control/batch/pipeline.py
@@ -16,7 +16,7 @@
 
 from wasabiturn.batch import BatchState, apply_batch_change
 from wasabiturn.batch.fleet import UNKNOWN
-from wasabiturn.batch.state_clock import StateClock
+from wasabiturn.batch.state.clock import StateClock
 from wasabiturn.connection.calls import CallError
 from wasabiturn.messages.batch import BatchChange, StartRun
 from wasabiturn.messages.kinds import FailureCode
--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -1,6 +1,6 @@
 """Handling of agents' worker reports, which are answered with orders."""
 
-from wasabiturn.batch.crashes import forget_crash
+from wasabiturn.batch.crashes.crash import forget_crash
 from wasabiturn.batch.fences import raise_fence, succeed_worker
 from wasabiturn.batch.fleet import NEVER, Fleet, Worker
 from wasabiturn.batch.lost_runs import give_up_all_runs
--- a/wasabiturn/version/apply_batch.py
+++ b/wasabiturn/version/apply_batch.py
@@ -1,6 +1,6 @@
 """Application of changes to batch queues and their jobs."""
 
-from wasabiturn.batch.apply import apply_batch_change
+from wasabiturn.batch.state.apply import apply_batch_change
 from wasabiturn.messages.batch import BatchChange
 from wasabiturn.messages.state import Outcome
 from wasabiturn.version.state import Effect, State
--- a/wasabiturn/version/persistence.py
+++ b/wasabiturn/version/persistence.py
@@ -1,6 +1,6 @@
 """Serialization of the replicated state for snapshots."""
 
-from wasabiturn.batch.dump import dump_batch_state, load_batch_state
+from wasabiturn.batch.state.dump import dump_batch_state, load_batch_state
 from wasabiturn.exceptions import StorageError
 from wasabiturn.messages.codec import CodecError, pack, unpack
 from wasabiturn.messages.state import StateDump
--- a/wasabiturn/version/state.py
+++ b/wasabiturn/version/state.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from wasabiturn.batch.state import BatchState
+from wasabiturn.batch.state.batch_state import BatchState
 from wasabiturn.messages.kinds import Kind
 from wasabiturn.messages.state import (
     Change,
