--- a/tests/version/raft/test_mechanisms.py
+++ b/tests/version/raft/test_mechanisms.py
@@ -426,3 +426,49 @@
     envelope = Envelope(sender=candidate.raft.member_id, vote_request=request)
     election.handle_vote_request(raft, request, envelope, now + 1.1)
     assert lease.may_campaign(raft, now + 1.6)
+
+
+def test_log_that_differs_is_not_sent_again_for_each_entry_that_differs(
+    cluster: Cluster, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A cut leader has entries of its own beside those of the next one."""
+    former, *others = leader_first(cluster)
+    for other in others:
+        cut_link(cluster, former, other)
+    differing = 60
+    for _ in range(differing):
+        cluster.submit(former)
+    cluster.run(3)
+    leader = leader_first(cluster)[0]
+    assert leader is not former
+    for _ in range(differing):
+        cluster.submit(leader)
+        cluster.run(0.02)
+    sent_entries = record_sent_entries(cluster, former, monkeypatch)
+    cluster.heal()
+    for _ in range(10):
+        cluster.submit(leader)
+        cluster.run(0.05)
+    cluster.run(2)
+    assert former.raft is not None
+    assert leader.raft is not None
+    assert former.raft.commit_index >= leader.raft.commit_index - 1
+    # As a whole, and again for what is sent before the first answer.
+    assert sum(sent_entries) <= 5 * differing
+
+
+def record_sent_entries(
+    cluster: Cluster, receiver: Machine, monkeypatch: pytest.MonkeyPatch
+) -> list[int]:
+    """Return a list that gets the number of entries in each request."""
+    sent_entries: list[int] = []
+    transmit = cluster._transmit
+
+    def record(envelope: Envelope) -> None:
+        request = envelope.append_request
+        if request and envelope.receiver.startswith(receiver.name):
+            sent_entries.append(len(request.entries))
+        transmit(envelope)
+
+    monkeypatch.setattr(cluster, '_transmit', record)
+    return sent_entries
--- a/wasabiturn/version/raft/following.py
+++ b/wasabiturn/version/raft/following.py
@@ -53,8 +53,14 @@
 
 
 def _retry_index(state: RaftState, request: AppendRequest) -> int:
-    before = min(state.log.last_index, request.previous_index - 1)
-    return max(state.commit_index, before)
+    """Return the newest entry that the leader's log may hold as well.
+
+    If an entry differs, those that are committed certainly don't. Each step
+    back costs the leader all entries from there on, so there are two at most.
+    """
+    if request.previous_index > state.log.last_index:
+        return max(state.commit_index, state.log.last_index)
+    return state.commit_index
 
 
 def _merge_entries(state: RaftState, entries: list[Entry]) -> None:
