--- a/wasabiturn/batch/planned_starts.py
+++ b/wasabiturn/batch/planned_starts.py
@@ -2,14 +2,14 @@
 
 They are applied to its working copy of the state only, where they take room. A
 start is committed once its agent has shown that it is there, and is ordered
-after that. So the committed state has no start that a dark machine never got,
-and a new leader takes no such start for one that may be carried out.
+after that. So the committed state has no start whose offer a dark machine never
+got, and a new leader takes none of these for one that may be carried out.
 
 The end of another run of the task revokes a planned start first, so that the
 working copy goes the way of the committed state.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from typing import final
 
 import attrs
@@ -166,11 +166,13 @@
 
     def _restore_job(self, job: Job) -> None:
         """Have a job without a start be queued again, or forget that it was."""
-        if any(self._list_tasks_of({job.job_id})):
+        others = self._planned_by_task.values()
+        if any(planned.task.job is job for planned in others):
             return
         if job.job_id in self._queued_job_ids:
             self._queued_job_ids.discard(job.job_id)
-            job.state = job.state if job.is_final else JobState.queued
+            if not job.is_final:
+                job.state = JobState.queued
 
     def _find_allocation(self, planned: PlannedStart) -> Allocation | None:
         worker = self._fleet.worker_of(planned.task)
@@ -187,11 +189,6 @@
             if other.task.part is planned.task.part
         ]
 
-    def _list_tasks_of(self, job_ids: set[str]) -> Iterator[str]:
-        for name, planned in self._planned_by_task.items():
-            if planned.task.job.job_id in job_ids:
-                yield name
-
     def _is_unwanted(self, planned: PlannedStart) -> bool:
         allocation = self._find_allocation(planned)
         if allocation is None or allocation.is_stop_requested:
