--- a/tests/sessions/test_planned_starts.py
+++ b/tests/sessions/test_planned_starts.py
@@ -21,6 +21,18 @@
     return len({task for _, task, *_ in fleet.run_starts})
 
 
+def start_fleet(
+    workers: int, monkeypatch: pytest.MonkeyPatch, is_earlier_version: bool
+) -> BatchFleet:
+    """Return a fleet whose agents may be of an earlier version."""
+    fleet = BatchFleet(workers=workers)
+    if is_earlier_version:
+        for agent in fleet.agents:
+            forget_receipts(agent, monkeypatch)
+    fleet.run(1.5)
+    return fleet
+
+
 def change_capacity(fleet: BatchFleet, millicores: int) -> None:
     for agent in fleet.agents:
         agent.worker.change_capacity(millicores=millicores)
@@ -49,10 +61,7 @@
 def test_commit_of_starts_that_fails_at_once_ends_the_term(
     monkeypatch: pytest.MonkeyPatch, is_earlier_version: bool
 ) -> None:
-    fleet = BatchFleet(workers=1)
-    if is_earlier_version:
-        forget_receipts(fleet.agents[0], monkeypatch)
-    fleet.run(1.5)
+    fleet = start_fleet(1, monkeypatch, is_earlier_version)
     refuse_first_starts(fleet)
     submit_until_answered(fleet, 'j')
     fleet.run(4)
@@ -90,10 +99,7 @@
 def test_what_was_planned_before_an_error_starts(
     monkeypatch: pytest.MonkeyPatch, is_earlier_version: bool
 ) -> None:
-    fleet = BatchFleet(workers=1)
-    if is_earlier_version:
-        forget_receipts(fleet.agents[0], monkeypatch)
-    fleet.run(1.5)
+    fleet = start_fleet(1, monkeypatch, is_earlier_version)
     plan_starts = starts.plan_starts
 
     def plan_and_fail(*arguments: Any) -> Iterator[StartRun]:
@@ -110,11 +116,7 @@
 def test_gang_that_an_error_left_in_part_starts_with_the_next_plan(
     monkeypatch: pytest.MonkeyPatch, is_earlier_version: bool
 ) -> None:
-    fleet = BatchFleet(workers=2)
-    if is_earlier_version:
-        for agent in fleet.agents:
-            forget_receipts(agent, monkeypatch)
-    fleet.run(1.5)
+    fleet = start_fleet(2, monkeypatch, is_earlier_version)
     plan_starts = starts.plan_starts
     failed: list[StartRun] = []
 
