--- a/review/harness_2/deployment.py
+++ b/review/harness_2/deployment.py
@@ -63,9 +63,13 @@
         self.events = []
         path.write_text('')
 
+    def now(self):
+        """Return the seconds since the record began."""
+        return round(time.monotonic() - self.zero, 3)
+
     def note(self, what, **fields):
         """Record one event."""
-        at = round(time.monotonic() - self.zero, 3)
+        at = self.now()
         self.events.append((at, what, fields))
         text = ' '.join(f'{name}={each}' for name, each in fields.items())
         with self.path.open('a') as file:
