--- a/review/7/case.py
+++ b/review/7/case.py
@@ -7,6 +7,7 @@
 from deployment import LASTING_PREFIX, Deployment, run_case
 
 WORKERS = 7
+FIRST_JOB = '00000000000000cc'
 LASTING_JOB = '00000000000000aa'
 LASTING_TASKS = 12
 BATCH_JOBS = [f'00000000000000b{number}' for number in range(9)]
@@ -26,9 +27,18 @@
     deployment = Deployment(record, WORKERS)
     try:
         await deployment.start()
-        await asyncio.sleep(4)
+        await asyncio.sleep(3)
+        first = {
+            'count': 1,
+            'cpu': 1000,
+            'mem_mb': 100,
+            'est_ms': 1000,
+            'long_running': True,
+        }
+        await deployment.submit(FIRST_JOB, 0, [first], LASTING_PREFIX)
+        await asyncio.sleep(3)
         if has_trouble:
-            lose(deployment.workers[0], record)
+            lose(find_worker(deployment, record), record)
         lost_at = record.now()
         await asyncio.sleep(GAP_SECONDS)
         lasting = {
@@ -60,6 +70,14 @@
         await deployment.end()
 
 
+def find_worker(deployment, record):
+    """Return the worker that runs something; others are likely to join it."""
+    _, begun = record.list_events('run begins')[0]
+    return next(
+        each for each in deployment.workers if each.name == begun['worker']
+    )
+
+
 def lose(worker, record):
     """Have a worker answer nothing any more, as one that is lost for good."""
 
