--- a/review/harness_2/deployment.py
+++ b/review/harness_2/deployment.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -291,13 +292,15 @@
         return status, state
 
     async def end(self):
-        """End all processes that were started, and all workers."""
+        """End all that was started; remove the folder unless KEEP is 1."""
         for worker in self.workers:
             if worker.is_up:
                 await worker.crash()
         for program in self.programs.values():
             if not program.has_ended():
                 program.kill()
+        if os.environ.get('KEEP') != '1':
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     def find_ended(self):
         """Return the programs that have ended by themselves."""
