Folders for the order of jobs, the places of tasks and the orders

batch/ held 31 modules side by side. Modules are moved and imports follow; behaviour stays.

Formatter, linters, types and the tests of batch/ pass (1216).

--- a/benchmarks/queues/simulation.py
+++ b/benchmarks/queues/simulation.py
@@ -14,12 +14,12 @@
 )
 from wasabiturn.batch import BatchState, apply_batch_change
 from wasabiturn.batch.fleet import Allocation, Fleet, Worker
-from wasabiturn.batch.forecast import Forecasts
-from wasabiturn.batch.interference import Interference
-from wasabiturn.batch.moves import reserve_place
-from wasabiturn.batch.ordering import Moment
+from wasabiturn.batch.placing.forecast import Forecasts
+from wasabiturn.batch.placing.interference import Interference
+from wasabiturn.batch.placing.moves import reserve_place
+from wasabiturn.batch.placing.sharing import adjust_pace, set_pace
 from wasabiturn.batch.planning import plan_moves, plan_starts
-from wasabiturn.batch.sharing import adjust_pace, set_pace
+from wasabiturn.batch.queueing.ordering import Moment
 from wasabiturn.batch.state.jobs import Task
 from wasabiturn.messages.batch import (
     AcceptJob,
--- a/tests/batch/crashes/test_crash.py
+++ b/tests/batch/crashes/test_crash.py
@@ -31,7 +31,7 @@
     CrashLog,
 )
 from wasabiturn.batch.fleet import Worker
-from wasabiturn.batch.lost_runs import lost_end
+from wasabiturn.batch.orders.lost_runs import lost_end
 from wasabiturn.messages.batch import (
     BatchChange,
     BatchDump,
--- a/tests/batch/isolation/test_suspects.py
+++ b/tests/batch/isolation/test_suspects.py
@@ -19,7 +19,7 @@
     MAX_TURN_SECONDS,
     MAX_WITHHELD_SECONDS,
 )
-from wasabiturn.batch.ordering import Moment
+from wasabiturn.batch.queueing.ordering import Moment
 from wasabiturn.messages.batch import BatchChange
 
 
--- a/tests/batch/test_bindings.py
+++ b/tests/batch/orders/test_bindings.py
@@ -19,18 +19,18 @@
     load_batch_state,
     planning,
 )
-from wasabiturn.batch.bindings import (
+from wasabiturn.batch.fleet import NEVER, Fleet
+from wasabiturn.batch.orders.bindings import (
     bind_task,
     find_resumed_runs,
     release_tasks,
     restore_bindings,
 )
-from wasabiturn.batch.fleet import NEVER, Fleet
-from wasabiturn.batch.forecast import Forecasts
-from wasabiturn.batch.interference import Interference
-from wasabiturn.batch.moves import PlannedMove
+from wasabiturn.batch.placing.forecast import Forecasts
+from wasabiturn.batch.placing.interference import Interference
+from wasabiturn.batch.placing.moves import PlannedMove
+from wasabiturn.batch.placing.ranking import create_ranking
 from wasabiturn.batch.planning import plan_moves
-from wasabiturn.batch.ranking import create_ranking
 from wasabiturn.batch.state.clock import StateClock
 from wasabiturn.batch.state.jobs import Part
 from wasabiturn.messages.batch import (
--- a/tests/batch/test_early_release.py
+++ b/tests/batch/orders/test_early_release.py
@@ -10,22 +10,22 @@
     start,
     step,
 )
-from tests.batch.test_bindings import TASK, end_with_open_order
+from tests.batch.orders.test_bindings import TASK, end_with_open_order
 from wasabiturn.batch import (
     apply_batch_change,
     dump_batch_state,
     load_batch_state,
 )
-from wasabiturn.batch.bindings import (
+from wasabiturn.batch.fleet import Allocation, Fleet, Worker
+from wasabiturn.batch.orders.bindings import (
     bind_ended_task,
     bind_task,
     find_held_tasks,
 )
-from wasabiturn.batch.early_release import (
+from wasabiturn.batch.orders.early_release import (
     CLOSED_PORT_SECONDS,
     is_lost_under_way,
 )
-from wasabiturn.batch.fleet import Allocation, Fleet, Worker
 from wasabiturn.batch.state.batch_state import BatchState
 from wasabiturn.messages.batch import (
     BatchChange,
--- a/tests/batch/test_offers.py
+++ b/tests/batch/orders/test_offers.py
@@ -11,8 +11,8 @@
     step,
 )
 from wasabiturn.batch.fleet import Allocation, Worker
-from wasabiturn.batch.lost_runs import not_started_end
-from wasabiturn.batch.offers import (
+from wasabiturn.batch.orders.lost_runs import not_started_end
+from wasabiturn.batch.orders.offers import (
     OVERDUE_REVIEWS,
     RECEIPT_SECONDS,
     accept_receipt,
@@ -21,7 +21,7 @@
     record_receipt,
     takes_offers,
 )
-from wasabiturn.batch.placing import accepts_work
+from wasabiturn.batch.placing.candidates import accepts_work
 from wasabiturn.messages.batch import OrderReceipt
 
 OFFER_NUMBER = 3
--- a/tests/batch/test_open_orders.py
+++ b/tests/batch/orders/test_open_orders.py
@@ -7,10 +7,13 @@
     report_of,
     result_of,
 )
-from wasabiturn.batch.fences import succeed_worker
 from wasabiturn.batch.fleet import Worker
-from wasabiturn.batch.lost_runs import give_up_runs
-from wasabiturn.batch.open_orders import find_settled_starts, read_account
+from wasabiturn.batch.orders.fences import succeed_worker
+from wasabiturn.batch.orders.lost_runs import give_up_runs
+from wasabiturn.batch.orders.open_orders import (
+    find_settled_starts,
+    read_account,
+)
 from wasabiturn.batch.reports import apply_report
 from wasabiturn.messages.batch import (
     EndedRow,
--- a/tests/batch/test_order_limits.py
+++ b/tests/batch/orders/test_order_limits.py
@@ -17,7 +17,7 @@
     load_batch_state,
 )
 from wasabiturn.batch.fleet import Allocation, Worker
-from wasabiturn.batch.order_limits import (
+from wasabiturn.batch.orders.order_limits import (
     MAX_SEND_MS,
     SEND_MS,
     find_due_limits,
--- a/tests/batch/test_planned_starts.py
+++ b/tests/batch/orders/test_planned_starts.py
@@ -14,7 +14,7 @@
     step,
 )
 from wasabiturn.batch import BatchState, apply_batch_change, dump_batch_state
-from wasabiturn.batch.planned_starts import PlannedStarts
+from wasabiturn.batch.orders.planned_starts import PlannedStarts
 from wasabiturn.batch.state.jobs import Task
 from wasabiturn.messages.batch import BatchChange, EndRun, GiveUp, StartRun
 from wasabiturn.messages.kinds import BatchTaskState, JobState, RunEnding
--- a/tests/batch/test_withdrawals.py
+++ b/tests/batch/orders/test_withdrawals.py
@@ -8,7 +8,7 @@
     step,
 )
 from wasabiturn.batch.fleet import Worker
-from wasabiturn.batch.withdrawals import find_starts_without_room
+from wasabiturn.batch.orders.withdrawals import find_starts_without_room
 from wasabiturn.messages.batch import Step
 
 
--- a/tests/batch/test_avoidance.py
+++ b/tests/batch/placing/test_avoidance.py
@@ -15,8 +15,8 @@
 from tests.batch.test_decisions import plan
 from wasabiturn.batch import BatchState
 from wasabiturn.batch.fleet import Fleet, Worker
-from wasabiturn.batch.ordering import Moment
-from wasabiturn.batch.progress import idle_seconds
+from wasabiturn.batch.queueing.ordering import Moment
+from wasabiturn.batch.queueing.progress import idle_seconds
 
 AVOIDED_UNTIL = 16.0
 IDLE_AT = 2.1
--- a/tests/batch/test_moves.py
+++ b/tests/batch/placing/test_moves.py
@@ -18,12 +18,16 @@
 from tests.batch.test_decisions import plan
 from wasabiturn.batch import apply_batch_change
 from wasabiturn.batch.fleet import Worker
-from wasabiturn.batch.forecast import Forecasts
-from wasabiturn.batch.interference import Interference
-from wasabiturn.batch.moves import PLACE_SECONDS, PlannedMove, reserve_place
-from wasabiturn.batch.ordering import Moment
+from wasabiturn.batch.placing.forecast import Forecasts
+from wasabiturn.batch.placing.interference import Interference
+from wasabiturn.batch.placing.moves import (
+    PLACE_SECONDS,
+    PlannedMove,
+    reserve_place,
+)
 from wasabiturn.batch.planning import plan_moves
-from wasabiturn.batch.progress import record_end
+from wasabiturn.batch.queueing.ordering import Moment
+from wasabiturn.batch.queueing.progress import record_end
 from wasabiturn.messages.kinds import RunEnding
 
 TASK = 'j.0.0.0'
--- a/tests/batch/test_ranking.py
+++ b/tests/batch/placing/test_ranking.py
@@ -15,10 +15,14 @@
 )
 from wasabiturn.batch import BatchState, apply_batch_change
 from wasabiturn.batch.fleet import Fleet, Worker
-from wasabiturn.batch.forecast import Forecasts
-from wasabiturn.batch.interference import Interference, Pressure
-from wasabiturn.batch.placing import Candidates, choose_worker, find_candidates
-from wasabiturn.batch.ranking import create_ranking
+from wasabiturn.batch.placing.candidates import (
+    Candidates,
+    choose_worker,
+    find_candidates,
+)
+from wasabiturn.batch.placing.forecast import Forecasts
+from wasabiturn.batch.placing.interference import Interference, Pressure
+from wasabiturn.batch.placing.ranking import create_ranking
 from wasabiturn.batch.state.jobs import Part
 from wasabiturn.messages.batch import BatchChange, StartRun, Step
 
--- a/tests/batch/test_idle_jobs.py
+++ b/tests/batch/queueing/test_idle_jobs.py
@@ -16,8 +16,8 @@
 from tests.batch.test_decisions import plan
 from wasabiturn.batch import apply_batch_change
 from wasabiturn.batch.fleet import Allocation
-from wasabiturn.batch.ordering import Moment
-from wasabiturn.batch.progress import MAX_IDLE_SECONDS
+from wasabiturn.batch.queueing.ordering import Moment
+from wasabiturn.batch.queueing.progress import MAX_IDLE_SECONDS
 
 FULL = step(3, fills=True, image='f', millicores=10_000)
 FIRST = 'j.0.0.0'
--- a/tests/batch/test_idle_jobs_properties.py
+++ b/tests/batch/queueing/test_idle_jobs_properties.py
@@ -21,11 +21,11 @@
 )
 from tests.batch.test_decisions import create_known_interference, plan
 from wasabiturn.batch import apply_batch_change
-from wasabiturn.batch.acceptance import accepts_work
-from wasabiturn.batch.avoidance import LASTING_AVOIDANCE_SECONDS
 from wasabiturn.batch.fleet import Worker
-from wasabiturn.batch.ordering import Moment
-from wasabiturn.batch.progress import MAX_IDLE_SECONDS, idle_seconds
+from wasabiturn.batch.placing.acceptance import accepts_work
+from wasabiturn.batch.placing.avoidance import LASTING_AVOIDANCE_SECONDS
+from wasabiturn.batch.queueing.ordering import Moment
+from wasabiturn.batch.queueing.progress import MAX_IDLE_SECONDS, idle_seconds
 from wasabiturn.batch.state.jobs import Task
 
 SEEDS = 400
--- a/tests/batch/test_progress.py
+++ b/tests/batch/queueing/test_progress.py
@@ -20,7 +20,7 @@
     load_batch_state,
 )
 from wasabiturn.batch.fleet import Allocation
-from wasabiturn.batch.progress import (
+from wasabiturn.batch.queueing.progress import (
     FIRST_REPORTS_SECONDS,
     MAX_IDLE_SECONDS,
     START_ANSWER_SECONDS,
--- a/tests/batch/state/test_clock.py
+++ b/tests/batch/state/test_clock.py
@@ -7,7 +7,7 @@
     start,
     step,
 )
-from wasabiturn.batch.bindings import restore_bindings
+from wasabiturn.batch.orders.bindings import restore_bindings
 from wasabiturn.batch.state.clock import StateClock
 from wasabiturn.messages.batch import BatchChange, EndRun
 from wasabiturn.messages.kinds import RunEnding
--- a/tests/batch/test_decisions.py
+++ b/tests/batch/test_decisions.py
@@ -14,17 +14,20 @@
 )
 from wasabiturn.batch import BatchState, apply_batch_change
 from wasabiturn.batch.fleet import Fleet, Worker
-from wasabiturn.batch.forecast import FORECAST_LIFETIME_SECONDS, Forecasts
-from wasabiturn.batch.interference import Interference, Pressure
-from wasabiturn.batch.loads import Load
-from wasabiturn.batch.ordering import Moment, order_parts
+from wasabiturn.batch.placing.forecast import (
+    FORECAST_LIFETIME_SECONDS,
+    Forecasts,
+)
+from wasabiturn.batch.placing.interference import Interference, Pressure
+from wasabiturn.batch.placing.loads import Load
+from wasabiturn.batch.placing.sharing import adjust_pace, find_pace_updates
+from wasabiturn.batch.placing.stalls import find_stalled
 from wasabiturn.batch.planning import (
     REFUSED_PART_SECONDS,
     plan_moves,
     plan_starts,
 )
-from wasabiturn.batch.sharing import adjust_pace, find_pace_updates
-from wasabiturn.batch.stalls import find_stalled
+from wasabiturn.batch.queueing.ordering import Moment, order_parts
 from wasabiturn.messages.batch import BatchChange, DataCentreMark
 
 NOW = Moment(now=0, wall_ms=ACCEPTED_MS)
--- a/tests/batch/test_reports.py
+++ b/tests/batch/test_reports.py
@@ -4,14 +4,14 @@
 import pytest
 
 from tests.batch.jobs_fakes import accept, create_batch_state, step
-from wasabiturn.batch.fences import (
+from wasabiturn.batch.fleet import Fleet, Worker
+from wasabiturn.batch.orders.fences import (
     first_fence,
     next_fence,
     raise_fence,
     succeed_worker,
 )
-from wasabiturn.batch.fleet import Fleet, Worker
-from wasabiturn.batch.lost_runs import give_up_all_runs, give_up_runs
+from wasabiturn.batch.orders.lost_runs import give_up_all_runs, give_up_runs
 from wasabiturn.batch.reports import apply_report
 from wasabiturn.messages.batch import (
     EndedRow,
--- a/tests/batch/test_waiting_reasons.py
+++ b/tests/batch/test_waiting_reasons.py
@@ -15,10 +15,10 @@
     step,
 )
 from wasabiturn.batch.fleet import Worker
-from wasabiturn.batch.forecast import Forecasts
-from wasabiturn.batch.interference import Interference, Pressure
-from wasabiturn.batch.ordering import Moment
-from wasabiturn.batch.placing import find_candidates
+from wasabiturn.batch.placing.candidates import find_candidates
+from wasabiturn.batch.placing.forecast import Forecasts
+from wasabiturn.batch.placing.interference import Interference, Pressure
+from wasabiturn.batch.queueing.ordering import Moment
 from wasabiturn.batch.waiting_reasons import (
     AssumedRun,
     Waiting,
--- a/tests/sessions/test_batch.py
+++ b/tests/sessions/test_batch.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.sessions.batch_fakes import BatchFleet, create_step
-from wasabiturn.batch.interference import Pressure
+from wasabiturn.batch.placing.interference import Pressure
 from wasabiturn.messages.batch import BatchChange, DataCentreMark
 from wasabiturn.messages.kinds import JobOutcome, JobState, RunEnding
 from wasabiturn.process.agent.runs.hold_delay import (
--- a/tests/sessions/test_order_limits.py
+++ b/tests/sessions/test_order_limits.py
@@ -9,7 +9,7 @@
     create_step,
 )
 from tests.sessions.test_lost_machines import find_agent, lose_machine
-from wasabiturn.batch.order_limits import SEND_MS
+from wasabiturn.batch.orders.order_limits import SEND_MS
 from wasabiturn.messages.kinds import JobState
 from wasabiturn.messages.limits import ORDER_LIFETIME_SECONDS
 from wasabiturn.process.control.batch.leader_term import (
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -3,7 +3,7 @@
 A worker is reconciled once it has listed its runs under its current fencing
 token; from then on no order under an earlier token can take effect there. Until
 then it is charged for the runs in the replicated state. The token rises with
-the term and, within a term, as ``wasabiturn/batch/fences.py`` tells.
+the term and, within a term, as ``wasabiturn/batch/orders/fences.py`` tells.
 """
 
 from collections import deque
@@ -11,9 +11,9 @@
 
 import attrs
 
-from wasabiturn.batch.idle_state import IdleState
 from wasabiturn.batch.isolation.state import IsolationState
-from wasabiturn.batch.move_state import Move
+from wasabiturn.batch.placing.move_state import Move
+from wasabiturn.batch.queueing.idle_state import IdleState
 from wasabiturn.batch.state.clock import StateClock
 from wasabiturn.batch.state.jobs import Task
 from wasabiturn.messages.batch import (
@@ -56,7 +56,7 @@
     # Its start is not committed; see ``planned_starts.py``.
     is_planned: bool = False
     # When its start was first offered to the agent, and the number of those
-    # orders; see ``wasabiturn/batch/offers.py``.
+    # orders; see ``wasabiturn/batch/orders/offers.py``.
     offered_at: float | None = None
     offer_number: int = 0
     # When the agent was last known to be there for it.
@@ -357,7 +357,7 @@
     reporting_by_agent: dict[str, Worker] = attrs.field(factory=dict)
     reporting_by_name: dict[str, Worker] = attrs.field(factory=dict)
     # Until when each bound task is bound, by the name of the task; see
-    # ``wasabiturn/batch/bindings.py``.
+    # ``wasabiturn/batch/orders/bindings.py``.
     bound_until_by_task: dict[str, float] = attrs.field(factory=dict)
     # Those of them whose machine fell silent before their order was overdue.
     tasks_lost_under_way: set[str] = attrs.field(factory=set)
--- a/wasabiturn/batch/isolation/gangs.py
+++ b/wasabiturn/batch/isolation/gangs.py
@@ -5,14 +5,14 @@
 import attrs
 
 from wasabiturn.batch.fleet import Worker
-from wasabiturn.batch.gangs import fit_all, start_gang
 from wasabiturn.batch.isolation.room import IsolationRoom
-from wasabiturn.batch.placing import (
+from wasabiturn.batch.placing.candidates import (
     Candidates,
     can_take,
     create_start,
     may_start_at,
 )
+from wasabiturn.batch.placing.gangs import fit_all, start_gang
 from wasabiturn.batch.state.jobs import Part, Task
 from wasabiturn.messages.batch import StartRun
 from wasabiturn.messages.kinds import BatchTaskState
--- a/wasabiturn/batch/isolation/room.py
+++ b/wasabiturn/batch/isolation/room.py
@@ -7,8 +7,7 @@
 from wasabiturn.batch.crashes.proofs import is_proven
 from wasabiturn.batch.fleet import Allocation, Fleet, Worker
 from wasabiturn.batch.isolation.state import IsolationState
-from wasabiturn.batch.ordering import Moment
-from wasabiturn.batch.placing import (
+from wasabiturn.batch.placing.candidates import (
     UNSUITABLE,
     Candidates,
     can_take,
@@ -16,6 +15,7 @@
     may_start_at,
     score_worker,
 )
+from wasabiturn.batch.queueing.ordering import Moment
 from wasabiturn.batch.state.jobs import Task
 from wasabiturn.messages.kinds import BatchTaskState
 
--- a/wasabiturn/batch/isolation/suspects.py
+++ b/wasabiturn/batch/isolation/suspects.py
@@ -18,8 +18,8 @@
 from wasabiturn.batch.isolation.gangs import start_isolated_gang
 from wasabiturn.batch.isolation.room import IsolationRoom, create_room
 from wasabiturn.batch.isolation.state import IsolationState
-from wasabiturn.batch.ordering import Moment
-from wasabiturn.batch.placing import Candidates, create_start
+from wasabiturn.batch.placing.candidates import Candidates, create_start
+from wasabiturn.batch.queueing.ordering import Moment
 from wasabiturn.batch.state.batch_state import BatchState
 from wasabiturn.batch.state.jobs import Task
 from wasabiturn.messages.batch import StartRun
--- a/wasabiturn/batch/bindings.py
+++ b/wasabiturn/batch/orders/bindings.py
@@ -14,10 +14,6 @@
 
 from collections.abc import Iterator
 
-from wasabiturn.batch.early_release import (
-    is_lost_under_way,
-    may_start_elsewhere,
-)
 from wasabiturn.batch.fleet import (
     NEVER,
     UNKNOWN,
@@ -25,7 +21,11 @@
     Fleet,
     Worker,
 )
-from wasabiturn.batch.placing import create_start
+from wasabiturn.batch.orders.early_release import (
+    is_lost_under_way,
+    may_start_elsewhere,
+)
+from wasabiturn.batch.placing.candidates import create_start
 from wasabiturn.batch.state.batch_state import BatchState
 from wasabiturn.batch.state.clock import StateClock
 from wasabiturn.batch.state.jobs import Task
--- a/wasabiturn/batch/lost_runs.py
+++ b/wasabiturn/batch/orders/lost_runs.py
@@ -1,7 +1,7 @@
 """Runs that went with the incarnation or the lease of their worker."""
 
-from wasabiturn.batch.fences import raise_fence
 from wasabiturn.batch.fleet import Allocation, Fleet, Worker
+from wasabiturn.batch.orders.fences import raise_fence
 from wasabiturn.messages.batch import EndRun
 from wasabiturn.messages.kinds import RunEnding
 from wasabiturn.messages.limits import START_PERMIT_SECONDS
--- a/wasabiturn/batch/planned_starts.py
+++ b/wasabiturn/batch/orders/planned_starts.py
@@ -15,8 +15,8 @@
 import attrs
 
 from wasabiturn.batch.fleet import Allocation, Fleet
-from wasabiturn.batch.offers import takes_offers
-from wasabiturn.batch.order_limits import first_limit, keeps_limits
+from wasabiturn.batch.orders.offers import takes_offers
+from wasabiturn.batch.orders.order_limits import first_limit, keeps_limits
 from wasabiturn.batch.state.apply import apply_batch_change
 from wasabiturn.batch.state.batch_state import BatchState
 from wasabiturn.batch.state.jobs import Job, Task
--- a/wasabiturn/batch/avoidance.py
+++ b/wasabiturn/batch/placing/avoidance.py
@@ -13,16 +13,16 @@
 
 import attrs
 
-from wasabiturn.batch.acceptance import accepts_work
 from wasabiturn.batch.fleet import Fleet, Worker
-from wasabiturn.batch.ordering import Moment, list_due_parts
-from wasabiturn.batch.placing import (
+from wasabiturn.batch.placing.acceptance import accepts_work
+from wasabiturn.batch.placing.candidates import (
     Candidates,
     choose_worker,
     create_start,
     may_start,
 )
-from wasabiturn.batch.progress import MAX_IDLE_SECONDS, idle_seconds
+from wasabiturn.batch.queueing.ordering import Moment, list_due_parts
+from wasabiturn.batch.queueing.progress import MAX_IDLE_SECONDS, idle_seconds
 from wasabiturn.batch.state.batch_state import BatchState
 from wasabiturn.batch.state.jobs import Job, Task
 from wasabiturn.messages.batch import StartRun
--- a/wasabiturn/batch/placing.py
+++ b/wasabiturn/batch/placing/candidates.py
@@ -14,9 +14,9 @@
 
 import attrs
 
-from wasabiturn.batch.acceptance import accepts_work, is_fresh
 from wasabiturn.batch.fleet import Worker
-from wasabiturn.batch.forecast import Forecasts
+from wasabiturn.batch.placing.acceptance import accepts_work, is_fresh
+from wasabiturn.batch.placing.forecast import Forecasts
 from wasabiturn.batch.state.batch_state import BatchState
 from wasabiturn.batch.state.jobs import Part, Task
 from wasabiturn.messages.batch import StartRun, Step
--- a/wasabiturn/batch/forecast.py
+++ b/wasabiturn/batch/placing/forecast.py
@@ -10,9 +10,12 @@
 import attrs
 
 from wasabiturn.batch.fleet import Worker
-from wasabiturn.batch.interference import Interference
-from wasabiturn.batch.sharing import compute_budget
-from wasabiturn.batch.worker_metrics import full_pace_uses, group_lasting_tasks
+from wasabiturn.batch.placing.interference import Interference
+from wasabiturn.batch.placing.sharing import compute_budget
+from wasabiturn.batch.placing.worker_metrics import (
+    full_pace_uses,
+    group_lasting_tasks,
+)
 
 # Loads change within seconds; other workers' samples change them meanwhile.
 FORECAST_LIFETIME_SECONDS = 0.2
--- a/wasabiturn/batch/gangs.py
+++ b/wasabiturn/batch/placing/gangs.py
@@ -6,7 +6,11 @@
 import attrs
 
 from wasabiturn.batch.fleet import Worker
-from wasabiturn.batch.placing import Candidates, create_start, may_start_at
+from wasabiturn.batch.placing.candidates import (
+    Candidates,
+    create_start,
+    may_start_at,
+)
 from wasabiturn.batch.state.jobs import Part, Task
 from wasabiturn.messages.batch import StartRun, Step
 from wasabiturn.messages.kinds import BatchTaskState
--- a/wasabiturn/batch/interference.py
+++ b/wasabiturn/batch/placing/interference.py
@@ -15,8 +15,8 @@
 import attrs
 
 from wasabiturn.batch.fleet import Worker
-from wasabiturn.batch.loads import Load, UnloadedTails
-from wasabiturn.batch.worker_metrics import (
+from wasabiturn.batch.placing.loads import Load, UnloadedTails
+from wasabiturn.batch.placing.worker_metrics import (
     MIN_USE,
     LastingGroup,
     current_uses,
--- a/wasabiturn/batch/moves.py
+++ b/wasabiturn/batch/placing/moves.py
@@ -11,17 +11,17 @@
 
 import attrs
 
-from wasabiturn.batch.acceptance import is_fresh
 from wasabiturn.batch.fleet import NEVER, Allocation, Fleet, Worker
-from wasabiturn.batch.move_state import Move
-from wasabiturn.batch.placing import (
+from wasabiturn.batch.placing.acceptance import is_fresh
+from wasabiturn.batch.placing.candidates import (
     Candidates,
     can_take,
     count_by_worker,
     create_start,
 )
-from wasabiturn.batch.progress import runs_nothing
-from wasabiturn.batch.stalls import may_move
+from wasabiturn.batch.placing.move_state import Move
+from wasabiturn.batch.placing.stalls import may_move
+from wasabiturn.batch.queueing.progress import runs_nothing
 from wasabiturn.batch.state.batch_state import BatchState
 from wasabiturn.batch.state.jobs import Job, Task
 from wasabiturn.messages.batch import EndRun, StartRun
--- a/wasabiturn/batch/ranking.py
+++ b/wasabiturn/batch/placing/ranking.py
@@ -10,7 +10,7 @@
 import attrs
 
 from wasabiturn.batch.fleet import Worker
-from wasabiturn.batch.placing import (
+from wasabiturn.batch.placing.candidates import (
     UNSUITABLE,
     Candidates,
     count_by_worker,
--- a/wasabiturn/batch/sharing.py
+++ b/wasabiturn/batch/placing/sharing.py
@@ -13,9 +13,9 @@
 import attrs
 
 from wasabiturn.batch.fleet import Allocation, Worker
-from wasabiturn.batch.interference import Interference
-from wasabiturn.batch.stalls import update_stalls
-from wasabiturn.batch.worker_metrics import (
+from wasabiturn.batch.placing.interference import Interference
+from wasabiturn.batch.placing.stalls import update_stalls
+from wasabiturn.batch.placing.worker_metrics import (
     full_pace_uses,
     group_lasting_tasks,
     highest_tail,
--- a/wasabiturn/batch/planning.py
+++ b/wasabiturn/batch/planning.py
@@ -4,33 +4,36 @@
 
 import attrs
 
-from wasabiturn.batch.acceptance import is_fresh
-from wasabiturn.batch.avoidance import find_avoided_candidates, start_idle
-from wasabiturn.batch.bindings import find_held_tasks
 from wasabiturn.batch.fleet import Fleet
-from wasabiturn.batch.forecast import Forecasts
-from wasabiturn.batch.gangs import start_gang
 from wasabiturn.batch.isolation.suspects import (
     find_isolating_workers,
     start_suspects,
 )
-from wasabiturn.batch.moves import PlannedMove, lacks_place, start_moved
-from wasabiturn.batch.ordering import (
-    Moment,
-    has_no_chance,
-    order_lasting_parts,
-    order_parts,
+from wasabiturn.batch.orders.bindings import find_held_tasks
+from wasabiturn.batch.placing.acceptance import is_fresh
+from wasabiturn.batch.placing.avoidance import (
+    find_avoided_candidates,
+    start_idle,
 )
-from wasabiturn.batch.placing import (
+from wasabiturn.batch.placing.candidates import (
     Candidates,
     choose_worker,
     create_start,
     find_candidates,
     may_start,
 )
-from wasabiturn.batch.progress import MAX_IDLE_SECONDS, idle_seconds
-from wasabiturn.batch.ranking import create_ranking
-from wasabiturn.batch.stalls import find_stalled
+from wasabiturn.batch.placing.forecast import Forecasts
+from wasabiturn.batch.placing.gangs import start_gang
+from wasabiturn.batch.placing.moves import PlannedMove, lacks_place, start_moved
+from wasabiturn.batch.placing.ranking import create_ranking
+from wasabiturn.batch.placing.stalls import find_stalled
+from wasabiturn.batch.queueing.ordering import (
+    Moment,
+    has_no_chance,
+    order_lasting_parts,
+    order_parts,
+)
+from wasabiturn.batch.queueing.progress import MAX_IDLE_SECONDS, idle_seconds
 from wasabiturn.batch.state.batch_state import BatchState
 from wasabiturn.batch.state.jobs import Part
 from wasabiturn.messages.batch import StartRun
--- a/wasabiturn/batch/reports.py
+++ b/wasabiturn/batch/reports.py
@@ -13,8 +13,8 @@
 import attrs
 
 from wasabiturn.batch.fleet import Allocation, Worker
-from wasabiturn.batch.lost_runs import lost_end, not_started_end
-from wasabiturn.batch.open_orders import OrderAccount, read_account
+from wasabiturn.batch.orders.lost_runs import lost_end, not_started_end
+from wasabiturn.batch.orders.open_orders import OrderAccount, read_account
 from wasabiturn.messages.batch import (
     EndedRow,
     EndRun,
--- a/wasabiturn/batch/waiting_reasons.py
+++ b/wasabiturn/batch/waiting_reasons.py
@@ -11,17 +11,17 @@
 
 import attrs
 
-from wasabiturn.batch.acceptance import accepts_work
 from wasabiturn.batch.fleet import NEVER, Fleet, Worker
-from wasabiturn.batch.ordering import Moment, list_due_parts
-from wasabiturn.batch.placing import (
+from wasabiturn.batch.placing.acceptance import accepts_work
+from wasabiturn.batch.placing.candidates import (
     UNSUITABLE,
     Candidates,
     can_take,
     count_by_worker,
     score_worker,
 )
-from wasabiturn.batch.progress import known_at
+from wasabiturn.batch.queueing.ordering import Moment, list_due_parts
+from wasabiturn.batch.queueing.progress import known_at
 from wasabiturn.batch.state.batch_state import BatchState
 from wasabiturn.batch.state.jobs import Job, Part, Task
 
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -209,7 +209,7 @@
     """Estimated pressure of a filling image on a lasting image.
 
     It tells how much tasks of the filling image raise the load of tasks of
-    the lasting image; see ``wasabiturn/batch/interference.py``.
+    the lasting image; see ``wasabiturn/batch/placing/interference.py``.
     """
 
     lasting: str = ''
--- a/wasabiturn/process/control/batch/bound_tasks.py
+++ b/wasabiturn/process/control/batch/bound_tasks.py
@@ -1,8 +1,8 @@
-"""The leader at work on bound tasks; see ``wasabiturn/batch/bindings.py``."""
+"""The leader at work on tasks that open orders bind to a worker."""
 
 from wasabiturn.batch import BatchState
-from wasabiturn.batch.bindings import find_resumed_runs, release_tasks
 from wasabiturn.batch.fleet import Fleet, Worker
+from wasabiturn.batch.orders.bindings import find_resumed_runs, release_tasks
 from wasabiturn.messages.batch import BatchChange, EndRun
 from wasabiturn.messages.kinds import BatchTaskState
 from wasabiturn.process import exposition
--- a/wasabiturn/process/control/batch/idle_jobs.py
+++ b/wasabiturn/process/control/batch/idle_jobs.py
@@ -3,12 +3,12 @@
 from typing import final
 
 from wasabiturn.batch import BatchState
-from wasabiturn.batch.bindings import find_held_tasks
 from wasabiturn.batch.fleet import NEVER, Fleet
-from wasabiturn.batch.forecast import Forecasts
-from wasabiturn.batch.ordering import Moment, list_due_parts
-from wasabiturn.batch.placing import find_candidates
-from wasabiturn.batch.progress import idle_seconds
+from wasabiturn.batch.orders.bindings import find_held_tasks
+from wasabiturn.batch.placing.candidates import find_candidates
+from wasabiturn.batch.placing.forecast import Forecasts
+from wasabiturn.batch.queueing.ordering import Moment, list_due_parts
+from wasabiturn.batch.queueing.progress import idle_seconds
 from wasabiturn.batch.state.jobs import Job
 from wasabiturn.batch.waiting_reasons import (
     REPORTED_AFTER_SECONDS,
--- a/wasabiturn/process/control/batch/job_calls.py
+++ b/wasabiturn/process/control/batch/job_calls.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from wasabiturn.batch import BatchState
-from wasabiturn.batch.queue_table import QueueTable
+from wasabiturn.batch.queueing.queue_table import QueueTable
 from wasabiturn.batch.state.ended_jobs import find_refusal_ms
 from wasabiturn.batch.state.jobs import Job, count_tasks
 from wasabiturn.messages.batch import (
--- a/wasabiturn/process/control/batch/leader.py
+++ b/wasabiturn/process/control/batch/leader.py
@@ -11,8 +11,8 @@
 from twisted.internet.defer import Deferred, succeed
 
 from wasabiturn.batch import BatchState
-from wasabiturn.batch.fences import next_fence
-from wasabiturn.batch.queue_table import QueueReader, QueueTable
+from wasabiturn.batch.orders.fences import next_fence
+from wasabiturn.batch.queueing.queue_table import QueueReader, QueueTable
 from wasabiturn.connection.calls import CallError
 from wasabiturn.connection.dispatch import Dispatch
 from wasabiturn.connection.link import Link
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -4,16 +4,16 @@
 from typing import Any, final
 
 from wasabiturn.batch import BatchState
-from wasabiturn.batch.bindings import bind_ended_task, restore_bindings
 from wasabiturn.batch.fleet import UNKNOWN, Fleet, Worker
-from wasabiturn.batch.forecast import Forecasts
-from wasabiturn.batch.interference import (
+from wasabiturn.batch.orders.bindings import bind_ended_task, restore_bindings
+from wasabiturn.batch.orders.lost_runs import find_expired_workers, give_up_runs
+from wasabiturn.batch.orders.planned_starts import PlannedStarts
+from wasabiturn.batch.placing.forecast import Forecasts
+from wasabiturn.batch.placing.interference import (
     list_pressure_records,
     restore_interference,
 )
-from wasabiturn.batch.lost_runs import find_expired_workers, give_up_runs
-from wasabiturn.batch.planned_starts import PlannedStarts
-from wasabiturn.batch.progress import record_end, restore_idle_times
+from wasabiturn.batch.queueing.progress import record_end, restore_idle_times
 from wasabiturn.batch.state.clock import StateClock
 from wasabiturn.batch.state.ended_jobs import find_forgettable
 from wasabiturn.batch.state.jobs import Task
--- a/wasabiturn/process/control/batch/offers.py
+++ b/wasabiturn/process/control/batch/offers.py
@@ -1,6 +1,6 @@
 """Delivery of orders to agents, and the end of offers without a receipt.
 
-See ``wasabiturn/batch/offers.py``.
+See ``wasabiturn/batch/orders/offers.py``.
 """
 
 from collections.abc import Callable
@@ -10,14 +10,14 @@
 from twisted.python.failure import Failure
 
 from wasabiturn.batch.fleet import Allocation, Fleet, Worker
-from wasabiturn.batch.lost_runs import not_started_end
-from wasabiturn.batch.offers import (
+from wasabiturn.batch.orders.lost_runs import not_started_end
+from wasabiturn.batch.orders.offers import (
     accept_receipt,
     find_missed_offers,
     record_receipt,
     wants_receipt,
 )
-from wasabiturn.batch.planned_starts import PlannedStarts
+from wasabiturn.batch.orders.planned_starts import PlannedStarts
 from wasabiturn.connection.link import Link
 from wasabiturn.messages.batch import EndRun, OrderReceipt, WorkerOrders
 from wasabiturn.messages.kinds import Method
--- a/wasabiturn/process/control/batch/order_delivery.py
+++ b/wasabiturn/process/control/batch/order_delivery.py
@@ -4,7 +4,7 @@
 from typing import Any, final
 
 from wasabiturn.batch.fleet import Fleet, Worker
-from wasabiturn.batch.order_limits import find_due_limits
+from wasabiturn.batch.orders.order_limits import find_due_limits
 from wasabiturn.connection.link import Link
 from wasabiturn.messages.batch import MoveLimit, OrderReceipt, WorkerOrders
 from wasabiturn.process.control.batch.offers import (
--- a/wasabiturn/process/control/batch/orders.py
+++ b/wasabiturn/process/control/batch/orders.py
@@ -1,9 +1,12 @@
 """Creation of orders for one worker from the committed starts."""
 
 from wasabiturn.batch.fleet import Allocation, Worker
-from wasabiturn.batch.offers import needs_offer, record_offers
-from wasabiturn.batch.order_limits import may_be_ordered, read_agent_limit
-from wasabiturn.batch.sharing import find_pace_updates, target_percent
+from wasabiturn.batch.orders.offers import needs_offer, record_offers
+from wasabiturn.batch.orders.order_limits import (
+    may_be_ordered,
+    read_agent_limit,
+)
+from wasabiturn.batch.placing.sharing import find_pace_updates, target_percent
 from wasabiturn.batch.state.jobs import Task
 from wasabiturn.messages.batch import (
     PaceOrder,
@@ -24,7 +27,7 @@
 
     ``committed_starts`` has the task and run of each committed start. Planned
     ones, and those not ordered before, are only offered if the orders are
-    pushed; see ``wasabiturn/batch/offers.py``.
+    pushed; see ``wasabiturn/batch/orders/offers.py``.
     """
     worker.order_number += 1
     orders = WorkerOrders(
--- a/wasabiturn/process/control/batch/starts.py
+++ b/wasabiturn/process/control/batch/starts.py
@@ -1,17 +1,17 @@
 """Starts of runs: planned, offered to their agents, then committed.
 
-The orders follow the commit; see ``wasabiturn/batch/planned_starts.py``.
+The orders follow the commit; see ``wasabiturn/batch/orders/planned_starts.py``.
 """
 
 import time
 from typing import Any, final
 
 from wasabiturn.batch.fleet import Fleet
-from wasabiturn.batch.forecast import Forecasts
-from wasabiturn.batch.ordering import Moment
-from wasabiturn.batch.planned_starts import PlannedStarts
+from wasabiturn.batch.orders.planned_starts import PlannedStarts
+from wasabiturn.batch.placing.forecast import Forecasts
+from wasabiturn.batch.placing.sharing import set_pace
 from wasabiturn.batch.planning import plan_starts
-from wasabiturn.batch.sharing import set_pace
+from wasabiturn.batch.queueing.ordering import Moment
 from wasabiturn.messages.batch import StartRun
 from wasabiturn.process import exposition
 from wasabiturn.process.control.batch.offers import (
--- a/wasabiturn/process/control/batch/stops.py
+++ b/wasabiturn/process/control/batch/stops.py
@@ -4,10 +4,10 @@
 
 from wasabiturn.batch import BatchState
 from wasabiturn.batch.fleet import Allocation, Fleet
-from wasabiturn.batch.forecast import Forecasts
-from wasabiturn.batch.moves import reserve_place
+from wasabiturn.batch.orders.withdrawals import find_withdrawn_starts, list_gang
+from wasabiturn.batch.placing.forecast import Forecasts
+from wasabiturn.batch.placing.moves import reserve_place
 from wasabiturn.batch.planning import plan_moves
-from wasabiturn.batch.withdrawals import find_withdrawn_starts, list_gang
 from wasabiturn.utils.logs import create_component_log
 
 _log = create_component_log('queues')
--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -1,19 +1,19 @@
 """Handling of agents' worker reports, which are answered with orders."""
 
 from wasabiturn.batch.crashes.crash import forget_crash
-from wasabiturn.batch.fences import raise_fence, succeed_worker
 from wasabiturn.batch.fleet import NEVER, Fleet, Worker
-from wasabiturn.batch.lost_runs import give_up_all_runs
-from wasabiturn.batch.moves import record_earlier_moves
-from wasabiturn.batch.open_orders import (
+from wasabiturn.batch.orders.fences import raise_fence, succeed_worker
+from wasabiturn.batch.orders.lost_runs import give_up_all_runs
+from wasabiturn.batch.orders.open_orders import (
     find_overdue_starts,
     find_settled_starts,
     read_account,
 )
+from wasabiturn.batch.orders.withdrawals import find_starts_without_room
+from wasabiturn.batch.placing.moves import record_earlier_moves
+from wasabiturn.batch.placing.sharing import adjust_pace
+from wasabiturn.batch.placing.worker_metrics import highest_tail
 from wasabiturn.batch.reports import apply_report
-from wasabiturn.batch.sharing import adjust_pace
-from wasabiturn.batch.withdrawals import find_starts_without_room
-from wasabiturn.batch.worker_metrics import highest_tail
 from wasabiturn.connection.calls import CallError
 from wasabiturn.connection.link import Link
 from wasabiturn.messages.batch import (
