Queues: priority between jobs of different queues, with ageing

The priority of a queue was decoded into the terms of its jobs and read by nothing in batch/. Among jobs that can still be in time, and among late ones, those of the more urgent queue now come first; a job rises by one level each time that it has waited for as long as its objective allows. Queues of equal priority keep their order. A new leader decides alike, from committed terms.

--- a/wasabiturn/batch/queueing/ordering.py
+++ b/wasabiturn/batch/queueing/ordering.py
@@ -2,10 +2,11 @@
 
 The order is made for overload, when not all jobs can meet their objectives;
 earliest deadline first would then make all of them late. Lasting tasks come
-first. Next come jobs that can still be in time, running ones before new ones
-and small ones before large ones, as work spread over many jobs would finish
-none in time. Then come late jobs, those nearest to completion first, and at
-last jobs whose results have expired.
+first. Next come jobs that can still be in time, those of more urgent queues
+before others, running ones before new ones and small ones before large ones,
+as work spread over many jobs would finish none in time. Then come late jobs,
+likewise by the priority of their queue, those nearest to completion first, and
+at last jobs whose results have expired.
 """
 
 import enum
@@ -13,6 +14,7 @@
 
 import attrs
 
+from wasabiturn.batch.queueing.priorities import effective_priority
 from wasabiturn.batch.state.batch_state import BatchState
 from wasabiturn.batch.state.jobs import Job, Part
 from wasabiturn.messages.batch import Step
@@ -23,7 +25,7 @@
 
 
 @final
-class PriorityClass(enum.IntEnum):
+class UrgencyClass(enum.IntEnum):
     """Class of a job by when its result can be ready, most urgent first."""
 
     lasting = 0
@@ -100,29 +102,30 @@
     )
 
 
-def _sort_key(job: Job, moment: Moment) -> tuple[int, int, float]:
-    accepted_ms = job.accepted.accepted_ms
-    priority_class = classify_job(job, moment)
-    if priority_class is PriorityClass.in_time:
+def _sort_key(job: Job, moment: Moment) -> tuple[int, int, int, float]:
+    urgency = classify_job(job, moment)
+    if urgency is UrgencyClass.in_time:
         is_new = job.state is JobState.queued
-        return priority_class, int(is_new), job.remaining_work()
-    if priority_class is PriorityClass.late:
-        return priority_class, 0, float(job.remaining_ms())
-    return priority_class, 0, accepted_ms
+        priority = effective_priority(job, moment.wall_ms)
+        return urgency, priority, int(is_new), job.remaining_work()
+    if urgency is UrgencyClass.late:
+        priority = effective_priority(job, moment.wall_ms)
+        return urgency, priority, 0, float(job.remaining_ms())
+    return urgency, 0, 0, job.accepted.accepted_ms
 
 
 def _has_lasting_step(job: Job) -> bool:
     return any(step.lasting for step in job.accepted.declaration.steps)
 
 
-def classify_job(job: Job, moment: Moment) -> PriorityClass:
+def classify_job(job: Job, moment: Moment) -> UrgencyClass:
     """Return the class of a job if its remaining work started at once."""
     if _has_lasting_step(job):
-        return PriorityClass.lasting
+        return UrgencyClass.lasting
     expected_done_ms = moment.wall_ms + job.remaining_ms()
     turnaround_ms = expected_done_ms - job.due_ms()
     if turnaround_ms <= job.objective_ms:
-        return PriorityClass.in_time
+        return UrgencyClass.in_time
     if turnaround_ms <= LATE_FACTOR * job.objective_ms:
-        return PriorityClass.late
-    return PriorityClass.expired
+        return UrgencyClass.late
+    return UrgencyClass.expired
