Wait for a place in the preferred rack while it pays off

Cause: a task took a place in its preferred rack if one was free and any other at once if not, same_rack was read for gangs only, and nothing knew how much longer tasks take outside their rack.

A step whose turn has come now tries its rack first. Tasks left wait while a place there is expected sooner than the time that it saves, (F - 1) times the learnt duration, and no longer than that in all (ski rental with predictions). A job without an active run waits 1.5 s in all, a rack without workers that accept work ends the wait, and a waiting step does not count as a sign that there is no room. Steps with same_rack choose one rack, in turns if that ends no later than all racks with the slowdown. The factor comes from bounds.slowdown_factor; at 1, without it or with wait_for_rack: false, plans are as before. A new leader counts earlier waits as used up.

Alternatives: no wait, a fixed wait, ski rental without a forecast, and a limit at the slack of jobs that are in time elsewhere.

--- a/benchmarks/take_over.py
+++ b/benchmarks/take_over.py
@@ -25,6 +25,7 @@
     Terms,
 )
 from wasabiturn.process.control.batch.leader_term import LeaderTerm
+from wasabiturn.process.control.batch.starts import TermSettings
 from wasabiturn.process.control.batch.take_over import SLICE_SECONDS
 from wasabiturn.version.persistence import dump_state, load_state
 from wasabiturn.version.state import State, create_state
@@ -97,7 +98,7 @@
         clock=Clock(),
         batch_state=batch_state,
         state_clock=StateClock(noted_at=0),
-        lease_ms=6000,
+        settings=TermSettings(lease_ms=6000),
         fence=1,
         on_failure=lambda: None,
     )
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -26,7 +26,7 @@
 bootstrap: true
 data_dir: "/data/my-edge"
 fault_tolerance: {machines: 2, zones: 1}
-bounds: {hold_max_ms: 5000}
+bounds: {hold_max_ms: 5000, slowdown_factor: 1.7}
 unknown: 7
 """
 
@@ -42,6 +42,8 @@
     settings = create_settings(platform)
     assert platform.seeds == ('10.1.0.13', '10.2.0.30')
     assert platform.lease_ms == 5000
+    assert platform.slowdown_factor == 1.7
+    assert platform.waits_for_racks
     assert settings.control is not None
     assert settings.control.voters == 5
     assert settings.control.may_found
@@ -67,3 +69,11 @@
     source = write_settings(tmp_path, f'{TEXT}\nseeds: {nested}\n')
     with pytest.raises(SettingsError):
         read_platform_settings(source)
+
+
+def test_waits_for_racks_are_off_without_a_factor(tmp_path: Path) -> None:
+    text = TEXT.replace(', slowdown_factor: 1.7', '')
+    text += 'wait_for_rack: false\n'
+    platform = read_platform_settings(write_settings(tmp_path, text))
+    assert platform.slowdown_factor == 1
+    assert not platform.waits_for_racks
--- a/tests/sessions/batch_fakes.py
+++ b/tests/sessions/batch_fakes.py
@@ -28,6 +28,10 @@
     size_of,
 )
 from tests.sessions.process_pauses import Gate, GatedClock
+from wasabiturn.batch.placing.locality_state import (
+    NO_LOCALITY,
+    LocalityTerms,
+)
 from wasabiturn.connection.calls import CallError
 from wasabiturn.connection.dispatch import Dispatch
 from wasabiturn.messages.batch import (
@@ -431,7 +435,13 @@
 class BatchFleet:
     """Leader, agents and workers; ``run`` advances the clock and checks."""
 
-    def __init__(self, workers: int = 3, seed: int = 0) -> None:
+    def __init__(
+        self,
+        workers: int = 3,
+        seed: int = 0,
+        locality_terms: LocalityTerms = NO_LOCALITY,
+    ) -> None:
+        self.locality_terms = locality_terms
         self.clock = Clock()
         self.random = Random(seed)
         # Probability that an order to a worker gets a random fault.
@@ -515,6 +525,7 @@
             self.dispatch,
             LEASE_MS,
             read_queues=self._read_queues,
+            locality_terms=self.locality_terms,
         )
         self.leader.start()
 
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -12,6 +12,7 @@
 import attrs
 
 from wasabiturn.batch.isolation.state import IsolationState
+from wasabiturn.batch.placing.locality_state import LocalityState
 from wasabiturn.batch.placing.move_state import Move
 from wasabiturn.batch.queueing.idle_state import IdleState
 from wasabiturn.batch.state.clock import StateClock
@@ -366,6 +367,7 @@
     # By then all leases of earlier leaders have ended.
     earlier_leases_end_at: float = NEVER
     isolation: IsolationState = attrs.field(factory=IsolationState)
+    locality: LocalityState = attrs.field(factory=LocalityState)
 
     def __attrs_post_init__(self) -> None:
         """Start raised tokens above that of all other workers."""
--- a/wasabiturn/batch/placing/candidates.py
+++ b/wasabiturn/batch/placing/candidates.py
@@ -51,6 +51,8 @@
     accepts_any_worker: bool = False
     # Names of the tasks that start only where they were last.
     bound_tasks: Collection[str] = ()
+    # Names of the tasks that wait for a rack; see ``locality.py``.
+    held_tasks: Collection[str] = ()
     # Names of the workers.
     names: Collection[str] = attrs.field(init=False)
 
@@ -94,7 +96,9 @@
 
 
 def may_start(task: Task, candidates: Candidates) -> bool:
-    """Return whether no open order keeps a task from all candidates."""
+    """Return whether neither an open order nor a rack keeps a task back."""
+    if task.name in candidates.held_tasks:
+        return False
     if task.name not in candidates.bound_tasks:
         return True
     return task.worker in candidates.names and not task.avoids_its_worker
--- a/wasabiturn/batch/planning.py
+++ b/wasabiturn/batch/planning.py
@@ -24,6 +24,7 @@
 )
 from wasabiturn.batch.placing.forecast import Forecasts
 from wasabiturn.batch.placing.gangs import start_gang
+from wasabiturn.batch.placing.locality import LocalityRound
 from wasabiturn.batch.placing.moves import PlannedMove, lacks_place, start_moved
 from wasabiturn.batch.placing.ranking import create_ranking
 from wasabiturn.batch.placing.stalls import find_stalled
@@ -71,7 +72,7 @@
             for part in order_parts(batch_state, moment)
             if _has_ordinary(part)
         ]
-        started = _start_parts(parts, candidates, fleet, moment.now)
+        started = _start_parts(parts, candidates, fleet, moment)
         yield from _limit_starts(batch_state, started)
     yield from _start_at_avoided(batch_state, fleet, candidates, moment)
 
@@ -139,7 +140,7 @@
     moment: Moment,
 ) -> Iterator[StartRun]:
     parts = filter(_has_ordinary, order_lasting_parts(batch_state, moment))
-    started = _start_parts(list(parts), candidates, fleet, moment.now)
+    started = _start_parts(list(parts), candidates, fleet, moment)
     yield from _limit_starts(batch_state, started)
 
 
@@ -199,26 +200,39 @@
     parts: list[Part],
     candidates: Candidates,
     fleet: Fleet,
-    now: float,
+    moment: Moment,
 ) -> Iterator[StartRun]:
+    now = moment.now
     unplaced: list[Part] = []
-    for part in parts:
+    locality = LocalityRound(fleet, candidates, moment)
+    for part in locality.order(parts):
         candidates.accepts_any_worker = _accepts_any_worker(part, fleet, now)
-        if not candidates.accepts_any_worker and any(
-            has_no_chance(part, each) for each in unplaced
-        ):
+        if _has_no_place(part, unplaced, candidates):
             continue
         if not _is_due(part, fleet, now):
             unplaced.append(part)
             continue
-        yield from _start_part(part, candidates)
-        if _waits_for_room(part, candidates):
+        yield from _start_offered(part, locality)
+        if not locality.holds(part) and _waits_for_room(part, candidates):
             unplaced.append(part)
             fleet.refused_at_by_part[part.name] = now
         else:
             fleet.refused_at_by_part.pop(part.name, None)
 
 
+def _has_no_place(
+    part: Part, unplaced: list[Part], candidates: Candidates
+) -> bool:
+    if candidates.accepts_any_worker:
+        return False
+    return any(has_no_chance(part, each) for each in unplaced)
+
+
+def _start_offered(part: Part, locality: LocalityRound) -> Iterator[StartRun]:
+    for candidates in locality.offer(part):
+        yield from _start_part(part, candidates)
+
+
 def _accepts_any_worker(part: Part, fleet: Fleet, now: float) -> bool:
     """Return whether a task of an idle job starts at any pace."""
     if idle_seconds(fleet, part.job, now) >= MAX_IDLE_SECONDS:
--- a/wasabiturn/platform/control_program.py
+++ b/wasabiturn/platform/control_program.py
@@ -1,5 +1,6 @@
 """The program that replicates the state and may lead."""
 
+from wasabiturn.batch.placing.locality_state import LocalityTerms
 from wasabiturn.messages.kinds import Role
 from wasabiturn.platform.program import Program
 from wasabiturn.platform.routing import read_queues
@@ -25,6 +26,10 @@
             program.dispatch,
             platform.lease_ms,
             read_queues,
+            LocalityTerms(
+                slowdown_factor=platform.slowdown_factor,
+                is_enabled=platform.waits_for_racks,
+            ),
         ),
     ]
 
--- a/wasabiturn/platform/settings.py
+++ b/wasabiturn/platform/settings.py
@@ -53,6 +53,10 @@
     disk_bytes: int
     worker_address: Endpoint | None
     lease_ms: int
+    # How many times as long a task takes outside its rack; 1 if not given.
+    slowdown_factor: float
+    # Whether tasks may wait for a place in their rack.
+    waits_for_racks: bool
 
     @property
     def link_port(self) -> int:
@@ -164,6 +168,8 @@
         disk_bytes=int(limits.get('disk_mb') or DEFAULT_DISK_MB) * _MB,
         worker_address=_parse_optional_endpoint(fields.get('app')),
         lease_ms=int(bounds.get('hold_max_ms', DEFAULT_LEASE_MS)),
+        slowdown_factor=float(bounds.get('slowdown_factor') or 1),
+        waits_for_racks=fields.get('wait_for_rack') is not False,
     )
 
 
--- a/wasabiturn/process/control/batch/leader.py
+++ b/wasabiturn/process/control/batch/leader.py
@@ -12,6 +12,10 @@
 
 from wasabiturn.batch import BatchState
 from wasabiturn.batch.orders.fences import next_fence
+from wasabiturn.batch.placing.locality_state import (
+    NO_LOCALITY,
+    LocalityTerms,
+)
 from wasabiturn.batch.queueing.queue_table import QueueReader, QueueTable
 from wasabiturn.connection.calls import CallError
 from wasabiturn.connection.dispatch import Dispatch
@@ -22,7 +26,7 @@
 from wasabiturn.process.control.batch.clock_follower import ClockFollower
 from wasabiturn.process.control.batch.job_calls import JobCallHandler
 from wasabiturn.process.control.batch.leader_term import LeaderTerm
-from wasabiturn.process.control.batch.starts import wall_clock_ms
+from wasabiturn.process.control.batch.starts import TermSettings, wall_clock_ms
 from wasabiturn.process.control.batch.take_over import TakeOver
 from wasabiturn.process.control.batch.worker_reports import answer_report
 from wasabiturn.process.daemon import Context
@@ -45,14 +49,14 @@
         context: Context,
         replica: Replica,
         dispatch: Dispatch,
-        lease_ms: int,
+        settings: TermSettings,
         read_queues: QueueReader,
     ) -> None:
         """Create the scheduler and register its handlers; see ``start``."""
         self._queue_table = QueueTable(read_queues)
         self._clock = context.reactor
         self._replica = replica
-        self._lease_ms = lease_ms
+        self._settings = settings
         self._leader_term: LeaderTerm | None = None
         self._take_over: TakeOver | None = None
         self._newest_fence = 0
@@ -146,7 +150,7 @@
                 clock=self._clock,
                 batch_state=batch_state,
                 state_clock=self._clock_follower.take_clock(),
-                lease_ms=self._lease_ms,
+                settings=self._settings,
                 fence=next_fence(
                     self._replica.member_status().term, self._newest_fence
                 ),
@@ -259,12 +263,14 @@
     dispatch: Dispatch,
     lease_ms: int,
     read_queues: QueueReader,
+    locality_terms: LocalityTerms = NO_LOCALITY,
 ) -> BatchLeader:
     """Create the leader; it grants ``lease_ms`` to each worker that reports.
 
     ``read_queues`` reads the queues from the document of a configuration.
     """
-    return BatchLeader(context, replica, dispatch, lease_ms, read_queues)
+    settings = TermSettings(lease_ms, locality_terms)
+    return BatchLeader(context, replica, dispatch, settings, read_queues)
 
 
 def _version_of(routing: messages.Routing | None) -> int:
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -30,7 +30,7 @@
     Pipeline,
     PipelineHooks,
 )
-from wasabiturn.process.control.batch.starts import RunStarter
+from wasabiturn.process.control.batch.starts import RunStarter, TermSettings
 from wasabiturn.process.control.batch.stops import stop_unwanted_runs
 from wasabiturn.utils.logs import create_component_log
 from wasabiturn.version.replica import Replica
@@ -58,7 +58,7 @@
         clock: Any,
         batch_state: BatchState,
         state_clock: StateClock,
-        lease_ms: int,
+        settings: TermSettings,
         fence: int,
         on_failure: Callable[[], None],
     ) -> None:
@@ -68,7 +68,7 @@
         ``fence`` is above all tokens of earlier terms.
         """
         now = float(clock.seconds())
-        self.lease_ms = lease_ms
+        self.lease_ms = settings.lease_ms
         self._replica = replica
         self._clock = clock
         self.fleet = Fleet(fence=fence)
@@ -111,6 +111,7 @@
         self.starter = RunStarter(
             self.pipeline, planned_starts, self.fleet, clock
         )
+        self.starter.follow(settings.locality)
         self.crash_watch = CrashWatch(self.fleet, self.pipeline)
         self._idle_watch = IdleJobWatch(batch_state, self.fleet)
         _log.event(
--- a/wasabiturn/process/control/batch/starts.py
+++ b/wasabiturn/process/control/batch/starts.py
@@ -6,9 +6,17 @@
 import time
 from typing import Any, final
 
+import attrs
+
 from wasabiturn.batch.fleet import Fleet
 from wasabiturn.batch.orders.planned_starts import PlannedStarts
 from wasabiturn.batch.placing.forecast import Forecasts
+from wasabiturn.batch.placing.locality_state import (
+    NO_LOCALITY,
+    EndedWait,
+    LocalityState,
+    LocalityTerms,
+)
 from wasabiturn.batch.placing.sharing import set_pace
 from wasabiturn.batch.planning import plan_starts
 from wasabiturn.batch.queueing.ordering import Moment
@@ -33,6 +41,15 @@
     return int(time.time() * _MS)
 
 
+@final
+@attrs.frozen
+class TermSettings:
+    """Settings of a leader term."""
+
+    lease_ms: int
+    locality: LocalityTerms = NO_LOCALITY
+
+
 @final
 class RunStarter:
     """Plans the starts of one leader term, and commits them."""
@@ -53,6 +70,12 @@
         # Worker incarnations with starts that are planned and not offered.
         self._to_offer: set[tuple[str, int]] = set()
 
+    def follow(self, terms: LocalityTerms) -> None:
+        """Let tasks wait for their racks; earlier waits are used up."""
+        locality = LocalityState(terms)
+        locality.use_up(self._pipeline.batch_state.open_jobs_by_id.values())
+        self._fleet.locality = locality
+
     def plan(self, forecasts: Forecasts, now: float) -> None:
         """Plan runs; ``finish_plan`` is to follow, also after an error."""
         batch_state = self._pipeline.batch_state
@@ -63,6 +86,8 @@
             _set_initial_pace(self._fleet, forecasts, start, now)
             exposition.runs.labels('started').inc()
             _log_start(self._pipeline, start)
+        for wait in self._fleet.locality.take_ended():
+            _report_wait(wait)
 
     def finish_plan(self) -> set[tuple[str, int]]:
         """Commit the starts that need no offer.
@@ -111,6 +136,23 @@
         set_pace(worker, forecasts.interference, now)
 
 
+def _report_wait(wait: EndedWait) -> None:
+    exposition.rack_wait_seconds.labels(wait.outcome.value).observe(
+        wait.waited_seconds
+    )
+    _log.decision(
+        'wait for rack ended',
+        step=wait.part,
+        rack=wait.rack,
+        outcome=wait.outcome.value,
+        waited_seconds=round(wait.waited_seconds, 3),
+        expected_seconds=round(wait.expected_seconds, 3),
+        saved_seconds=round(wait.saved_seconds, 3),
+        near=wait.near,
+        far=wait.far,
+    )
+
+
 def _log_start(pipeline: Pipeline, start: StartRun) -> None:
     _log.decision(
         'starts run',
--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -11,6 +11,7 @@
 )
 from wasabiturn.batch.orders.withdrawals import find_starts_without_room
 from wasabiturn.batch.placing.moves import record_earlier_moves
+from wasabiturn.batch.placing.run_times import learn_from_ends
 from wasabiturn.batch.placing.sharing import adjust_pace
 from wasabiturn.batch.placing.worker_metrics import highest_tail
 from wasabiturn.batch.reports import apply_report
@@ -284,9 +285,9 @@
             has_open_order=end.has_open_order,
         )
     if ends:
-        record_earlier_moves(
-            leader_term.fleet, leader_term.pipeline.batch_state, ends
-        )
+        batch_state = leader_term.pipeline.batch_state
+        learn_from_ends(leader_term.fleet, batch_state, ends, worker.heard_at)
+        record_earlier_moves(leader_term.fleet, batch_state, ends)
         change = leader_term.store_ends(ends)
         worker.pending_ends.append((worker.seen_end, change))
     elif not worker.pending_ends:
--- a/wasabiturn/process/exposition.py
+++ b/wasabiturn/process/exposition.py
@@ -85,6 +85,13 @@
     ('reason',),
     registry=registry,
 )
+rack_wait_seconds = Histogram(
+    'wasabiturn_rack_wait_seconds',
+    'Time for which tasks of a step waited for a rack, by outcome.',
+    ('outcome',),
+    buckets=BUCKETS_SECONDS,
+    registry=registry,
+)
 group_gaps = Gauge(
     'wasabiturn_group_gap',
     '1 for what this process lacks to reach or form the control group.',
