--- a/tests/batch/placing/test_reviews.py
+++ b/tests/batch/placing/test_reviews.py
@@ -25,6 +25,13 @@
     assert sum(again) == MAX_REVIEWS_PER_PLAN
 
 
+def test_steps_without_a_place_keep_no_others_from_their_review() -> None:
+    reviews = Reviews(now=1, waits=0)
+    for _ in range(MAX_FIRST_REVIEWS_PER_PLAN + 1):
+        assert reviews.is_due(None, is_rack_fresh=True)
+        reviews.disregard(None)
+
+
 def test_limits_lost_racks_and_released_tasks_are_not_put_off() -> None:
     """Guards against waits that go on because many others wait."""
     reviews = Reviews(now=1, waits=0)
--- a/wasabiturn/batch/placing/locality.py
+++ b/wasabiturn/batch/placing/locality.py
@@ -168,8 +168,7 @@
             self._release(wait, decision.reason)
             return []
         if not self._views.has_far_place(part, rack):
-            if wait is not None:
-                wait.declined_at = None
+            self._reviews.disregard(wait)
             return tasks
         proposed.held = decision.tasks
         proposed.reason = decision.reason
--- a/wasabiturn/batch/placing/reviews.py
+++ b/wasabiturn/batch/placing/reviews.py
@@ -16,7 +16,7 @@
 REVIEW_SECONDS_PER_WAIT = 0.002
 MAX_REVIEWS_PER_PLAN = 50
 # Steps that are weighed for the first time; the others wait for the next plan.
-MAX_FIRST_REVIEWS_PER_PLAN = 200
+MAX_FIRST_REVIEWS_PER_PLAN = 100
 
 
 @final
@@ -46,6 +46,16 @@
         self._due = wait
         return True
 
+    def disregard(self, wait: Wait | None) -> None:
+        """Take back the review of a step that finds no place anywhere.
+
+        Many of them would keep others from their first review.
+        """
+        if wait is None:
+            self._first_count -= 1
+        else:
+            wait.declined_at = None
+
     def schedule(self, wait: Wait, inputs: WaitInputs) -> None:
         """Choose when a wait is weighed again."""
         left = inputs.limit_seconds - inputs.waited_seconds
