Report why tasks left their rack, not the reason of the last review

Cause: a later review of the tasks that still waited overwrote why one task of an idle job had started elsewhere, so the log line and the metric named the wrong outcome. The reason is now kept when a task starts elsewhere.

--- a/tests/batch/placing/test_locality.py
+++ b/tests/batch/placing/test_locality.py
@@ -17,10 +17,12 @@
 from wasabiturn.batch.fleet import Fleet, Worker
 from wasabiturn.batch.placing.locality_state import (
     EndedWait,
+    IdleWait,
     LocalityState,
     LocalityTerms,
     WaitOutcome,
 )
+from wasabiturn.batch.placing.wait_inputs import MAX_IDLE_WAIT_SECONDS
 from wasabiturn.batch.queueing.ordering import Moment
 from wasabiturn.batch.queueing.progress import MAX_IDLE_SECONDS
 from wasabiturn.messages.batch import BatchChange, EndRun, Step
@@ -135,12 +137,32 @@
 
 
 def test_a_job_that_runs_nothing_never_waits_beyond_its_limit() -> None:
-    """Guards against waits that add up over the steps of a job."""
     room = Room(accept('j', near_step(estimate_ms=60_000)), busy_ms=1200)
     started = room.plan_until(4)
     assert started['j.0.0.0'] < MAX_IDLE_SECONDS
 
 
+def test_waits_of_a_job_that_runs_nothing_add_up_over_its_steps() -> None:
+    """Guards against a wait of 2 s in each of many steps."""
+    room = Room(accept('j', near_step(estimate_ms=60_000)))
+    idle = IdleWait(room.batch_state.jobs_by_id['j'], MAX_IDLE_WAIT_SECONDS)
+    room.fleet.locality.idle_by_job['j'] = idle
+    assert room.plan_at(0) == {'j.0.0.0': 'far'}
+
+
+def test_one_task_of_an_idle_job_starts_elsewhere_and_the_others_wait() -> None:
+    step = near_step(3, estimate_ms=4000, millicores=3000)
+    room = Room(accept('j', step), busy_ms=1800)
+    started = room.plan_until(0.5)
+    assert started == {'j.0.0.0': 0}
+    room.near.heard_at = 0.5
+    room.end_busy()
+    assert room.plan_at(0.6) == {'j.0.0.1': 'near', 'j.0.0.2': 'near'}
+    ended = room.take_ended()
+    assert ended.outcome is WaitOutcome.idle
+    assert (ended.near, ended.far) == (2, 1)
+
+
 def test_other_tasks_take_the_place_that_is_waited_for() -> None:
     room = Room(
         accept('j', near_step(estimate_ms=3000)),
--- a/wasabiturn/batch/placing/locality.py
+++ b/wasabiturn/batch/placing/locality.py
@@ -149,8 +149,10 @@
         yield self._candidates
         self._candidates.held_tasks = ()
         wait = self._state.waits_by_part.get(part)
-        if wait is not None:
-            wait.far += before - len(part.waiting_by_name)
+        started = before - len(part.waiting_by_name)
+        if wait is not None and started:
+            wait.far += started
+            wait.outcome = wait.reason
 
     def _choose_held(
         self, part: Part, rack: str, tasks: list[Task]
--- a/wasabiturn/batch/placing/locality_state.py
+++ b/wasabiturn/batch/placing/locality_state.py
@@ -104,7 +104,9 @@
     # Tasks that were not started when the wait began, or started elsewhere.
     tasks: int = 0
     far: int = 0
+    # Why tasks do not wait by the last review, and why some started elsewhere.
     reason: WaitOutcome = WaitOutcome.near
+    outcome: WaitOutcome = WaitOutcome.near
     # How many tasks wait since the last review, when the next may be, and when
     # a limit of the wait is reached.
     held: int = 0
@@ -204,7 +206,7 @@
     def _end(self, wait: Wait) -> None:
         if not wait.tasks:
             return
-        outcome = wait.reason if wait.far else WaitOutcome.near
+        outcome = wait.outcome
         near = wait.tasks - wait.far
         if wait.part.job.is_final and _is_unfinished(wait.part):
             outcome = WaitOutcome.gone
