A folder for the waits for a rack

placing/ had ten modules of the waits beside its own; they are in locality/ now, rounds.py being what a plan calls. Behaviour stays.

--- a/benchmarks/planning_costs.py
+++ b/benchmarks/planning_costs.py
@@ -18,7 +18,7 @@
 from wasabiturn.batch.fleet import Fleet, Worker
 from wasabiturn.batch.placing.forecast import Forecasts
 from wasabiturn.batch.placing.interference import Interference
-from wasabiturn.batch.placing.locality_state import (
+from wasabiturn.batch.placing.locality.state import (
     LocalityState,
     LocalityTerms,
 )
--- a/benchmarks/queues/compare_waits.py
+++ b/benchmarks/queues/compare_waits.py
@@ -18,7 +18,7 @@
 from benchmarks.queues.deployments import FILLING, QUICK, Deployment
 from benchmarks.queues.racks import Policy, RackOptions, RackSimulation
 from benchmarks.queues.simulation import Score
-from wasabiturn.batch.placing.locality_state import (
+from wasabiturn.batch.placing.locality.state import (
     WaitDecision,
     WaitInputs,
     WaitOutcome,
--- a/benchmarks/queues/racks.py
+++ b/benchmarks/queues/racks.py
@@ -14,12 +14,12 @@
     Simulation,
 )
 from wasabiturn.batch.fleet import Allocation, Worker
-from wasabiturn.batch.placing.locality_state import (
+from wasabiturn.batch.placing.locality.rack_choice import find_racks
+from wasabiturn.batch.placing.locality.state import (
     Decide,
     LocalityState,
     LocalityTerms,
 )
-from wasabiturn.batch.placing.rack_choice import find_racks
 from wasabiturn.batch.placing.run_times import learn_from_ends
 from wasabiturn.batch.state.jobs import Task
 from wasabiturn.messages.batch import AcceptJob, EndRun
--- a/tests/batch/placing/test_claims.py
+++ b/tests/batch/placing/locality/test_claims.py
@@ -1,9 +1,9 @@
 """Tests of who is ahead among the tasks that wait for a rack."""
 
 from tests.batch.jobs_fakes import accept, create_batch_state, step
-from wasabiturn.batch.placing.claims import Claims
-from wasabiturn.batch.placing.locality_state import Rank, Wait
-from wasabiturn.batch.placing.wait_order import order_by_gain
+from wasabiturn.batch.placing.locality.claims import Claims
+from wasabiturn.batch.placing.locality.state import Rank, Wait
+from wasabiturn.batch.placing.locality.wait_order import order_by_gain
 from wasabiturn.batch.state.jobs import Part
 
 DECIDES: Rank = (False, -1.0, 3)
--- a/tests/batch/placing/test_rack_choice.py
+++ b/tests/batch/placing/locality/test_rack_choice.py
@@ -8,7 +8,7 @@
     create_worker,
     step,
 )
-from wasabiturn.batch.placing.rack_choice import (
+from wasabiturn.batch.placing.locality.rack_choice import (
     RackTerms,
     choose_rack,
     count_free_places,
--- a/tests/batch/placing/test_rack_forecast.py
+++ b/tests/batch/placing/locality/test_rack_forecast.py
@@ -10,8 +10,8 @@
     step,
 )
 from wasabiturn.batch.placing.durations import Durations
-from wasabiturn.batch.placing.rack_forecast import RackForecast
-from wasabiturn.batch.placing.rack_releases import (
+from wasabiturn.batch.placing.locality.rack_forecast import RackForecast
+from wasabiturn.batch.placing.locality.rack_releases import (
     OVERDUE_SHARE,
     create_rack_forecast,
 )
--- a/tests/batch/placing/test_reviews.py
+++ b/tests/batch/placing/locality/test_reviews.py
@@ -1,12 +1,12 @@
 """Tests of when waits are weighed again."""
 
 from tests.batch.jobs_fakes import accept, create_batch_state, step
-from wasabiturn.batch.placing.locality_state import Wait
-from wasabiturn.batch.placing.reviews import (
+from wasabiturn.batch.placing.locality.reviews import (
     MAX_FIRST_REVIEWS_PER_PLAN,
     MAX_REVIEWS_PER_PLAN,
     Reviews,
 )
+from wasabiturn.batch.placing.locality.state import Wait
 
 
 def create_wait(due_at: float = 100, held: int = 1) -> Wait:
--- a/tests/batch/placing/test_locality.py
+++ b/tests/batch/placing/locality/test_rounds.py
@@ -15,14 +15,14 @@
 from tests.batch.test_decisions import plan
 from wasabiturn.batch import BatchState, apply_batch_change
 from wasabiturn.batch.fleet import Fleet, Worker
-from wasabiturn.batch.placing.locality_state import (
+from wasabiturn.batch.placing.locality.state import (
     EndedWait,
     IdleWait,
     LocalityState,
     LocalityTerms,
     WaitOutcome,
 )
-from wasabiturn.batch.placing.wait_inputs import MAX_IDLE_WAIT_SECONDS
+from wasabiturn.batch.placing.locality.wait_inputs import MAX_IDLE_WAIT_SECONDS
 from wasabiturn.batch.queueing.ordering import Moment
 from wasabiturn.batch.queueing.progress import MAX_IDLE_SECONDS
 from wasabiturn.messages.batch import BatchChange, EndRun, Step
--- a/tests/batch/placing/test_wait_decision.py
+++ b/tests/batch/placing/locality/test_wait_decision.py
@@ -7,13 +7,13 @@
 from hypothesis import strategies as st
 
 from wasabiturn.batch.fleet import UNKNOWN
-from wasabiturn.batch.placing.locality_state import (
+from wasabiturn.batch.placing.locality.state import (
     WaitDecision,
     WaitInputs,
     WaitOutcome,
 )
-from wasabiturn.batch.placing.wait_decision import decide_wait
-from wasabiturn.batch.placing.wait_inputs import limit_seconds
+from wasabiturn.batch.placing.locality.wait_decision import decide_wait
+from wasabiturn.batch.placing.locality.wait_inputs import limit_seconds
 
 # Time between two plans of a quiet leader.
 PLAN_SECONDS = 0.1
--- a/tests/batch/placing/test_run_times.py
+++ b/tests/batch/placing/test_run_times.py
@@ -12,7 +12,7 @@
 )
 from wasabiturn.batch import BatchState
 from wasabiturn.batch.fleet import Fleet
-from wasabiturn.batch.placing.locality_state import (
+from wasabiturn.batch.placing.locality.state import (
     LocalityState,
     LocalityTerms,
 )
--- a/tests/sessions/batch_fakes.py
+++ b/tests/sessions/batch_fakes.py
@@ -28,7 +28,7 @@
     size_of,
 )
 from tests.sessions.process_pauses import Gate, GatedClock
-from wasabiturn.batch.placing.locality_state import (
+from wasabiturn.batch.placing.locality.state import (
     NO_LOCALITY,
     LocalityTerms,
 )
--- a/tests/sessions/test_rack_waits.py
+++ b/tests/sessions/test_rack_waits.py
@@ -7,7 +7,7 @@
 from eliot import add_destinations, remove_destination
 
 from tests.sessions.batch_fakes import BatchFleet, create_step
-from wasabiturn.batch.placing.locality_state import LocalityTerms
+from wasabiturn.batch.placing.locality.state import LocalityTerms
 from wasabiturn.messages.kinds import JobState
 from wasabiturn.process import exposition
 from wasabiturn.standins.batch_worker import SimulatedWork
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -12,7 +12,7 @@
 import attrs
 
 from wasabiturn.batch.isolation.state import IsolationState
-from wasabiturn.batch.placing.locality_state import LocalityState
+from wasabiturn.batch.placing.locality.state import LocalityState
 from wasabiturn.batch.placing.move_state import Move
 from wasabiturn.batch.queueing.idle_state import IdleState
 from wasabiturn.batch.state.clock import StateClock
--- a/wasabiturn/batch/placing/candidates.py
+++ b/wasabiturn/batch/placing/candidates.py
@@ -51,7 +51,7 @@
     accepts_any_worker: bool = False
     # Names of the tasks that start only where they were last.
     bound_tasks: Collection[str] = ()
-    # Names of the tasks that wait for a rack; see ``locality.py``.
+    # Names of the tasks that wait for a rack; see ``locality/``.
     held_tasks: Collection[str] = ()
     # Names of the workers.
     names: Collection[str] = attrs.field(init=False)
--- a/wasabiturn/batch/placing/claims.py
+++ b/wasabiturn/batch/placing/locality/claims.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from wasabiturn.batch.placing.locality_state import Rank, Wait
+from wasabiturn.batch.placing.locality.state import Rank, Wait
 
 
 @final
--- a/wasabiturn/batch/placing/rack_releases.py
+++ b/wasabiturn/batch/placing/locality/rack_releases.py
@@ -5,7 +5,10 @@
 
 from wasabiturn.batch.fleet import Allocation, Worker
 from wasabiturn.batch.placing.durations import Durations
-from wasabiturn.batch.placing.rack_forecast import RackForecast, Releases
+from wasabiturn.batch.placing.locality.rack_forecast import (
+    RackForecast,
+    Releases,
+)
 
 # A run that has taken longer than expected is expected to go on for this share
 # of its time so far.
--- a/wasabiturn/batch/placing/rack_views.py
+++ b/wasabiturn/batch/placing/locality/rack_views.py
@@ -12,11 +12,11 @@
     count_by_worker,
     score_worker,
 )
-from wasabiturn.batch.placing.rack_forecast import (
+from wasabiturn.batch.placing.locality.rack_forecast import (
     RACK_FORECAST_SECONDS,
     RackForecast,
 )
-from wasabiturn.batch.placing.rack_releases import create_rack_forecast
+from wasabiturn.batch.placing.locality.rack_releases import create_rack_forecast
 from wasabiturn.batch.queueing.ordering import has_no_chance
 from wasabiturn.batch.state.jobs import Part
 
--- a/wasabiturn/batch/placing/reviews.py
+++ b/wasabiturn/batch/placing/locality/reviews.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from wasabiturn.batch.placing.locality_state import Wait, WaitInputs
+from wasabiturn.batch.placing.locality.state import Wait, WaitInputs
 
 # Expectations change with each end of a run, but not by much.
 REVIEW_SECONDS = 0.25
--- a/wasabiturn/batch/placing/locality.py
+++ b/wasabiturn/batch/placing/locality/rounds.py
@@ -11,30 +11,30 @@
 
 from wasabiturn.batch.fleet import Fleet
 from wasabiturn.batch.placing.candidates import Candidates
-from wasabiturn.batch.placing.claims import Claims
-from wasabiturn.batch.placing.locality_state import (
-    LocalityState,
-    Wait,
-    WaitInputs,
-    WaitOutcome,
-)
-from wasabiturn.batch.placing.rack_choice import (
+from wasabiturn.batch.placing.locality.claims import Claims
+from wasabiturn.batch.placing.locality.rack_choice import (
     RackTerms,
     choose_rack,
     count_free_places,
     find_racks,
 )
-from wasabiturn.batch.placing.rack_views import RackViews
-from wasabiturn.batch.placing.reviews import Reviews
-from wasabiturn.batch.placing.wait_decision import decide_wait
-from wasabiturn.batch.placing.wait_inputs import (
+from wasabiturn.batch.placing.locality.rack_views import RackViews
+from wasabiturn.batch.placing.locality.reviews import Reviews
+from wasabiturn.batch.placing.locality.state import (
+    LocalityState,
+    Wait,
+    WaitInputs,
+    WaitOutcome,
+)
+from wasabiturn.batch.placing.locality.wait_decision import decide_wait
+from wasabiturn.batch.placing.locality.wait_inputs import (
     PlaceWorth,
     find_worth,
     idle_left_seconds,
     limit_seconds,
     record_decline,
 )
-from wasabiturn.batch.placing.wait_order import order_by_gain
+from wasabiturn.batch.placing.locality.wait_order import order_by_gain
 from wasabiturn.batch.queueing.ordering import Moment
 from wasabiturn.batch.state.jobs import Part, Task
 
--- a/wasabiturn/batch/placing/locality_state.py
+++ b/wasabiturn/batch/placing/locality/state.py
@@ -10,7 +10,7 @@
 import attrs
 
 from wasabiturn.batch.placing.durations import Durations
-from wasabiturn.batch.placing.rack_forecast import RackForecast
+from wasabiturn.batch.placing.locality.rack_forecast import RackForecast
 from wasabiturn.batch.state.jobs import Job, Part
 from wasabiturn.messages.kinds import BatchTaskState
 
--- a/wasabiturn/batch/placing/wait_decision.py
+++ b/wasabiturn/batch/placing/locality/wait_decision.py
@@ -6,7 +6,7 @@
 ``docs/design/locality.md``.
 """
 
-from wasabiturn.batch.placing.locality_state import (
+from wasabiturn.batch.placing.locality.state import (
     WaitDecision,
     WaitInputs,
     WaitOutcome,
--- a/wasabiturn/batch/placing/wait_inputs.py
+++ b/wasabiturn/batch/placing/locality/wait_inputs.py
@@ -5,7 +5,7 @@
 import attrs
 
 from wasabiturn.batch.fleet import UNKNOWN, Fleet
-from wasabiturn.batch.placing.locality_state import IdleWait, Rank, Wait
+from wasabiturn.batch.placing.locality.state import IdleWait, Rank, Wait
 from wasabiturn.batch.queueing.ordering import Moment
 from wasabiturn.batch.queueing.progress import MAX_IDLE_SECONDS, idle_seconds
 from wasabiturn.batch.state.jobs import Job, Part
--- a/wasabiturn/batch/placing/wait_order.py
+++ b/wasabiturn/batch/placing/locality/wait_order.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator, Mapping
 
-from wasabiturn.batch.placing.locality_state import Wait
+from wasabiturn.batch.placing.locality.state import Wait
 from wasabiturn.batch.state.jobs import Part
 
 
--- a/wasabiturn/batch/placing/run_times.py
+++ b/wasabiturn/batch/placing/run_times.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from wasabiturn.batch.fleet import Fleet, Worker
-from wasabiturn.batch.placing.rack_choice import find_racks
+from wasabiturn.batch.placing.locality.rack_choice import find_racks
 from wasabiturn.batch.state.batch_state import BatchState
 from wasabiturn.batch.state.jobs import Task
 from wasabiturn.messages.batch import EndRun
--- a/wasabiturn/batch/planning.py
+++ b/wasabiturn/batch/planning.py
@@ -24,7 +24,7 @@
 )
 from wasabiturn.batch.placing.forecast import Forecasts
 from wasabiturn.batch.placing.gangs import start_gang
-from wasabiturn.batch.placing.locality import LocalityRound
+from wasabiturn.batch.placing.locality.rounds import LocalityRound
 from wasabiturn.batch.placing.moves import PlannedMove, lacks_place, start_moved
 from wasabiturn.batch.placing.ranking import create_ranking
 from wasabiturn.batch.placing.stalls import find_stalled
--- a/wasabiturn/platform/control_program.py
+++ b/wasabiturn/platform/control_program.py
@@ -1,6 +1,6 @@
 """The program that replicates the state and may lead."""
 
-from wasabiturn.batch.placing.locality_state import LocalityTerms
+from wasabiturn.batch.placing.locality.state import LocalityTerms
 from wasabiturn.messages.kinds import Role
 from wasabiturn.platform.program import Program
 from wasabiturn.platform.routing import read_queues
--- a/wasabiturn/process/control/batch/leader.py
+++ b/wasabiturn/process/control/batch/leader.py
@@ -12,7 +12,7 @@
 
 from wasabiturn.batch import BatchState
 from wasabiturn.batch.orders.fences import next_fence
-from wasabiturn.batch.placing.locality_state import (
+from wasabiturn.batch.placing.locality.state import (
     NO_LOCALITY,
     LocalityTerms,
 )
--- a/wasabiturn/process/control/batch/starts.py
+++ b/wasabiturn/process/control/batch/starts.py
@@ -11,7 +11,7 @@
 from wasabiturn.batch.fleet import Fleet
 from wasabiturn.batch.orders.planned_starts import PlannedStarts
 from wasabiturn.batch.placing.forecast import Forecasts
-from wasabiturn.batch.placing.locality_state import (
+from wasabiturn.batch.placing.locality.state import (
     NO_LOCALITY,
     EndedWait,
     LocalityState,
