A refused hold confirms no life of a worker

Cause: a process that has just started knows no fencing token, so the worker refuses its hold with the reason 'fence'. life_verifier.py took that for the answer of the announced life; any life of the name answers so. The leader then superseded the real one. The agent had no way to learn the token but to report a life.

Change: a refusal confirms nothing. The agent asks the leader for a token (Method.worker_token). The request names a worker and no life, and ends none; it is answered with a token above all of this leader. The worker then lists its runs with its birth. The report tells the token that the agent follows, and the leader raises the worker's fence above it. While the worker refuses holds, the agent goes on telling the leader so. The leader takes the lives of that name at that agent for up and not listed: the one that is there may carry out late orders.

Ruled out: a report that is marked as unconfirmed, as an older leader would act on it; a higher token chosen by the agent, as the worker would refuse the leader's; waiting for a second heartbeat, as their number has no limit.

Versions: an older leader does not know the method; the agent then confirms as before, else it could not use its worker. The fault remains with such a pair.

--- a/tests/sessions/batch_fakes.py
+++ b/tests/sessions/batch_fakes.py
@@ -415,7 +415,11 @@
             self._fleet.clock.callLater(1, pending_reply.errback, error)
             return
         message = unpack(message_class, packed)
-        route = self._fleet.dispatch.calls_by_method[method]
+        route = self._fleet.dispatch.calls_by_method.get(method)
+        if route is None:
+            error = CallError(FailureCode.unknown_method, method.name)
+            pending_reply.errback(error)
+            return
         try:
             reply = route.handler(FakeLink(self._fleet, self), message)
         except CallError as error:
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -452,6 +452,30 @@
     sequence: int = 0
     sends_receipts: bool = False
     agent_clock_ms: int = 0
+    followed_fence: int = 0
+
+
+@bind(_idl)
+@final
+@attrs.define
+class TokenRequest:
+    """Request of an agent that knows no token which its worker accepts.
+
+    It ``refuses_holds``: it is up, and its life is not known yet.
+    """
+
+    worker: str = ''
+    needs_token: bool = False
+    refuses_holds: bool = False
+
+
+@bind(_idl)
+@final
+@attrs.define
+class WorkerToken:
+    """Token above all that a worker can have seen; 0 if none was needed."""
+
+    fence: int = 0
 
 
 @bind(_idl)
--- a/wasabiturn/messages/kinds.py
+++ b/wasabiturn/messages/kinds.py
@@ -63,6 +63,7 @@
     worker_orders = 55
     members = 56
     leader_status = 57
+    worker_token = 58
 
 
 @final
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -279,6 +279,18 @@
   19: i64 sequence,         // of the announcement that the capacity is from
   20: bool sends_receipts,  // the agent answers orders with OrderReceipt
   21: i64 agent_clock_ms,   // when it was sent; 0: the agent keeps no limits
+  22: i64 followed_fence,   // the agent ignores orders with a lower one
+}
+
+// Request for a token that a worker accepts; says nothing about its life.
+struct TokenRequest {
+  1: string worker,
+  2: bool needs_token,      // else the request only tells the next
+  3: bool refuses_holds,    // the worker is up, and its life unknown
+}
+
+struct WorkerToken {
+  1: i64 fence,             // above all that the worker can have seen; 0: none
 }
 
 struct StartOrder {
--- a/wasabiturn/process/agent/runs/life_verifier.py
+++ b/wasabiturn/process/agent/runs/life_verifier.py
@@ -2,16 +2,18 @@
 
 An announcement may come from another writer, or late from a life that has
 ended. The agent follows one only once the worker has answered a hold under the
-announced name with the announced time of birth.
+announced name with the announced time of birth. A refusal proves the name at
+most.
 """
 
 from collections.abc import Callable
 from typing import Any, final
 
 import attrs
-from twisted.internet.defer import maybeDeferred
+from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.python.failure import Failure
 
+from wasabiturn.messages.batch import TokenRequest
 from wasabiturn.process.agent.runs.contact import (
     HOLD_RETRY_SECONDS,
     WorkerContact,
@@ -26,6 +28,10 @@
     WorkerIdentity,
     WorkerPort,
 )
+from wasabiturn.process.agent.runs.token_source import (
+    TokenAnswer,
+    TokenSource,
+)
 from wasabiturn.utils.logs import create_component_log
 
 # A life that goes on is announced again later.
@@ -42,11 +48,13 @@
     """Announced life that the worker has neither confirmed nor refuted.
 
     ``is_named_like_known`` tells that the life that the agent follows has its
-    name, so that a refusal may come from either.
+    name, so that the leader's answer to a report brings a token.
+    ``is_token_granted`` tells that the agent has asked for one.
     """
 
     identity: WorkerIdentity
     is_named_like_known: bool = False
+    is_token_granted: bool = False
     attempts: int = 0
 
 
@@ -60,6 +68,7 @@
         clock: Any,
         contact: WorkerContact,
         revoker: OrderRevoker,
+        token_source: TokenSource,
         on_confirmed: Callable[[WorkerIdentity], None],
         on_refuted: Callable[[], None],
     ) -> None:
@@ -72,6 +81,7 @@
         self._clock = clock
         self._contact = contact
         self._revoker = revoker
+        self._token_source = token_source
         self._on_confirmed = on_confirmed
         self._on_refuted = on_refuted
         self._pending_by_life: dict[tuple[str, int], _PendingLife] = {}
@@ -129,6 +139,38 @@
         )
         answered.addErrback(_log_error)
 
+    def _tell_leader(
+        self, pending: _PendingLife, error: OrderRefusedError
+    ) -> Deferred[None]:
+        """Tell the leader that the worker is up; ask for a token if needed.
+
+        As long as its life is unknown, the leader must not take it for silent:
+        it may carry out late orders.
+        """
+        is_outdated = error.reason == REASON_FENCE
+        request = TokenRequest(
+            worker=pending.identity.worker,
+            needs_token=is_outdated and not pending.is_token_granted,
+            refuses_holds=True,
+        )
+        answer = self._token_source.send(request)
+        return answer.addCallback(self._handle_answer, pending, request)
+
+    def _handle_answer(
+        self, answer: TokenAnswer, pending: _PendingLife, request: TokenRequest
+    ) -> None:
+        if not self._is_pending(pending):
+            return
+        if not request.needs_token or answer is TokenAnswer.unavailable:
+            self._retry(pending, 'the worker refuses holds')
+        elif answer is TokenAnswer.granted:
+            pending.is_token_granted = True
+            self._ask(pending)
+        else:
+            # A leader of an earlier version tells the token of a life that is
+            # reported, and no other.
+            self._confirm(pending)
+
     def _is_pending(self, pending: _PendingLife) -> bool:
         life = pending.identity.life
         return self._pending_by_life.get(life) is pending
@@ -143,18 +185,33 @@
         else:
             self._refute(pending, f'the worker was born at {listing.born_ms}')
 
-    def _handle_failure(self, failure: Failure, pending: _PendingLife) -> None:
+    def _handle_failure(
+        self, failure: Failure, pending: _PendingLife
+    ) -> Deferred[None] | None:
         if not self._is_pending(pending):
-            return
+            return None
         error: Any = failure.value
         if isinstance(error, OtherIncarnationError):
             self._refute(pending, str(error))
-        elif _proves_name(error) and not pending.is_named_like_known:
-            self._confirm(pending)
+        elif self._is_up_unknown(error, pending):
+            return self._tell_leader(pending, error)
         else:
             self._retry(pending, repr(error))
             if isinstance(error, OrderRefusedError):
                 self._revoke_open_orders(pending)
+        return None
+
+    def _is_up_unknown(self, error: Exception, pending: _PendingLife) -> bool:
+        """Return whether a worker is up that has had orders of any process.
+
+        Any life of the name refuses a hold so. If the agent follows one, the
+        leader hears of it by reports.
+        """
+        if pending.is_named_like_known:
+            return False
+        return isinstance(error, OrderRefusedError) and (
+            error.reason == REASON_FENCE or self._contact.token.fence > 0
+        )
 
     def _revoke_open_orders(self, pending: _PendingLife) -> None:
         """Revoke the orders to earlier lives of a name that refuses holds."""
@@ -188,14 +245,5 @@
         )
 
 
-def _proves_name(error: Exception) -> bool:
-    """Return whether only the life that was named answers with this error.
-
-    An agent that has just started knows no token; the leader tells it one once
-    it reports the worker.
-    """
-    return isinstance(error, OrderRefusedError) and error.reason == REASON_FENCE
-
-
 def _log_error(failure: Failure) -> None:
     _log.warning('verification of a life failed', trace=failure.getTraceback())
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -38,6 +38,7 @@
     WorkerPort,
 )
 from wasabiturn.process.agent.runs.sender import OrderSender
+from wasabiturn.process.agent.runs.token_source import TokenSource
 from wasabiturn.process.leader_calls import LeaderCalls
 from wasabiturn.utils.logs import create_component_log
 
@@ -90,6 +91,7 @@
             clock=clock,
             contact=self._contact,
             revoker=self._revoker,
+            token_source=TokenSource(calls, self._follow_higher_fence),
             on_confirmed=self._follow_life,
             on_refuted=lambda: self._send_hold(0),
         )
@@ -122,8 +124,7 @@
             return OrderReceipt()
         if identity.life != (orders.worker, orders.born_ms):
             return OrderReceipt()
-        if orders.fence > self._contact.token.fence:
-            self._follow_fence(orders.fence)
+        self._follow_higher_fence(orders.fence)
         self._acknowledged_end = max(
             self._acknowledged_end, orders.acknowledged
         )
@@ -193,7 +194,9 @@
             on_list_needed=lambda: self._send_hold(0),
         )
 
-    def _follow_fence(self, fence: int) -> None:
+    def _follow_higher_fence(self, fence: int) -> None:
+        if fence <= self._contact.token.fence:
+            return
         self._contact.token.follow(fence)
         self._acknowledged_end = 0
         self._sender.follow_fence(fence)
@@ -378,6 +381,7 @@
             open_orders=self._open_orders.describe(),
             sends_receipts=True,
             agent_clock_ms=int(self._clock.seconds() * _MS),
+            followed_fence=self._contact.token.fence,
         )
 
     def _handle_report_reply(
--- a/wasabiturn/process/control/batch/leader.py
+++ b/wasabiturn/process/control/batch/leader.py
@@ -24,6 +24,9 @@
 from wasabiturn.process.control.batch.leader_term import LeaderTerm
 from wasabiturn.process.control.batch.starts import wall_clock_ms
 from wasabiturn.process.control.batch.take_over import TakeOver
+from wasabiturn.process.control.batch.token_requests import (
+    answer_token_request,
+)
 from wasabiturn.process.control.batch.worker_reports import answer_report
 from wasabiturn.process.daemon import Context
 from wasabiturn.utils.logs import create_component_log
@@ -102,6 +105,16 @@
             messages.WorkerReport,
             self._handle_worker_report,
         )
+        handle(
+            Method.worker_token,
+            messages.TokenRequest,
+            lambda link, request: answer_token_request(
+                self._require_leader_term().fleet,
+                request,
+                link.peer.name,
+                self._now(),
+            ),
+        )
         handle(Method.members, Nothing, self._handle_members)
         handle(Method.leader_status, Nothing, self._handle_leader_status)
 
--- a/wasabiturn/process/control/batch/worker_reports.py
+++ b/wasabiturn/process/control/batch/worker_reports.py
@@ -27,6 +27,9 @@
 from wasabiturn.process.control.batch.bound_tasks import resume_runs
 from wasabiturn.process.control.batch.leader_term import LeaderTerm
 from wasabiturn.process.control.batch.stops import withdraw_starts
+from wasabiturn.process.control.batch.token_requests import (
+    follow_granted_token,
+)
 from wasabiturn.utils.logs import create_component_log
 
 _log = create_component_log('workers')
@@ -138,6 +141,7 @@
     if worker is None or not leader_term.fleet.is_reporting(worker, agent):
         worker = _take_over_from_others(leader_term, link, report, now)
     _follow_agent(leader_term.fleet, worker, link.peer.incarnation)
+    follow_granted_token(leader_term.fleet, worker, report)
     leader_term.delivery.links_by_incarnation[worker.name, worker.born_ms] = (
         link
     )
