A refuted announcement does not keep leases away

Cause: the announced birth was noted (found_born_ms) before the worker was asked, and holds carry no lease while another life may be there. The note stayed after the worker had refuted it, or after the agent had given up its question to a worker that refused holds.

Change: a list of the present life under the newest token, which rises for a life that is found, ends the assumption, and a hold with the lease follows at once. A further announcement before that raises the token again only if a start was sent since; else announcements that come faster than answers kept holds without a lease for good.

Ruled out: clearing the note in the verifier alone, as a question that is given up has no answer; holds with a lease while the question is open, as the clock of a next life starts anew.

Tests: in test_foreign_announcements.py.

--- a/tests/sessions/test_foreign_announcements.py
+++ b/tests/sessions/test_foreign_announcements.py
@@ -7,11 +7,14 @@
 import pytest
 
 from tests.sessions.batch_fakes import BatchFleet, FakeAgent, create_step
+from wasabiturn.messages.kinds import RunEnding
 from wasabiturn.process.agent.runs.life_verifier import MAX_PENDING_LIVES
 from wasabiturn.process.agent.runs.port import WorkerIdentity
 from wasabiturn.standins.batch_worker import SimulatedWork
 
 WORK_SECONDS = 4.0
+# Longer than a lease, which must be renewed meanwhile.
+LONG_WORK_SECONDS = 15.0
 # For a day: other writers go on sending.
 MANY_ANNOUNCEMENTS = 200
 
@@ -39,9 +42,9 @@
 FORGERIES = [forge_other_worker, forge_next_life, forge_same_life]
 
 
-def run_a_task(fleet: BatchFleet) -> FakeAgent:
+def run_a_task(fleet: BatchFleet, seconds: float = WORK_SECONDS) -> FakeAgent:
     """Start a task; return the agent of the worker that runs it."""
-    fleet.submit('j', [create_step(1)], SimulatedWork(WORK_SECONDS))
+    fleet.submit('j', [create_step(1)], SimulatedWork(seconds))
     fleet.run(0.5)
     return next(each for each in fleet.agents if each.worker.runs_by_task)
 
@@ -135,3 +138,57 @@
     fleet.run(2)
     use_successor(fleet, agent)
     assert fleet.run_starts[0][3] == 'successor'
+
+
+def check_that_no_run_lapses(fleet: BatchFleet) -> None:
+    fleet.run(LONG_WORK_SECONDS + 1)
+    assert [run for _, _, run, _ in fleet.run_starts] == [1]
+    assert [ending for *_, ending in fleet.run_ends] == [RunEnding.done]
+
+
+@pytest.mark.parametrize('forgery', FORGERIES)
+def test_lease_is_renewed_after_a_foreign_announcement(
+    forgery: Forgery,
+) -> None:
+    fleet = BatchFleet(workers=1)
+    fleet.run(1)
+    agent = run_a_task(fleet, LONG_WORK_SECONDS)
+    agent.reconciler.announce(forgery(agent))
+    check_that_no_run_lapses(fleet)
+
+
+@pytest.mark.parametrize('seconds', [0.02, 0.3, 1.5])
+def test_lease_is_renewed_beside_announcements_of_ever_later_lives(
+    seconds: float,
+) -> None:
+    fleet = BatchFleet(workers=1)
+    fleet.run(1)
+    agent = run_a_task(fleet, LONG_WORK_SECONDS)
+    for number in range(round(LONG_WORK_SECONDS / seconds)):
+        agent.reconciler.announce(forge(agent, born_ms=10**12 + number))
+        fleet.run(seconds)
+    check_that_no_run_lapses(fleet)
+
+
+def test_lease_is_renewed_after_an_announcement_that_was_not_refuted() -> None:
+    """The worker refuses holds until the agent has given up its question."""
+    fleet = BatchFleet(workers=1)
+    fleet.run(1)
+    agent = run_a_task(fleet, LONG_WORK_SECONDS)
+    agent.worker.refuses_holds = True
+    agent.reconciler.announce(forge_next_life(agent))
+    fleet.run(2)
+    agent.worker.refuses_holds = False
+    check_that_no_run_lapses(fleet)
+
+
+def test_late_announcement_after_the_clock_was_set_back_ends_no_lease() -> None:
+    fleet = BatchFleet(workers=1)
+    fleet.run(1)
+    agent = fleet.agents[0]
+    ended = agent.worker.identity
+    agent.worker.start_incarnation(wall_clock_seconds=-60)
+    fleet.run(2)
+    run_a_task(fleet, LONG_WORK_SECONDS)
+    agent.reconciler.announce(ended)
+    check_that_no_run_lapses(fleet)
--- a/wasabiturn/process/agent/runs/contact.py
+++ b/wasabiturn/process/agent/runs/contact.py
@@ -33,7 +33,8 @@
     is_listing_current: bool = False
     is_connection_refused: bool = False
     failure_reported_at: float = NEVER
-    # Start of the newest life that a list has shown before its announcement.
+    # Start of the newest life that a list or an announcement has shown, and
+    # that the agent does not follow; 0 once the present life answers again.
     found_born_ms: int = 0
 
     @property
@@ -49,11 +50,19 @@
         self.found_born_ms = 0
         self.token.raise_own('new incarnation')
 
-    def record_list(self, worker: str) -> None:
-        """Record that the present life has listed its runs."""
+    def record_list(self, worker: str, token: int) -> bool:
+        """Record that the present life has listed its runs under ``token``.
+
+        The token rises for a life that is found, so a list under the newest one
+        refutes it: the present life goes on. Returns whether it did.
+        """
         self.hold_log.record_answer(worker)
         self.is_connection_refused = False
         self.is_listing_current = True
+        if not self.found_born_ms or token != self.token.value:
+            return False
+        self.found_born_ms = 0
+        return True
 
     def record_failure(self, worker: str, failure: Failure) -> float:
         """Record a hold that failed; return the seconds until the next."""
@@ -95,10 +104,22 @@
         self.token.raise_own('incarnation without an announcement')
         return True
 
+    def expect(self, born_ms: int) -> None:
+        """Raise the token for a life that is announced, and may be there.
+
+        It is raised already if it was for another life that is not refuted yet,
+        and no start was sent since.
+        """
+        is_raised = self.found_born_ms and not self.token.is_used
+        self.is_listing_current = False
+        self.found_born_ms = born_ms
+        if not is_raised:
+            self.token.raise_own('announced incarnation')
+
     def has_found_other_life(self, born_ms: int) -> bool:
-        """Return whether a list has shown another life than the one born then.
+        """Return whether another life than the one born then may be there.
 
-        That one is over.
+        A list or an announcement has shown it, and it is not refuted.
         """
         return self.found_born_ms not in {0, born_ms}
 
--- a/wasabiturn/process/agent/runs/fencing_token.py
+++ b/wasabiturn/process/agent/runs/fencing_token.py
@@ -21,11 +21,13 @@
     """Newest token of the leader, ``fence``, and of this agent, ``value``.
 
     ``first_token`` is the first that the agent used under ``fence``.
+    ``is_used`` tells that a start was sent under ``value``.
     """
 
     fence: int = 0
     value: int = 0
     first_token: int = 0
+    is_used: bool = False
 
     def follow(self, fence: int) -> None:
         """Use a higher token of the leader from now on."""
@@ -34,6 +36,7 @@
         # Leaders of earlier versions leave no tokens to the agent.
         self.value = max(fence, self.value + 1)
         self.first_token = self.value
+        self.is_used = False
 
     def raise_own(self, reason: str) -> None:
         """Make the orders void that were sent until now, if a token is left."""
@@ -41,6 +44,7 @@
             _log.warning('no token is left to raise', fence=self.fence)
             return
         self.value += 1
+        self.is_used = False
         _log.event('raises its token', token=self.value, reason=reason)
 
     def fence_of(self, token: int) -> int | None:
--- a/wasabiturn/process/agent/runs/life_verifier.py
+++ b/wasabiturn/process/agent/runs/life_verifier.py
@@ -110,7 +110,7 @@
         if known is not None and known.worker == identity.worker:
             pending.is_named_like_known = True
             if identity.born_ms > known.born_ms:
-                self._contact.take_over(identity.born_ms)
+                self._contact.expect(identity.born_ms)
         self._pending_by_life[identity.life] = pending
         self._ask(pending)
 
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -256,7 +256,9 @@
         self._sender.grants.record_clock(listing, self._clock.seconds())
         self._open_orders.settle_listed(listing)
         contact = self._contact
-        contact.record_list(identity.worker)
+        if contact.record_list(identity.worker, hold.fence):
+            # The hold had no lease; announcements may go on coming.
+            self._send_hold(0)
         if _is_newest(
             listing, hold.fence, self._listing, contact.listing_token
         ):
--- a/wasabiturn/process/agent/runs/start_sender.py
+++ b/wasabiturn/process/agent/runs/start_sender.py
@@ -137,6 +137,7 @@
             _log.decision('repeats start', **start.describe())
         now = self._channel.clock.seconds()
         sent_clock_ms = self._grants.estimate_clock_ms(now)
+        self._channel.token.is_used = True
         sent = self._channel.port.start(
             identity,
             start.order,
