Heartbeats without all their fields are refused

Cause: decode_identity checked the fields that it uses, and read a missing list as an empty one.

Change: a heartbeat without one of the fields of the protocol, or with one of another type, is answered with 400, whether the field is used or not. Unknown fields are allowed, also in the capacity.

Two tests took announcements with fewer fields for valid (test_decoding.py, test_http.py); they now have all, and each one is removed in turn. The cases of a capacity without cpu or mem_mb keep gpu, so that only the named part is missing.

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -111,10 +111,15 @@
 
 ANNOUNCEMENT = {
     'service': 's',
+    'addr': '127.0.0.1:8080',
     'zone': 'z',
+    'version': 'v1',
+    'slots': 8,
     'state': 'ready',
+    'cold_left_ms': 0,
     'capacity': {'cpu': 16000, 'mem_mb': 32768, 'gpu': 0},
     'labels': ['a', 'r1-3'],
+    'clock_ms': 2000,
     'born': 123,
     'seq': 4,
 }
@@ -144,6 +149,14 @@
         {'service': '\ud800'},
         {'labels': [5]},
         {'labels': ['\ud800']},
+        {'addr': 7},
+        {'addr': ''},
+        {'version': 1},
+        {'slots': 'ocho'},
+        {'slots': -1},
+        {'cold_left_ms': '0'},
+        {'clock_ms': None},
+        {'clock_ms': 1.5},
     ],
 )
 def test_an_invalid_announcement_is_refused(
@@ -160,8 +173,9 @@
         [],
         'x',
         5,
-        {'cpu': 16000},
-        {'mem_mb': 32768},
+        {'cpu': 16000, 'gpu': 0},
+        {'mem_mb': 32768, 'gpu': 0},
+        {'cpu': 16000, 'mem_mb': 32768},
         *(
             {'cpu': 16000, 'mem_mb': 32768, 'gpu': 0} | {name: amount}
             for name in ('cpu', 'mem_mb', 'gpu')
@@ -177,13 +191,26 @@
         decode_identity('i-1', body, 'home')
 
 
-@pytest.mark.parametrize('name', ['capacity', 'born', 'service', 'state'])
+@pytest.mark.parametrize('name', ANNOUNCEMENT)
 def test_an_announcement_without_a_field_is_refused(name: str) -> None:
     fields = {key: ANNOUNCEMENT[key] for key in ANNOUNCEMENT if key != name}
     with pytest.raises(InvalidBodyError):
         decode_identity('i-1', encode(fields), 'home')
 
 
+def test_an_announcement_may_have_unknown_fields() -> None:
+    capacity = {'cpu': 1, 'mem_mb': 1, 'gpu': 0, 'disk_mb': 5}
+    added = {'capacity': capacity, 'build': {'commit': 'c'}, 'leased': None}
+    body = encode(ANNOUNCEMENT | added)
+    assert decode_identity('i-1', body, 'home').capacity == (1, 1, 0)
+
+
+def test_an_announcement_may_be_of_a_worker_without_labels_or_slots() -> None:
+    empty = {'labels': [], 'slots': 0, 'version': '', 'zone': '', 'seq': 0}
+    identity = decode_identity('i-1', encode(ANNOUNCEMENT | empty), 'home')
+    assert (identity.labels, identity.data_centre) == ((), 'home')
+
+
 def test_an_announcement_without_an_id_is_refused() -> None:
     with pytest.raises(InvalidBodyError):
         decode_identity('', encode(ANNOUNCEMENT), 'home')
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -8,6 +8,7 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
+from tests.platform.test_decoding import ANNOUNCEMENT
 from wasabiturn.connection.calls import CallError
 from wasabiturn.connection.http_site import HttpSite
 from wasabiturn.messages.batch import (
@@ -259,17 +260,10 @@
 def test_an_announcement_is_passed_to_the_run_manager() -> None:
     manager = FakeRunReconciler()
     agent = AnnouncementHandler(manager, 'dc-a')  # type: ignore[arg-type]
-    fields = {
-        'service': 's',
-        'state': 'ready',
-        'capacity': {'cpu': 1000, 'mem_mb': 1000},
-        'born': 5,
-        'seq': 1,
-    }
     path = '/api/Instances.Heartbeat/i-1'
-    body = json.dumps(fields).encode()
+    body = json.dumps(ANNOUNCEMENT | {'born': 5}).encode()
     assert send(agent.handle, 'POST', path, body)[0] == 200
-    without_size = json.dumps(fields | {'capacity': {}}).encode()
+    without_size = json.dumps(ANNOUNCEMENT | {'capacity': {}}).encode()
     assert send(agent.handle, 'POST', path, without_size)[0] == 400
     assert manager.announced[0].life == ('i-1', 5)
     assert send(agent.handle, 'POST', path, b'\xff')[0] == 400
@@ -277,6 +271,19 @@
     assert len(manager.announced) == 1
 
 
+def test_malformed_announcement_of_a_known_life_is_not_passed_on() -> None:
+    """Else its sequence would hide the worker's own announcements."""
+    manager = FakeRunReconciler()
+    agent = AnnouncementHandler(manager, 'dc-a')  # type: ignore[arg-type]
+    path = '/api/Instances.Heartbeat/i-1'
+    malformed = ANNOUNCEMENT | {'slots': 'ocho', 'seq': 1000}
+    for name in ('addr', 'labels'):
+        del malformed[name]
+    body = json.dumps(malformed).encode()
+    assert send(agent.handle, 'POST', path, body)[0] == 400
+    assert not manager.announced
+
+
 def test_a_job_call_has_the_request_id() -> None:
     calls, _, _, _ = send_as_caller(JobAnswer(), 'GET', JOB)
     call = calls.sent[0][1]
--- a/wasabiturn/platform/announced_fields.py
+++ b/wasabiturn/platform/announced_fields.py
@@ -1,27 +1,65 @@
-"""Fields of a worker's announcement that an invalid entry could break.
+"""Fields of a worker's announcement.
 
-Such an entry must not change what is known of a worker, nor be passed on in a
-message that cannot hold it.
+An announcement without one of them, or with one of another type, is from
+another writer. It must not change what is known of a worker, nor be passed on
+in a message that cannot hold it. Fields that are not named here may be added.
 """
 
 from typing import Any
 
-from wasabiturn.platform.fields import MAX_EXACT, InvalidBodyError, read_int
+from wasabiturn.platform.fields import (
+    MAX_EXACT,
+    InvalidBodyError,
+    read_int,
+    read_required_str,
+    read_str,
+)
 
 MAX_ID_LENGTH = 256
+ANNOUNCED_NAMES = frozenset(
+    (
+        'service',
+        'addr',
+        'zone',
+        'version',
+        'slots',
+        'state',
+        'cold_left_ms',
+        'capacity',
+        'labels',
+        'clock_ms',
+        'seq',
+        'born',
+    )
+)
+CAPACITY_NAMES = frozenset(('cpu', 'mem_mb', 'gpu'))
+
+
+def check_announcement(fields: dict[str, Any]) -> None:
+    """Check that all fields are there, and the types of those not used.
+
+    Raises:
+        InvalidBodyError: a field is missing, or one that is not used is
+            invalid.
+    """
+    _check_names(fields, ANNOUNCED_NAMES)
+    read_required_str(fields, 'addr')
+    read_str(fields, 'version')
+    read_int(fields, 'slots')
+    read_int(fields, 'cold_left_ms', MAX_EXACT)
+    read_int(fields, 'clock_ms', MAX_EXACT)
 
 
 def read_capacity(fields: dict[str, Any]) -> tuple[int, int, int]:
     """Return millicores, memory in MB, and accelerators.
 
     Raises:
-        InvalidBodyError: the CPU or the memory is missing, or one is invalid.
+        InvalidBodyError: one is missing or invalid.
     """
     capacity = fields.get('capacity')
     if not isinstance(capacity, dict):
         raise InvalidBodyError('a worker has no capacity')
-    if 'cpu' not in capacity or 'mem_mb' not in capacity:
-        raise InvalidBodyError('a part of the capacity is missing')
+    _check_names(capacity, CAPACITY_NAMES)
     return (
         read_int(capacity, 'cpu'),
         read_int(capacity, 'mem_mb'),
@@ -52,3 +90,9 @@
             f'the id of a worker has 1 to {MAX_ID_LENGTH} characters'
         )
     return worker
+
+
+def _check_names(fields: dict[str, Any], names: frozenset[str]) -> None:
+    missing = sorted(names - fields.keys())
+    if missing:
+        raise InvalidBodyError(f'missing: {", ".join(missing)}')
--- a/wasabiturn/platform/workers.py
+++ b/wasabiturn/platform/workers.py
@@ -1,6 +1,7 @@
 """Decoding of workers' announcements."""
 
 from wasabiturn.platform.announced_fields import (
+    check_announcement,
     check_id,
     read_birth,
     read_capacity,
@@ -31,6 +32,7 @@
         InvalidBodyError: a field is missing or invalid.
     """
     fields = decode_object(body)
+    check_announcement(fields)
     millicores, memory_mb, accelerators = read_capacity(fields)
     state = read_str(fields, 'state')
     if state not in {'ready', 'draining'}:
