Announcements of later lives do not use up an agent's tokens

Change: with 256 or fewer left, the agent asks the leader for a new one, as one that has just started does.

Test: test_announcements_of_later_lives_do_not_use_up_the_tokens; fails before.

--- a/tests/sessions/test_foreign_announcements.py
+++ b/tests/sessions/test_foreign_announcements.py
@@ -8,6 +8,7 @@
 
 from tests.sessions.batch_fakes import BatchFleet, FakeAgent, create_step
 from wasabiturn.messages.kinds import RunEnding
+from wasabiturn.messages.limits import FENCE_STEP
 from wasabiturn.process.agent.runs.life_verifier import MAX_PENDING_LIVES
 from wasabiturn.process.agent.runs.port import WorkerIdentity
 from wasabiturn.standins.batch_worker import SimulatedWork
@@ -192,3 +193,18 @@
     run_a_task(fleet, LONG_WORK_SECONDS)
     agent.reconciler.announce(ended)
     check_that_no_run_lapses(fleet)
+
+
+def test_announcements_of_later_lives_do_not_use_up_the_tokens() -> None:
+    """Without one left, a next life would carry out the orders to this one."""
+    fleet = BatchFleet(workers=1)
+    fleet.run(1)
+    agent = fleet.agents[0]
+    for number in range(FENCE_STEP + 1):
+        agent.reconciler.announce(forge(agent, born_ms=10**12 + number))
+        fleet.run(0.05)
+    assert run_a_task(fleet) is agent
+    token = agent.reconciler._contact.token
+    before = token.value
+    token.raise_own('test')
+    assert token.value > before
--- a/wasabiturn/process/agent/runs/fencing_token.py
+++ b/wasabiturn/process/agent/runs/fencing_token.py
@@ -12,6 +12,10 @@
 from wasabiturn.messages.limits import FENCE_STEP
 from wasabiturn.utils.logs import create_component_log
 
+# Each refuted announcement of a later life may take a token. An agent with no
+# more than these asks the leader for a new one; they serve lives that end.
+RESERVED_TOKENS = FENCE_STEP // 4
+
 _log = create_component_log('runs')
 
 
@@ -29,6 +33,11 @@
     first_token: int = 0
     is_used: bool = False
 
+    @property
+    def is_nearly_used_up(self) -> bool:
+        """Return whether the agent can raise its token a few times only."""
+        return self.value + RESERVED_TOKENS >= self.fence + FENCE_STEP
+
     def follow(self, fence: int) -> None:
         """Use a higher token of the leader from now on."""
         _log.event('follows a new fence', fence=fence, before=self.fence)
--- a/wasabiturn/process/agent/runs/life_verifier.py
+++ b/wasabiturn/process/agent/runs/life_verifier.py
@@ -225,6 +225,7 @@
 
     def _refute(self, pending: _PendingLife, reason: str) -> None:
         self._forget(pending, reason)
+        self._token_source.refill(self._contact.token, pending.identity.worker)
         self._on_refuted()
 
     def _retry(self, pending: _PendingLife, reason: str) -> None:
--- a/wasabiturn/process/agent/runs/token_source.py
+++ b/wasabiturn/process/agent/runs/token_source.py
@@ -1,7 +1,8 @@
 """Requests for fencing tokens, which the leader grants for a name alone.
 
 A process of the agent that has just started knows no token, and its worker
-refuses holds without one.
+refuses holds without one. One that raises its token often uses up those that
+the leader has left to it.
 """
 
 import enum
@@ -14,6 +15,7 @@
 
 from wasabiturn.messages.batch import TokenRequest, WorkerToken
 from wasabiturn.messages.kinds import FailureCode, Method
+from wasabiturn.process.agent.runs.fencing_token import FencingToken
 from wasabiturn.process.leader_calls import LeaderCalls
 from wasabiturn.utils.logs import create_component_log
 
@@ -38,6 +40,15 @@
 
     calls: LeaderCalls
     follow: Callable[[int], None]
+    _is_refilling: bool = False
+
+    def refill(self, token: FencingToken, worker: str) -> None:
+        """Ask for a token if the agent cannot raise its own much longer."""
+        if self._is_refilling or not token.is_nearly_used_up:
+            return
+        self._is_refilling = True
+        request = TokenRequest(worker=worker, needs_token=True)
+        self.send(request).addBoth(self._finish_refill)
 
     def send(self, request: TokenRequest) -> Deferred[TokenAnswer]:
         """Send a request; follow the token that it may bring."""
@@ -54,6 +65,9 @@
         self.follow(granted.fence)
         return TokenAnswer.granted
 
+    def _finish_refill(self, nothing: Any) -> None:
+        self._is_refilling = False
+
 
 def _handle_failure(failure: Failure) -> TokenAnswer:
     error = failure.value
