The end of a run of more than 25 days can be stored

Cause: EndRun.worked_ms has 32 bits, and judge_crash set it to the time that the present leader has known the run. For a lasting run of more than 25 days the message could not be packed when its worker crashed.

Change: the time is bounded where it is set. It is compared only among runs that worked briefly, so the bound changes no verdict.

Looked at: open_ms, the other time of an end in 32 bits, is 0 once its orders have been over for 15 s.

Test: test_end_of_a_run_that_has_worked_for_two_months_can_be_packed; fails before with CodecError.

--- a/tests/batch/crashes/test_crash.py
+++ b/tests/batch/crashes/test_crash.py
@@ -44,6 +44,7 @@
 
 NOW = 100.0
 QUICK = 0.01
+TWO_MONTHS = 60 * 24 * 3600.0
 WORKERS = 8
 
 
@@ -104,6 +105,14 @@
     }
 
 
+def test_end_of_a_run_that_has_worked_for_two_months_can_be_packed() -> None:
+    batch_state, worker = create_state(1), create_worker('w')
+    add_runs(worker, batch_state, t0=TWO_MONTHS)
+    judge(worker)
+    end_of_run = lost_end(worker.allocations_by_task['j.0.0.0'], NOW)
+    assert unpack(EndRun, pack(end_of_run)) == end_of_run
+
+
 def test_unanswered_start_is_a_possible_cause() -> None:
     batch_state, worker = create_state(2), create_worker('w')
     add_runs(worker, batch_state, t0=QUICK)
--- a/wasabiturn/batch/crashes/crash.py
+++ b/wasabiturn/batch/crashes/crash.py
@@ -23,6 +23,10 @@
 # An agent that was heard within this time reports a crash at once.
 REPORT_INTERVAL_SECONDS = 1.5
 _MS = 1000
+# The end of a run is stored with its working time in 32 bits, one of them for
+# the sign: 25 days. A lasting run may work for longer under one leader.
+WORKED_MS_BITS = 31
+MAX_WORKED_MS = (1 << WORKED_MS_BITS) - 1
 
 
 @final
@@ -80,8 +84,9 @@
         allocation.crash_role = _find_role(
             allocation, suspects, culprit, crashed_at
         )
-        worked_seconds = allocation.worked_seconds(crashed_at)
-        allocation.worked_ms = int(max(worked_seconds, 0) * _MS)
+        allocation.worked_ms = _to_worked_ms(
+            allocation.worked_seconds(crashed_at)
+        )
     suspicions = tuple(_create_suspicion(each) for each in suspects)
     if culprit and suspects[0].task.crashes:
         suspects[0].worked_ms = _likeliest_worked_ms(suspects[0], heard_at, now)
@@ -114,12 +119,16 @@
 
     A report may come late, and the start may have been noticed late.
     """
-    lower_ms = max(allocation.worked_seconds(heard_at), 0) * _MS
-    upper_ms = (now - allocation.started_at) * _MS
+    lower_ms = _to_worked_ms(allocation.worked_seconds(heard_at))
+    upper_ms = _to_worked_ms(now - allocation.started_at)
     worked_ms = max(allocation.task.worked_ms, lower_ms)
     if allocation.is_inherited:
-        return int(worked_ms)
-    return int(min(worked_ms, upper_ms))
+        return worked_ms
+    return min(worked_ms, upper_ms)
+
+
+def _to_worked_ms(worked_seconds: float) -> int:
+    return int(min(max(worked_seconds, 0) * _MS, MAX_WORKED_MS))
 
 
 def _is_possible(allocation: Allocation) -> bool:
