SIGHUP does not end a program that is starting

Cause: the handler was set in _Daemon.run only. Before that, while modules are imported and programs start, SIGHUP has its default action and ends the process.

Change: the daemon sets its handler before it starts the first program; the reload runs once the event loop does. The platform's programs ignore the signal before that, as they read the file again after the start. The time until the interpreter reaches main stays open.

--- a/wasabiturn/platform/__main__.py
+++ b/wasabiturn/platform/__main__.py
@@ -6,6 +6,7 @@
 
 import importlib
 import os
+import signal
 import sys
 from pathlib import Path
 from types import MappingProxyType
@@ -39,6 +40,9 @@
             f'usage: {SETTINGS_VARIABLE}=FILE wasabiturn.platform {names}\n',
         )
         return EXIT_USAGE_ERROR
+    # The daemon handles it once it runs. Until then it would end the process,
+    # and its imports take a while; the file is read again after the start.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         platform = read_platform_settings(Path(source))
     except SettingsError as error:
--- a/wasabiturn/process/daemon.py
+++ b/wasabiturn/process/daemon.py
@@ -130,7 +130,12 @@
         context.on_failure = self._fail
 
     def start(self, factories: list[ComponentFactory]) -> None:
-        """Start each program, in order."""
+        """Start each program, in order.
+
+        SIGHUP would end the process by default. One that comes meanwhile is
+        handled once the event loop runs.
+        """
+        signal.signal(signal.SIGHUP, self._on_sighup)
         for factory in factories:
             component = factory(self._context)
             self._stack.callback(component.close)
@@ -144,7 +149,6 @@
         reactor = self._context.reactor
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGINT, self._on_signal)
-        signal.signal(signal.SIGHUP, self._on_sighup)
         reactor.run(installSignalHandlers=False)
 
     def _fail(self, error: WasabiturnError) -> None:
