HTTP reader: one buffer for each body, and bounded framing

Cause: each piece of a body was kept as an object of its own, so 2-byte chunks cost some 30 times their bytes; a header value was checked only once it was whole; trailers were stored; chunk extensions, leading zeros and empty lines before a request were not bounded.

A body is appended to one buffer. Bytes received since the last message, less those of its body, are bounded by the head limit and 32 bytes for each part of a body. There are at most 100 header fields, and a declared body over the limit is rejected with the head. Errors name their cause and the status of the response. A property test splits any bytes anywhere.

--- a/tests/connection/test_http_site.py
+++ b/tests/connection/test_http_site.py
@@ -9,8 +9,8 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
+from wasabiturn.connection.http_limits import MAX_BODY_BYTES
 from wasabiturn.connection.http_messages import HttpRequest, HttpResponse
-from wasabiturn.connection.http_reader import MAX_BODY_BYTES
 from wasabiturn.connection.http_site import (
     IDLE_TIMEOUT_SECONDS,
     MAX_QUEUED_REQUESTS,
--- a/wasabiturn/connection/http_messages.py
+++ b/wasabiturn/connection/http_messages.py
@@ -5,12 +5,27 @@
 
 import attrs
 
+from wasabiturn.connection.rejections import RejectionCause
 from wasabiturn.exceptions import ConnectionLayerError
 
 
 @final
 class HttpError(ConnectionLayerError):
-    """The peer broke the protocol or a limit, or closed the connection."""
+    """The peer broke the protocol or a limit.
+
+    ``status`` is that of the response to a request with this error.
+    """
+
+    def __init__(
+        self,
+        text: str,
+        cause: RejectionCause = RejectionCause.malformed,
+        status: HTTPStatus = HTTPStatus.BAD_REQUEST,
+    ) -> None:
+        """Create the error of a message that is malformed by default."""
+        super().__init__(text)
+        self.cause = cause
+        self.status = status
 
 
 @final
