Limits for untrusted clients of all HTTP addresses and links

Cause: there was no total over the connections of a process, any number of connections was accepted, any received byte renewed the idle timeout, a read of 64 KB queued thousands of requests, unread responses were kept without bound, and a link kept up to 8 MB of a frame that anyone declared.

Each process has one guard with a memory budget (a fifth of limits.memory_mb) and a bound on connections (from limits.max_fds, with an eighth reserved for operators, workers and links). client_claims.py decides which connections are closed: unfinished requests with the lowest rate first, never a whole request, and never an operator's for a caller's. Heads have a deadline and bodies and frames a minimum rate that bytes do not renew; a client that reads no responses is not read from and is closed. Input is parsed 512 bytes at a time, so 16 requests and those of one piece wait. A rejection is not sent while an earlier request of the connection is unanswered, since it would be taken for the response to that one. A request that asks for another protocol is refused before it is handled; it was handled and refused before. The first frame of a link has at most 64 KB.

--- a/tests/connection/test_http_site.py
+++ b/tests/connection/test_http_site.py
@@ -9,13 +9,13 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
-from wasabiturn.connection.http_limits import MAX_BODY_BYTES
-from wasabiturn.connection.http_messages import HttpRequest, HttpResponse
-from wasabiturn.connection.http_site import (
+from wasabiturn.connection.http_limits import (
     IDLE_TIMEOUT_SECONDS,
-    MAX_QUEUED_REQUESTS,
-    HttpSite,
+    MAX_BODY_BYTES,
 )
+from wasabiturn.connection.http_messages import HttpRequest, HttpResponse
+from wasabiturn.connection.http_site import HttpSite
+from wasabiturn.connection.request_queue import MAX_QUEUED_REQUESTS
 from wasabiturn.utils.pauses import PauseDetector
 
 GET = b'GET /a?b=c HTTP/1.1\r\nHost: x\r\n\r\n'
@@ -92,23 +92,32 @@
 
 
 @pytest.mark.parametrize(
-    'garbage',
+    ('garbage', 'status'),
     [
-        b'\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03',
-        b'GET / HTTP/1.1\r\nContent-Length: many\r\n\r\n',
-        b'GET / HTTP/1.1\r\nX: ' + b'x' * 100_000 + b'\r\n\r\n',
-        b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n',
-        b'POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n'
-        + b'x' * (MAX_BODY_BYTES + 1),
-        b'GET / HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n',
+        (b'\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03', 400),
+        (b'GET / HTTP/1.1\r\nContent-Length: many\r\n\r\n', 400),
+        (b'GET / HTTP/1.1\r\nX: ' + b'x' * 100_000 + b'\r\n\r\n', 431),
+        (
+            b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n',
+            400,
+        ),
+        (
+            b'POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n'
+            + b'x' * (MAX_BODY_BYTES + 1),
+            413,
+        ),
+        (
+            b'GET / HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n',
+            400,
+        ),
     ],
 )
 def test_malformed_requests_are_refused_and_end_the_connection(
-    garbage: bytes,
+    garbage: bytes, status: int
 ) -> None:
     server = Server()
     server.receive(garbage)
-    assert server.sent.startswith(b'HTTP/1.1 400 Bad Request\r\n')
+    assert server.sent.startswith(f'HTTP/1.1 {status} '.encode())
     assert server.transport.disconnecting
 
 
@@ -226,6 +235,7 @@
     detector.start()
     server.site = HttpSite(server.handle, server.clock, detector)
     server.connection = server.site.buildProtocol(None)
+    server.transport = StringTransport()
     server.connection.makeConnection(server.transport)
     server.clock.advance(6)
     server.receive(POST)
--- a/wasabiturn/connection/dialer.py
+++ b/wasabiturn/connection/dialer.py
@@ -6,6 +6,8 @@
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import Factory
 
+from wasabiturn.connection.client_claims import Rank
+from wasabiturn.connection.client_guard import ClientGuard
 from wasabiturn.connection.dispatch import Dispatch
 from wasabiturn.connection.endpoint import Endpoint
 from wasabiturn.connection.link import Link
@@ -17,22 +19,35 @@
 
 @final
 class LinkFactory(Factory):
-    """Factory of links for accepted or dialled connections."""
+    """Factory of links for accepted or dialled connections.
+
+    With a ``guard``, it refuses a connection when there are too many.
+    """
 
     noisy = False
 
-    def __init__(self, dispatch: Dispatch, clock: Any, dialled: bool) -> None:
+    def __init__(
+        self,
+        dispatch: Dispatch,
+        clock: Any,
+        dialled: bool,
+        guard: ClientGuard | None = None,
+    ) -> None:
         """Create a factory whose links share ``dispatch``."""
+        self.guard = guard
         self.dispatch = dispatch
         self.clock = clock
         self.dialled = dialled
 
-    def buildProtocol(self, addr: IAddress | None) -> Link:
+    def buildProtocol(self, addr: IAddress | None) -> Link | None:
         """Build the link of one connection."""
+        if self.guard is not None and not self.guard.admits(Rank.trusted):
+            return None
         return Link(
             dispatch=self.dispatch,
             clock=self.clock,
             dialled=self.dialled,
+            guard=self.guard,
         )
 
 
--- a/wasabiturn/connection/frames.py
+++ b/wasabiturn/connection/frames.py
@@ -14,6 +14,8 @@
 from wasabiturn.exceptions import ConnectionLayerError
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
+# The first frame of a link is a hello; its sender may be anyone.
+MAX_FIRST_FRAME_BYTES = 65_536
 
 _HEADER = struct.Struct('!II')
 
@@ -27,6 +29,7 @@
 class FrameBuffer:
     """Buffer of received bytes that do not yet form a whole frame."""
 
+    max_frame_bytes: int = MAX_FRAME_BYTES
     pending: bytearray = attrs.field(factory=bytearray)
 
     def feed(self, received: bytes) -> Iterator[bytes]:
@@ -38,7 +41,7 @@
         self.pending.extend(received)
         while len(self.pending) >= _HEADER.size:
             length, crc = _HEADER.unpack_from(self.pending)
-            if length > MAX_FRAME_BYTES:
+            if length > self.max_frame_bytes:
                 raise FrameError(f'frame of {length} bytes is over the limit')
             end = _HEADER.size + length
             if len(self.pending) < end:
--- a/wasabiturn/connection/http_reader.py
+++ b/wasabiturn/connection/http_reader.py
@@ -37,6 +37,8 @@
         self.limits = limits
         self.is_in_message = False
         self.has_head = False
+        # Memory that the message took which was passed on last.
+        self.message_bytes = 0
         self._body = bytearray()
         self._head_bytes = 0
         self._header_fields = 0
@@ -123,6 +125,7 @@
     def take_body(self) -> bytes:
         """Return the body of the message that is complete, and forget it."""
         body = bytes(self._body)
+        self.message_bytes = self.held_bytes
         self.drop_message()
         return body
 
@@ -192,7 +195,9 @@
             self._on_expectation()
 
     def on_message_complete(self) -> None:
-        """Pass on the request."""
+        """Pass on the request, unless it asks for another protocol."""
+        if self._parser.should_upgrade():
+            raise HttpError('cannot change the protocol')
         path = self._url.partition(b'?')[0].decode('latin-1')
         headers_by_name = self.headers_by_name
         self._on_request(
--- a/wasabiturn/connection/link.py
+++ b/wasabiturn/connection/link.py
@@ -14,12 +14,16 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from wasabiturn.connection.calls import CallError, CallTable
+from wasabiturn.connection.client_guard import ClientGuard
 from wasabiturn.connection.dispatch import Dispatch
 from wasabiturn.connection.frames import (
+    MAX_FIRST_FRAME_BYTES,
+    MAX_FRAME_BYTES,
     FrameBuffer,
     FrameError,
     encode_frame,
 )
+from wasabiturn.connection.link_client import LinkClient
 from wasabiturn.connection.peer_clock import PeerClock, milliseconds_in
 from wasabiturn.connection.streams import Stream, StreamReceiver
 from wasabiturn.messages.codec import CodecError, pack, unpack
@@ -46,8 +50,12 @@
         dispatch: Dispatch,
         clock: Any,
         dialled: bool,
+        guard: ClientGuard | None = None,
     ) -> None:
-        """Create the side that dialled or the side that accepted."""
+        """Create the side that dialled or the side that accepted.
+
+        A ``guard`` bounds what the peer of an accepted link may take.
+        """
         self.dispatch = dispatch
         self.peer = Hello()
         self.is_open = False
@@ -55,7 +63,9 @@
         self.on_close: list[Callable[[Link], None]] = []
         self._clock = clock
         self._next_exchange = 1 if dialled else 2
-        self._buffer = FrameBuffer()
+        self._buffer = FrameBuffer(MAX_FIRST_FRAME_BYTES)
+        self._guard = guard
+        self._client: LinkClient | None = None
         self.calls = CallTable(clock=clock)
         self._peer_clock = PeerClock()
         self._streams_by_exchange: dict[int, Stream] = {}
@@ -156,7 +166,10 @@
             sent_ms=milliseconds_in(self._last_sent),
             expires_ms=expires_ms,
         )
-        cast(Any, self.transport).write(encode_frame(pack(frame)))
+        encoded = encode_frame(pack(frame))
+        cast(Any, self.transport).write(encoded)
+        if self._client is not None:
+            self._client.handle_sent(len(encoded))
 
     def remove_stream(self, exchange: int) -> None:
         """Remove a stream that has ended."""
@@ -167,6 +180,10 @@
         transport = cast(Any, self.transport)
         if hasattr(transport, 'setTcpNoDelay'):
             transport.setTcpNoDelay(True)
+        if self._guard is not None:
+            self._client = LinkClient(
+                self._guard, self._clock, self, self._buffer
+            )
         self.last_received = self._clock.seconds()
         self._liveness_loop.start(HEARTBEAT_INTERVAL_SECONDS, now=False)
         body = pack(self.dispatch.hello)
@@ -175,16 +192,23 @@
     def dataReceived(self, data: bytes) -> None:
         """Handle the frames in the received bytes."""
         self.last_received = self._clock.seconds()
+        frames = 0
         try:
             for payload in self._buffer.feed(data):
+                frames += 1
                 self._handle_frame(unpack(Frame, payload))
         except (FrameError, CodecError) as error:
             self.abort(f'malformed frame: {error}')
+        if self._client is not None:
+            self._client.handle_received(frames)
 
     def connectionLost(self, reason: TwistedFailure | None = None) -> None:
         """Fail all calls and streams of the link."""
         was_open = self.is_open
         self.is_open = False
+        if self._client is not None:
+            self._client.handle_lost()
+            self._client = None
         if self._liveness_loop.running:
             self._liveness_loop.stop()
         self.calls.fail_all()
@@ -219,6 +243,7 @@
             self.abort(f'unsupported protocol version {hello.protocol_version}')
             return
         self.is_open = True
+        self._buffer.max_frame_bytes = MAX_FRAME_BYTES
         for callback in (*self.on_open, *self.dispatch.on_open):
             callback(self)
 
--- a/wasabiturn/connection/rejections.py
+++ b/wasabiturn/connection/rejections.py
@@ -15,6 +15,8 @@
     head_timeout = 'head_timeout'
     body_rate = 'body_rate'
     frame_rate = 'frame_rate'
+    # Not counted: the ordinary end of a connection.
+    idle = 'idle'
     unread = 'unread'
     memory = 'memory'
     connections = 'connections'
--- /dev/null
+++ b/wasabiturn/connection/request_queue.py
@@ -0,0 +1,53 @@
+"""Whole requests of one connection that wait, and the memory that they take."""
+
+from collections import deque
+from typing import final
+
+import attrs
+
+from wasabiturn.connection.http_messages import HttpRequest
+
+# A client that sends more requests without reading responses must wait.
+MAX_QUEUED_REQUESTS = 16
+# Memory of a request beside its text, headers and body.
+REQUEST_OVERHEAD_BYTES = 1024
+
+
+@final
+@attrs.define
+class RequestQueue:
+    """Requests in their order; the one that was taken is still counted."""
+
+    kept_bytes: int = 0
+    _waiting: deque[tuple[HttpRequest, int]] = attrs.field(factory=deque)
+    _taken_bytes: int = 0
+
+    def __len__(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiting)
+
+    def is_full(self) -> bool:
+        """Return whether the client must wait."""
+        return len(self._waiting) > MAX_QUEUED_REQUESTS
+
+    def add(self, request: HttpRequest, message_bytes: int) -> None:
+        """Add a request whose message took ``message_bytes``."""
+        size = message_bytes + REQUEST_OVERHEAD_BYTES
+        self.kept_bytes += size
+        self._waiting.append((request, size))
+
+    def take(self) -> HttpRequest:
+        """Return the first request; it counts until ``finish``."""
+        request, size = self._waiting.popleft()
+        self._taken_bytes = size
+        return request
+
+    def finish(self) -> None:
+        """Stop counting the request that was taken."""
+        self.kept_bytes -= self._taken_bytes
+        self._taken_bytes = 0
+
+    def clear(self) -> None:
+        """Drop the requests that wait."""
+        self._waiting.clear()
+        self.kept_bytes = self._taken_bytes
--- /dev/null
+++ b/wasabiturn/connection/unread_watch.py
@@ -0,0 +1,48 @@
+"""Watches whether a peer reads what is sent to it."""
+
+from collections.abc import Callable
+from typing import Any, final
+
+from twisted.internet.interfaces import IPushProducer
+from zope.interface import implementer
+
+
+@final
+@implementer(IPushProducer)
+class UnreadWatch:
+    """Producer of a transport, which tells when its buffer is full or empty."""
+
+    def __init__(
+        self,
+        clock: Any,
+        on_unread: Callable[[], None],
+        on_read: Callable[[], None],
+    ) -> None:
+        """Create the watch of one connection; ``clock`` is the reactor."""
+        self.is_unread = False
+        # Bytes that were written since the buffer was full.
+        self.unread_bytes = 0
+        self.since = 0.0
+        self._clock = clock
+        self._on_unread = on_unread
+        self._on_read = on_read
+
+    def add(self, size: int) -> None:
+        """Count bytes that were written, if the peer does not read."""
+        if self.is_unread:
+            self.unread_bytes += size
+
+    def pauseProducing(self) -> None:
+        """Record that the buffer is full."""
+        self.is_unread = True
+        self.since = self._clock.seconds()
+        self._on_unread()
+
+    def resumeProducing(self) -> None:
+        """Record that the peer has read everything."""
+        self.is_unread = False
+        self.unread_bytes = 0
+        self._on_read()
+
+    def stopProducing(self) -> None:
+        """Do nothing: the connection was lost."""
--- a/wasabiturn/platform/agent_program.py
+++ b/wasabiturn/platform/agent_program.py
@@ -3,6 +3,7 @@
 from wasabiturn.exceptions import SettingsError
 from wasabiturn.messages.batch import WorkerOrders
 from wasabiturn.messages.kinds import Method, Role
+from wasabiturn.platform.addresses import Address
 from wasabiturn.platform.announcements import AnnouncementHandler
 from wasabiturn.platform.http_server import JsonServer
 from wasabiturn.platform.program import Program
@@ -34,5 +35,7 @@
         lambda link, orders: run_reconciler.apply_orders(orders),
     )
     handler = AnnouncementHandler(run_reconciler, platform.data_centre)
-    program.servers = [(platform.control_listen, JsonServer(handler.handle))]
+    program.addresses = [
+        Address(platform.control_listen, JsonServer(handler.handle))
+    ]
     return program
--- a/wasabiturn/platform/entry_program.py
+++ b/wasabiturn/platform/entry_program.py
@@ -6,7 +6,10 @@
 
 from typing import Any
 
+from wasabiturn.connection.client_claims import Rank
+from wasabiturn.connection.http_limits import CALLER_LIMITS
 from wasabiturn.messages.kinds import Role
+from wasabiturn.platform.addresses import Address
 from wasabiturn.platform.callers import CallerHandler
 from wasabiturn.platform.http_server import (
     OK,
@@ -41,10 +44,10 @@
 
     program.services.append(leader_contact)
     operators = OperatorHandler(program.group.calls, platform.data_centres)
-    program.servers = [
-        (platform.callers_listen, callers),
-        (platform.control_listen, JsonServer(operators.handle)),
-        (platform.ready_listen, JsonServer(report_readiness)),
+    program.addresses = [
+        Address(platform.callers_listen, callers, Rank.caller, CALLER_LIMITS),
+        Address(platform.control_listen, JsonServer(operators.handle)),
+        Address(platform.ready_listen, JsonServer(report_readiness)),
     ]
     program.drain_seconds = DRAIN_SECONDS
     program.pause_detector = PauseDetector(context.reactor)
--- a/wasabiturn/platform/program.py
+++ b/wasabiturn/platform/program.py
@@ -9,6 +9,7 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import deferLater
 
+from wasabiturn.connection.client_guard import ClientGuard, create_bounds
 from wasabiturn.connection.dialer import LinkFactory
 from wasabiturn.connection.dispatch import Dispatch
 from wasabiturn.connection.endpoint import Endpoint
@@ -16,12 +17,12 @@
 from wasabiturn.connection.link import PROTOCOL_VERSION
 from wasabiturn.messages.kinds import Role
 from wasabiturn.messages.link import Hello
-from wasabiturn.platform.http_server import JsonServer
+from wasabiturn.platform.addresses import Address, create_site
 from wasabiturn.platform.reload import SettingsReloader
 from wasabiturn.platform.settings import PlatformSettings
+from wasabiturn.process import exposition
 from wasabiturn.process.control_group import ControlGroup
 from wasabiturn.process.daemon import Component, Context, listen
-from wasabiturn.process.exposition import open_metrics_site
 from wasabiturn.process.group_gap import GroupGapReporter, find_contact_gap
 from wasabiturn.utils.pauses import PauseDetector
 from wasabiturn.utils.ticker import Ticker
@@ -66,13 +67,18 @@
                     lambda: find_contact_gap(self.group), context.reactor
                 )
             )
-        self.servers: list[tuple[Endpoint | None, JsonServer]] = []
+        self.guard = ClientGuard(
+            context.reactor,
+            create_bounds(platform.memory_mb, platform.max_fds),
+            exposition.count_rejection,
+        )
+        self.addresses: list[Address] = []
         # For programs whose clients ask another instance after a while.
         self.pause_detector: PauseDetector | None = None
         self.accepts_links = False
         self.drain_seconds = 0.0
         self.is_draining = False
-        self._sites: list[HttpSite] = []
+        self.sites: list[HttpSite] = []
         self._ports: list[Any] = []
         self._stack = ExitStack()
 
@@ -86,9 +92,9 @@
         for service in self.services:
             self._stack.callback(service.close)
             service.start()
-        for endpoint, server in self.servers:
-            if endpoint is not None:
-                self._open_site(endpoint, server)
+        for address in self.addresses:
+            if address.endpoint is not None:
+                self._open_site(address.endpoint, address)
         self._open_metrics()
         self._stack.callback(self.group.stop)
         self.group.start()
@@ -97,7 +103,7 @@
     def drain(self) -> Deferred[None]:
         """Finish the requests in flight, then drain each service."""
         self.is_draining = True
-        for site in self._sites:
+        for site in self.sites:
             site.is_closing = True
         drained: Deferred[Any] = succeed(None)
         if self.drain_seconds:
@@ -112,23 +118,27 @@
         """Close ports, links and files."""
         self._stack.close()
 
-    def _open_site(self, endpoint: Endpoint, server: JsonServer) -> None:
+    def _open_site(self, endpoint: Endpoint, address: Address) -> None:
         reactor = self.context.reactor
-        site = HttpSite(server.handle, reactor, self.pause_detector)
+        site = create_site(address, reactor, self.guard, self.pause_detector)
         port = listen(reactor, endpoint, site)
-        self._sites.append(site)
+        self.sites.append(site)
         self._ports.append(port)
         self._stack.callback(port.stopListening)
 
     def _open_metrics(self) -> None:
         port = METRICS_PORTS_BY_ROLE[self.dispatch.hello.role]
         endpoint = Endpoint(self.platform.address, port)
-        listening_port = open_metrics_site(self.context.reactor, endpoint)
+        listening_port = exposition.open_metrics_site(
+            self.context.reactor, endpoint, self.guard
+        )
         self._stack.callback(listening_port.stopListening)
 
     def _listen_for_links(self) -> None:
         reactor = self.context.reactor
-        factory = LinkFactory(self.dispatch, reactor, dialled=False)
+        factory = LinkFactory(
+            self.dispatch, reactor, dialled=False, guard=self.guard
+        )
         endpoint = Endpoint(self.platform.address, self.platform.link_port)
         port = listen(reactor, endpoint, factory)
         self._stack.callback(port.stopListening)
@@ -150,7 +160,7 @@
         finished: Deferred[None] = Deferred()
 
         def check() -> None:
-            is_busy = any(server.in_flight for _, server in self.servers)
+            is_busy = any(each.server.in_flight for each in self.addresses)
             if is_busy and reactor.seconds() < deadline:
                 reactor.callLater(IN_FLIGHT_POLL_SECONDS, check)
             else:
--- a/wasabiturn/platform/settings.py
+++ b/wasabiturn/platform/settings.py
@@ -14,6 +14,10 @@
     Settings,
 )
 from wasabiturn.conf.values import Member
+from wasabiturn.connection.client_guard import (
+    DEFAULT_MAX_FDS,
+    DEFAULT_MEMORY_MB,
+)
 from wasabiturn.connection.endpoint import Endpoint, parse_endpoint
 from wasabiturn.exceptions import SettingsError
 
@@ -53,6 +57,8 @@
     disk_bytes: int
     worker_address: Endpoint | None
     lease_ms: int
+    memory_mb: int = DEFAULT_MEMORY_MB
+    max_fds: int = DEFAULT_MAX_FDS
 
     @property
     def link_port(self) -> int:
@@ -164,6 +170,8 @@
         disk_bytes=int(limits.get('disk_mb') or DEFAULT_DISK_MB) * _MB,
         worker_address=_parse_optional_endpoint(fields.get('app')),
         lease_ms=int(bounds.get('hold_max_ms', DEFAULT_LEASE_MS)),
+        memory_mb=int(limits.get('memory_mb') or DEFAULT_MEMORY_MB),
+        max_fds=int(limits.get('max_fds') or DEFAULT_MAX_FDS),
     )
 
 
--- a/wasabiturn/process/exposition.py
+++ b/wasabiturn/process/exposition.py
@@ -10,9 +10,12 @@
     generate_latest,
 )
 
+from wasabiturn.connection.client_claims import Rank
+from wasabiturn.connection.client_guard import ClientGuard
 from wasabiturn.connection.endpoint import Endpoint
 from wasabiturn.connection.http_messages import HttpRequest, HttpResponse
-from wasabiturn.connection.http_site import HttpSite
+from wasabiturn.connection.http_site import HttpSite, SiteClients
+from wasabiturn.connection.rejections import RejectionCause
 from wasabiturn.process.daemon import listen
 
 # From a commit on an idle system (5 ms) to the usual caller deadline (5 s).
@@ -109,6 +112,18 @@
     registry=registry,
 )
 
+rejected_clients = Counter(
+    'wasabiturn_rejected_clients',
+    'Connections closed and requests rejected for a limit, by cause and rank.',
+    ('cause', 'rank'),
+    registry=registry,
+)
+
+
+def count_rejection(cause: RejectionCause, rank: Rank) -> None:
+    """Count a client that has met a limit."""
+    rejected_clients.labels(cause.value, rank.name).inc()
+
 
 def create_metrics_response(request: HttpRequest) -> HttpResponse:
     """Return the metrics of the registry, in Prometheus' text format."""
@@ -119,10 +134,15 @@
     )
 
 
-def open_metrics_site(reactor: Any, endpoint: Endpoint) -> Any:
+def open_metrics_site(
+    reactor: Any, endpoint: Endpoint, guard: ClientGuard
+) -> Any:
     """Listen on ``endpoint``; the caller owns the returned port.
 
     Raises:
         ProcessError: the port cannot be used.
     """
-    return listen(reactor, endpoint, HttpSite(create_metrics_response, reactor))
+    site = HttpSite(
+        create_metrics_response, reactor, clients=SiteClients(guard)
+    )
+    return listen(reactor, endpoint, site)
