Entries follow the limits of the configuration

Cause: the limits that an operator configures (max_header_bytes, max_body_bytes, header_timeout_ms, idle_timeout_ms) reached no process.

The leader sends them with its status, in an optional field that earlier versions skip, and an entry applies them to the callers' address and its open connections. It asks twice a second instead of once, so that they are in force within 2 s of the acknowledgement also if one status is lost. A limit that is not set or is no amount has its default, and no body may be larger than half of the budget. An entry keeps the last limits while no leader answers.

--- a/tests/untrusted/test_untrusted_clients.py
+++ b/tests/untrusted/test_untrusted_clients.py
@@ -25,6 +25,9 @@
 SHORT_REQUEST = b'GET /a HTTP/1.1\r\n\r\n'
 READ_CONFIGURATION = b'GET /api/Config.Get HTTP/1.1\r\nHost: a\r\n\r\n'
 TRICKLE_ROUNDS = 3
+# A configuration is in force within this time.
+LIMITS_SECONDS = 2.0
+TOO_LARGE = 413
 FRAME_BYTES = 8_000_000
 UNSENT_FRAME_BYTES = 1_000_000
 
@@ -179,3 +182,20 @@
     assert member.program.is_running()
     assert member.peak_memory_mb() < programs.CONTROL_MEMORY_MB
     assert_answers(entry, PORTS.callers, READ_REQUEST)
+
+
+def test_a_new_configuration_limits_bodies_of_callers(
+    entry: Running, stack: ExitStack
+) -> None:
+    """A program that ignores the limits, or follows them late, is found."""
+    routing = create_routing(3)
+    routing['limits']['max_body_bytes'] = 1000
+    programs.send_until_ok(
+        entry.address,
+        PORTS.control,
+        programs.encode_post('/api/Config.Put', json.dumps(routing).encode()),
+    )
+    time.sleep(LIMITS_SECONDS)
+    request = programs.encode_post(f'{PREFIX}{"a" * 16}', b' ' * 1001, HOST)
+    status = programs.send_request(entry.address, PORTS.callers, request)
+    assert status == TOO_LARGE
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -352,13 +352,29 @@
     names: list[str] = attrs.field(factory=list)
 
 
+@bind(_idl)
+@final
+@attrs.define
+class ClientLimits:
+    """Limits on callers; 0 means that the configuration sets none."""
+
+    max_head_bytes: int = 0
+    max_body_bytes: int = 0
+    head_timeout_ms: int = 0
+    idle_timeout_ms: int = 0
+
+
 @bind(_idl)
 @final
 @attrs.define
 class LeaderStatus:
-    """Status of the leader that an entry needs before it becomes ready."""
+    """Status of the leader that an entry needs before it becomes ready.
+
+    ``client_limits`` are those of the committed configuration.
+    """
 
     is_configured: bool = False
+    client_limits: ClientLimits | None = None
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -212,8 +212,17 @@
   1: list<string> names,
 }
 
+// Limits on callers; 0 means that the configuration sets none.
+struct ClientLimits {
+  1: i32 max_head_bytes,
+  2: i32 max_body_bytes,
+  3: i32 head_timeout_ms,
+  4: i32 idle_timeout_ms,
+}
+
 struct LeaderStatus {
   1: bool is_configured,
+  2: optional ClientLimits client_limits,
 }
 
 // Calls of agents to the leader.
--- a/wasabiturn/platform/control_program.py
+++ b/wasabiturn/platform/control_program.py
@@ -2,7 +2,7 @@
 
 from wasabiturn.messages.kinds import Role
 from wasabiturn.platform.program import Program
-from wasabiturn.platform.routing import read_queues
+from wasabiturn.platform.routing import read_client_limits, read_queues
 from wasabiturn.platform.settings import PlatformSettings
 from wasabiturn.process.control.batch import create_batch_leader
 from wasabiturn.process.control.consensus import create_replica
@@ -25,6 +25,7 @@
             program.dispatch,
             platform.lease_ms,
             read_queues,
+            read_client_limits,
         ),
     ]
 
--- a/wasabiturn/platform/entry_program.py
+++ b/wasabiturn/platform/entry_program.py
@@ -21,6 +21,7 @@
 from wasabiturn.platform.program import Program
 from wasabiturn.platform.settings import PlatformSettings
 from wasabiturn.process.daemon import Context
+from wasabiturn.process.entry.configured_limits import ConfiguredLimits
 from wasabiturn.process.entry.leader_contact import LeaderContact
 from wasabiturn.process.member_directory import MemberDirectory
 from wasabiturn.utils.pauses import PauseDetector
@@ -43,6 +44,12 @@
         return Response(status=OK if is_ready else UNAVAILABLE)
 
     program.services.append(leader_contact)
+    limits = ConfiguredLimits(
+        CALLER_LIMITS,
+        program.guard.bounds.budget_bytes,
+        lambda: [site for site in program.sites if site.rank is Rank.caller],
+    )
+    leader_contact.on_status.append(limits.follow)
     operators = OperatorHandler(program.group.calls, platform.data_centres)
     program.addresses = [
         Address(platform.callers_listen, callers, Rank.caller, CALLER_LIMITS),
--- a/wasabiturn/platform/routing.py
+++ b/wasabiturn/platform/routing.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from wasabiturn.messages.batch import Queue, Routing, Terms
+from wasabiturn.messages.batch import ClientLimits, Queue, Routing, Terms
 from wasabiturn.platform.fields import (
     MAX_EXACT,
     InvalidBodyError,
@@ -43,6 +43,29 @@
     return _decode_queues(decode_object(document))
 
 
+def read_client_limits(document: bytes) -> ClientLimits:
+    """Return the limits on callers that a checked configuration sets.
+
+    A limit that is no whole number counts as not set, since earlier versions
+    have stored such configurations.
+    """
+    limits = decode_object(document).get('limits')
+    fields = limits if isinstance(limits, dict) else {}
+    return ClientLimits(
+        max_head_bytes=_read_limit(fields, 'max_header_bytes'),
+        max_body_bytes=_read_limit(fields, 'max_body_bytes'),
+        head_timeout_ms=_read_limit(fields, 'header_timeout_ms'),
+        idle_timeout_ms=_read_limit(fields, 'idle_timeout_ms'),
+    )
+
+
+def _read_limit(fields: dict[str, Any], key: str) -> int:
+    try:
+        return read_int(fields, key)
+    except InvalidBodyError:
+        return 0
+
+
 def _decode_queues(fields: dict[str, Any]) -> list[Queue]:
     return [_decode_queue(queue) for queue in read_list(fields, 'routes')]
 
--- a/wasabiturn/process/control/batch/leader.py
+++ b/wasabiturn/process/control/batch/leader.py
@@ -19,6 +19,11 @@
 from wasabiturn.messages import batch as messages
 from wasabiturn.messages.kinds import FailureCode, Method
 from wasabiturn.messages.link import Nothing
+from wasabiturn.process.control.batch.client_limits import (
+    ClientLimitsTable,
+    LimitsReader,
+    read_no_limits,
+)
 from wasabiturn.process.control.batch.clock_follower import ClockFollower
 from wasabiturn.process.control.batch.job_calls import JobCallHandler
 from wasabiturn.process.control.batch.leader_term import LeaderTerm
@@ -47,9 +52,11 @@
         dispatch: Dispatch,
         lease_ms: int,
         read_queues: QueueReader,
+        read_limits: LimitsReader,
     ) -> None:
         """Create the scheduler and register its handlers; see ``start``."""
         self._queue_table = QueueTable(read_queues)
+        self._client_limits = ClientLimitsTable(read_limits)
         self._clock = context.reactor
         self._replica = replica
         self._lease_ms = lease_ms
@@ -237,7 +244,10 @@
     ) -> messages.LeaderStatus:
         self._require_leader_term()
         routing = self._replica.state.batch.routing
-        return messages.LeaderStatus(is_configured=routing is not None)
+        return messages.LeaderStatus(
+            is_configured=routing is not None,
+            client_limits=self._client_limits.find(routing),
+        )
 
     def _handle_worker_report(
         self,
@@ -259,12 +269,16 @@
     dispatch: Dispatch,
     lease_ms: int,
     read_queues: QueueReader,
+    read_limits: LimitsReader = read_no_limits,
 ) -> BatchLeader:
     """Create the leader; it grants ``lease_ms`` to each worker that reports.
 
-    ``read_queues`` reads the queues from the document of a configuration.
+    ``read_queues`` and ``read_limits`` read the queues and the limits on
+    callers from the document of a configuration.
     """
-    return BatchLeader(context, replica, dispatch, lease_ms, read_queues)
+    return BatchLeader(
+        context, replica, dispatch, lease_ms, read_queues, read_limits
+    )
 
 
 def _version_of(routing: messages.Routing | None) -> int:
--- a/wasabiturn/process/entry/leader_contact.py
+++ b/wasabiturn/process/entry/leader_contact.py
@@ -1,5 +1,6 @@
 """Checks whether a leader that can serve callers has answered recently."""
 
+from collections.abc import Callable
 from typing import Any, final
 
 from twisted.internet.defer import Deferred, succeed
@@ -12,7 +13,9 @@
 from wasabiturn.utils.logs import create_component_log
 from wasabiturn.utils.ticker import Ticker
 
-POLL_INTERVAL_SECONDS = 1.0
+# Changed limits are in force within 2 s, also if one status is lost.
+POLL_INTERVAL_SECONDS = 0.5
+STATUS_TIMEOUT_SECONDS = 1.0
 # An election takes up to 3 s; an entry should not become unready, and lose its
 # callers, during one.
 MAX_STATUS_AGE_SECONDS = 3.0
@@ -27,6 +30,7 @@
 
     def __init__(self, calls: LeaderCalls, clock: Any) -> None:
         """Create the contact without starting to poll."""
+        self.on_status: list[Callable[[LeaderStatus], None]] = []
         self._calls = calls
         self._clock = clock
         self._answered_at = NEVER
@@ -59,7 +63,7 @@
             Method.leader_status,
             Nothing(),
             LeaderStatus,
-            POLL_INTERVAL_SECONDS,
+            STATUS_TIMEOUT_SECONDS,
         )
         asked.addCallbacks(
             self._handle_status,
@@ -70,6 +74,8 @@
     def _handle_status(self, status: LeaderStatus, asked_at: float) -> None:
         if status.is_configured:
             self._answered_at = asked_at
+            for callback in self.on_status:
+                callback(status)
         self._log_change('')
 
     def _handle_failure(self, failure: Failure) -> None:
