Bodies of many small values are refused before they are decoded

Cause: an empty list takes 3 bytes of JSON and more than 60 once decoded, so one body of 8 MB made an entry of 160 MB take 242 MB.

A body of more than 500,000 values is refused with 400 by a count of its separators; shorter bodies are not counted. Heartbeats may have 1 MiB.

--- a/tests/platform/test_client_limits.py
+++ b/tests/platform/test_client_limits.py
@@ -7,6 +7,7 @@
 
 from benchmarks.platform_soak.settings import create_routing
 from wasabiturn.messages.batch import ClientLimits
+from wasabiturn.platform.fields import InvalidBodyError, decode_object
 from wasabiturn.platform.routing import decode_routing, read_client_limits
 
 
@@ -29,3 +30,18 @@
 def test_a_limit_that_is_no_amount_is_not_set(value: Any) -> None:
     """Such a configuration was accepted before, and still is."""
     assert read({'max_body_bytes': value}) == ClientLimits()
+
+
+def test_a_body_of_many_values_is_not_decoded() -> None:
+    """Its values would take many times the memory of its bytes."""
+    body = b'{"routes": [' + b'[],' * 300_000 + b'[]]}'
+    with pytest.raises(InvalidBodyError, match='too many values'):
+        decode_object(body)
+
+
+def test_a_configuration_of_some_megabytes_is_decoded() -> None:
+    routing = create_routing(1)
+    routing['routes'] *= 15_000
+    body = json.dumps(routing).encode()
+    assert len(body) > 2_500_000
+    assert len(decode_object(body)['routes']) == 15_000
--- a/tests/untrusted/test_untrusted_clients.py
+++ b/tests/untrusted/test_untrusted_clients.py
@@ -199,3 +199,14 @@
     request = programs.encode_post(f'{PREFIX}{"a" * 16}', b' ' * 1001, HOST)
     status = programs.send_request(entry.address, PORTS.callers, request)
     assert status == TOO_LARGE
+
+
+def test_a_body_of_many_small_values(entry: Running) -> None:
+    """Its decoded values take twenty times the memory of its bytes."""
+    body = b'{"routes": [' + b'[],' * 2_600_000 + b'[]]}'
+    programs.send_request(
+        entry.address,
+        PORTS.control,
+        programs.encode_post('/api/Config.Put', body),
+    )
+    assert_unharmed(entry)
--- a/wasabiturn/connection/http_limits.py
+++ b/wasabiturn/connection/http_limits.py
@@ -9,6 +9,8 @@
 MAX_BODY_BYTES = 8_388_608
 # A job has a few KB: a specification of up to 4,000 bytes, and its steps.
 MAX_CALLER_BODY_BYTES = 1_048_576
+# A heartbeat has some hundred bytes, and some KB with many labels.
+MAX_HEARTBEAT_BODY_BYTES = 1_048_576
 MAX_HEADER_FIELDS = 100
 HEAD_TIMEOUT_SECONDS = 10.0
 # Longer than clients keep an idle connection open.
@@ -30,3 +32,4 @@
 DEFAULT_LIMITS = HttpLimits()
 # Before a configuration sets others.
 CALLER_LIMITS = HttpLimits(max_body_bytes=MAX_CALLER_BODY_BYTES)
+HEARTBEAT_LIMITS = HttpLimits(max_body_bytes=MAX_HEARTBEAT_BODY_BYTES)
--- a/wasabiturn/platform/agent_program.py
+++ b/wasabiturn/platform/agent_program.py
@@ -1,5 +1,6 @@
 """The program that manages the runs of one worker."""
 
+from wasabiturn.connection.http_limits import HEARTBEAT_LIMITS
 from wasabiturn.exceptions import SettingsError
 from wasabiturn.messages.batch import WorkerOrders
 from wasabiturn.messages.kinds import Method, Role
@@ -36,6 +37,10 @@
     )
     handler = AnnouncementHandler(run_reconciler, platform.data_centre)
     program.addresses = [
-        Address(platform.control_listen, JsonServer(handler.handle))
+        Address(
+            platform.control_listen,
+            JsonServer(handler.handle),
+            limits=HEARTBEAT_LIMITS,
+        ),
     ]
     return program
--- a/wasabiturn/platform/fields.py
+++ b/wasabiturn/platform/fields.py
@@ -17,6 +17,9 @@
 # Every reader of JSON represents integers of that size exactly.
 EXACT_BITS = 53
 MAX_EXACT = (1 << EXACT_BITS) - 1
+# Each value takes up to 200 bytes once it is decoded. A configuration of a few
+# MB has a third of this number.
+MAX_VALUES = 500_000
 
 
 @final
@@ -28,8 +31,10 @@
     """Return the JSON object in ``body``.
 
     Raises:
-        InvalidBodyError: the body is not a JSON object.
+        InvalidBodyError: the body is not a JSON object, or has too many values.
     """
+    if len(body) > MAX_VALUES and _count_values(body) > MAX_VALUES:
+        raise InvalidBodyError('the JSON has too many values')
     try:
         decoded = read_json(body)
     except ValueError as error:
@@ -39,6 +44,11 @@
     return decoded
 
 
+def _count_values(body: bytes) -> int:
+    """Return an upper bound of the values, without decoding them."""
+    return sum(body.count(sign) for sign in (b',', b'[', b'{'))
+
+
 def read_list(fields: Any, key: str) -> list[Any]:
     """Return the list at ``key``, or an empty list if it is absent.
 
