The product's own programs bound their clients, too

Cause: an entry of the product accepted any number of callers, a caller with a long deadline could send a byte now and then, and links and the operators' API had no bound on connections.

The settings memory_mb and max_fds of [instance] give the bounds (defaults 424 MB and 4096). The callers of an entry and the links of control, agent and entry have a guard; a body below 1,000 bytes per second is aborted, without the time in which the entry itself does not read; the operators' API accepts as many connections as are reserved. Rejections are counted as clients.rejected.CAUSE.

--- a/tests/process/entry/test_front.py
+++ b/tests/process/entry/test_front.py
@@ -1,11 +1,15 @@
 """Tests of the HTTP server for callers: limits, framing and flow control."""
 
 from pathlib import Path
+from typing import Any
 
 import pytest
+from twisted.internet.testing import StringTransport
 
 from tests.process.entry.fakes import EntryHarness
+from wasabiturn.connection.client_guard import ClientBounds, ClientGuard
 from wasabiturn.messages.state import Header
+from wasabiturn.process.entry.front import CallerFactory
 
 GET = 'GET /standdesk/x HTTP/1.1\r\nHost: x\r\n\r\n'
 
@@ -287,3 +291,40 @@
     assert len(harness.requests()) == 1
     assert caller.received.startswith('HTTP/1.1 503')
     assert 'Wasabiturn-Outcome: not-run' in caller.received
+
+
+def test_body_that_trickles_is_aborted(harness: EntryHarness) -> None:
+    """A caller may set a long deadline and send a byte now and then."""
+    caller = harness.call(
+        'PUT /standdesk/x HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n'
+        'Wasabiturn-Timeout-Ms: 600000\r\n\r\n',
+    )
+    for _ in range(15):
+        caller.send('y')
+        harness.advance(1.0, step=0.5)
+    assert caller.is_aborted
+
+
+def test_body_on_a_slow_link_is_read(harness: EntryHarness) -> None:
+    caller = harness.call(
+        'PUT /standdesk/x HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n'
+        'Wasabiturn-Timeout-Ms: 600000\r\n\r\n',
+    )
+    for _ in range(15):
+        caller.send('y' * 4000)
+        harness.advance(1.0, step=0.5)
+    assert not caller.is_aborted
+
+
+def test_there_is_a_bound_on_callers_connections(
+    harness: EntryHarness,
+) -> None:
+    guard = ClientGuard(harness.clock, ClientBounds(10**6, 20, 4))
+    harness.factory = CallerFactory(
+        harness.clock, harness.admission.create_handler, guard=guard
+    )
+    for _ in range(40):
+        channel: Any = harness.factory.buildProtocol(None)
+        if channel is not None:
+            channel.makeConnection(StringTransport())
+    assert len(guard.clients) <= 16
--- a/wasabiturn/conf/sections.py
+++ b/wasabiturn/conf/sections.py
@@ -19,6 +19,10 @@
     data_centre: str = setting(values.text())
     rack: str = setting(values.text(), default='rack-1')
     region: str = setting(values.text(), default='region-1')
+    # Memory of the instance, from which the limits on clients follow.
+    memory_mb: int = setting(values.integer(64, 1_000_000), default=424)
+    # Descriptors that a process may open; 200 of them are kept for files.
+    max_fds: int = setting(values.integer(300, 1_000_000), default=4096)
 
 
 @final
--- a/wasabiturn/process/agent/program.py
+++ b/wasabiturn/process/agent/program.py
@@ -29,6 +29,7 @@
 from wasabiturn.process.agent.metrics import create_agent_metrics
 from wasabiturn.process.agent.request_server import RequestServer
 from wasabiturn.process.daemon import Component, Context, listen
+from wasabiturn.process.guards import create_guard
 from wasabiturn.process.session import ControlSession, create_control_session
 from wasabiturn.utils.ticker import Ticker
 
@@ -58,7 +59,12 @@
         """Open ports and begin to work."""
         reactor = self.context.reactor
         self.request_server.register(self.dispatch)
-        links = LinkFactory(self.dispatch, reactor, dialled=False)
+        links = LinkFactory(
+            self.dispatch,
+            reactor,
+            dialled=False,
+            guard=create_guard(self.context),
+        )
         site = create_announcement_site(self.backends.announce)
         self._listen(self.section.listen, links)
         self._listen(self.section.announce_listen, site)
--- a/wasabiturn/process/control/api.py
+++ b/wasabiturn/process/control/api.py
@@ -24,6 +24,7 @@
     create_control_links,
 )
 from wasabiturn.process.daemon import Context, listen
+from wasabiturn.process.guards import limit_connections
 from wasabiturn.process.leader_calls import LeaderCalls
 from wasabiturn.version.replica import Replica
 
@@ -81,7 +82,7 @@
             is_ready=lambda: self._replica.is_fresh(reactor.seconds()),
             describe=lambda: describe_member(self._replica),
         )
-        site = create_api_site(front, reactor)
+        site = limit_connections(create_api_site(front, reactor), self._context)
         port = listen(reactor, self._section.api_listen, site)
         self._stack.callback(port.stopListening)
 
--- a/wasabiturn/process/control/program.py
+++ b/wasabiturn/process/control/program.py
@@ -18,6 +18,7 @@
 from wasabiturn.process.control.scheduler import create_scheduler
 from wasabiturn.process.control.sessions import create_sessions
 from wasabiturn.process.daemon import Component, Context, listen
+from wasabiturn.process.guards import create_guard
 
 _INCARNATION_BYTES = 8
 
@@ -39,7 +40,12 @@
         if section is None:
             raise ProcessError('the settings have no [control] section')
         reactor = self._context.reactor
-        factory = LinkFactory(self._dispatch, reactor, dialled=False)
+        factory = LinkFactory(
+            self._dispatch,
+            reactor,
+            dialled=False,
+            guard=create_guard(self._context),
+        )
         port = listen(reactor, section.listen, factory)
         self._stack.callback(port.stopListening)
         for part in self._parts:
--- a/wasabiturn/process/entry/api_relay.py
+++ b/wasabiturn/process/entry/api_relay.py
@@ -9,6 +9,7 @@
 from wasabiturn.exceptions import ProcessError
 from wasabiturn.process.api_front import ApiFront, create_api_site
 from wasabiturn.process.daemon import Context, listen
+from wasabiturn.process.guards import limit_connections
 from wasabiturn.process.session import ControlSession
 
 
@@ -33,7 +34,7 @@
         """Open the port."""
         front = ApiFront(path=self._session, is_ready=self._is_ready)
         reactor = self._context.reactor
-        site = create_api_site(front, reactor)
+        site = limit_connections(create_api_site(front, reactor), self._context)
         port = listen(reactor, self._section.api_listen, site)
         self._stack.callback(port.stopListening)
 
--- a/wasabiturn/process/entry/caller.py
+++ b/wasabiturn/process/entry/caller.py
@@ -10,6 +10,7 @@
 from zope.interface import implementer
 
 from wasabiturn.messages.state import Header
+from wasabiturn.process.entry.body_rate import BodyRate
 from wasabiturn.process.entry.interfaces import RequestHandler
 from wasabiturn.process.entry.timers import Timers
 from wasabiturn.request.refusal import MIN_RETRY_AFTER_SECONDS, Refusal
@@ -38,6 +39,7 @@
         super().__init__(channel)
         self.body_length: int | None = 0
         self.body_complete = False
+        self.body_rate = BodyRate()
         self.is_started = False
         self.started_at = 0.0
         self.peer = ''
@@ -73,6 +75,7 @@
         """Create the request's handler, then send 100 Continue if expected."""
         self.is_started = True
         self.started_at = self._caller_channel.reactor.seconds()
+        self.body_rate.start(self.started_at)
         self._handler = self._caller_channel.create_handler(self)
         if self._expects_continue and not self._answered:
             self._expects_continue = False
@@ -80,6 +83,7 @@
 
     def handleContentChunk(self, data: bytes) -> None:
         """Pass bytes of the body to the handler."""
+        self.body_rate.add(len(data))
         if self._handler is not None and not self._answered:
             self._handler.body_received(data)
 
@@ -91,6 +95,7 @@
     ) -> None:
         """Pass the end of the body to the handler."""
         self.body_complete = True
+        self.body_rate.stop()
         if self._linger_timer.has_pending():
             self._finish_lingering()
         elif self._handler is not None:
@@ -184,12 +189,14 @@
 
     def pause_body(self) -> None:
         """Pause reading the body."""
+        self.body_rate.stop()
         if not self.body_complete:
             self._caller_channel.transport.pauseProducing()
 
     def resume_body(self) -> None:
         """Resume reading the body."""
         if not self.body_complete:
+            self.body_rate.start(self._caller_channel.reactor.seconds())
             self._caller_channel.transport.resumeProducing()
 
     def pauseProducing(self) -> None:
--- a/wasabiturn/process/entry/front.py
+++ b/wasabiturn/process/entry/front.py
@@ -8,8 +8,13 @@
 from twisted.python.failure import Failure
 from twisted.web.http import HTTPChannel, Request
 
+from wasabiturn.connection.client_claims import Claim, Phase, Rank
+from wasabiturn.connection.client_guard import ClientGuard
+from wasabiturn.connection.rejections import RejectionCause
+from wasabiturn.process.daemon import Context
 from wasabiturn.process.entry.caller import CallerRequest, CreateHandler
 from wasabiturn.process.entry.metrics import EntryMetrics
+from wasabiturn.process.guards import create_guard
 from wasabiturn.request.refusal import RefusalOutcome
 
 IDLE_TIMEOUT_SECONDS = 30
@@ -36,9 +41,15 @@
         reactor: Any,
         create_handler: CreateHandler,
         is_draining: Callable[[], bool],
+        guard: ClientGuard,
     ) -> None:
         """Create a connection; ``create_handler`` gets each request."""
         super().__init__()
+        self.rank = Rank.caller
+        self.held_bytes = 0
+        self._guard = guard
+        self._has_served = False
+        self._since = 0.0
         self.requestFactory = cast(Any, CallerRequest)
         self.timeOut = IDLE_TIMEOUT_SECONDS
         self.reactor = reactor
@@ -52,6 +63,39 @@
         """Schedule the idle time-out on the given reactor."""
         return self.reactor.callLater(delay, *call)
 
+    def connectionMade(self) -> None:
+        """Begin to bound what the caller may take."""
+        super().connectionMade()
+        self._since = self.reactor.seconds()
+        self._guard.add(self)
+
+    def create_claim(self) -> Claim:
+        """Return what the connection does now; bodies are not kept here."""
+        phase = Phase.idle
+        if any(request.is_started for request in self.requests):
+            phase = Phase.running
+        elif self._head_timer is not None:
+            phase = Phase.receiving
+        return Claim(
+            owner=self,
+            rank=self.rank,
+            phase=phase,
+            since=self._since,
+            has_served=self._has_served,
+        )
+
+    def check_deadlines(self, now: float) -> None:
+        """Abort the connection if the body of its request comes too slowly."""
+        requests = [cast(CallerRequest, each) for each in self.requests]
+        if any(request.body_rate.is_too_low(now) for request in requests):
+            self._guard.record(RejectionCause.body_rate, self.rank)
+            self.forceAbortClient()
+
+    def yield_to_others(self, cause: RejectionCause) -> None:
+        """Abort the connection, which has no request in progress."""
+        self._guard.record(cause, self.rank)
+        self.forceAbortClient()
+
     def dataReceived(self, data: bytes) -> None:
         """Parse bytes; the first ones of a request start the head timer."""
         if self._head_timer is None and not self.requests:
@@ -89,17 +133,21 @@
     def requestDone(self, request: Request) -> None:
         """Reset the head timer for the next request."""
         self._stop_head_timer()
+        self._has_served = True
+        self._since = self.reactor.seconds()
         super().requestDone(request)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Notify the requests that their caller has disconnected."""
         self._stop_head_timer()
+        self._guard.remove(self)
         super().connectionLost(reason)
         if self.on_close is not None:
             self.on_close(self)
 
     def _expire_head(self) -> None:
         self._head_timer = None
+        self._guard.record(RejectionCause.head_timeout, self.rank)
         self.forceAbortClient()
 
     def _stop_head_timer(self) -> None:
@@ -119,18 +167,22 @@
         reactor: Any,
         create_handler: CreateHandler,
         metrics: EntryMetrics | None = None,
+        guard: ClientGuard | None = None,
     ) -> None:
         """Create a factory; ``create_handler`` gets each request."""
+        self._guard = guard or ClientGuard(reactor)
         self.draining = False
         self.channels: set[CallerChannel] = set()
         self._reactor = reactor
         self._create_handler = create_handler
         self._metrics = metrics
 
-    def buildProtocol(self, addr: IAddress | None) -> CallerChannel:
-        """Build the channel of one connection."""
+    def buildProtocol(self, addr: IAddress | None) -> CallerChannel | None:
+        """Build the channel of a connection, unless there are too many."""
+        if not self._guard.admits(Rank.caller):
+            return None
         channel = CallerChannel(
-            self._reactor, self._create_handler, self.is_draining
+            self._reactor, self._create_handler, self.is_draining, self._guard
         )
         channel.factory = self
         channel.on_close = self.channels.discard
@@ -156,3 +208,15 @@
         if self._metrics is not None:
             now = self._reactor.seconds()
             self._metrics.record(cast(CallerRequest, request), now)
+
+
+def create_caller_factory(
+    context: Context, create_handler: CreateHandler
+) -> CallerFactory:
+    """Create the factory of an entry's connections to callers."""
+    return CallerFactory(
+        context.reactor,
+        create_handler,
+        EntryMetrics(context.metrics),
+        create_guard(context),
+    )
--- a/wasabiturn/process/entry/program.py
+++ b/wasabiturn/process/entry/program.py
@@ -19,8 +19,7 @@
 from wasabiturn.process.entry.api_relay import create_api_relay
 from wasabiturn.process.entry.claim_calls import ClaimCalls
 from wasabiturn.process.entry.draining import Drainer
-from wasabiturn.process.entry.front import CallerFactory
-from wasabiturn.process.entry.metrics import EntryMetrics
+from wasabiturn.process.entry.front import create_caller_factory
 from wasabiturn.process.entry.readiness import Readiness
 from wasabiturn.process.entry.requests import RequestAdmission
 from wasabiturn.process.entry.router import Router
@@ -71,10 +70,8 @@
             router,
             self._claims,
         )
-        self._callers = CallerFactory(
-            reactor,
-            self._admission.create_handler,
-            EntryMetrics(context.metrics),
+        self._callers = create_caller_factory(
+            context, self._admission.create_handler
         )
         self._port: Any = None
         self._stack = ExitStack()
