--- a/benchmarks/platform_soak/__main__.py
+++ b/benchmarks/platform_soak/__main__.py
@@ -21,6 +21,7 @@
 from benchmarks.platform_soak.journal import Journal
 from benchmarks.platform_soak.settings import create_routing
 from benchmarks.platform_soak.starvation import StarvationWatch
+from benchmarks.platform_soak.untrusted import UntrustedClients
 from benchmarks.soak.checker import Report
 from wasabiturn.connection.http_messages import HttpRequest
 from wasabiturn.utils.clock import use_boot_clock
@@ -49,6 +50,7 @@
     faults: FaultInjector
     idle: IdleWatch
     starvation: StarvationWatch
+    untrusted: UntrustedClients
 
     @inlineCallbacks
     def run(self, seconds: float) -> Any:
@@ -58,9 +60,11 @@
         self.starvation.start()
         submitted = self.callers.run()
         self.faults.start()
+        self.untrusted.start()
         yield self._pause(seconds)
         self.callers.is_submitting = False
         self.faults.is_stopped = True
+        self.untrusted.is_stopped = True
         yield submitted
         yield self._settle()
         self.callers.is_stopped = True
@@ -118,7 +122,10 @@
         report.check('no program ends by itself', not ended, f'{ended}')
         overdue = self.faults.overdue_stops
         report.check('a stop takes its grace', not overdue, f'{overdue}')
+        excesses = self.untrusted.find_excesses()
+        report.check('no entry exceeds its memory', not excesses, f'{excesses}')
         counts = report.counts_by_name
+        counts['bursts of untrusted clients'] = self.untrusted.bursts
         counts.update(f'fault {fault.kind}' for fault in self.journal.faults)
         counts['longest idle ms'] = round(self.idle.longest_seconds * 1000)
         return report
@@ -155,6 +162,7 @@
         ),
         idle=IdleWatch(journal, list(fleet.workers_by_name.values())),
         starvation=StarvationWatch(reactor, fleet, journal),
+        untrusted=UntrustedClients(reactor, fleet, Random(seed + 2)),
     )
 
 
--- a/wasabiturn/connection/client_guard.py
+++ b/wasabiturn/connection/client_guard.py
@@ -28,6 +28,9 @@
 # A connection takes up to 16 KB beside what it holds, so all of them take at
 # most a quarter of the memory.
 CONNECTIONS_PER_MB = 16
+# What trusted clients may hold beyond the budget, as a share of it, so that
+# whole requests of callers, which are never closed, leave room for them.
+TRUSTED_DIVISOR = 4
 FILE_DESCRIPTORS = 200
 # Ports, links that this process opens, and connections to its worker.
 OWN_DESCRIPTORS = 64
@@ -57,6 +60,12 @@
     max_connections: int
     reserved_connections: int
 
+    def budget_of(self, rank: Rank) -> int:
+        """Return how many bytes may be held when one of ``rank`` adds some."""
+        if rank is Rank.caller:
+            return self.budget_bytes
+        return self.budget_bytes + self.budget_bytes // TRUSTED_DIVISOR
+
     def limit_of(self, rank: Rank) -> int:
         """Return how many connections there may be for one of ``rank``."""
         if rank is Rank.caller:
@@ -151,12 +160,12 @@
         """Record what a connection holds; close others if that is too much."""
         grows = held_bytes > client.held_bytes
         self._set_held(client, held_bytes)
-        if grows and self.is_exhausted():
+        if grows and self.is_exhausted(client.rank):
             self._free_memory(client.rank)
 
-    def is_exhausted(self) -> bool:
-        """Return whether the budget is used up."""
-        return self.used_bytes > self.bounds.budget_bytes
+    def is_exhausted(self, rank: Rank) -> bool:
+        """Return whether the budget is used up for clients of ``rank``."""
+        return self.used_bytes > self.bounds.budget_of(rank)
 
     def record(self, cause: RejectionCause, rank: Rank) -> None:
         """Count and log a rejected client."""
@@ -170,7 +179,7 @@
 
     def _free_memory(self, rank: Rank) -> None:
         # Some more is freed, so that not each further byte leads here.
-        budget_bytes = self.bounds.budget_bytes
+        budget_bytes = self.bounds.budget_of(rank)
         target_bytes = budget_bytes - budget_bytes // CLOSED_DIVISOR
         self._close(
             choose_for_memory(
--- a/wasabiturn/connection/request_runner.py
+++ b/wasabiturn/connection/request_runner.py
@@ -81,7 +81,7 @@
             return
         self.is_busy = True
         request = self.queue.take()
-        if self._site.guard.is_exhausted():
+        if self._site.guard.is_exhausted(self._site.rank):
             self._site.guard.record(RejectionCause.memory, self._site.rank)
             self._respond(create_unavailable_response())
         elif request.method in _SAFE_METHODS:
--- a/wasabiturn/process/entry/leader_contact.py
+++ b/wasabiturn/process/entry/leader_contact.py
@@ -14,7 +14,7 @@
 from wasabiturn.utils.ticker import Ticker
 
 # Changed limits are in force within 2 s, also if one status is lost.
-POLL_INTERVAL_SECONDS = 0.5
+POLL_INTERVAL_SECONDS = 0.75
 STATUS_TIMEOUT_SECONDS = 1.0
 # An election takes up to 3 s; an entry should not become unready, and lose its
 # callers, during one.
