A shorter way for requests that arrive whole

Cause: the accounting of clients added some 7 us to the 80 us that the server takes for a request that arrives whole in one short read.

Such a request is neither queued nor reported. Header fields are counted by name, trailers by their bytes, so an endless trailer now ends as framing.

--- a/wasabiturn/connection/http_connection.py
+++ b/wasabiturn/connection/http_connection.py
@@ -80,8 +80,19 @@
 
     def dataReceived(self, received: bytes) -> None:
         """Read requests; reject what is none or is over a limit."""
-        self._input += received
-        self._read_input()
+        if self._is_paused or self._closes or len(received) > FEED_BYTES:
+            self._input += received
+            self._read_input()
+            return
+        # Most requests arrive whole in one short read.
+        self._reader.limits = self._site.limits
+        try:
+            self._reader.feed(received)
+        except HttpError as error:
+            self._reject(error.status, error.cause)
+            return
+        if self._reader.is_in_message or self.held_bytes or self._runner.queue:
+            self._finish_read()
 
     def connectionLost(self, reason: Failure | None = None) -> None:
         """Drop what was not yet handled, and cancel what is."""
@@ -149,12 +160,15 @@
         encoded = encode_response(response, closes)
         self._idle_since = self._site.clock.seconds()
         self._get_transport().write(encoded)
-        self._unread.add(len(encoded))
         if closes:
             self._runner.queue.clear()
             self._closes = True
             self._get_transport().loseConnection()
-        self._report()
+        if self._unread.is_unread:
+            self._unread.add(len(encoded))
+            self._report()
+        elif self.held_bytes:
+            self._report()
 
     def resume(self) -> None:
         """Read more requests, as none waits."""
@@ -183,6 +197,10 @@
             return
         if not self._closes:
             self._input = received[start:]
+        self._finish_read()
+
+    def _finish_read(self) -> None:
+        """Record the begin of an unfinished request, and what it takes."""
         if not self._reader.is_in_message:
             self._began_at = None
         elif self._began_at is None:
--- a/wasabiturn/connection/http_reader.py
+++ b/wasabiturn/connection/http_reader.py
@@ -39,9 +39,9 @@
         self.has_head = False
         # Memory that the message took which was passed on last.
         self.message_bytes = 0
+        self._target = bytearray()
         self._body = bytearray()
         self._head_bytes = 0
-        self._header_fields = 0
         self._body_parts = 0
         # Received since the last message, without its body. Bytes that follow
         # the end of a message in one read are not counted.
@@ -57,7 +57,7 @@
     def held_bytes(self) -> int:
         """Return the memory that the unfinished message takes."""
         head_bytes = self._head_bytes if self.has_head else self._framing_bytes
-        overhead_bytes = self._header_fields * HEADER_OVERHEAD_BYTES
+        overhead_bytes = len(self.headers_by_name) * HEADER_OVERHEAD_BYTES
         return head_bytes + overhead_bytes + len(self._body)
 
     def feed(self, received: bytes) -> None:
@@ -87,9 +87,9 @@
         self.headers_by_name = {}
         self.is_in_message = False
         self.has_head = False
+        self._target = bytearray()
         self._body = bytearray()
         self._head_bytes = 0
-        self._header_fields = 0
         self._body_parts = 0
         self._framing_bytes = 0
 
@@ -101,18 +101,18 @@
     def on_header(self, name: bytes, text: bytes) -> None:
         """Collect a header; only count a trailer, which nothing uses."""
         self._add_to_head(len(name) + len(text))
-        self._header_fields += 1
-        if self._header_fields > self.limits.max_header_fields:
+        if self.has_head:
+            return
+        key = name.decode('latin-1').lower()
+        self.headers_by_name[key] = text.decode('latin-1')
+        if len(self.headers_by_name) > self.limits.max_header_fields:
             raise _create_head_error('the message has too many header fields')
-        if not self.has_head:
-            key = name.decode('latin-1').lower()
-            self.headers_by_name[key] = text.decode('latin-1')
 
     def on_headers_complete(self) -> None:
         """Reject a message whose declared body is too large."""
         self.has_head = True
-        declared = self.headers_by_name.get('content-length', '0')
-        if declared.isdigit():
+        declared = self.headers_by_name.get('content-length')
+        if declared is not None and declared.isdigit():
             self._check_body(int(declared))
 
     def on_body(self, part: bytes) -> None:
@@ -175,30 +175,24 @@
         super().__init__(httptools.HttpRequestParser, limits)
         self._on_request = on_request
         self._on_expectation = on_expectation
-        self._url = bytearray()
-
-    def drop_message(self) -> None:
-        """Forget what was received of a request."""
-        super().drop_message()
-        self._url.clear()
 
     def on_url(self, part: bytes) -> None:
         """Collect a part of the request target."""
         self._add_to_head(len(part))
-        self._url += part
+        self._target += part
 
     def on_headers_complete(self) -> None:
         """Ask for the body if the client waits for that."""
         super().on_headers_complete()
-        expected = self.headers_by_name.get('expect', '')
-        if expected.lower() == '100-continue':
+        expected = self.headers_by_name.get('expect')
+        if expected is not None and expected.lower() == '100-continue':
             self._on_expectation()
 
     def on_message_complete(self) -> None:
         """Pass on the request, unless it asks for another protocol."""
         if self._parser.should_upgrade():
             raise HttpError('cannot change the protocol')
-        path = self._url.partition(b'?')[0].decode('latin-1')
+        path = self._target.partition(b'?')[0].decode('latin-1')
         headers_by_name = self.headers_by_name
         self._on_request(
             HttpRequest(
--- a/wasabiturn/connection/request_queue.py
+++ b/wasabiturn/connection/request_queue.py
@@ -36,6 +36,11 @@
         self.kept_bytes += size
         self._waiting.append((request, size))
 
+    def count(self, message_bytes: int) -> None:
+        """Count a request that is taken at once, until ``finish``."""
+        self._taken_bytes = message_bytes + REQUEST_OVERHEAD_BYTES
+        self.kept_bytes += self._taken_bytes
+
     def take(self) -> HttpRequest:
         """Return the first request; it counts until ``finish``."""
         request, size = self._waiting.popleft()
--- a/wasabiturn/connection/request_runner.py
+++ b/wasabiturn/connection/request_runner.py
@@ -68,9 +68,11 @@
     def add(self, request: HttpRequest, message_bytes: int) -> None:
         """Add a request, and handle it if it is the only one."""
         self.has_served = True
-        self.queue.add(request, message_bytes)
-        if not self.is_busy:
-            self.handle_next()
+        if self.is_busy or self.queue or not self._connection.may_handle():
+            self.queue.add(request, message_bytes)
+        else:
+            self.queue.count(message_bytes)
+            self._begin(request)
 
     def handle_next(self) -> None:
         """Handle the first request that waits."""
@@ -79,8 +81,17 @@
         if not self.queue:
             self._connection.resume()
             return
+        self._begin(self.queue.take())
+
+    def cancel(self) -> None:
+        """Drop what was not yet handled, and cancel what is."""
+        self._is_lost = True
+        self.queue.clear()
+        if self._handled is not None:
+            self._handled.cancel()
+
+    def _begin(self, request: HttpRequest) -> None:
         self.is_busy = True
-        request = self.queue.take()
         if self._site.guard.is_exhausted(self._site.rank):
             self._site.guard.record(RejectionCause.memory, self._site.rank)
             self._respond(create_unavailable_response())
@@ -96,13 +107,6 @@
         else:
             self._site.call_after_next_input(self._handle_if_awaited, request)
 
-    def cancel(self) -> None:
-        """Drop what was not yet handled, and cancel what is."""
-        self._is_lost = True
-        self.queue.clear()
-        if self._handled is not None:
-            self._handled.cancel()
-
     def _handle_if_awaited(self, request: HttpRequest) -> None:
         if not self._is_lost:
             self._handle(request)
