Fewer steps for an ordinary request

The limit of the head is checked where its bytes are counted; the runner reads attributes instead of calling methods; a whole request below 4 KB is not counted while it is handled; buffers are created for bodies only.

--- a/wasabiturn/connection/client_guard.py
+++ b/wasabiturn/connection/client_guard.py
@@ -165,8 +165,6 @@
 
     def is_exhausted(self, rank: Rank) -> bool:
         """Return whether the budget is used up for clients of ``rank``."""
-        if self.used_bytes <= self.bounds.budget_bytes:
-            return False
         return self.used_bytes > self.bounds.budget_of(rank)
 
     def record(self, cause: RejectionCause, rank: Rank) -> None:
--- a/wasabiturn/connection/http_connection.py
+++ b/wasabiturn/connection/http_connection.py
@@ -57,7 +57,7 @@
             site.limits,
         )
         self._runner = RequestRunner(site, self)
-        self._unread = UnreadWatch(site.clock, self._pause, self._handle_read)
+        self.unread = UnreadWatch(site.clock, self._pause, self._handle_read)
         # Received while the client must wait.
         self._input = b''
         self._is_lost = False
@@ -74,7 +74,7 @@
         if hasattr(transport, 'setTcpNoDelay'):
             transport.setTcpNoDelay(True)
         transport.bufferSize = BUFFER_BYTES
-        transport.registerProducer(self._unread, True)
+        transport.registerProducer(self.unread, True)
         self._idle_since = self._site.clock.seconds()
         self._site.guard.add(self)
 
@@ -91,7 +91,11 @@
         except HttpError as error:
             self._reject(error.status, error.cause)
             return
-        if self._reader.is_in_message or self.held_bytes or self._runner.queue:
+        if (
+            self._reader.is_in_message
+            or self.held_bytes
+            or self._runner.queue.waiting
+        ):
             self._finish_read()
 
     def connectionLost(self, reason: Failure | None = None) -> None:
@@ -104,9 +108,9 @@
         """Return what the connection holds now."""
         phase = Phase.idle
         since = self._idle_since
-        if self._unread.is_unread:
+        if self.unread.is_unread:
             phase = Phase.sending
-            since = self._unread.since
+            since = self.unread.since
         elif self._runner.is_busy:
             phase = Phase.running
         elif self._began_at is not None:
@@ -128,7 +132,7 @@
         claim = self.create_claim()
         self._reader.limits = self._site.limits
         cause = _find_overdue(
-            claim, now, self._reader, self._unread.unread_bytes
+            claim, now, self._reader, self.unread.unread_bytes
         )
         if cause is None:
             return
@@ -143,19 +147,15 @@
 
     def yield_to_others(self, cause: RejectionCause) -> None:
         """Close the connection, which has no whole request."""
-        if self._began_at is not None and not self._unread.is_unread:
+        if self._began_at is not None and not self.unread.is_unread:
             self._reject(HTTPStatus.SERVICE_UNAVAILABLE, cause)
         else:
             self._abort(cause)
 
-    def may_handle(self) -> bool:
-        """Return whether the client reads its responses."""
-        return not self._unread.is_unread
-
     def respond(self, response: HttpResponse) -> None:
         """Send a response."""
         closes = (
-            self._closes and not self._runner.queue
+            self._closes and not self._runner.queue.waiting
         ) or self._site.is_closing
         encoded = encode_response(response, closes)
         self._idle_since = self._site.clock.seconds()
@@ -164,8 +164,8 @@
             self._runner.queue.clear()
             self._closes = True
             self._get_transport().loseConnection()
-        if self._unread.is_unread:
-            self._unread.add(len(encoded))
+        if self.unread.is_unread:
+            self.unread.add(len(encoded))
             self._report()
         elif self.held_bytes:
             self._report()
@@ -210,7 +210,7 @@
     def _may_read(self) -> bool:
         return not (
             self._closes
-            or self._unread.is_unread
+            or self.unread.is_unread
             or self._runner.queue.is_full()
         )
 
@@ -220,7 +220,7 @@
             self._reader.held_bytes
             + self._runner.queue.kept_bytes
             + len(self._input)
-            + self._unread.unread_bytes
+            + self.unread.unread_bytes
         )
         change = held_bytes - self.held_bytes
         if change >= REPORT_BYTES or change <= -REPORT_BYTES:
@@ -233,8 +233,8 @@
         if request.method == 'HEAD' or not self._reader.keeps_alive():
             self._closes = True
         self._began_at = None
-        self._runner.add(request, self._reader.message_bytes)
-        if self._runner.queue.is_full():
+        waits = self._runner.add(request, self._reader.message_bytes)
+        if waits and self._runner.queue.is_full():
             self._pause()
 
     def _reject(self, status: HTTPStatus, cause: RejectionCause) -> None:
@@ -249,7 +249,7 @@
         self._input = b''
         self._closes = True
         self._runner.queue.clear()
-        if self._runner.is_busy or self._unread.is_unread:
+        if self._runner.is_busy or self.unread.is_unread:
             self._get_transport().pauseProducing()
         elif status is HTTPStatus.SERVICE_UNAVAILABLE:
             self.respond(create_unavailable_response())
@@ -260,7 +260,7 @@
         self._site.guard.record(cause, self.rank)
         self._closes = True
         self._idle_since = self._site.clock.seconds()
-        self._unread.is_unread = False
+        self.unread.is_unread = False
         self._get_transport().abortConnection()
 
     def _pause(self) -> None:
@@ -272,7 +272,7 @@
         self._report()
         if self._runner.is_busy:
             return
-        if self._closes and not self._runner.queue:
+        if self._closes and not self._runner.queue.waiting:
             # A connection that is being closed waits for its producer.
             self._get_transport().unregisterProducer()
             self._get_transport().loseConnection()
--- a/wasabiturn/connection/http_reader.py
+++ b/wasabiturn/connection/http_reader.py
@@ -39,7 +39,7 @@
         self.has_head = False
         # Memory that the message took which was passed on last.
         self.message_bytes = 0
-        self._target = bytearray()
+        self._target = b''
         self._body = bytearray()
         self._head_bytes = 0
         self._body_parts = 0
@@ -87,11 +87,12 @@
         self.headers_by_name = {}
         self.is_in_message = False
         self.has_head = False
-        self._target = bytearray()
-        self._body = bytearray()
+        self._target = b''
         self._head_bytes = 0
-        self._body_parts = 0
         self._framing_bytes = 0
+        if self._body_parts:
+            self._body = bytearray()
+            self._body_parts = 0
 
     def on_message_begin(self) -> None:
         """Begin a message."""
@@ -100,7 +101,9 @@
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Collect a header; only count a trailer, which nothing uses."""
-        self._add_to_head(len(name) + len(text))
+        self._head_bytes += len(name) + len(text)
+        if self._head_bytes > self.limits.max_head_bytes:
+            raise _create_head_error('the head is too long')
         if self.has_head:
             return
         key = name.decode('latin-1').lower()
@@ -124,7 +127,7 @@
 
     def take_body(self) -> bytes:
         """Return the body of the message that is complete, and forget it."""
-        body = bytes(self._body)
+        body = bytes(self._body) if self._body_parts else b''
         self.message_bytes = self.held_bytes
         self.drop_message()
         return body
@@ -149,13 +152,6 @@
                 'the framing of the body is too long', RejectionCause.framing
             )
 
-    def _add_to_head(self, size: int) -> None:
-        self._head_bytes += size
-        if self._head_bytes > self.limits.max_head_bytes:
-            raise _create_head_error(
-                f'the head is over {self.limits.max_head_bytes} bytes'
-            )
-
 
 @final
 class RequestReader(MessageReader):
@@ -178,7 +174,9 @@
 
     def on_url(self, part: bytes) -> None:
         """Collect a part of the request target."""
-        self._add_to_head(len(part))
+        self._head_bytes += len(part)
+        if self._head_bytes > self.limits.max_head_bytes:
+            raise _create_head_error('the request target is too long')
         self._target += part
 
     def on_headers_complete(self) -> None:
--- a/wasabiturn/connection/request_queue.py
+++ b/wasabiturn/connection/request_queue.py
@@ -19,40 +19,36 @@
     """Requests in their order; the one that was taken is still counted."""
 
     kept_bytes: int = 0
-    _waiting: deque[tuple[HttpRequest, int]] = attrs.field(factory=deque)
-    _taken_bytes: int = 0
-
-    def __len__(self) -> int:
-        """Return how many requests wait."""
-        return len(self._waiting)
+    taken_bytes: int = 0
+    waiting: deque[tuple[HttpRequest, int]] = attrs.field(factory=deque)
 
     def is_full(self) -> bool:
         """Return whether the client must wait."""
-        return len(self._waiting) > MAX_QUEUED_REQUESTS
+        return len(self.waiting) > MAX_QUEUED_REQUESTS
 
     def add(self, request: HttpRequest, message_bytes: int) -> None:
         """Add a request whose message took ``message_bytes``."""
         size = message_bytes + REQUEST_OVERHEAD_BYTES
         self.kept_bytes += size
-        self._waiting.append((request, size))
+        self.waiting.append((request, size))
 
     def count(self, message_bytes: int) -> None:
         """Count a request that is taken at once, until ``finish``."""
-        self._taken_bytes = message_bytes + REQUEST_OVERHEAD_BYTES
-        self.kept_bytes += self._taken_bytes
+        self.taken_bytes = message_bytes + REQUEST_OVERHEAD_BYTES
+        self.kept_bytes += self.taken_bytes
 
     def take(self) -> HttpRequest:
         """Return the first request; it counts until ``finish``."""
-        request, size = self._waiting.popleft()
-        self._taken_bytes = size
+        request, size = self.waiting.popleft()
+        self.taken_bytes = size
         return request
 
     def finish(self) -> None:
         """Stop counting the request that was taken."""
-        self.kept_bytes -= self._taken_bytes
-        self._taken_bytes = 0
+        self.kept_bytes -= self.taken_bytes
+        self.taken_bytes = 0
 
     def clear(self) -> None:
         """Drop the requests that wait."""
-        self._waiting.clear()
-        self.kept_bytes = self._taken_bytes
+        self.waiting.clear()
+        self.kept_bytes = self.taken_bytes
--- a/wasabiturn/connection/request_runner.py
+++ b/wasabiturn/connection/request_runner.py
@@ -8,10 +8,11 @@
 from twisted.python.failure import Failure
 
 from wasabiturn.connection.client_claims import Rank
-from wasabiturn.connection.client_guard import ClientGuard
+from wasabiturn.connection.client_guard import REPORT_BYTES, ClientGuard
 from wasabiturn.connection.http_messages import HttpRequest, HttpResponse
 from wasabiturn.connection.rejections import RejectionCause
 from wasabiturn.connection.request_queue import RequestQueue
+from wasabiturn.connection.unread_watch import UnreadWatch
 from wasabiturn.utils.logs import create_component_log
 
 RETRY_AFTER_SECONDS = 1
@@ -41,8 +42,8 @@
 class RunnerConnection(Protocol):
     """What handling a request needs of the connection."""
 
-    def may_handle(self) -> bool:
-        """Return whether the client reads its responses."""
+    # Tells whether the client reads its responses.
+    unread: UnreadWatch
 
     def respond(self, response: HttpResponse) -> None:
         """Send a response."""
@@ -65,20 +66,26 @@
         self._handled: Deferred[Any] | None = None
         self._is_lost = False
 
-    def add(self, request: HttpRequest, message_bytes: int) -> None:
-        """Add a request, and handle it if it is the only one."""
+    def add(self, request: HttpRequest, message_bytes: int) -> bool:
+        """Handle a request if it is the only one; return whether it waits."""
         self.has_served = True
-        if self.is_busy or self.queue or not self._connection.may_handle():
+        if (
+            self.is_busy
+            or self.queue.waiting
+            or self._connection.unread.is_unread
+        ):
             self.queue.add(request, message_bytes)
-        else:
+            return True
+        if message_bytes >= REPORT_BYTES:
             self.queue.count(message_bytes)
-            self._begin(request)
+        self._begin(request)
+        return False
 
     def handle_next(self) -> None:
         """Handle the first request that waits."""
-        if not self._connection.may_handle():
+        if self._connection.unread.is_unread:
             return
-        if not self.queue:
+        if not self.queue.waiting:
             self._connection.resume()
             return
         self._begin(self.queue.take())
@@ -92,7 +99,11 @@
 
     def _begin(self, request: HttpRequest) -> None:
         self.is_busy = True
-        if self._site.guard.is_exhausted(self._site.rank):
+        guard = self._site.guard
+        # Most often the first comparison decides.
+        if guard.used_bytes > guard.bounds.budget_bytes and guard.is_exhausted(
+            self._site.rank
+        ):
             self._site.guard.record(RejectionCause.memory, self._site.rank)
             self._respond(create_unavailable_response())
         elif request.method in _SAFE_METHODS:
@@ -126,7 +137,8 @@
     def _respond(self, response: HttpResponse) -> None:
         self._handled = None
         self.is_busy = False
-        self.queue.finish()
+        if self.queue.taken_bytes:
+            self.queue.finish()
         if not self._is_lost:
             self._connection.respond(response)
             self.handle_next()
