--- a/tests/sessions/batch_fakes.py
+++ b/tests/sessions/batch_fakes.py
@@ -67,6 +67,7 @@
     WorkerIdentity,
 )
 from wasabiturn.process.control.batch import create_batch_leader
+from wasabiturn.process.control.batch.starts import TermSettings
 from wasabiturn.standins.batch_worker import (
     Fault,
     SimulatedWork,
@@ -527,9 +528,8 @@
             FakeContext(self.clock),  # type: ignore[arg-type]
             self.replica,  # type: ignore[arg-type]
             self.dispatch,
-            LEASE_MS,
+            TermSettings(LEASE_MS, self.locality_terms),
             read_queues=self._read_queues,
-            locality_terms=self.locality_terms,
         )
         self.leader.start()
 
--- a/wasabiturn/platform/agent_program.py
+++ b/wasabiturn/platform/agent_program.py
@@ -1,8 +1,10 @@
 """The program that manages the runs of one worker."""
 
+from wasabiturn.connection.http_limits import HEARTBEAT_LIMITS
 from wasabiturn.exceptions import SettingsError
 from wasabiturn.messages.batch import WorkerOrders
 from wasabiturn.messages.kinds import Method, Role
+from wasabiturn.platform.addresses import Address
 from wasabiturn.platform.announcements import AnnouncementHandler
 from wasabiturn.platform.http_server import JsonServer
 from wasabiturn.platform.program import Program
@@ -34,5 +36,11 @@
         lambda link, orders: run_reconciler.apply_orders(orders),
     )
     handler = AnnouncementHandler(run_reconciler, platform.data_centre)
-    program.servers = [(platform.control_listen, JsonServer(handler.handle))]
+    program.addresses = [
+        Address(
+            platform.control_listen,
+            JsonServer(handler.handle),
+            limits=HEARTBEAT_LIMITS,
+        ),
+    ]
     return program
--- a/wasabiturn/platform/control_program.py
+++ b/wasabiturn/platform/control_program.py
@@ -3,9 +3,10 @@
 from wasabiturn.batch.placing.locality.state import LocalityTerms
 from wasabiturn.messages.kinds import Role
 from wasabiturn.platform.program import Program
-from wasabiturn.platform.routing import read_queues
+from wasabiturn.platform.routing import read_client_limits, read_queues
 from wasabiturn.platform.settings import PlatformSettings
 from wasabiturn.process.control.batch import create_batch_leader
+from wasabiturn.process.control.batch.starts import TermSettings
 from wasabiturn.process.control.consensus import create_replica
 from wasabiturn.process.daemon import Context
 from wasabiturn.process.group_gap import GroupGap, GroupGapReporter
@@ -24,12 +25,9 @@
             context,
             replica,
             program.dispatch,
-            platform.lease_ms,
+            _create_term_settings(platform),
             read_queues,
-            LocalityTerms(
-                slowdown_factor=platform.slowdown_factor,
-                is_enabled=platform.waits_for_racks,
-            ),
+            read_client_limits,
         ),
     ]
 
@@ -43,3 +41,13 @@
         lambda names, lister: replica.step(Contacts(tuple(names), lister)),
     )
     return program
+
+
+def _create_term_settings(platform: PlatformSettings) -> TermSettings:
+    return TermSettings(
+        lease_ms=platform.lease_ms,
+        locality=LocalityTerms(
+            slowdown_factor=platform.slowdown_factor,
+            is_enabled=platform.waits_for_racks,
+        ),
+    )
--- a/wasabiturn/platform/entry_program.py
+++ b/wasabiturn/platform/entry_program.py
@@ -6,7 +6,10 @@
 
 from typing import Any
 
+from wasabiturn.connection.client_claims import Rank
+from wasabiturn.connection.http_limits import CALLER_LIMITS
 from wasabiturn.messages.kinds import Role
+from wasabiturn.platform.addresses import Address
 from wasabiturn.platform.callers import CallerHandler
 from wasabiturn.platform.http_server import (
     OK,
@@ -18,6 +21,7 @@
 from wasabiturn.platform.program import Program
 from wasabiturn.platform.settings import PlatformSettings
 from wasabiturn.process.daemon import Context
+from wasabiturn.process.entry.configured_limits import ConfiguredLimits
 from wasabiturn.process.entry.leader_contact import LeaderContact
 from wasabiturn.process.member_directory import MemberDirectory
 from wasabiturn.utils.pauses import PauseDetector
@@ -40,11 +44,17 @@
         return Response(status=OK if is_ready else UNAVAILABLE)
 
     program.services.append(leader_contact)
+    limits = ConfiguredLimits(
+        CALLER_LIMITS,
+        program.guard.bounds.budget_bytes,
+        lambda: [site for site in program.sites if site.rank is Rank.caller],
+    )
+    leader_contact.on_status.append(limits.follow)
     operators = OperatorHandler(program.group.calls, platform.data_centres)
-    program.servers = [
-        (platform.callers_listen, callers),
-        (platform.control_listen, JsonServer(operators.handle)),
-        (platform.ready_listen, JsonServer(report_readiness)),
+    program.addresses = [
+        Address(platform.callers_listen, callers, Rank.caller, CALLER_LIMITS),
+        Address(platform.control_listen, JsonServer(operators.handle)),
+        Address(platform.ready_listen, JsonServer(report_readiness)),
     ]
     program.drain_seconds = DRAIN_SECONDS
     program.pause_detector = PauseDetector(context.reactor)
--- a/wasabiturn/platform/settings.py
+++ b/wasabiturn/platform/settings.py
@@ -14,6 +14,10 @@
     Settings,
 )
 from wasabiturn.conf.values import Member
+from wasabiturn.connection.client_guard import (
+    DEFAULT_MAX_FDS,
+    DEFAULT_MEMORY_MB,
+)
 from wasabiturn.connection.endpoint import Endpoint, parse_endpoint
 from wasabiturn.exceptions import SettingsError
 
@@ -57,6 +61,8 @@
     slowdown_factor: float
     # Whether tasks may wait for a place in their rack.
     waits_for_racks: bool
+    memory_mb: int = DEFAULT_MEMORY_MB
+    max_fds: int = DEFAULT_MAX_FDS
 
     @property
     def link_port(self) -> int:
@@ -170,6 +176,8 @@
         lease_ms=int(bounds.get('hold_max_ms', DEFAULT_LEASE_MS)),
         slowdown_factor=float(bounds.get('slowdown_factor') or 1),
         waits_for_racks=fields.get('wait_for_rack') is not False,
+        memory_mb=int(limits.get('memory_mb') or DEFAULT_MEMORY_MB),
+        max_fds=int(limits.get('max_fds') or DEFAULT_MAX_FDS),
     )
 
 
--- a/wasabiturn/process/control/batch/leader.py
+++ b/wasabiturn/process/control/batch/leader.py
@@ -12,10 +12,6 @@
 
 from wasabiturn.batch import BatchState
 from wasabiturn.batch.orders.fences import next_fence
-from wasabiturn.batch.placing.locality.state import (
-    NO_LOCALITY,
-    LocalityTerms,
-)
 from wasabiturn.batch.queueing.queue_table import QueueReader, QueueTable
 from wasabiturn.connection.calls import CallError
 from wasabiturn.connection.dispatch import Dispatch
@@ -23,6 +19,11 @@
 from wasabiturn.messages import batch as messages
 from wasabiturn.messages.kinds import FailureCode, Method
 from wasabiturn.messages.link import Nothing
+from wasabiturn.process.control.batch.client_limits import (
+    ClientLimitsTable,
+    LimitsReader,
+    read_no_limits,
+)
 from wasabiturn.process.control.batch.clock_follower import ClockFollower
 from wasabiturn.process.control.batch.job_calls import JobCallHandler
 from wasabiturn.process.control.batch.leader_term import LeaderTerm
@@ -54,9 +55,11 @@
         dispatch: Dispatch,
         settings: TermSettings,
         read_queues: QueueReader,
+        read_limits: LimitsReader,
     ) -> None:
         """Create the scheduler and register its handlers; see ``start``."""
         self._queue_table = QueueTable(read_queues)
+        self._client_limits = ClientLimitsTable(read_limits)
         self._clock = context.reactor
         self._replica = replica
         self._settings = settings
@@ -254,7 +257,10 @@
     ) -> messages.LeaderStatus:
         self._require_leader_term()
         routing = self._replica.state.batch.routing
-        return messages.LeaderStatus(is_configured=routing is not None)
+        return messages.LeaderStatus(
+            is_configured=routing is not None,
+            client_limits=self._client_limits.find(routing),
+        )
 
     def _handle_worker_report(
         self,
@@ -274,16 +280,18 @@
     context: Context,
     replica: Replica,
     dispatch: Dispatch,
-    lease_ms: int,
+    settings: TermSettings,
     read_queues: QueueReader,
-    locality_terms: LocalityTerms = NO_LOCALITY,
+    read_limits: LimitsReader = read_no_limits,
 ) -> BatchLeader:
-    """Create the leader; it grants ``lease_ms`` to each worker that reports.
+    """Create the leader; ``settings`` are those of each of its terms.
 
-    ``read_queues`` reads the queues from the document of a configuration.
+    ``read_queues`` and ``read_limits`` read the queues and the limits on
+    callers from the document of a configuration.
     """
-    settings = TermSettings(lease_ms, locality_terms)
-    return BatchLeader(context, replica, dispatch, settings, read_queues)
+    return BatchLeader(
+        context, replica, dispatch, settings, read_queues, read_limits
+    )
 
 
 def _version_of(routing: messages.Routing | None) -> int:
