Start suspects by age, and limit their wait in calm

A task whose run had worked only briefly when its worker crashed is a suspect and starts in isolation.

Causes: no order by age; no limit on the wait but for lasting suspects with few crashes; the limit on workers with suspects counted suspects in place of workers; a worker with a run of three crashes took no suspect for 10 s. Ruled out: lack of room, bindings, pending verdicts.

Suspects have turns by age now. After the crash of a shared worker its suspects are tried alone and nobody is given up for it; one with four crashes never shares, so that it is not started more often than callers expect.

--- a/wasabiturn/batch/crashes/crash.py
+++ b/wasabiturn/batch/crashes/crash.py
@@ -48,7 +48,8 @@
     """Crash of a worker; its suspects come oldest start first.
 
     ``culprit`` is a task that already was a suspect and the only one there, or
-    empty. ``is_quick`` tells that the crash came right after its start.
+    empty. ``is_quick`` tells that the crash came right after its start,
+    ``is_shared`` that suspects were started together on the worker.
     """
 
     worker: str
@@ -58,12 +59,16 @@
     bystanders: tuple[str, ...]
     culprit: str
     is_quick: bool
+    is_shared: bool = False
 
 
-def judge_crash(worker: Worker, heard_at: float, now: float) -> Crash:
+def judge_crash(
+    worker: Worker, heard_at: float, now: float, *, is_shared: bool = False
+) -> Crash:
     """Record the role of each run in the crash of its worker.
 
-    ``heard_at`` is when the agent was heard before it told of the crash.
+    ``heard_at`` is when the agent was heard before it told of the crash,
+    ``is_shared`` whether suspects were started there together.
     """
     worker.crashed_at = now
     crashed_at = now
@@ -97,6 +102,7 @@
         ),
         culprit=culprit,
         is_quick=_is_quick(suspects, crashed_at),
+        is_shared=is_shared and len(suspects) > 1,
     )
 
 
--- a/wasabiturn/batch/crashes/verdicts.py
+++ b/wasabiturn/batch/crashes/verdicts.py
@@ -140,6 +140,9 @@
         if task.crashes <= suspicion.crashes_before:
             # Its run had not begun.
             return ''
+        if crash.is_shared:
+            # Most of those that were started together are sound.
+            return ''
         if task.crashes >= MAX_CRASHES:
             return f'suspected of {task.crashes} crashes of workers'
         excess = task.crashes - _enough_crashes(task, crash, suspicion)
--- a/wasabiturn/batch/isolation/room.py
+++ b/wasabiturn/batch/isolation/room.py
@@ -4,9 +4,10 @@
 
 import attrs
 
-from wasabiturn.batch.crashes.proofs import is_proven
+from wasabiturn.batch.crashes.proofs import SLOW_PROOF_SECONDS, is_proven
 from wasabiturn.batch.fleet import Allocation, Fleet, Worker
 from wasabiturn.batch.isolation.state import IsolationState
+from wasabiturn.batch.isolation.turns import is_overdue
 from wasabiturn.batch.placing.candidates import (
     UNSUITABLE,
     Candidates,
@@ -38,8 +39,6 @@
     isolation: IsolationState
     moment: Moment
     isolating: list[Worker]
-    # Those on which overdue lasting suspects were started in this plan.
-    shared: list[Worker] = attrs.field(factory=list)
     # What was computed in this plan; it holds for the charges of a worker.
     _unproven_by_state: dict[tuple[str, int, int], int] = attrs.field(
         factory=dict
@@ -66,14 +65,69 @@
         return self._choose_among(self.list_free(), task)
 
     def choose_shared(self, task: Task) -> Worker | None:
-        """Return a free worker, or one where overdue suspects start now."""
-        worker = self.choose(task) if self.may_isolate() else None
+        """Return a free worker, or one where overdue suspects were started."""
+        worker = None
+        if self._may_isolate_overdue(task):
+            worker = self._choose_among(self._list_untried(), task)
         if worker is None:
-            return self._choose_among(self.shared, task)
+            return self._choose_among(self._list_shared(task), task)
         self.isolating.append(worker)
-        self.shared.append(worker)
+        key = (worker.name, worker.born_ms)
+        self.isolation.is_lasting_by_shared[key] = task.step.lasting
         return worker
 
+    def is_overdue(self, task: Task) -> bool:
+        """Return whether a suspect shares a worker, as its turn takes long."""
+        workers = len(self.workers)
+        return is_overdue(task, self.isolation, workers, self.moment.now)
+
+    def _list_shared(self, task: Task) -> list[Worker]:
+        """Return the shared workers; lasting suspects are apart from others."""
+        shared = self.isolation.is_lasting_by_shared
+        return [
+            worker
+            for worker in self.workers
+            if shared.get((worker.name, worker.born_ms)) is task.step.lasting
+        ]
+
+    def _list_untried(self) -> list[Worker]:
+        """Return the workers whose runs are proven, or tried for long enough.
+
+        A run with many crashes is proven long after others may join it.
+        """
+        isolating = set(self.isolating)
+        return [
+            worker
+            for worker in self.workers
+            if worker not in isolating and not self._is_tried(worker)
+        ]
+
+    def _is_tried(self, worker: Worker) -> bool:
+        now = self.moment.now
+        return any(
+            not is_proven(each, now)
+            and each.worked_seconds(now) < SLOW_PROOF_SECONDS
+            for each in worker.allocations_by_task.values()
+        )
+
+    def _may_isolate_overdue(self, task: Task) -> bool:
+        """Return whether an overdue suspect may have a worker of its own.
+
+        Lasting suspects, and others, may have one more than half of the
+        workers, so that they wait for no other suspect; one is left to all
+        others.
+        """
+        most = self._max_workers()
+        if len(self.isolating) >= max(len(self.workers) - 1, most):
+            return False
+        shared = self.isolation.is_lasting_by_shared
+        of_other_kind = sum(
+            shared.get((worker.name, worker.born_ms), task.step.lasting)
+            is not task.step.lasting
+            for worker in self.isolating
+        )
+        return len(self.isolating) - of_other_kind <= most
+
     def has_worker(self, task: Task) -> bool:
         """Return whether a suspect could start at a worker with room."""
         return any(self._may_have(task, worker) for worker in self.workers)
--- a/wasabiturn/batch/isolation/suspects.py
+++ b/wasabiturn/batch/isolation/suspects.py
@@ -5,19 +5,19 @@
 ended. A crash then tells which task it was. Workers are reserved for suspects
 that wait, but a part of each service is left to all others.
 
-Lasting suspects whose turn takes too long are the exception: they start
-together on few workers. With three crashes each is tried alone again, which
-bounds the crashes that a sound task meets beside others.
+Their turns are by age, but of one crash the newest start comes first, as it is
+the likeliest cause. Those whose turn takes too long start together on few
+workers; see ``turns.py``.
 """
 
 from collections.abc import Iterable, Iterator
 
 from wasabiturn.batch.crashes.proofs import SLOW_PROOF_SECONDS, is_proven
-from wasabiturn.batch.crashes.suspicions import REPEATED_CRASHES
 from wasabiturn.batch.fleet import Allocation, Fleet, Worker
 from wasabiturn.batch.isolation.gangs import start_isolated_gang
 from wasabiturn.batch.isolation.room import IsolationRoom, create_room
 from wasabiturn.batch.isolation.state import IsolationState
+from wasabiturn.batch.isolation.turns import may_share, turn_key
 from wasabiturn.batch.placing.candidates import Candidates, create_start
 from wasabiturn.batch.queueing.ordering import Moment
 from wasabiturn.batch.state.batch_state import BatchState
@@ -32,14 +32,15 @@
 def find_isolating_workers(
     batch_state: BatchState, fleet: Fleet, now: float
 ) -> list[Worker]:
-    """Return the workers with a suspect that isn't proven yet."""
-    return [
-        worker
+    """Return the workers with a suspect that isn't proven yet, each once."""
+    workers = {
+        (worker.name, worker.born_ms): worker
         for task in batch_state.suspects_by_name.values()
         if task.state is BatchTaskState.active
         and (worker := fleet.worker_of(task)) is not None
         and _is_isolated(worker.allocations_by_task.get(task.name), now)
-    ]
+    }
+    return list(workers.values())
 
 
 def start_suspects(
@@ -64,6 +65,10 @@
         name: create_room(name, candidates, isolating, fleet, moment)
         for name in tasks_by_service
     }
+    fleet.isolation.follow_shared(
+        ((each.name, each.born_ms) for each in isolating),
+        batch_state.suspects_by_name,
+    )
     fleet.isolation.follow_turns(
         _list_sharing(tasks_by_service, rooms_by_service), moment.now
     )
@@ -84,11 +89,7 @@
 def _start_waiting(
     tasks: list[Task], room: IsolationRoom
 ) -> Iterator[StartRun]:
-    overdue = [
-        task
-        for task in tasks
-        if room.isolation.is_overdue(task.name, room.moment.now)
-    ]
+    overdue = [task for task in tasks if room.is_overdue(task)]
     yield from _start_overdue(overdue, room)
     seen_gangs: set[str] = set()
     for task in tasks:
@@ -110,7 +111,7 @@
 def _start_overdue(
     tasks: list[Task], room: IsolationRoom
 ) -> Iterator[StartRun]:
-    """Yield starts of lasting suspects, several on a worker if need be."""
+    """Yield starts of overdue suspects, several on a worker if need be."""
     for task in tasks:
         worker = room.choose_shared(task)
         if worker is not None:
@@ -125,20 +126,14 @@
     for service_name, tasks in tasks_by_service.items():
         room = rooms_by_service[service_name]
         for task in tasks:
-            if _may_share(task) and room.has_worker(task):
+            if may_share(task) and room.has_worker(task):
                 yield task.name
 
 
-def _may_share(task: Task) -> bool:
-    step = task.step
-    is_single = step.lasting and not step.gang
-    return is_single and task.crashes <= REPEATED_CRASHES
-
-
 def _list_waiting(
     batch_state: BatchState, isolation: IsolationState, moment: Moment
 ) -> list[Task]:
-    """Return the suspects that may start now, newest earlier start first."""
+    """Return the suspects that may start now, in the order of their turns."""
     waiting = [
         task
         for task in batch_state.suspects_by_name.values()
@@ -147,7 +142,7 @@
         and task.part.due_ms <= moment.wall_ms
         and task.part.is_ready()
     ]
-    waiting.sort(key=lambda task: isolation.rank(task.name), reverse=True)
+    waiting.sort(key=lambda task: turn_key(task, isolation))
     return waiting
 
 
--- a/wasabiturn/process/control/batch/crash_watch.py
+++ b/wasabiturn/process/control/batch/crash_watch.py
@@ -38,10 +38,12 @@
             return
         acquitted = find_acquitted(worker, heard_at)
         self._clear(acquitted, 'its run worked on before this crash')
-        crash = judge_crash(worker, heard_at, now)
+        crash = judge_crash(
+            worker, heard_at, now, is_shared=self._is_shared(worker)
+        )
         if crash.suspects or crash.bystanders:
             _log_crash(crash)
-        self._rank(crash)
+        self._note_in_isolation(worker, crash)
         batch_state = self._pipeline.batch_state
         cleared = self._crash_log.find_cleared(batch_state, crash)
         self._crash_log.record(crash)
@@ -61,10 +63,17 @@
         self._clear(proven, 'its run works on')
         self._crash_log.forget_unsuspected(batch_state)
 
-    def _rank(self, crash: Crash) -> None:
+    def _is_shared(self, worker: Worker) -> bool:
+        shared = self._fleet.isolation.is_lasting_by_shared
+        return (worker.name, worker.born_ms) in shared
+
+    def _note_in_isolation(self, worker: Worker, crash: Crash) -> None:
+        isolation = self._fleet.isolation
+        isolation.record_crash(worker.report.service_name, crash.at)
         for position, suspicion in enumerate(crash.suspects):
-            rank = (crash.at, position)
-            self._fleet.isolation.rank_by_task[suspicion.task] = rank
+            isolation.rank_by_task[suspicion.task] = (crash.at, position)
+            if crash.is_shared:
+                isolation.alone_tasks.add(suspicion.task)
 
     def _clear(self, tasks: list[str], reason: str) -> None:
         if tasks:
@@ -95,4 +104,5 @@
         bystanders=list(crash.bystanders),
         culprit=crash.culprit,
         is_quick=crash.is_quick,
+        is_shared=crash.is_shared,
     )
