Send starts only to a worker that answers

A worker that is lost while its agent lives looks like one with nothing to say. A start that was sent there is open: a next life under its name may carry it out.

An agent now asks its worker for a list of its runs before a start, if the worker has answered nothing for 0.1 s. Answers to calls that the worker held don't count, as they may have been on their way since before the loss. Starts for a worker that leaves the question unanswered never leave the agent and end as refused, so nothing is bound. The report says that the worker is silent (a new optional field, false from earlier versions), and the leader places nothing there for 1.5 s.

--- a/wasabiturn/batch/reports.py
+++ b/wasabiturn/batch/reports.py
@@ -28,6 +28,8 @@
 AVOID_AFTER_FAILURES = 2
 FIRST_AVOIDANCE_SECONDS = 2.0
 MAX_AVOIDANCE_SECONDS = 16.0
+# Agents report each second, and whenever a hold fails.
+SILENCE_SECONDS = 1.5
 
 
 def apply_report(
@@ -42,6 +44,8 @@
     """
     worker.report = _keep_newer_announcement(worker.report, report)
     worker.heard_at = now
+    if report.is_silent:
+        _avoid_silent(worker, now)
     if report.fence != worker.fence:
         return []
     account = read_account(report, now)
@@ -215,6 +219,15 @@
             yield result, allocation
 
 
+def _avoid_silent(worker: Worker, now: float) -> None:
+    """Place nothing on a worker that doesn't answer its agent, for a moment.
+
+    Its agent refuses new starts, which would go there again at once.
+    """
+    worker.avoided_since = now
+    worker.avoided_until = max(worker.avoided_until, now + SILENCE_SECONDS)
+
+
 def _track_failures(worker: Worker, end: EndRun, now: float) -> None:
     if end.ending is RunEnding.done:
         worker.consecutive_failures = 0
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -452,6 +452,7 @@
     sequence: int = 0
     sends_receipts: bool = False
     agent_clock_ms: int = 0
+    is_silent: bool = False
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -279,6 +279,7 @@
   19: i64 sequence,         // of the announcement that the capacity is from
   20: bool sends_receipts,  // the agent answers orders with OrderReceipt
   21: i64 agent_clock_ms,   // when it was sent; 0: the agent keeps no limits
+  22: bool is_silent,       // the worker leaves a question unanswered
 }
 
 struct StartOrder {
--- a/wasabiturn/process/agent/runs/channel.py
+++ b/wasabiturn/process/agent/runs/channel.py
@@ -11,6 +11,7 @@
 from wasabiturn.process.agent.runs.fencing_token import FencingToken
 from wasabiturn.process.agent.runs.open_orders import OrderRegistry
 from wasabiturn.process.agent.runs.port import WorkerIdentity, WorkerPort
+from wasabiturn.process.agent.runs.pulse import Pulse
 from wasabiturn.utils.logs import create_component_log
 
 # Each order in flight takes a connection to the worker.
@@ -36,6 +37,7 @@
     clock: Any
     open_orders: OrderRegistry
     token: FencingToken
+    pulse: Pulse
     identity: WorkerIdentity | None = None
     is_closed: bool = False
     _semaphore: DeferredSemaphore = attrs.field(factory=_create_semaphore)
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -254,12 +254,14 @@
         self._open_orders.settle_listed(listing)
         contact = self._contact
         contact.record_list(identity.worker)
+        self._sender.follow_answer(is_held=hold.wait_ms > 0)
         if _is_newest(
             listing, hold.fence, self._listing, contact.listing_token
         ):
             self._listing = listing
             contact.listing_token = hold.fence
             self._sender.apply_listing(listing, hold.number)
+        self._send_starts()
         if hold.wait_ms:
             self._continue_holding()
         self._send_report()
@@ -283,6 +285,9 @@
         if not _is_same_life(self._identity, identity):
             return
         retry_seconds = self._contact.record_failure(identity.worker, failure)
+        self._sender.follow_hold_failure(
+            failure, has_listed=self._contact.has_listed
+        )
         if failure.check(OrderRefusedError) and not self._contact.has_listed:
             self._revoker.revoke(identity, self._contact.token.value)
         # A worker that refuses the fence knows a newer leader than this agent
@@ -378,6 +383,7 @@
             open_orders=self._open_orders.describe(),
             sends_receipts=True,
             agent_clock_ms=int(self._clock.seconds() * _MS),
+            is_silent=self._sender.pulse.is_silent(),
         )
 
     def _handle_report_reply(
--- a/wasabiturn/process/agent/runs/sender.py
+++ b/wasabiturn/process/agent/runs/sender.py
@@ -16,12 +16,16 @@
 from wasabiturn.process.agent.runs.lease import Grants
 from wasabiturn.process.agent.runs.open_orders import OrderRegistry
 from wasabiturn.process.agent.runs.port import (
+    OrderRefusedError,
     RunListing,
     WorkerIdentity,
+    WorkerNotListeningError,
     WorkerPort,
 )
+from wasabiturn.process.agent.runs.pulse import Pulse
 from wasabiturn.process.agent.runs.start_sender import (
     RETRY_SECONDS,
+    SILENT_WORKER,
     StartSender,
 )
 from wasabiturn.process.agent.runs.starts import RunKey, StartTable
@@ -54,8 +58,13 @@
         """
         self.grants = Grants()
         self.table = StartTable()
+        self.pulse = Pulse(clock)
         self._channel = WorkerChannel(
-            port=port, clock=clock, open_orders=open_orders, token=token
+            port=port,
+            clock=clock,
+            open_orders=open_orders,
+            token=token,
+            pulse=self.pulse,
         )
         self._starts = StartSender(
             channel=self._channel,
@@ -64,7 +73,7 @@
             on_outcome=on_start_outcome,
             on_closed_port=on_closed_port,
             on_revoked=self._confirm_stop,
-            on_unanswered=on_list_needed,
+            on_list_needed=on_list_needed,
         )
         self._on_list_needed = on_list_needed
         # Those in the newest orders, and those sent without an answer yet.
@@ -119,6 +128,30 @@
         """Refuse the starts that were not sent; return whether any were."""
         return self._starts.refuse_unsent()
 
+    def follow_answer(self, *, is_held: bool) -> None:
+        """Record the answer to a hold; ask a worker that was silent."""
+        if not is_held:
+            self.pulse.record_answer()
+        elif self.pulse.is_silent() and self.pulse.ask():
+            self._on_list_needed()
+
+    def follow_hold_failure(
+        self, failure: Failure, *, has_listed: bool
+    ) -> None:
+        """Send starts to a worker that refuses a hold; ask a silent one.
+
+        Without a list, holds that ask for one are repeated anyhow.
+        """
+        if failure.check(OrderRefusedError):
+            self.pulse.record_answer()
+            if has_listed:
+                self._starts.send_starts()
+        elif not failure.check(WorkerNotListeningError):
+            if self.pulse.is_silent():
+                self._starts.refuse_unsent(SILENT_WORKER)
+            if has_listed and self.pulse.ask():
+                self._on_list_needed()
+
     def record_sent_holds(self, sent_holds: int) -> None:
         """Record how many holds were sent, to recognise later listings."""
         self._sent_holds = sent_holds
--- a/wasabiturn/process/agent/runs/start_sender.py
+++ b/wasabiturn/process/agent/runs/start_sender.py
@@ -39,6 +39,7 @@
 REASON_RUN_OUTDATED = 'old'
 REASON_LEASE_EXPIRED = 'late'
 CLOSED_PORT = 'nothing listens at the worker'
+SILENT_WORKER = 'the worker does not answer'
 FULL_PERCENT = 100
 # Of seconds in log lines.
 _LOGGED_DIGITS = 4
@@ -58,15 +59,16 @@
         on_outcome: Callable[[], None],
         on_closed_port: Callable[[], None],
         on_revoked: Callable[[RunKey], None],
-        on_unanswered: Callable[[], None],
+        on_list_needed: Callable[[], None],
     ) -> None:
         """Create the sender.
 
         ``on_outcome`` is called for each outcome to report at once,
         ``on_closed_port`` for each start that found the worker's port closed,
         ``on_revoked`` with each run whose start the worker was told to forget,
-        ``on_unanswered`` for each order without an answer: a list of runs may
-        tell that it was carried out, so that it need not be repeated.
+        ``on_list_needed`` to have the worker list its runs: for each order
+        without an answer, as the list may tell that it was carried out, and
+        before orders to a worker that has not answered for a moment.
         """
         self._channel = channel
         self._table = table
@@ -74,7 +76,7 @@
         self._on_outcome = on_outcome
         self._on_closed_port = on_closed_port
         self._on_revoked = on_revoked
-        self._on_unanswered = on_unanswered
+        self._on_list_needed = on_list_needed
         self._is_outcome_due = False
 
     def send_starts(self) -> None:
@@ -90,14 +92,14 @@
                 start.is_sent = True
                 self._channel.run(self._send, start)
 
-    def refuse_unsent(self) -> bool:
-        """Refuse the starts that cannot begin, as nothing listens.
+    def refuse_unsent(self, reason: str = CLOSED_PORT) -> bool:
+        """Refuse the starts that cannot begin, as no order for them is out.
 
         Returns whether there are any.
         """
         unsent_starts = self._table.list_without_orders()
         for unsent in unsent_starts:
-            self._record_refusal(unsent, CLOSED_PORT)
+            self._record_refusal(unsent, reason)
         return bool(unsent_starts)
 
     def withdraw(self, start: Start) -> None:
@@ -114,8 +116,19 @@
         return ''
 
     def _may_send(self, start: Start) -> bool:
+        """Return whether to send an order now.
+
+        Asks the worker for a list if it is not known to answer.
+        """
         now = self._channel.clock.seconds()
-        return self._grants.may_start(now) and start.may_be_sent(now)
+        if not self._grants.may_start(now) or not start.may_be_sent(now):
+            return False
+        pulse = self._channel.pulse
+        if pulse.is_fresh(for_repeat=start.order_count > 0):
+            return True
+        if pulse.ask():
+            self._on_list_needed()
+        return False
 
     def _send(self, start: Start) -> Deferred[None]:
         identity = self._channel.identity
@@ -178,6 +191,7 @@
                 clock_ms=clock_ms,
                 sent_clock_ms=sent_clock_ms,
             )
+        self._channel.pulse.record_answer()
         start.outcome = StartOutcome.started
         exposition.start_orders.labels('started').inc()
         _log.decision(
@@ -213,6 +227,7 @@
     ) -> None:
         error = failure.value
         if isinstance(error, OrderRefusedError):
+            self._channel.pulse.record_answer()
             self._settle_refused(start, sent_order)
             self._handle_refusal(start, error.reason)
         elif isinstance(error, OrderNotSentError):
@@ -235,7 +250,7 @@
                 seconds=self._seconds_since(sent_order),
                 error=str(error),
             )
-            self._on_unanswered()
+            self._on_list_needed()
             self._retry_later(start)
 
     def _handle_refusal(self, start: Start, reason: str) -> None:
--- a/wasabiturn/standins/batch_worker.py
+++ b/wasabiturn/standins/batch_worker.py
@@ -126,6 +126,7 @@
         self.on_acknowledged: list[Callable[[EndedRow, float], None]] = []
         self.runs_by_task: dict[str, StandInBatchRun] = {}
         self.fence = 0
+        self._is_silent = False
         self._clock = clock
         self._clock_rate = clock_rate
         self._choose_work = choose_work
@@ -145,6 +146,14 @@
             pending.reply.errback(PlatformError('worker crashed'))
         self._pending_holds.clear()
 
+    def fall_silent(self) -> None:
+        """Answer no new call any more, and carry no order out."""
+        self._is_silent = True
+
+    def answer_again(self) -> None:
+        """End a silence."""
+        self._is_silent = False
+
     def break_run(self, run: StandInBatchRun) -> None:
         """End an active run, as another member of its gang was lost."""
         run.timer.cancel()
@@ -187,6 +196,10 @@
     ) -> Deferred[RunListing]:
         """Renew the lease and list the runs; see ``WorkerPort``."""
         reply: Deferred[RunListing] = Deferred()
+        if self._is_silent:
+            seconds = TIMEOUT_SECONDS + hold.wait_ms / _MS_PER_SECOND
+            self._leave_unanswered(reply, seconds)
+            return reply
         self._clock.callLater(
             LATENCY_SECONDS,
             self._handle_hold,
@@ -256,6 +269,8 @@
             if self.next_faults
             else self._choose_fault()
         )
+        if self._is_silent:
+            fault = Fault.dropped
         delay = self.order_delay_seconds
         if fault is Fault.late:
             delay = self.late_delay_seconds
@@ -435,6 +450,12 @@
         self._pending_holds.remove(pending)
         pending.reply.callback(self._create_listing())
 
+    def _leave_unanswered(
+        self, reply: Deferred[RunListing], seconds: float
+    ) -> None:
+        error = PlatformError('no answer')
+        self._clock.callLater(seconds, reply.errback, error)
+
     def _create_listing(self) -> RunListing:
         now = self._clock.seconds()
         return RunListing(
