HTTP: requests behind a handled one count against the budget

While the first request of a connection was handled, 17 whole bodies could queue behind it, and nothing looked at the budget: five connections with bodies of 1 MB used up that of the largest entry. Such a connection now ends with its running response when the budget is used up. An unfinished request gets the time in which the process did not read it, and the idle time counts from when the client has read its response.

--- a/tests/connection/test_client_limits.py
+++ b/tests/connection/test_client_limits.py
@@ -200,6 +200,31 @@
     assert len(sites.requests) == 1
 
 
+def test_requests_behind_a_handled_one_stay_within_the_budget() -> None:
+    """Each connection queued 17 whole bodies while its first was handled."""
+    sites = Sites()
+    body = b'POST /a HTTP/1.1\r\nContent-Length: 9000\r\n\r\n' + b'x' * 9000
+    clients = [sites.open(POST + body * 3) for _ in range(4)]
+    assert sites.guard.used_bytes <= BUDGET_BYTES
+    assert len(sites.requests) == 4
+    assert RejectionCause.memory in sites.causes
+    for answer in sites.answers:
+        answer.callback(HttpResponse(200))
+    assert all(client.status == 200 for client in clients)
+
+
+def test_unfinished_request_gets_the_time_in_which_it_was_not_read() -> None:
+    sites = Sites()
+    sites.guard.bounds = ClientBounds(10_000_000, 40, 8)
+    client = sites.open(GET * 18 + HEAD + b'x')
+    sites.wait(client_deadlines.RATE_GRACE_SECONDS + 20)
+    for number in range(18):
+        sites.answers[number].callback(HttpResponse(200))
+        sites.clock.pump([0, 0])
+    sites.wait(1)
+    assert not client.is_ended()
+
+
 def test_an_operators_body_does_not_yield_to_callers() -> None:
     sites = Sites()
     operator = sites.open(HEAD + b'x' * 45_000, Rank.trusted)
--- a/wasabiturn/connection/http_connection.py
+++ b/wasabiturn/connection/http_connection.py
@@ -176,6 +176,9 @@
             return
         if self._is_paused:
             self._is_paused = False
+            if self._began_at is not None:
+                # The client could not send while it was not read from.
+                self._began_at = self._site.clock.seconds()
             self._get_transport().resumeProducing()
         if self._input:
             self._read_input()
@@ -206,6 +209,13 @@
         elif self._began_at is None:
             self._began_at = self._site.clock.seconds()
         self._report()
+        if self._has_pipelined() and self._site.guard.is_exhausted(self.rank):
+            self._reject(HTTPStatus.SERVICE_UNAVAILABLE, RejectionCause.memory)
+
+    def _has_pipelined(self) -> bool:
+        """Return whether requests arrive behind one that is handled."""
+        has_more = self._reader.is_in_message or self._runner.queue.waiting
+        return self._runner.is_busy and bool(has_more)
 
     def _may_read(self) -> bool:
         return not (
@@ -251,6 +261,7 @@
         self._runner.queue.clear()
         if self._runner.is_busy or self.unread.is_unread:
             self._get_transport().pauseProducing()
+            self._report()
         elif status is HTTPStatus.SERVICE_UNAVAILABLE:
             self.respond(create_unavailable_response())
         else:
@@ -259,6 +270,7 @@
     def _abort(self, cause: RejectionCause) -> None:
         self._site.guard.record(cause, self.rank)
         self._closes = True
+        self._began_at = None
         self._idle_since = self._site.clock.seconds()
         self.unread.is_unread = False
         self._get_transport().abortConnection()
@@ -269,6 +281,7 @@
 
     def _handle_read(self) -> None:
         """Go on after the client has read the responses."""
+        self._idle_since = self._site.clock.seconds()
         self._report()
         if self._runner.is_busy:
             return
