Links and callers: count what is really held, and closed connections once

The unread bytes of a link only grew while its buffer was never quite empty, so a busy link could use up the budget with bytes that its peer had read; what the transport keeps is an upper bound now. A caller's connection that was aborted counts as closing until its descriptor is free, so that it is not chosen again in the same turn. Found by the review; no test of its own for the link.

--- a/wasabiturn/connection/link_client.py
+++ b/wasabiturn/connection/link_client.py
@@ -11,7 +11,10 @@
 from wasabiturn.connection.client_guard import REPORT_BYTES, ClientGuard
 from wasabiturn.connection.frames import FrameBuffer
 from wasabiturn.connection.rejections import RejectionCause
-from wasabiturn.connection.unread_watch import UnreadWatch
+from wasabiturn.connection.unread_watch import (
+    UnreadWatch,
+    count_unsent_bytes,
+)
 
 
 class GuardedLink(Protocol):
@@ -122,7 +125,12 @@
         return None
 
     def _report(self) -> None:
-        held_bytes = len(self._frames.pending) + self._unread.unread_bytes
+        # A busy link may never be quite empty; what its peer has read of what
+        # was sent meanwhile is not held.
+        unread_bytes = min(
+            self._unread.unread_bytes, count_unsent_bytes(self._link.transport)
+        )
+        held_bytes = len(self._frames.pending) + unread_bytes
         change = held_bytes - self.held_bytes
         if change >= REPORT_BYTES or change <= -REPORT_BYTES:
             self._guard.report(self, held_bytes)
--- a/wasabiturn/connection/unread_watch.py
+++ b/wasabiturn/connection/unread_watch.py
@@ -1,5 +1,6 @@
 """Watches whether a peer reads what is sent to it."""
 
+import sys
 from collections.abc import Callable
 from typing import Any, final
 
@@ -46,3 +47,16 @@
 
     def stopProducing(self) -> None:
         """Do nothing: the connection was lost."""
+
+
+def count_unsent_bytes(transport: Any) -> int:
+    """Return how much a transport keeps that the system has not taken.
+
+    It is the largest amount for a transport that does not tell.
+    """
+    buffered = getattr(transport, 'dataBuffer', None)
+    if buffered is None:
+        return sys.maxsize
+    # Twisted joins what is written later to the buffer as that empties.
+    later_bytes: int = getattr(transport, '_tempDataLen', 0)
+    return len(buffered) - int(transport.offset) + later_bytes
--- a/wasabiturn/process/entry/front.py
+++ b/wasabiturn/process/entry/front.py
@@ -10,6 +10,7 @@
 
 from wasabiturn.connection.client_claims import Claim, Phase, Rank
 from wasabiturn.connection.client_guard import ClientGuard
+from wasabiturn.connection.http_limits import HEAD_TIMEOUT_SECONDS
 from wasabiturn.connection.rejections import RejectionCause
 from wasabiturn.process.daemon import Context
 from wasabiturn.process.entry.caller import CallerRequest, CreateHandler
@@ -18,7 +19,6 @@
 from wasabiturn.request.refusal import RefusalOutcome
 
 IDLE_TIMEOUT_SECONDS = 30
-HEAD_TIMEOUT_SECONDS = 10.0
 
 # Twisted's own answer to a request that it cannot parse has no headers.
 _BAD_REQUEST_RESPONSE = (
@@ -49,6 +49,8 @@
         self.held_bytes = 0
         self._guard = guard
         self._has_served = False
+        # It keeps its descriptor until the next turn of the loop.
+        self._is_aborted = False
         self._since = 0.0
         self.requestFactory = cast(Any, CallerRequest)
         self.timeOut = IDLE_TIMEOUT_SECONDS
@@ -72,7 +74,9 @@
     def create_claim(self) -> Claim:
         """Return what the connection does now; bodies are not kept here."""
         phase = Phase.idle
-        if any(request.is_started for request in self.requests):
+        if self._is_aborted:
+            phase = Phase.closing
+        elif any(request.is_started for request in self.requests):
             phase = Phase.running
         elif self._head_timer is not None:
             phase = Phase.receiving
@@ -86,15 +90,15 @@
 
     def check_deadlines(self, now: float) -> None:
         """Abort the connection if the body of its request comes too slowly."""
+        if self._is_aborted:
+            return
         requests = [cast(CallerRequest, each) for each in self.requests]
         if any(request.body_rate.is_too_low(now) for request in requests):
-            self._guard.record(RejectionCause.body_rate, self.rank)
-            self.forceAbortClient()
+            self._abort(RejectionCause.body_rate)
 
     def yield_to_others(self, cause: RejectionCause) -> None:
         """Abort the connection, which has no request in progress."""
-        self._guard.record(cause, self.rank)
-        self.forceAbortClient()
+        self._abort(cause)
 
     def dataReceived(self, data: bytes) -> None:
         """Parse bytes; the first ones of a request start the head timer."""
@@ -147,7 +151,11 @@
 
     def _expire_head(self) -> None:
         self._head_timer = None
-        self._guard.record(RejectionCause.head_timeout, self.rank)
+        self._abort(RejectionCause.head_timeout)
+
+    def _abort(self, cause: RejectionCause) -> None:
+        self._is_aborted = True
+        self._guard.record(cause, self.rank)
         self.forceAbortClient()
 
     def _stop_head_timer(self) -> None:
