Agents: a lost probe is followed by another, and refusals are told at once

Starts that are refused since the worker does not answer are reported at once; a worker without a list counts as unresponsive, too; and the retry of a hold is scheduled before anything that may fail. Names: answer_tracker, probe, unresponsive (a silent worker is one whose agent is not heard).

--- a/tests/batch/test_reports.py
+++ b/tests/batch/test_reports.py
@@ -12,7 +12,10 @@
     succeed_worker,
 )
 from wasabiturn.batch.orders.lost_runs import give_up_all_runs, give_up_runs
-from wasabiturn.batch.reports import SILENCE_SECONDS, apply_report
+from wasabiturn.batch.reports import (
+    UNRESPONSIVE_AVOIDANCE_SECONDS,
+    apply_report,
+)
 from wasabiturn.messages.batch import (
     EndedRow,
     EndRun,
@@ -266,9 +269,9 @@
 def test_silent_worker_is_avoided_while_its_agent_reports_so() -> None:
     """Starts that it refused unsent went there again at once."""
     worker = open_worker(create_fleet())
-    apply_report(worker, report_of(worker, is_silent=True), now=5)
-    assert worker.avoided_until == 5 + SILENCE_SECONDS
-    apply_report(worker, report_of(worker, is_silent=True), now=6)
-    assert worker.avoided_until == 6 + SILENCE_SECONDS
+    apply_report(worker, report_of(worker, is_unresponsive=True), now=5)
+    assert worker.avoided_until == 5 + UNRESPONSIVE_AVOIDANCE_SECONDS
+    apply_report(worker, report_of(worker, is_unresponsive=True), now=6)
+    assert worker.avoided_until == 6 + UNRESPONSIVE_AVOIDANCE_SECONDS
     apply_report(worker, report_of(worker), now=7)
-    assert worker.avoided_until == 6 + SILENCE_SECONDS
+    assert worker.avoided_until == 6 + UNRESPONSIVE_AVOIDANCE_SECONDS
--- a/wasabiturn/batch/reports.py
+++ b/wasabiturn/batch/reports.py
@@ -28,8 +28,9 @@
 AVOID_AFTER_FAILURES = 2
 FIRST_AVOIDANCE_SECONDS = 2.0
 MAX_AVOIDANCE_SECONDS = 16.0
-# Agents report each second, and whenever a hold fails.
-SILENCE_SECONDS = 1.5
+# A worker that leaves its agent unanswered gets no new tasks for this long,
+# which is longer than the time between two reports of that.
+UNRESPONSIVE_AVOIDANCE_SECONDS = 1.5
 
 
 def apply_report(
@@ -44,8 +45,8 @@
     """
     worker.report = _keep_newer_announcement(worker.report, report)
     worker.heard_at = now
-    if report.is_silent:
-        _avoid_silent(worker, now)
+    if report.is_unresponsive:
+        _avoid_unresponsive(worker, now)
     if report.fence != worker.fence:
         return []
     account = read_account(report, now)
@@ -219,13 +220,15 @@
             yield result, allocation
 
 
-def _avoid_silent(worker: Worker, now: float) -> None:
+def _avoid_unresponsive(worker: Worker, now: float) -> None:
     """Place nothing on a worker that doesn't answer its agent, for a moment.
 
     Its agent refuses new starts, which would go there again at once.
     """
     worker.avoided_since = now
-    worker.avoided_until = max(worker.avoided_until, now + SILENCE_SECONDS)
+    worker.avoided_until = max(
+        worker.avoided_until, now + UNRESPONSIVE_AVOIDANCE_SECONDS
+    )
 
 
 def _track_failures(worker: Worker, end: EndRun, now: float) -> None:
--- a/wasabiturn/messages/batch.py
+++ b/wasabiturn/messages/batch.py
@@ -469,7 +469,7 @@
     sends_receipts: bool = False
     agent_clock_ms: int = 0
     followed_fence: int = 0
-    is_silent: bool = False
+    is_unresponsive: bool = False
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/batch.thrift
+++ b/wasabiturn/messages/wire/batch.thrift
@@ -289,7 +289,7 @@
   20: bool sends_receipts,  // the agent answers orders with OrderReceipt
   21: i64 agent_clock_ms,   // when it was sent; 0: the agent keeps no limits
   22: i64 followed_fence,   // the agent ignores orders with a lower one
-  23: bool is_silent,       // the worker leaves a question unanswered
+  23: bool is_unresponsive, // the worker leaves a probe unanswered
 }
 
 // Request for a token that a worker accepts; says nothing about its life.
--- a/wasabiturn/process/agent/runs/channel.py
+++ b/wasabiturn/process/agent/runs/channel.py
@@ -8,10 +8,10 @@
 from twisted.python.failure import Failure
 
 from wasabiturn.messages.batch import PaceOrder, StopOrder
+from wasabiturn.process.agent.runs.answer_tracker import AnswerTracker
 from wasabiturn.process.agent.runs.fencing_token import FencingToken
 from wasabiturn.process.agent.runs.open_orders import OrderRegistry
 from wasabiturn.process.agent.runs.port import WorkerIdentity, WorkerPort
-from wasabiturn.process.agent.runs.pulse import Pulse
 from wasabiturn.utils.logs import create_component_log
 
 # Each order in flight takes a connection to the worker.
@@ -37,7 +37,7 @@
     clock: Any
     open_orders: OrderRegistry
     token: FencingToken
-    pulse: Pulse
+    answers: AnswerTracker
     identity: WorkerIdentity | None = None
     is_closed: bool = False
     _semaphore: DeferredSemaphore = attrs.field(factory=_create_semaphore)
--- a/wasabiturn/process/agent/runs/reconciler.py
+++ b/wasabiturn/process/agent/runs/reconciler.py
@@ -290,6 +290,14 @@
         if not _is_same_life(self._identity, identity):
             return
         retry_seconds = self._contact.record_failure(identity.worker, failure)
+        # The retry comes first: an error in what follows must not end it.
+        if hold.wait_ms:
+            self._send_hold_later(identity, retry_seconds)
+        elif (
+            hold.fence == self._contact.token.value
+            and not self._contact.has_listed
+        ):
+            self._clock.callLater(HOLD_RETRY_SECONDS, self._send_hold, 0)
         self._sender.follow_hold_failure(
             failure, has_listed=self._contact.has_listed
         )
@@ -299,13 +307,6 @@
         # does; the reply to a report tells the agent about it.
         if self._contact.is_report_due(self._clock.seconds()):
             self._send_report()
-        if hold.wait_ms:
-            self._send_hold_later(identity, retry_seconds)
-        elif (
-            hold.fence == self._contact.token.value
-            and not self._contact.has_listed
-        ):
-            self._clock.callLater(HOLD_RETRY_SECONDS, self._send_hold, 0)
 
     def _handle_closed_port(self, identity: WorkerIdentity | None) -> None:
         """Report that nothing listens, once starts in flight are refused.
@@ -389,7 +390,7 @@
             sends_receipts=True,
             agent_clock_ms=int(self._clock.seconds() * _MS),
             followed_fence=self._contact.token.fence,
-            is_silent=self._sender.pulse.is_silent(),
+            is_unresponsive=self._sender.answers.is_unresponsive(),
         )
 
     def _handle_report_reply(
--- a/wasabiturn/process/agent/runs/sender.py
+++ b/wasabiturn/process/agent/runs/sender.py
@@ -8,6 +8,7 @@
 from wasabiturn.messages.batch import StopOrder, WorkerOrders
 from wasabiturn.messages.kinds import StartOutcome
 from wasabiturn.process import exposition
+from wasabiturn.process.agent.runs.answer_tracker import AnswerTracker
 from wasabiturn.process.agent.runs.channel import (
     WorkerChannel,
     log_order_failure,
@@ -22,10 +23,9 @@
     WorkerNotListeningError,
     WorkerPort,
 )
-from wasabiturn.process.agent.runs.pulse import Pulse
 from wasabiturn.process.agent.runs.start_sender import (
     RETRY_SECONDS,
-    SILENT_WORKER,
+    UNRESPONSIVE_WORKER,
     StartSender,
 )
 from wasabiturn.process.agent.runs.starts import RunKey, StartTable
@@ -58,13 +58,13 @@
         """
         self.grants = Grants()
         self.table = StartTable()
-        self.pulse = Pulse(clock)
+        self.answers = AnswerTracker(clock)
         self._channel = WorkerChannel(
             port=port,
             clock=clock,
             open_orders=open_orders,
             token=token,
-            pulse=self.pulse,
+            answers=self.answers,
         )
         self._starts = StartSender(
             channel=self._channel,
@@ -76,6 +76,7 @@
             on_list_needed=on_list_needed,
         )
         self._on_list_needed = on_list_needed
+        self._on_start_outcome = on_start_outcome
         # Those in the newest orders, and those sent without an answer yet.
         self._ordered_stops: set[RunKey] = set()
         self._pending_stops: set[RunKey] = set()
@@ -131,8 +132,8 @@
     def follow_answer(self, *, is_held: bool) -> None:
         """Record the answer to a hold; ask a worker that was silent."""
         if not is_held:
-            self.pulse.record_answer()
-        elif self.pulse.is_silent() and self.pulse.ask():
+            self.answers.record_answer()
+        elif self.answers.is_unresponsive() and self.answers.begin_probe():
             self._on_list_needed()
 
     def follow_hold_failure(
@@ -143,15 +144,20 @@
         Without a list, holds that ask for one are repeated anyhow.
         """
         if failure.check(OrderRefusedError):
-            self.pulse.record_answer()
+            self.answers.record_answer()
             if has_listed:
                 self._starts.send_starts()
         elif not failure.check(WorkerNotListeningError):
-            if self.pulse.is_silent():
-                self._starts.refuse_unsent(SILENT_WORKER)
-            if has_listed and self.pulse.ask():
+            self._refuse_if_unresponsive()
+            if self.answers.begin_probe() and has_listed:
                 self._on_list_needed()
 
+    def _refuse_if_unresponsive(self) -> None:
+        if not self.answers.is_unresponsive():
+            return
+        if self._starts.refuse_unsent(UNRESPONSIVE_WORKER):
+            self._on_start_outcome()
+
     def record_sent_holds(self, sent_holds: int) -> None:
         """Record how many holds were sent, to recognise later listings."""
         self._sent_holds = sent_holds
--- a/wasabiturn/process/agent/runs/start_sender.py
+++ b/wasabiturn/process/agent/runs/start_sender.py
@@ -39,7 +39,7 @@
 REASON_RUN_OUTDATED = 'old'
 REASON_LEASE_EXPIRED = 'late'
 CLOSED_PORT = 'nothing listens at the worker'
-SILENT_WORKER = 'the worker does not answer'
+UNRESPONSIVE_WORKER = 'the worker does not answer'
 FULL_PERCENT = 100
 # Of seconds in log lines.
 _LOGGED_DIGITS = 4
@@ -123,10 +123,10 @@
         now = self._channel.clock.seconds()
         if not self._grants.may_start(now) or not start.may_be_sent(now):
             return False
-        pulse = self._channel.pulse
-        if pulse.is_fresh(for_repeat=start.order_count > 0):
+        answers = self._channel.answers
+        if answers.is_fresh(for_repeat=start.order_count > 0):
             return True
-        if pulse.ask():
+        if answers.begin_probe():
             self._on_list_needed()
         return False
 
@@ -192,7 +192,7 @@
                 clock_ms=clock_ms,
                 sent_clock_ms=sent_clock_ms,
             )
-        self._channel.pulse.record_answer()
+        self._channel.answers.record_answer()
         start.outcome = StartOutcome.started
         exposition.start_orders.labels('started').inc()
         _log.decision(
@@ -228,7 +228,7 @@
     ) -> None:
         error = failure.value
         if isinstance(error, OrderRefusedError):
-            self._channel.pulse.record_answer()
+            self._channel.answers.record_answer()
             self._settle_refused(start, sent_order)
             self._handle_refusal(start, error.reason)
         elif isinstance(error, OrderNotSentError):
