Waits for a rack: bounded forecasts, and a first review is put off once

The leader kept a forecast for each rack that any job named, without end. Steps over the number of first reviews of a plan could be held for ever behind steps that find no place; they are held for one plan now.

--- a/wasabiturn/batch/placing/locality/rack_views.py
+++ b/wasabiturn/batch/placing/locality/rack_views.py
@@ -92,7 +92,9 @@
                 state.terms.slowdown_factor,
                 now,
             )
-            state.forecast_by_rack[rack] = known
+            # Callers may name racks without end that no worker is in.
+            if self.near(rack).workers:
+                state.forecast_by_rack[rack] = known
         return known
 
     def has_far_place(self, part: Part, rack: str) -> bool:
--- a/wasabiturn/batch/placing/locality/rounds.py
+++ b/wasabiturn/batch/placing/locality/rounds.py
@@ -161,8 +161,10 @@
         wait = self._state.waits_by_part.get(part)
         if wait is not None and wait.is_over:
             return []
-        if not self._reviews.is_due(wait, self._views.is_fresh(rack)):
+        is_due = self._reviews.is_due(wait, self._views.is_fresh(rack))
+        if not is_due and (wait is not None or self._defer(part)):
             return tasks[-self._keep(part, wait) :]
+        self._state.deferred.discard(part)
         proposed = wait or self._propose(part, rack, tasks)
         inputs = self._weigh(proposed, tasks)
         decision = self._decide(inputs)
@@ -179,6 +181,13 @@
             self._begin(proposed)
         return tasks[-self._keep(part, proposed) :]
 
+    def _defer(self, part: Part) -> bool:
+        """Put off the first review of a step, once at most."""
+        if part in self._state.deferred:
+            return False
+        self._state.deferred.add(part)
+        return True
+
     def _begin(self, wait: Wait) -> None:
         first = self._views.forecast(wait.rack).first_place_at(
             wait.part.step, self._claims.ahead_of(wait)
--- a/wasabiturn/batch/placing/locality/state.py
+++ b/wasabiturn/batch/placing/locality/state.py
@@ -174,6 +174,8 @@
     seen: int = 0
     idle_by_job: dict[str, IdleWait] = attrs.field(factory=dict)
     forecast_by_rack: dict[str, RackForecast] = attrs.field(factory=dict)
+    # Steps whose first review was put off.
+    deferred: set[Part] = attrs.field(factory=set)
     _ended: list[EndedWait] = attrs.field(factory=list)
 
     def use_up(self, jobs: Iterable[Job]) -> None:
@@ -192,6 +194,7 @@
             if not part.waiting_by_name or part.job.is_final:
                 self._end(wait)
                 self.waits_by_part.pop(part)
+        self.deferred = {each for each in self.deferred if each.waiting_by_name}
         for job_id, idle in list(self.idle_by_job.items()):
             if idle.job.is_final:
                 self.idle_by_job.pop(job_id)
