--- a/wasabiturn/batch/queueing/priorities.py
+++ b/wasabiturn/batch/queueing/priorities.py
@@ -1,8 +1,9 @@
 """Priority of a job among those of other queues, with ageing.
 
 Made for queues of one service that compete for too little capacity: work of a
-more urgent queue is started first, but a job that waits becomes as urgent as
-any, so that a steady load of urgent work starves nobody.
+more urgent queue is started first. A late job becomes as urgent as any as it
+waits, so that late ones of an urgent queue do not keep it back for ever; jobs
+that can still be in time go before all late ones.
 """
 
 from wasabiturn.batch.state.jobs import Job
--- a/wasabiturn/platform/callers.py
+++ b/wasabiturn/platform/callers.py
@@ -51,6 +51,9 @@
     }
 )
 
+# A deadline of more milliseconds is as good as none.
+MAX_DEADLINE_DIGITS = 15
+
 
 @final
 @attrs.frozen
@@ -95,7 +98,7 @@
         if not self.has_leader_contact():
             max_seconds = MAX_CALL_SECONDS_WITHOUT_LEADER
         deadline_ms = request.headers_by_name.get(_DEADLINE_HEADER, '')
-        if not deadline_ms.isdigit():
+        if not _is_amount(deadline_ms):
             return max_seconds
         seconds = int(deadline_ms) / _MS_PER_SECOND - RESPONSE_RESERVE_SECONDS
         return max(min(seconds, max_seconds), MIN_CALL_SECONDS)
@@ -117,3 +120,9 @@
         name = _NAMES_BY_STATE[answer.state]
         return http.Response(status=http.OK, body=http.encode({'state': name}))
     return http.Response(status=http.OK)
+
+
+def _is_amount(text: str) -> bool:
+    """Return whether a header is a whole number that is not absurd."""
+    is_number = text.isascii() and text.isdigit()
+    return is_number and len(text) <= MAX_DEADLINE_DIGITS
--- a/wasabiturn/platform/settings.py
+++ b/wasabiturn/platform/settings.py
@@ -1,5 +1,6 @@
 """The platform's settings file and its conversion to ``Settings``."""
 
+import math
 from pathlib import Path
 from typing import Any, final
 
@@ -32,6 +33,9 @@
 LOG_DISK_DIVISOR = 8
 DEFAULT_DISK_MB = 512
 DEFAULT_LEASE_MS = 6000
+# A program does not run with less memory or fewer descriptors.
+MIN_MEMORY_MB = 64
+MIN_FDS = 300
 _MB = 1_000_000
 
 
@@ -174,12 +178,26 @@
         disk_bytes=int(limits.get('disk_mb') or DEFAULT_DISK_MB) * _MB,
         worker_address=_parse_optional_endpoint(fields.get('app')),
         lease_ms=int(bounds.get('hold_max_ms', DEFAULT_LEASE_MS)),
-        slowdown_factor=float(bounds.get('slowdown_factor') or 1),
+        slowdown_factor=_read_factor(bounds.get('slowdown_factor') or 1),
         waits_for_racks=fields.get('wait_for_rack') is not False,
-        memory_mb=int(limits.get('memory_mb') or DEFAULT_MEMORY_MB),
-        max_fds=int(limits.get('max_fds') or DEFAULT_MAX_FDS),
+        memory_mb=_read_amount(
+            limits.get('memory_mb') or DEFAULT_MEMORY_MB, MIN_MEMORY_MB
+        ),
+        max_fds=_read_amount(limits.get('max_fds') or DEFAULT_MAX_FDS, MIN_FDS),
     )
 
 
 def _parse_optional_endpoint(endpoint_text: str | None) -> Endpoint | None:
     return parse_endpoint(endpoint_text) if endpoint_text else None
+
+
+def _read_amount(amount: Any, least: int) -> int:
+    if int(amount) < least:
+        raise ValueError(f'{amount} is less than {least}')
+    return int(amount)
+
+
+def _read_factor(factor: Any) -> float:
+    if not math.isfinite(float(factor)):
+        raise ValueError(f'{factor} is no finite number')
+    return float(factor)
--- a/wasabiturn/process/entry/leader_contact.py
+++ b/wasabiturn/process/entry/leader_contact.py
@@ -72,7 +72,8 @@
         )
 
     def _handle_status(self, status: LeaderStatus, asked_at: float) -> None:
-        if status.is_configured:
+        # Calls overlap; a late reply to an earlier one tells nothing new.
+        if status.is_configured and asked_at >= self._answered_at:
             self._answered_at = asked_at
             for callback in self.on_status:
                 callback(status)
