--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -10,6 +10,7 @@
 
 from tests.platform.test_decoding import ANNOUNCEMENT
 from wasabiturn.connection.calls import CallError
+from wasabiturn.connection.http_messages import HttpRequest
 from wasabiturn.connection.http_site import HttpSite
 from wasabiturn.messages.batch import (
     DataCentreMark,
@@ -289,3 +290,12 @@
     call = calls.sent[0][1]
     assert isinstance(call, JobCall)
     assert call.request_id == '5c0e7a21d94b36f8'
+
+
+@pytest.mark.parametrize('deadline_ms', ['²', '9' * 5000, '-1', 'x'])
+def test_an_odd_deadline_does_not_make_a_request_fail(deadline_ms: str) -> None:
+    calls = FakeCalls(JobAnswer())
+    callers = CallerHandler(calls, lambda: True)  # type: ignore[arg-type]
+    deadline = {'wasabiturn-deadline-ms': deadline_ms}
+    callers.handle(HttpRequest('GET', JOB, {'host': 'a.example'} | deadline))
+    assert len(calls.timeouts) == 1
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -50,7 +50,19 @@
     assert str(settings.control.listen) == '10.1.0.13:7720'
 
 
-@pytest.mark.parametrize('text', ['', '[', 'node: x', '7', TEXT + '\nx: ['])
+@pytest.mark.parametrize(
+    'text',
+    [
+        '',
+        '[',
+        'node: x',
+        '7',
+        TEXT + '\nx: [',
+        TEXT + 'limits: {memory_mb: -5}\n',
+        TEXT + 'limits: {max_fds: 3}\n',
+        TEXT.replace('1.7', '.nan'),
+    ],
+)
 def test_an_invalid_file_is_refused(
     tmp_path: Path,
     text: str,
