A count waits for a routing that is not committed yet

Commits probably stood still after a change of the leader; the earlier call waited for one, the later one didn't.

A count now waits while a routing is recorded and not committed. The new test fails before. Job states are read as before, also without a quorum.

--- a/tests/sessions/test_configurations.py
+++ b/tests/sessions/test_configurations.py
@@ -84,6 +84,24 @@
     assert outcomes == [JobOutcome.ok, JobOutcome.no_queue]
 
 
+def test_count_after_an_uncommitted_configuration_is_not_of_the_old_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An earlier call that waited was answered by the new one before it."""
+    fleet = BatchFleet()
+    held = HeldReplica(fleet, monkeypatch)
+    empty = PutRouting(routing=Routing(version=7, document=b'none'))
+    call_leader(fleet, Method.put_routing, empty)
+    fleet.run(0.1)
+    count = JobCall(action=JobAction.count, host=HOST, path=PREFIX)
+    answers = call_leader(fleet, Method.job, count)
+    fleet.run(0.1)
+    assert not answers
+    held.release()
+    fleet.run(0.1)
+    assert [answer.outcome for answer in answers] == [JobOutcome.no_queue]
+
+
 def test_configuration_is_only_read_once_a_quorum_has_confirmed_it(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/wasabiturn/process/control/batch/job_calls.py
+++ b/wasabiturn/process/control/batch/job_calls.py
@@ -48,10 +48,30 @@
 
         That something isn't there is only said once a quorum has confirmed
         it: on an instance that was suspended the lease may outlast its time.
+        A count waits for a routing that is not committed yet. An earlier one
+        may wait for its commit, too, and be answered by the new routing; what
+        was asked later must not be answered by the old one.
         """
+        if call.action is JobAction.count and self._is_routing_pending():
+            committed = self.pipeline.confirm()
+            return committed.addCallback(
+                lambda _: self._answer_confirmed(call, wall_ms)
+            )
+        return self._answer_confirmed(call, wall_ms)
+
+    def _answer_confirmed(
+        self, call: JobCall, wall_ms: int
+    ) -> Deferred[JobAnswer]:
         answered = self._answer(call, wall_ms)
         return answered.addCallback(self._confirm, call, wall_ms)
 
+    def _is_routing_pending(self) -> bool:
+        committed = self.committed_state().routing
+        newest = self.pipeline.batch_state.routing
+        return newest is not None and (
+            committed is None or committed.version < newest.version
+        )
+
     def _confirm(
         self, answer: JobAnswer, call: JobCall, wall_ms: int
     ) -> JobAnswer | Deferred[JobAnswer]:
