The priority of queues counts only with order_by_priority

What is new is to take effect where the settings call for it, so it is a setting of control now, off by default.

--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -44,6 +44,7 @@
     assert platform.lease_ms == 5000
     assert platform.slowdown_factor == 1.7
     assert platform.waits_for_racks
+    assert not platform.orders_by_priority
     assert settings.control is not None
     assert settings.control.voters == 5
     assert settings.control.may_found
--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -368,6 +368,8 @@
     earlier_leases_end_at: float = NEVER
     isolation: IsolationState = attrs.field(factory=IsolationState)
     locality: LocalityState = attrs.field(factory=LocalityState)
+    # The priority of a queue counts in the order of jobs.
+    orders_by_priority: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Start raised tokens above that of all other workers."""
--- a/wasabiturn/batch/planning.py
+++ b/wasabiturn/batch/planning.py
@@ -69,7 +69,9 @@
     if candidates.workers:
         parts = [
             part
-            for part in order_parts(batch_state, moment)
+            for part in order_parts(
+                batch_state, moment, by_priority=fleet.orders_by_priority
+            )
             if _has_ordinary(part)
         ]
         started = _start_parts(parts, candidates, fleet, moment)
--- a/wasabiturn/batch/queueing/ordering.py
+++ b/wasabiturn/batch/queueing/ordering.py
@@ -2,11 +2,11 @@
 
 The order is made for overload, when not all jobs can meet their objectives;
 earliest deadline first would then make all of them late. Lasting tasks come
-first. Next come jobs that can still be in time, those of more urgent queues
-before others, running ones before new ones and small ones before large ones,
-as work spread over many jobs would finish none in time. Then come late jobs,
-likewise by the priority of their queue, those nearest to completion first, and
-at last jobs whose results have expired.
+first. Next come jobs that can still be in time, running ones before new ones
+and small ones before large ones, as work spread over many jobs would finish
+none in time. Then come late jobs, those nearest to completion first, and at
+last jobs whose results have expired. Where the priority of queues counts, it
+comes before the rest among jobs in time, and among late ones.
 """
 
 import enum
@@ -43,17 +43,22 @@
     wall_ms: int
 
 
-def order_parts(batch_state: BatchState, moment: Moment) -> list[Part]:
-    """Return the parts with tasks that may start now, most urgent first."""
+def order_parts(
+    batch_state: BatchState, moment: Moment, *, by_priority: bool = False
+) -> list[Part]:
+    """Return the parts with tasks that may start now, most urgent first.
+
+    ``by_priority`` tells whether the priority of their queues counts.
+    """
     jobs = _list_waiting_jobs(batch_state)
-    jobs.sort(key=lambda job: _sort_key(job, moment))
+    jobs.sort(key=lambda job: _sort_key(job, moment, by_priority=by_priority))
     return _list_parts(jobs, moment)
 
 
 def order_lasting_parts(batch_state: BatchState, moment: Moment) -> list[Part]:
     """Return those of lasting tasks, without a look at what the others need."""
     jobs = list(filter(_has_lasting_step, _list_waiting_jobs(batch_state)))
-    jobs.sort(key=lambda job: _sort_key(job, moment))
+    jobs.sort(key=lambda job: _sort_key(job, moment, by_priority=False))
     return [part for part in _list_parts(jobs, moment) if part.step.lasting]
 
 
@@ -102,14 +107,15 @@
     )
 
 
-def _sort_key(job: Job, moment: Moment) -> tuple[int, int, int, float]:
+def _sort_key(
+    job: Job, moment: Moment, *, by_priority: bool
+) -> tuple[int, int, int, float]:
     urgency = classify_job(job, moment)
+    priority = effective_priority(job, moment.wall_ms) if by_priority else 0
     if urgency is UrgencyClass.in_time:
         is_new = job.state is JobState.queued
-        priority = effective_priority(job, moment.wall_ms)
         return urgency, priority, int(is_new), job.remaining_work()
     if urgency is UrgencyClass.late:
-        priority = effective_priority(job, moment.wall_ms)
         return urgency, priority, 0, float(job.remaining_ms())
     return urgency, 0, 0, job.accepted.accepted_ms
 
--- a/wasabiturn/platform/control_program.py
+++ b/wasabiturn/platform/control_program.py
@@ -50,4 +50,5 @@
             slowdown_factor=platform.slowdown_factor,
             is_enabled=platform.waits_for_racks,
         ),
+        orders_by_priority=platform.orders_by_priority,
     )
--- a/wasabiturn/platform/settings.py
+++ b/wasabiturn/platform/settings.py
@@ -65,6 +65,8 @@
     slowdown_factor: float
     # Whether tasks may wait for a place in their rack.
     waits_for_racks: bool
+    # Whether the priority of a queue counts in the order of jobs.
+    orders_by_priority: bool
     memory_mb: int = DEFAULT_MEMORY_MB
     max_fds: int = DEFAULT_MAX_FDS
 
@@ -180,6 +182,7 @@
         lease_ms=int(bounds.get('hold_max_ms', DEFAULT_LEASE_MS)),
         slowdown_factor=_read_factor(bounds.get('slowdown_factor') or 1),
         waits_for_racks=fields.get('wait_for_rack') is not False,
+        orders_by_priority=fields.get('order_by_priority') is True,
         memory_mb=_read_amount(
             limits.get('memory_mb') or DEFAULT_MEMORY_MB, MIN_MEMORY_MB
         ),
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -112,6 +112,7 @@
             self.pipeline, planned_starts, self.fleet, clock
         )
         self.starter.follow(settings.locality)
+        self.fleet.orders_by_priority = settings.orders_by_priority
         self.crash_watch = CrashWatch(self.fleet, self.pipeline)
         self._idle_watch = IdleJobWatch(batch_state, self.fleet)
         _log.event(
--- a/wasabiturn/process/control/batch/starts.py
+++ b/wasabiturn/process/control/batch/starts.py
@@ -48,6 +48,7 @@
 
     lease_ms: int
     locality: LocalityTerms = NO_LOCALITY
+    orders_by_priority: bool = False
 
 
 @final
