One place decides when a connection reports what it holds

The server side of HTTP connections and accepted links each had the check whether the held bytes had changed by REPORT_BYTES; the guard has it now. Behaviour stays. Linters, types and the tests of connection/ pass.

--- a/wasabiturn/connection/client_guard.py
+++ b/wasabiturn/connection/client_guard.py
@@ -163,6 +163,11 @@
         if grows and self.is_exhausted(client.rank):
             self._free_memory(client.rank)
 
+    def report_change(self, client: GuardedClient, held_bytes: int) -> None:
+        """Report what a connection holds, if it has changed by much."""
+        if abs(held_bytes - client.held_bytes) >= REPORT_BYTES:
+            self.report(client, held_bytes)
+
     def is_exhausted(self, rank: Rank) -> bool:
         """Return whether the budget is used up for clients of ``rank``."""
         return self.used_bytes > self.bounds.budget_of(rank)
--- a/wasabiturn/connection/http_connection.py
+++ b/wasabiturn/connection/http_connection.py
@@ -8,7 +8,6 @@
 
 from wasabiturn.connection import client_deadlines
 from wasabiturn.connection.client_claims import Claim, Phase
-from wasabiturn.connection.client_guard import REPORT_BYTES
 from wasabiturn.connection.http_limits import HttpLimits
 from wasabiturn.connection.http_messages import (
     HttpError,
@@ -225,16 +224,14 @@
         )
 
     def _report(self) -> None:
-        """Report what the connection holds, if it has changed by much."""
+        """Report what the connection holds."""
         held_bytes = (
             self._reader.held_bytes
             + self._runner.queue.kept_bytes
             + len(self._input)
             + self.unread.unread_bytes
         )
-        change = held_bytes - self.held_bytes
-        if change >= REPORT_BYTES or change <= -REPORT_BYTES:
-            self._site.guard.report(self, held_bytes)
+        self._site.guard.report_change(self, held_bytes)
 
     def _enqueue(self, request: HttpRequest) -> None:
         if self._closes:
--- a/wasabiturn/connection/link_client.py
+++ b/wasabiturn/connection/link_client.py
@@ -8,7 +8,7 @@
 
 from wasabiturn.connection import client_deadlines
 from wasabiturn.connection.client_claims import Claim, Phase, Rank
-from wasabiturn.connection.client_guard import REPORT_BYTES, ClientGuard
+from wasabiturn.connection.client_guard import ClientGuard
 from wasabiturn.connection.frames import FrameBuffer
 from wasabiturn.connection.rejections import RejectionCause
 from wasabiturn.connection.unread_watch import (
@@ -131,9 +131,7 @@
             self._unread.unread_bytes, count_unsent_bytes(self._link.transport)
         )
         held_bytes = len(self._frames.pending) + unread_bytes
-        change = held_bytes - self.held_bytes
-        if change >= REPORT_BYTES or change <= -REPORT_BYTES:
-            self._guard.report(self, held_bytes)
+        self._guard.report_change(self, held_bytes)
 
     def _handle_read(self) -> None:
         self._report()
