Each text of a job and its number of steps have limits

Cause: a job was bounded by the bytes of its body alone.

Ruled out: the limit on open tasks, which counts neither bytes nor steps.

Why it works: an entry refuses such a body with 400 before anything is sent.

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -7,6 +7,7 @@
 
 from wasabiturn.messages.kinds import RunEnding
 from wasabiturn.platform.fields import InvalidBodyError
+from wasabiturn.platform.job_limits import JobLimits
 from wasabiturn.platform.jobs import decode_job
 from wasabiturn.platform.listings import MAX_LISTED_ENDS, decode_listing
 from wasabiturn.platform.routing import decode_routing, read_queues
@@ -73,6 +74,13 @@
         b'{"steps":7}',
         b'\xff\xfe',
         b'{"steps":[{"count":100000}]}',
+        encode({'spec': 'x' * 4001, 'steps': [{'count': 1}]}),
+        encode({'spec': '\N{GRINNING FACE}' * 1001, 'steps': [{'count': 1}]}),
+        encode({'steps': [{'count': 1}] * 1001}),
+        encode({'steps': [{'count': 1, 'image': 'i' * 257}]}),
+        encode({'steps': [{'count': 1, 'requires': 'l' * 257}]}),
+        encode({'steps': [{'count': 1, 'affinity': 'r' * 257}]}),
+        encode({'steps': [{'count': 1}, {'count': 1, 'after': [0, 0]}]}),
     ],
 )
 def test_an_invalid_job_is_refused(body: bytes) -> None:
@@ -80,6 +88,25 @@
         decode_job(body)
 
 
+def test_the_largest_job_is_decoded() -> None:
+    names = {'image': 'i' * 256, 'requires': 'l' * 256, 'affinity': 'r' * 256}
+    steps = [
+        {'count': 20, 'after': list(range(index))[-100:], **names}
+        for index in range(1000)
+    ]
+    job = decode_job(encode({'spec': 'x' * 4000, 'steps': steps}))
+    assert len(job.steps[-1].after) == 100
+
+
+def test_the_limits_of_a_job_are_settings() -> None:
+    body = encode({'spec': 'xyz', 'steps': [{'count': 1}] * 3})
+    assert decode_job(body, JobLimits(max_spec_bytes=3, max_steps=3))
+    with pytest.raises(InvalidBodyError):
+        decode_job(body, JobLimits(max_spec_bytes=2))
+    with pytest.raises(InvalidBodyError):
+        decode_job(body, JobLimits(max_steps=2))
+
+
 def test_a_configuration_keeps_its_document() -> None:
     body = encode(CONFIGURATION)
     routing = decode_routing(body)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -5,6 +5,7 @@
 import pytest
 
 from wasabiturn.exceptions import SettingsError
+from wasabiturn.platform.job_limits import JobLimits
 from wasabiturn.platform.settings import (
     create_settings,
     read_platform_settings,
@@ -28,6 +29,7 @@
 fault_tolerance: {machines: 2, zones: 1}
 bounds: {hold_max_ms: 5000, slowdown_factor: 1.7}
 unknown: 7
+job_limits: {max_spec_bytes: 8000}
 """
 
 
@@ -45,6 +47,7 @@
     assert platform.slowdown_factor == 1.7
     assert platform.waits_for_racks
     assert not platform.orders_by_priority
+    assert platform.job_limits == JobLimits(max_spec_bytes=8000)
     assert settings.control is not None
     assert settings.control.voters == 5
     assert settings.control.may_found
@@ -60,6 +63,7 @@
         '7',
         TEXT + '\nx: [',
         TEXT + 'limits: {memory_mb: -5}\n',
+        TEXT + 'job_limits: {max_steps: 0}\n',
         TEXT + 'limits: {max_fds: 3}\n',
         TEXT.replace('1.7', '.nan'),
     ],
--- a/tests/untrusted/programs.py
+++ b/tests/untrusted/programs.py
@@ -39,7 +39,9 @@
 
     program: Program
     address: str
+    data_folder: Path | None = None
     peak_descriptors: int = 0
+    peak_disk_bytes: int = 0
 
     @property
     def pid(self) -> int:
@@ -51,6 +53,9 @@
         if self.program.is_running():
             count = len(os.listdir(f'/proc/{self.pid}/fd'))
             self.peak_descriptors = max(self.peak_descriptors, count)
+        if self.data_folder is not None:
+            used = sum(map(_find_size, self.data_folder.iterdir()))
+            self.peak_disk_bytes = max(self.peak_disk_bytes, used)
 
     def settle(self) -> None:
         """Wait until the program has read what was sent to it."""
@@ -86,7 +91,12 @@
     running: list[Running] = attrs.field(factory=list)
 
     def start(
-        self, role: str, number: int, memory_mb: int, has_disk: bool
+        self,
+        role: str,
+        number: int,
+        memory_mb: int,
+        has_disk: bool,
+        disk_mb: int = soak_settings.DISK_MB,
     ) -> Running:
         """Start a program on the address with the number."""
         address = f'{self.network}.{number}'
@@ -106,7 +116,9 @@
         path = self.folder / f'{site.name}.yaml'
         soak_settings.write_settings(site, path)
         fields = json.loads(path.read_text('utf-8'))
-        fields['limits'].update(memory_mb=memory_mb, max_fds=MAX_FDS)
+        fields['limits'].update(
+            memory_mb=memory_mb, max_fds=MAX_FDS, disk_mb=disk_mb
+        )
         path.write_text(json.dumps(fields), 'utf-8')
         program = Program(
             name=site.name,
@@ -115,7 +127,7 @@
             environment={'WASABITURN_SETTINGS': str(path)},
         )
         program.start()
-        running = Running(program, address)
+        running = Running(program, address, site.data_folder)
         self.running.append(running)
         return running
 
@@ -130,13 +142,29 @@
         return folder
 
 
-def start_group(folder: Path) -> Group:
+def _find_size(path: Path) -> int:
+    """Return the size of a file, which may be gone meanwhile."""
+    try:
+        return path.stat().st_size
+    except FileNotFoundError:
+        return 0
+
+
+def start_group(
+    folder: Path,
+    memory_mb: int = CONTROL_MEMORY_MB,
+    disk_mb: int = soak_settings.DISK_MB,
+) -> Group:
     """Start the control members."""
     octets = secrets.token_bytes(2)
     group = Group(folder, f'127.{octets[0] % 200 + 20}.{octets[1]}')
     for number in range(1, GROUP_SIZE + 1):
         group.start(
-            'control', number, memory_mb=CONTROL_MEMORY_MB, has_disk=True
+            'control',
+            number,
+            memory_mb=memory_mb,
+            has_disk=True,
+            disk_mb=disk_mb,
         )
     return group
 
--- a/wasabiturn/platform/callers.py
+++ b/wasabiturn/platform/callers.py
@@ -12,6 +12,7 @@
 from wasabiturn.messages.batch import JobAnswer, JobCall
 from wasabiturn.messages.kinds import JobAction, JobOutcome, JobState, Method
 from wasabiturn.platform import http_server as http
+from wasabiturn.platform.job_limits import DEFAULT_JOB_LIMITS, JobLimits
 from wasabiturn.platform.jobs import decode_job
 from wasabiturn.process.leader_calls import LeaderCalls
 
@@ -65,6 +66,7 @@
 
     calls: LeaderCalls
     has_leader_contact: Callable[[], bool]
+    job_limits: JobLimits = DEFAULT_JOB_LIMITS
 
     def handle(
         self, request: HttpRequest
@@ -84,7 +86,7 @@
             request_id=path.rpartition('/')[2],
         )
         if action is JobAction.submit:
-            call.declaration = decode_job(request.body)
+            call.declaration = decode_job(request.body, self.job_limits)
         deferred = self.calls.call(
             Method.job,
             call,
--- a/wasabiturn/platform/entry_program.py
+++ b/wasabiturn/platform/entry_program.py
@@ -36,7 +36,9 @@
     program = Program(context, platform, Role.entry)
     leader_contact = LeaderContact(program.group.calls, context.reactor)
     callers = JsonServer(
-        CallerHandler(program.group.calls, leader_contact.is_fresh).handle,
+        CallerHandler(
+            program.group.calls, leader_contact.is_fresh, platform.job_limits
+        ).handle,
     )
 
     def report_readiness(request: Any) -> Response:
--- a/wasabiturn/platform/fields.py
+++ b/wasabiturn/platform/fields.py
@@ -70,6 +70,19 @@
     return check_str(fields.get(key, ''), key)
 
 
+def read_short_str(fields: dict[str, Any], key: str, max_bytes: int) -> str:
+    """Return the string at ``key``, of at most ``max_bytes`` in UTF-8.
+
+    Raises:
+        InvalidBodyError: the value is longer, or no string that a message can
+            hold.
+    """
+    text = read_str(fields, key)
+    if len(text.encode()) > max_bytes:
+        raise InvalidBodyError(f'{key} has more than {max_bytes} bytes')
+    return text
+
+
 def check_str(text: Any, key: str) -> str:
     """Return ``text``, which was found at ``key``, if it is valid Unicode.
 
--- a/wasabiturn/platform/settings.py
+++ b/wasabiturn/platform/settings.py
@@ -21,6 +21,7 @@
 )
 from wasabiturn.connection.endpoint import Endpoint, parse_endpoint
 from wasabiturn.exceptions import SettingsError
+from wasabiturn.platform.job_limits import DEFAULT_JOB_LIMITS, JobLimits
 
 # Offsets from the first port of the range that the platform assigns.
 LINK_PORT_OFFSET = 0
@@ -69,6 +70,7 @@
     orders_by_priority: bool
     memory_mb: int = DEFAULT_MEMORY_MB
     max_fds: int = DEFAULT_MAX_FDS
+    job_limits: JobLimits = DEFAULT_JOB_LIMITS
 
     @property
     def link_port(self) -> int:
@@ -187,6 +189,16 @@
             limits.get('memory_mb') or DEFAULT_MEMORY_MB, MIN_MEMORY_MB
         ),
         max_fds=_read_amount(limits.get('max_fds') or DEFAULT_MAX_FDS, MIN_FDS),
+        job_limits=_read_job_limits(fields.get('job_limits') or {}),
+    )
+
+
+def _read_job_limits(fields: dict[str, Any]) -> JobLimits:
+    """Return the limits of a job; those that are not given have defaults."""
+    known = attrs.asdict(DEFAULT_JOB_LIMITS)
+    given = {name: fields[name] for name in known if name in fields}
+    return JobLimits(
+        **{name: _read_amount(amount, 1) for name, amount in given.items()}
     )
 
 
