--- a/wasabiturn/version/storage/disk.py
+++ b/wasabiturn/version/storage/disk.py
@@ -2,7 +2,7 @@
 
 import errno
 import os
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import ExitStack, contextmanager
 from pathlib import Path
 
@@ -86,9 +86,14 @@
 
 def replace_file(path: Path, content: bytes) -> None:
     """Replace a file so that a crash leaves the old or the new content."""
+    replace_file_by_parts(path, (content,))
+
+
+def replace_file_by_parts(path: Path, parts: Iterable[bytes]) -> None:
+    """Replace a file as ``replace_file``; large parts are not joined."""
     temporary = path.with_suffix('.tmp')
     try:
-        _write_file(temporary, content)
+        _write_file(temporary, parts)
     except DiskFullError:
         temporary.unlink(missing_ok=True)
         raise
@@ -97,11 +102,12 @@
     sync_folder(path.parent)
 
 
-def _write_file(path: Path, content: bytes) -> None:
+def _write_file(path: Path, parts: Iterable[bytes]) -> None:
     descriptor = open_file(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC)
     with ExitStack() as stack:
         stack.callback(os.close, descriptor)
-        write_all(descriptor, content, path)
+        for part in parts:
+            write_all(descriptor, part, path)
         sync_file(descriptor, path)
 
 
--- a/wasabiturn/version/storage/records.py
+++ b/wasabiturn/version/storage/records.py
@@ -36,11 +36,16 @@
     end: int
 
 
-def encode_record(sequence: int, payload: bytes) -> bytes:
-    """Return ``payload`` preceded by a record header."""
+def encode_header(sequence: int, payload: bytes) -> bytes:
+    """Return the header that precedes ``payload`` in its record."""
     head = _HEADER.pack(_MAGIC, len(payload), sequence, zlib.crc32(payload), 0)
     prefix = head[:_PREFIX_SIZE]
-    return prefix + _HEADER_CRC.pack(zlib.crc32(prefix)) + payload
+    return prefix + _HEADER_CRC.pack(zlib.crc32(prefix))
+
+
+def encode_record(sequence: int, payload: bytes) -> bytes:
+    """Return ``payload`` preceded by a record header."""
+    return encode_header(sequence, payload) + payload
 
 
 def decode_record(content: bytes, start: int) -> Record | None:
--- a/wasabiturn/version/storage/reserve.py
+++ b/wasabiturn/version/storage/reserve.py
@@ -4,6 +4,7 @@
 a member sets some aside while there is room.
 """
 
+from itertools import repeat
 from pathlib import Path
 from typing import final
 
@@ -14,6 +15,7 @@
 from wasabiturn.version.storage import disk
 
 MIN_RESERVE_BYTES = 1024 * 1024
+_BLOCK = bytes(MIN_RESERVE_BYTES)
 # A snapshot may have grown since the one before.
 _SNAPSHOT_FACTOR = 2
 
@@ -30,11 +32,14 @@
 
     def fill(self, snapshot_bytes: int) -> None:
         """Set aside room for a snapshot that is to replace one of this size."""
-        wanted = max(MIN_RESERVE_BYTES, _SNAPSHOT_FACTOR * snapshot_bytes)
+        blocks = _SNAPSHOT_FACTOR * snapshot_bytes // len(_BLOCK) + 1
+        wanted = blocks * len(_BLOCK)
         if self.size >= wanted:
             return
+        # It would take its room twice while it is replaced.
+        self.release()
         try:
-            disk.replace_file(self.path, bytes(wanted))
+            disk.replace_file_by_parts(self.path, repeat(_BLOCK, blocks))
         except DiskFullError as error:
             _log.warning(
                 'no room to set aside for a snapshot', error=str(error)
--- a/wasabiturn/version/storage/snapshot_files.py
+++ b/wasabiturn/version/storage/snapshot_files.py
@@ -7,7 +7,11 @@
 from wasabiturn.messages.raft import SnapshotHead
 from wasabiturn.version.raft.state import Snapshot
 from wasabiturn.version.storage import disk
-from wasabiturn.version.storage.records import decode_records, encode_record
+from wasabiturn.version.storage.records import (
+    decode_records,
+    encode_header,
+    encode_record,
+)
 
 _PREFIX = 'snapshot-'
 _HEAD_SEQUENCE = 1
@@ -21,9 +25,12 @@
         StorageError: the snapshot is not durable; the older one is kept.
     """
     path = folder / f'{_PREFIX}{snapshot.head.index:020d}'
-    encoded = encode_record(_HEAD_SEQUENCE, pack(snapshot.head))
-    encoded += encode_record(_CONTENT_SEQUENCE, snapshot.content)
-    disk.replace_file(path, encoded)
+    parts = (
+        encode_record(_HEAD_SEQUENCE, pack(snapshot.head)),
+        encode_header(_CONTENT_SEQUENCE, snapshot.content),
+        snapshot.content,
+    )
+    disk.replace_file_by_parts(path, parts)
     for older in _list_files(folder):
         if older < path:
             disk.remove_file(older)
