Jobs are refused when the smallest member has no room for them

Cause: the state was bounded by open tasks and ended jobs, not by bytes, and neither followed the memory or the disk of an instance.

Members send their room with the hello of each link. A queue gets no more than it leaves free, so one crowd leaves room for the others.

Refused jobs were logged one by one; they have one line each 5 s for each reason and queue now.

--- a/tests/sessions/test_open_tasks.py
+++ b/tests/sessions/test_open_tasks.py
@@ -6,14 +6,14 @@
 from wasabiturn.batch.state import ended_jobs
 from wasabiturn.batch.state.ended_jobs import STATUS_SECONDS
 from wasabiturn.messages.kinds import JobOutcome, JobState
-from wasabiturn.process.control.batch import job_calls
+from wasabiturn.process.control.batch import job_admission
 from wasabiturn.standins.batch_worker import SimulatedWork
 
 
 def test_job_with_which_the_state_would_outgrow_memory_is_refused_at_once(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(job_calls, 'MAX_OPEN_TASKS', 10)
+    monkeypatch.setattr(job_admission, 'MAX_OPEN_TASKS', 10)
     fleet = BatchFleet()
     answers = [fleet.submit(f'j{n}', [create_step(4)]) for n in range(3)]
     outcomes = [answer.outcome for answer in answers]
--- a/tests/untrusted/test_whole_jobs.py
+++ b/tests/untrusted/test_whole_jobs.py
@@ -110,6 +110,16 @@
     ('count', 'body'),
     [
         pytest.param(300, jobs.create_job('x' * 250_000), id='long_texts'),
+        pytest.param(
+            3000, jobs.create_job('x' * jobs.SPEC_BYTES), id='allowed_texts'
+        ),
+        pytest.param(
+            3000,
+            # One such character makes each take four bytes once decoded.
+            jobs.create_job('x' * (jobs.SPEC_BYTES - 4) + '\N{GRINNING FACE}'),
+            id='wide_texts',
+        ),
+        pytest.param(400, jobs.create_job(count=240), id='many_tasks'),
         pytest.param(60, jobs.create_job(steps=1500), id='many_steps'),
         pytest.param(
             300, jobs.create_job(image='i' * 250_000), id='long_names'
@@ -123,3 +133,33 @@
     assert_within_limits(small_group)
     assert_serves_others(small_entry)
     assert_keeps(crowd)
+
+
+def test_the_largest_state_is_sent_handed_over_and_read_again(
+    small_group: Group, small_entry: Running
+) -> None:
+    """A start that reads more than fits would never come back.
+
+    A member that lags gets a snapshot, which both hold beside the state; a
+    leader that stands still is followed by another one.
+    """
+    members = small_group.running[: programs.GROUP_SIZE]
+    members[0].program.kill()
+    body = jobs.create_job('x' * jobs.SPEC_BYTES)
+    crowd = fill(small_group, small_entry, 3000, body)
+    members[0].program.start()
+    first_id = crowd.accepted_ids[0]
+    for member in members:
+        ask_until(crowd.queue, 'GET', first_id, HTTPStatus.OK)
+        member.program.freeze()
+        ask_until(crowd.queue, 'GET', first_id, HTTPStatus.OK)
+        member.program.thaw()
+    assert_within_limits(small_group)
+    for member in members:
+        member.program.kill()
+    for member in members:
+        member.program.start()
+    ask_until(crowd.queue, 'GET', first_id, HTTPStatus.OK)
+    assert_within_limits(small_group)
+    assert_serves_others(small_entry)
+    assert_keeps(crowd)
--- a/wasabiturn/batch/state/batch_state.py
+++ b/wasabiturn/batch/state/batch_state.py
@@ -7,6 +7,7 @@
 
 from wasabiturn.batch.state.jobs import Job, Task
 from wasabiturn.messages.batch import PressureRecord, Routing
+from wasabiturn.messages.footprint import ENDED_JOB, Usage
 from wasabiturn.messages.kinds import BatchTaskState, JobState
 
 
@@ -32,6 +33,8 @@
     pressures: list[PressureRecord] = attrs.field(factory=list)
     # See ``state/clock.py``.
     clock_ms: int = 0
+    # Room that the jobs take.
+    usage: Usage = attrs.field(factory=Usage)
     on_start: Callable[[Task], None] | None = None
     on_end: Callable[[Task], None] | None = None
 
@@ -46,10 +49,13 @@
         self.jobs_by_id[job.job_id] = job
         self.open_jobs_by_id[job.job_id] = job
         self.tasks_by_name.update(job.tasks_by_name)
+        self.usage.add(job.queue, job.footprint)
 
     def add_ended_job(self, job: Job) -> None:
         """Add a job of which only the state is kept."""
         job.shrink()
+        job.footprint = ENDED_JOB
+        self.usage.add(job.queue, ENDED_JOB)
         self.jobs_by_id[job.job_id] = job
         self.ended_jobs_by_id[job.job_id] = job
 
@@ -64,6 +70,7 @@
         """Remove an ended job."""
         self.jobs_by_id.pop(job.job_id)
         self.ended_jobs_by_id.pop(job.job_id)
+        self.usage.remove(job.queue, job.footprint)
 
     def begin_run(self, task: Task) -> None:
         """Mark ``task`` active and call ``on_start``."""
@@ -110,4 +117,11 @@
         self.tasks_by_name.pop(task.name, None)
         self.suspects_by_name.pop(task.name, None)
         if task.job.is_final and not task.job.tasks_by_name:
-            task.job.shrink()
+            self._shrink_job(task.job)
+
+    def _shrink_job(self, job: Job) -> None:
+        """Keep only the state of a job that has ended."""
+        self.usage.remove(job.queue, job.footprint)
+        job.shrink()
+        job.footprint = ENDED_JOB
+        self.usage.add(job.queue, ENDED_JOB)
--- a/wasabiturn/batch/state/ended_jobs.py
+++ b/wasabiturn/batch/state/ended_jobs.py
@@ -7,6 +7,8 @@
 from itertools import islice
 
 from wasabiturn.batch.state.batch_state import BatchState
+from wasabiturn.batch.state.budget import count_kept_jobs
+from wasabiturn.messages.link import StateBudget
 
 # Callers are promised the state of an ended job for so long.
 STATUS_SECONDS = 120
@@ -18,10 +20,15 @@
 _MS = 1000
 
 
-def find_forgettable(batch_state: BatchState, now_ms: int) -> Iterator[str]:
+def find_forgettable(
+    batch_state: BatchState, now_ms: int, budget: StateBudget | None = None
+) -> Iterator[str]:
     """Yield the surplus of ended jobs whose time is over, first end first."""
     ended = batch_state.ended_jobs_by_id
-    surplus = max(len(ended) - MAX_ENDED_JOBS, 0)
+    kept = MAX_ENDED_JOBS
+    if budget is not None:
+        kept = min(kept, count_kept_jobs(budget))
+    surplus = max(len(ended) - kept, 0)
     for job in islice(ended.values(), surplus):
         if now_ms < job.ended_ms + STATUS_SECONDS * _MS:
             return
--- a/wasabiturn/batch/state/jobs.py
+++ b/wasabiturn/batch/state/jobs.py
@@ -11,6 +11,11 @@
     StartRun,
     Step,
 )
+from wasabiturn.messages.footprint import (
+    NO_FOOTPRINT,
+    Footprint,
+    measure_job,
+)
 from wasabiturn.messages.kinds import BatchTaskState, JobState
 
 _MILLI = 1000
@@ -165,12 +170,19 @@
     # Likewise, when it was accepted or the newest end of a run was stored. A
     # run may have gone on since; a new leader hears of it from its worker.
     idle_since_ms: int = 0
+    # Room that it takes in the state.
+    footprint: Footprint = NO_FOOTPRINT
 
     @property
     def job_id(self) -> str:
         """Return the job ID, which the caller chose."""
         return self.accepted.declaration.job_id
 
+    @property
+    def queue(self) -> str:
+        """Return the key of the queue that accepted the job."""
+        return self.accepted.declaration.queue
+
     def due_ms(self) -> int:
         """Return the due time of the first unfinished occurrence, Unix ms."""
         declaration = self.accepted.declaration
@@ -250,6 +262,7 @@
     job = Job(
         accepted=accepted,
         objective_ms=terms.stretch * chain_ms + terms.slack_ms,
+        footprint=measure_job(accepted, count_tasks(declaration)),
     )
     for occurrence in range(max(declaration.occurrences, 1)):
         for number, step in enumerate(declaration.steps):
--- a/wasabiturn/connection/rejection_log.py
+++ b/wasabiturn/connection/rejection_log.py
@@ -2,33 +2,21 @@
 
 from typing import Any, final
 
-import attrs
-
 from wasabiturn.connection.client_claims import Rank
 from wasabiturn.connection.rejections import RejectionCause
 from wasabiturn.utils.logs import create_component_log
-
-# Time between two lines with one cause and rank.
-LINE_SECONDS = 5.0
+from wasabiturn.utils.tally_log import TallyLog
 
 _log = create_component_log('clients')
 
 
-@final
-@attrs.define
-class _Tally:
-    logged_at: float
-    unlogged: int = 0
-
-
 @final
 class RejectionLog:
-    """Logs the first rejection, and the number of those since the last line."""
+    """Logs rejections, one line at a time for each cause and rank."""
 
     def __init__(self, clock: Any) -> None:
         """Create the log; ``clock`` is the reactor."""
-        self._clock = clock
-        self._tallies: dict[tuple[RejectionCause, Rank], _Tally] = {}
+        self._tally_log = TallyLog(_log, 'rejected clients', clock)
 
     def record(
         self,
@@ -38,19 +26,10 @@
         used_bytes: int,
     ) -> None:
         """Count a rejection, and log it if no line is too near."""
-        now = self._clock.seconds()
-        tally = self._tallies.setdefault(
-            (cause, rank), _Tally(now - LINE_SECONDS)
-        )
-        tally.unlogged += 1
-        if now < tally.logged_at + LINE_SECONDS:
-            return
-        _log.event(
-            'rejected clients',
+        self._tally_log.record(
+            (cause, rank),
             cause=cause.value,
             rank=rank.name,
-            count=tally.unlogged,
             connections=connections,
             used_bytes=used_bytes,
         )
-        self._tallies[cause, rank] = _Tally(now)
--- a/wasabiturn/messages/link.py
+++ b/wasabiturn/messages/link.py
@@ -36,17 +36,35 @@
     expires_ms: int = 0
 
 
+@bind(_idl)
+@final
+@attrs.define
+class StateBudget:
+    """Room for jobs in the replicated state of one member of the group.
+
+    ``memory_bytes`` are for all copies that it may have at a time, while
+    ``stored_bytes`` are those of one snapshot.
+    """
+
+    memory_bytes: int = 0
+    stored_bytes: int = 0
+
+
 @bind(_idl)
 @final
 @attrs.define
 class Hello:
-    """First message of each side of a link."""
+    """First message of each side of a link.
+
+    Members of the control group send their ``state_budget``.
+    """
 
     name: str = ''
     role: Role = attrs.field(default=Role.unknown, converter=Role)
     incarnation: str = ''
     data_centre: str = ''
     protocol_version: int = 0
+    state_budget: StateBudget | None = None
 
 
 @bind(_idl)
--- a/wasabiturn/messages/wire/link.thrift
+++ b/wasabiturn/messages/wire/link.thrift
@@ -11,12 +11,19 @@
   7: i64 expires_ms,  // of a call, on the receiver's clock; 0: not known
 }
 
+// Room for jobs in the state of a member of the control group.
+struct StateBudget {
+  1: i64 memory_bytes,  // for all copies that a member may have at a time
+  2: i64 stored_bytes,  // of one snapshot
+}
+
 struct Hello {
   1: string name,
   2: i32 role,        // Role
   3: string incarnation,
   4: string data_centre,
   5: i32 protocol_version,
+  6: optional StateBudget state_budget,  // of a member of the control group
 }
 
 struct Failure {
--- a/wasabiturn/platform/control_program.py
+++ b/wasabiturn/platform/control_program.py
@@ -1,6 +1,7 @@
 """The program that replicates the state and may lead."""
 
 from wasabiturn.batch.placing.locality.state import LocalityTerms
+from wasabiturn.batch.state.budget import create_state_budget
 from wasabiturn.messages.kinds import Role
 from wasabiturn.platform.program import Program
 from wasabiturn.platform.routing import read_client_limits, read_queues
@@ -17,6 +18,9 @@
     """Create the control member of this process."""
     program = Program(context, platform, Role.control)
     program.accepts_links = True
+    program.dispatch.hello.state_budget = create_state_budget(
+        platform.memory_mb, platform.disk_bytes, platform.log_bytes
+    )
     replica = create_replica(context, program.dispatch)
     program.dispatch.revision = lambda: replica.state.revision
     program.services = [
--- a/wasabiturn/platform/settings.py
+++ b/wasabiturn/platform/settings.py
@@ -77,6 +77,11 @@
         """Return the port for links between Wasabiturn processes."""
         return self.first_port + LINK_PORT_OFFSET
 
+    @property
+    def log_bytes(self) -> int:
+        """Return by how much the log may grow between two snapshots."""
+        return self.disk_bytes // LOG_DISK_DIVISOR
+
 
 def read_platform_settings(source: Path) -> PlatformSettings:
     """Return the settings in the file ``source``.
@@ -135,7 +140,7 @@
             ),
             data_folder=platform.data_folder,
             snapshot_entries=SNAPSHOT_ENTRIES,
-            snapshot_bytes=platform.disk_bytes // LOG_DISK_DIVISOR,
+            snapshot_bytes=platform.log_bytes,
             voters=2 * platform.tolerated_failures + 1,
             may_found=platform.may_found,
         )
--- a/wasabiturn/process/control/batch/job_calls.py
+++ b/wasabiturn/process/control/batch/job_calls.py
@@ -8,7 +8,6 @@
 
 from wasabiturn.batch import BatchState
 from wasabiturn.batch.queueing.queue_table import QueueTable
-from wasabiturn.batch.state.ended_jobs import find_refusal_ms
 from wasabiturn.batch.state.jobs import Job, count_tasks
 from wasabiturn.messages.batch import (
     AcceptJob,
@@ -19,12 +18,10 @@
     Queue,
 )
 from wasabiturn.messages.kinds import JobAction, JobOutcome
-from wasabiturn.process import exposition
+from wasabiturn.process.control.batch.job_admission import JobAdmission
 from wasabiturn.process.control.batch.pipeline import Pipeline
 from wasabiturn.utils.logs import create_component_log
 
-# A task takes about 1 KB of memory, and the leader has each twice.
-MAX_OPEN_TASKS = 100_000
 _OUTCOMES_TO_CONFIRM = frozenset((JobOutcome.no_queue, JobOutcome.no_job))
 
 _log = create_component_log('queues')
@@ -41,6 +38,7 @@
 
     pipeline: Pipeline
     queue_table: QueueTable
+    admission: JobAdmission
     committed_state: Callable[[], BatchState]
 
     def answer(self, call: JobCall, wall_ms: int) -> Deferred[JobAnswer]:
@@ -118,47 +116,17 @@
             terms=queue.terms,
             accepted_ms=wall_ms,
         )
-        if not self._has_room(accepted.declaration):
-            exposition.refused_jobs.labels('open tasks').inc()
-            return succeed(JobAnswer(outcome=JobOutcome.busy))
-        refusal_ms = self._find_refusal_ms(job_id)
-        if refusal_ms:
+        refusal = self.admission.refuse(accepted, self.pipeline)
+        if refusal is not None:
             return succeed(
-                JobAnswer(outcome=JobOutcome.busy, retry_after_ms=refusal_ms)
+                JobAnswer(
+                    outcome=JobOutcome.busy, retry_after_ms=refusal.retry_ms
+                )
             )
         _log_accept(call, accepted.declaration)
         recorded = self.pipeline.record(BatchChange(accepts=[accepted]))
         return recorded.addCallback(lambda _: accepted_answer)
 
-    def _has_room(self, declaration: JobDeclaration) -> bool:
-        """Return whether the state with a job still fits its processes."""
-        tasks = count_tasks(declaration)
-        open_tasks = len(self.pipeline.batch_state.tasks_by_name)
-        if open_tasks + tasks <= MAX_OPEN_TASKS:
-            return True
-        _log.warning(
-            'refuses job: too many tasks are open',
-            job=declaration.job_id,
-            tasks=tasks,
-            open_tasks=open_tasks,
-            limit=MAX_OPEN_TASKS,
-        )
-        return False
-
-    def _find_refusal_ms(self, job_id: str) -> int:
-        """Return for how long ended jobs leave no room for a new one, or 0."""
-        batch_state = self.pipeline.batch_state
-        refusal_ms = find_refusal_ms(batch_state, self.pipeline.read_clock())
-        if refusal_ms:
-            exposition.refused_jobs.labels('ended jobs').inc()
-            _log.warning(
-                'refuses job: too many jobs have ended lately',
-                job=job_id,
-                ended_jobs=len(batch_state.ended_jobs_by_id),
-                retry_after_ms=refusal_ms,
-            )
-        return refusal_ms
-
     def _cancel(
         self,
         call: JobCall,
--- a/wasabiturn/process/control/batch/leader.py
+++ b/wasabiturn/process/control/batch/leader.py
@@ -18,25 +18,29 @@
 from wasabiturn.connection.link import Link
 from wasabiturn.messages import batch as messages
 from wasabiturn.messages.kinds import FailureCode, Method
-from wasabiturn.messages.link import Nothing
 from wasabiturn.process.control.batch.client_limits import (
     ClientLimitsTable,
     LimitsReader,
     read_no_limits,
 )
 from wasabiturn.process.control.batch.clock_follower import ClockFollower
+from wasabiturn.process.control.batch.job_admission import create_admission
 from wasabiturn.process.control.batch.job_calls import JobCallHandler
 from wasabiturn.process.control.batch.leader_term import LeaderTerm
+from wasabiturn.process.control.batch.operator_calls import (
+    register_operator_calls,
+)
 from wasabiturn.process.control.batch.starts import TermSettings, wall_clock_ms
+from wasabiturn.process.control.batch.status_calls import (
+    register_status_calls,
+)
 from wasabiturn.process.control.batch.take_over import TakeOver
-from wasabiturn.process.control.batch.token_requests import (
-    answer_token_request,
+from wasabiturn.process.control.batch.worker_calls import (
+    register_worker_calls,
 )
-from wasabiturn.process.control.batch.worker_reports import answer_report
 from wasabiturn.process.daemon import Context
 from wasabiturn.utils.logs import create_component_log
 from wasabiturn.utils.ticker import Ticker
-from wasabiturn.version.raft.membership import name_of
 from wasabiturn.version.replica import AppliedCommand, Replica
 
 TICK_SECONDS = 0.1
@@ -68,6 +72,7 @@
         self._newest_fence = 0
         self._clock_follower = ClockFollower(replica, self._clock)
         self._ticker = Ticker(self._tick, context.reactor)
+        self._admission = create_admission(dispatch, replica, self._clock)
         self._register_handlers(dispatch)
         replica.on_applied.append(self._follow_applied)
         replica.on_restored.append(self._stop_leading)
@@ -97,33 +102,25 @@
             self._handle_job,
             drops_expired=True,
         )
-        handle(
-            Method.put_routing, messages.PutRouting, self._handle_put_routing
-        )
-        handle(Method.read_routing, Nothing, self._handle_read_routing)
-        handle(
-            Method.mark_data_centre,
-            messages.DataCentreMark,
-            self._handle_data_centre_mark,
-            drops_expired=True,
-        )
-        handle(
-            Method.worker_report,
-            messages.WorkerReport,
-            self._handle_worker_report,
+        register_operator_calls(
+            dispatch,
+            lambda: self._require_leader_term().pipeline,
+            lambda: self._replica.state.batch,
         )
-        handle(
-            Method.worker_token,
-            messages.TokenRequest,
-            lambda link, request: answer_token_request(
-                self._require_leader_term().fleet,
-                request,
-                link.peer.name,
-                self._now(),
+        register_worker_calls(
+            dispatch,
+            self._require_leader_term,
+            lambda service_name: self._queue_table.has_service(
+                self._replica.state.batch.routing, service_name
             ),
+            self._now,
+        )
+        register_status_calls(
+            dispatch,
+            self._require_leader_term,
+            self._replica,
+            self._client_limits,
         )
-        handle(Method.members, Nothing, self._handle_members)
-        handle(Method.leader_status, Nothing, self._handle_leader_status)
 
     def _now(self) -> float:
         return float(self._clock.seconds())
@@ -174,12 +171,16 @@
             )
 
     def _tick(self) -> None:
-        if self._replica.holds_lease(self._now()):
+        holds_lease = self._replica.holds_lease(self._now())
+        if holds_lease:
             self._begin_term()
         elif self._replica.leader() != self._replica.name:
             self._stop_leading()
-        if self._leader_term is not None:
-            self._leader_term.tick()
+        if self._leader_term is None:
+            return
+        if holds_lease:
+            self._admission.forget_ended_jobs(self._leader_term.pipeline)
+        self._leader_term.tick()
 
     def _require_leader_term(self) -> LeaderTerm:
         holds_lease = self._replica.holds_lease(self._now())
@@ -196,85 +197,11 @@
         handler = JobCallHandler(
             pipeline=self._require_leader_term().pipeline,
             queue_table=self._queue_table,
+            admission=self._admission,
             committed_state=lambda: self._replica.state.batch,
         )
         return handler.answer(call, wall_clock_ms())
 
-    def _handle_put_routing(
-        self,
-        link: Link,
-        put: messages.PutRouting,
-    ) -> Deferred[Nothing]:
-        leader_term = self._require_leader_term()
-        version = put.routing.version
-        if version <= _version_of(self._replica.state.batch.routing):
-            return succeed(Nothing())
-        if version <= _version_of(leader_term.pipeline.batch_state.routing):
-            # It is on its way, and is not stored twice.
-            return _to_nothing(leader_term.pipeline.confirm())
-        _log.decision('stores routing', version=version)
-        return _record(leader_term, messages.BatchChange(routing=put.routing))
-
-    def _handle_read_routing(
-        self,
-        link: Link,
-        nothing: Nothing,
-    ) -> Deferred[messages.RoutingAnswer]:
-        confirmed = self._require_leader_term().pipeline.confirm()
-        return confirmed.addCallback(
-            lambda _: messages.RoutingAnswer(
-                routing=self._replica.state.batch.routing
-            )
-        )
-
-    def _handle_data_centre_mark(
-        self,
-        link: Link,
-        mark: messages.DataCentreMark,
-    ) -> Deferred[Nothing]:
-        leader_term = self._require_leader_term()
-        _log.decision(
-            'marks data centre',
-            data_centre=mark.data_centre,
-            out=mark.out,
-        )
-        return _record(leader_term, messages.BatchChange(marks=[mark]))
-
-    def _handle_members(
-        self,
-        link: Link,
-        nothing: Nothing,
-    ) -> messages.MemberList:
-        members = self._replica.member_status().members
-        return messages.MemberList(
-            names=sorted({name_of(each.member_id) for each in members}),
-        )
-
-    def _handle_leader_status(
-        self,
-        link: Link,
-        nothing: Nothing,
-    ) -> messages.LeaderStatus:
-        self._require_leader_term()
-        routing = self._replica.state.batch.routing
-        return messages.LeaderStatus(
-            is_configured=routing is not None,
-            client_limits=self._client_limits.find(routing),
-        )
-
-    def _handle_worker_report(
-        self,
-        link: Link,
-        report: messages.WorkerReport,
-    ) -> messages.WorkerOrders:
-        orders = answer_report(
-            self._require_leader_term(), link, report, self._now()
-        )
-        orders.is_service_unknown = not self._queue_table.has_service(
-            self._replica.state.batch.routing, report.service_name
-        )
-        return orders
-
 
 def create_batch_leader(
     context: Context,
@@ -292,17 +219,3 @@
     return BatchLeader(
         context, replica, dispatch, settings, read_queues, read_limits
     )
-
-
-def _version_of(routing: messages.Routing | None) -> int:
-    return 0 if routing is None else routing.version
-
-
-def _record(
-    leader_term: LeaderTerm, change: messages.BatchChange
-) -> Deferred[Nothing]:
-    return _to_nothing(leader_term.pipeline.record(change))
-
-
-def _to_nothing(recorded: Deferred[None]) -> Deferred[Nothing]:
-    return recorded.addCallback(lambda _: Nothing())
--- a/wasabiturn/process/control/batch/leader_term.py
+++ b/wasabiturn/process/control/batch/leader_term.py
@@ -15,7 +15,6 @@
 )
 from wasabiturn.batch.queueing.progress import record_end, restore_idle_times
 from wasabiturn.batch.state.clock import StateClock
-from wasabiturn.batch.state.ended_jobs import find_forgettable
 from wasabiturn.batch.state.jobs import Task
 from wasabiturn.messages.batch import BatchChange, EndRun, MoveLimit, StartRun
 from wasabiturn.process import exposition
@@ -152,7 +151,6 @@
         self.interference.drop_decayed(now)
         self._forecasts.drop_outdated(now)
         self._store_for_next_leader(now)
-        self._forget_ended_jobs()
         self._idle_watch.review(self._forecasts, now)
         self.pipeline.schedule_flush()
 
@@ -257,12 +255,6 @@
         )
         self.delivery.send_all(incarnations)
 
-    def _forget_ended_jobs(self) -> None:
-        now_ms = self.pipeline.read_clock()
-        forgets = list(find_forgettable(self.pipeline.batch_state, now_ms))
-        if forgets:
-            self.pipeline.add(BatchChange(forgets=forgets))
-
     def _plan(self) -> None:
         now = self._now()
         if not self._replica.holds_lease(now):
