An entry holds little for a group or a link that stands still

What callers saw: with the three members stopped by SIGSTOP, 200 callers with bodies of 200 KB brought an entry to 217 MB of its 160 in 12 s.

Cause: a link that is dialled is in no budget. Each waiting call was sent on it again and again, and its transport kept every copy until the link was lost; what was sent to followers or agents that take nothing, likewise. Beside it, a decoded job takes several times its bytes while it waits for the answer.

Why it works: a link that keeps an eighth of the process's budget unsent carries no further calls and notices. Calls fail as certainly not run, which is true as nothing was sent, and notices may be lost with a link anyway. Jobs that wait for an answer take half of the budget at most; one is always sent.

--- a/tests/connection/test_link.py
+++ b/tests/connection/test_link.py
@@ -5,7 +5,7 @@
 import pytest
 from twisted.internet.task import Clock
 
-from tests.connection.fakes import Pipe
+from tests.connection.fakes import Pipe, PipeTransport
 from wasabiturn.connection.calls import CallError
 from wasabiturn.connection.dispatch import Dispatch
 from wasabiturn.connection.link import Link
@@ -131,3 +131,34 @@
     pipe.pump()
     assert [error.code for error in errors] == [FailureCode.unknown_method]
     assert pipe.right.is_open
+
+
+class KeepingTransport(PipeTransport):
+    """Transport whose peer takes nothing."""
+
+    dataBuffer = b''  # noqa: N815 - name used by Twisted
+    offset = 0
+
+    def write(self, data: bytes) -> None:
+        self.dataBuffer += data
+
+
+def test_a_link_that_takes_nothing_gets_no_more_calls() -> None:
+    """They have not run, so that another way may be tried."""
+    dispatch = create_dispatch('left')
+    dispatch.max_unsent_bytes = 1000
+    link = Link(dispatch, Clock(), dialled=True)
+    transport: Any = KeepingTransport()
+    link.makeConnection(transport)
+    link.is_open = True
+    codes: list[FailureCode] = []
+    for _ in range(100):
+        message = LookUpClaim(key='k' * 2000)
+        call = link.call(Method.look_up_claim, message, Subscribed, 1)
+        call.addErrback(lambda failure: codes.append(failure.value.code))
+        link.notify(Method.look_up_claim, message)
+    assert codes == [FailureCode.unavailable] * 99
+    assert len(transport.dataBuffer) < 4000
+    transport.dataBuffer = b''
+    link.call(Method.look_up_claim, message, Subscribed, 1)
+    assert len(codes) == 99
--- /dev/null
+++ b/tests/untrusted/test_crowds_beside_callers.py
@@ -0,0 +1,67 @@
+"""Crowds that take what ordinary callers of an entry need.
+
+Each test guards against an entry that exceeds its instance while the group
+stands still, or that leaves ordinary callers without an answer.
+"""
+
+from contextlib import ExitStack
+
+import pytest
+
+from tests.untrusted import jobs, programs
+from tests.untrusted.clients import Clients
+from tests.untrusted.programs import PORTS, Group, Running
+from tests.untrusted.test_untrusted_clients import (
+    assert_unharmed,
+)
+
+pytestmark = pytest.mark.timeout(240)
+
+CONNECT_SECONDS = 10.0
+# A body of 210 KB with nothing in it that is out of bounds.
+LARGE_JOB = jobs.create_job('x' * jobs.SPEC_BYTES, steps=700, image='i' * 230)
+
+
+def test_whole_bodies_beside_a_group_that_stands_still(
+    group: Group, entry: Running
+) -> None:
+    """What waits for the group and on its links is held by the entry."""
+    members = group.running[: programs.GROUP_SIZE]
+    crowd = jobs.Crowd(jobs.Queue(entry.address))
+    body = jobs.create_job('x' * 200_000)
+    with ExitStack() as thawed:
+        for member in members:
+            member.program.freeze()
+            thawed.callback(member.program.thaw)
+        crowd.submit(1200, body, entry.observe, clients=200)
+    assert_unharmed(entry)
+
+
+def test_whole_bodies_beside_a_group_that_stops_and_goes_on(
+    group: Group, entry: Running
+) -> None:
+    """A link that takes nothing keeps what is sent on it until it is lost."""
+    members = group.running[: programs.GROUP_SIZE]
+    crowd = jobs.Crowd(jobs.Queue(entry.address))
+    with ExitStack() as thawed:
+        for member in members:
+            thawed.callback(member.program.thaw)
+        for _ in range(4):
+            for member in members:
+                member.program.freeze()
+            crowd.submit(200, LARGE_JOB, entry.observe, clients=200)
+            for member in members:
+                member.program.thaw()
+            crowd.submit(20, jobs.create_job(), entry.observe)
+    assert_unharmed(entry)
+
+
+def test_announcements_with_many_labels(
+    agent: Running, stack: ExitStack
+) -> None:
+    """Whole announcements, each as large as an address accepts."""
+    crowd = Clients(agent, PORTS.control, stack)
+    body = jobs.create_announcement(labels=['r1-3', *['x' * 30] * 28_000])
+    request = programs.encode_post('/api/Instances.Heartbeat/i-0', body)
+    crowd.send_each(60, lambda: (request,))
+    assert_unharmed(agent, programs.AGENT_MEMORY_MB, PORTS.control, request)
--- a/wasabiturn/connection/client_guard.py
+++ b/wasabiturn/connection/client_guard.py
@@ -31,6 +31,10 @@
 # What trusted clients may hold beyond the budget, as a share of it, so that
 # whole requests of callers, which are never closed, leave room for them.
 TRUSTED_DIVISOR = 4
+# Share of the budget for what one link keeps that its peer does not take.
+LINK_DIVISOR = 8
+# Share of the budget for decoded requests that wait for an answer of the group.
+WAITING_DIVISOR = 2
 FILE_DESCRIPTORS = 200
 # Ports, links that this process opens, and connections to its worker.
 OWN_DESCRIPTORS = 64
@@ -60,6 +64,16 @@
     max_connections: int
     reserved_connections: int
 
+    @property
+    def link_bytes(self) -> int:
+        """Return how many bytes one link may keep unsent."""
+        return self.budget_bytes // LINK_DIVISOR
+
+    @property
+    def waiting_bytes(self) -> int:
+        """Return how much requests may take that wait for an answer."""
+        return self.budget_bytes // WAITING_DIVISOR
+
     def budget_of(self, rank: Rank) -> int:
         """Return how many bytes may be held when one of ``rank`` adds some."""
         if rank is Rank.caller:
--- a/wasabiturn/connection/dispatch.py
+++ b/wasabiturn/connection/dispatch.py
@@ -12,6 +12,9 @@
 if TYPE_CHECKING:
     from wasabiturn.connection.link import Link
 
+# Of a link whose process has no bounds of its own.
+MAX_UNSENT_BYTES = 16_000_000
+
 CallHandler = Callable[['Link', Any], Any]
 StreamHandler = Callable[['Link', Any, Stream], None]
 
@@ -43,11 +46,13 @@
 class Dispatch:
     """Handlers that a process registers for its links, and its own hello.
 
-    ``revision`` returns the revision that is sent with each frame.
+    ``revision`` returns the revision that is sent with each frame. A link that
+    keeps more than ``max_unsent_bytes`` carries no further calls and notices.
     """
 
     hello: Hello
     revision: Callable[[], int] = int
+    max_unsent_bytes: int = MAX_UNSENT_BYTES
     calls_by_method: dict[int, CallRoute] = attrs.field(factory=dict)
     streams_by_method: dict[int, StreamRoute] = attrs.field(factory=dict)
     on_open: list[Callable[['Link'], None]] = attrs.field(factory=list)
--- a/wasabiturn/connection/link.py
+++ b/wasabiturn/connection/link.py
@@ -26,6 +26,7 @@
 from wasabiturn.connection.link_client import LinkClient
 from wasabiturn.connection.peer_clock import PeerClock, milliseconds_in
 from wasabiturn.connection.streams import Stream, StreamReceiver
+from wasabiturn.connection.unread_watch import is_clogged
 from wasabiturn.messages.codec import CodecError, pack, unpack
 from wasabiturn.messages.kinds import FailureCode, FrameKind, Method
 from wasabiturn.messages.link import Failure, Frame, Hello
@@ -34,6 +35,7 @@
 HEARTBEAT_INTERVAL_SECONDS = 0.5
 SILENCE_LIMIT_SECONDS = 1.5
 PROTOCOL_VERSION = 1
+CLOGGED_LINK = 'the peer takes nothing of what was sent before'
 EXPIRED_CALL = 'the call arrived after its sender had stopped waiting'
 
 MessageType = TypeVar('MessageType')
@@ -93,9 +95,15 @@
         reply_class: type[MessageType],
         timeout_seconds: float,
     ) -> Deferred[MessageType]:
-        """Send a call; the Deferred gets the reply or a ``CallError``."""
+        """Send a call; the Deferred gets the reply or a ``CallError``.
+
+        It is not sent, and fails as ``unavailable``, while the peer takes
+        nothing of what was sent before.
+        """
         if not self.is_open:
             return fail(CallError(FailureCode.closed, 'link is closed'))
+        if _is_clogged(self):
+            return fail(CallError(FailureCode.unavailable, CLOGGED_LINK))
         exchange = self._allocate_exchange()
         reply_deferred = self.calls.start(
             exchange, reply_class, timeout_seconds
@@ -111,8 +119,11 @@
         return reply_deferred
 
     def notify(self, method: Method, message: Any) -> None:
-        """Send a message without reply; it may be lost with the link."""
-        if self.is_open:
+        """Send a message without reply; it may be lost with the link.
+
+        It is dropped while the peer takes nothing of what was sent before.
+        """
+        if self.is_open and not _is_clogged(self):
             self.send_frame(FrameKind.notice, 0, method, pack(message))
 
     def open_stream(
@@ -309,6 +320,11 @@
         stream.handle_frame(frame)
 
 
+def _is_clogged(link: Link) -> bool:
+    """Return whether the peer takes nothing of what was sent before."""
+    return is_clogged(link.transport, link.dispatch.max_unsent_bytes)
+
+
 def _has_expired(call: Frame, now: float) -> bool:
     """Return whether the sender of a call has stopped waiting; log it."""
     now_ms = milliseconds_in(now)
--- a/wasabiturn/connection/unread_watch.py
+++ b/wasabiturn/connection/unread_watch.py
@@ -49,6 +49,11 @@
         """Do nothing: the connection was lost."""
 
 
+def is_clogged(transport: Any, max_bytes: int) -> bool:
+    """Return whether a transport keeps more than ``max_bytes`` unsent."""
+    return max_bytes < count_unsent_bytes(transport) < sys.maxsize
+
+
 def count_unsent_bytes(transport: Any) -> int:
     """Return how much a transport keeps that the system has not taken.
 
--- a/wasabiturn/platform/callers.py
+++ b/wasabiturn/platform/callers.py
@@ -14,6 +14,7 @@
 from wasabiturn.platform import http_server as http
 from wasabiturn.platform.job_limits import DEFAULT_JOB_LIMITS, JobLimits
 from wasabiturn.platform.jobs import decode_job
+from wasabiturn.process.entry.waiting_jobs import WaitingJobs
 from wasabiturn.process.leader_calls import LeaderCalls
 
 # A caller that waits longer than this retries at another entry.
@@ -67,6 +68,7 @@
     calls: LeaderCalls
     has_leader_contact: Callable[[], bool]
     job_limits: JobLimits = DEFAULT_JOB_LIMITS
+    waiting_jobs: WaitingJobs = attrs.field(factory=WaitingJobs)
 
     def handle(
         self, request: HttpRequest
@@ -87,11 +89,12 @@
         )
         if action is JobAction.submit:
             call.declaration = decode_job(request.body, self.job_limits)
-        deferred = self.calls.call(
-            Method.job,
-            call,
-            JobAnswer,
-            self._choose_timeout_seconds(request),
+        timeout_seconds = self._choose_timeout_seconds(request)
+        deferred = self.waiting_jobs.hold(
+            call.declaration,
+            lambda: self.calls.call(
+                Method.job, call, JobAnswer, timeout_seconds
+            ),
         )
         return deferred.addCallback(_create_response, call.action)
 
--- a/wasabiturn/platform/entry_program.py
+++ b/wasabiturn/platform/entry_program.py
@@ -23,6 +23,7 @@
 from wasabiturn.process.daemon import Context
 from wasabiturn.process.entry.configured_limits import ConfiguredLimits
 from wasabiturn.process.entry.leader_contact import LeaderContact
+from wasabiturn.process.entry.waiting_jobs import WaitingJobs
 from wasabiturn.process.member_directory import MemberDirectory
 from wasabiturn.utils.pauses import PauseDetector
 
@@ -37,7 +38,10 @@
     leader_contact = LeaderContact(program.group.calls, context.reactor)
     callers = JsonServer(
         CallerHandler(
-            program.group.calls, leader_contact.is_fresh, platform.job_limits
+            program.group.calls,
+            leader_contact.is_fresh,
+            platform.job_limits,
+            WaitingJobs(program.guard.bounds.waiting_bytes),
         ).handle,
     )
 
--- a/wasabiturn/platform/program.py
+++ b/wasabiturn/platform/program.py
@@ -72,6 +72,7 @@
             create_bounds(platform.memory_mb, platform.max_fds),
             exposition.count_rejection,
         )
+        self.dispatch.max_unsent_bytes = self.guard.bounds.link_bytes
         self.addresses: list[Address] = []
         # For programs whose clients ask another instance after a while.
         self.pause_detector: PauseDetector | None = None
