More new connections wait for an entry that is busy

What callers saw: beside 1,500 connections that are opened and reset one after another, 25 waited over 0.5 s for the handshake; of 4,000, some waited 1 s and more, and all of them took 70 s.

Cause: the listeners took the library's default of 50 connections that wait until the loop accepts them. Beyond it the system drops the first packet, and a client sends it again after a second. Ruled out: the guard, which sees a connection only once it was accepted.

Evidence: test_connections_while_the_entry_stands_still: 51 of 250 clients connect to an entry that is stopped on, all 250 now.

Why it works: 1,024 may wait, within the limit of the system. They have no descriptor of the process, and what they send is bounded by the system's buffers; the guard decides on them as before, several in each turn.

--- a/tests/untrusted/test_crowds_beside_callers.py
+++ b/tests/untrusted/test_crowds_beside_callers.py
@@ -4,6 +4,8 @@
 stands still, or that leaves ordinary callers without an answer.
 """
 
+import socket
+import time
 from contextlib import ExitStack
 
 import pytest
@@ -56,6 +58,25 @@
     assert_unharmed(entry)
 
 
+def test_connections_while_the_entry_stands_still(
+    entry: Running, stack: ExitStack
+) -> None:
+    """Clients beyond the queue of new connections wait for seconds."""
+    stack.callback(entry.program.thaw)
+    entry.program.freeze()
+    clients = [stack.enter_context(socket.socket()) for _ in range(250)]
+    for client in clients:
+        client.setblocking(False)
+        client.connect_ex((entry.address, PORTS.callers))
+    until = time.monotonic() + CONNECT_SECONDS
+    while time.monotonic() < until and not all(map(is_connected, clients)):
+        time.sleep(0.05)
+    connected = sum(map(is_connected, clients))
+    entry.program.thaw()
+    assert connected == len(clients)
+    assert_unharmed(entry)
+
+
 def test_announcements_with_many_labels(
     agent: Running, stack: ExitStack
 ) -> None:
@@ -65,3 +86,11 @@
     request = programs.encode_post('/api/Instances.Heartbeat/i-0', body)
     crowd.send_each(60, lambda: (request,))
     assert_unharmed(agent, programs.AGENT_MEMORY_MB, PORTS.control, request)
+
+
+def is_connected(client: socket.socket) -> bool:
+    try:
+        client.getpeername()
+    except OSError:
+        return False
+    return True
--- a/wasabiturn/process/daemon.py
+++ b/wasabiturn/process/daemon.py
@@ -21,6 +21,10 @@
     open_rate_limited_lines,
 )
 
+# New connections that wait until the loop accepts them. Beyond it, clients send
+# their first packet again after a second and more.
+ACCEPT_BACKLOG = 1024
+
 _log = create_component_log('process')
 
 
@@ -201,6 +205,7 @@
         return reactor.listenTCP(
             endpoint.port,
             factory,
+            backlog=ACCEPT_BACKLOG,
             interface=endpoint.host,
         )
     except CannotListenError as error:
