Strangers at the operators' address leave room for callers

What callers saw: beside 700 connections with unfinished heads on the operators' address, one of three ordinary connections was closed without an answer.

Cause: every connection there counted as a trusted one, which never yields to a caller. They took all descriptors, and a new one closed callers' first.

Why it works: the reserve stays theirs. Beyond it, a connection that never carried a whole request ranks as a caller's: the oldest of them are closed first, and some descriptors are always left for callers. An operator or a worker that has been served keeps its rank.

--- a/tests/connection/test_client_claims.py
+++ b/tests/connection/test_client_claims.py
@@ -110,3 +110,20 @@
 def test_the_time_to_read_a_response_grows_with_it() -> None:
     assert is_read_overdue(0, READ_TIMEOUT_SECONDS + 1)
     assert not is_read_overdue(8_000_000, READ_TIMEOUT_SECONDS + 700)
+
+
+def test_connections_beyond_the_reserve_count_as_those_of_callers() -> None:
+    """Anyone may open one at an operators' address and send nothing."""
+    claims = [
+        claim('served', Phase.idle, age=70, has_served=True),
+        claim('stranger', Phase.receiving, age=9, rank=Rank.trusted),
+        claim(
+            'operator',
+            Phase.idle,
+            age=100,
+            rank=Rank.trusted,
+            has_served=True,
+        ),
+    ]
+    chosen = choose_for_connection(claims, 9, Rank.caller, is_reserve_used=True)
+    assert [each.owner for each in chosen] == ['stranger', 'served']
--- a/tests/connection/test_client_limits.py
+++ b/tests/connection/test_client_limits.py
@@ -341,3 +341,12 @@
     assert small.budget_bytes > 3 * HttpLimits().max_body_bytes
     tiny = create_bounds(memory_mb=128, max_fds=280)
     assert tiny.limit_of(Rank.caller) >= 1
+
+
+def test_strangers_at_the_operators_address_leave_room_for_callers() -> None:
+    sites = Sites()
+    for _ in range(3 * sites.guard.bounds.max_connections):
+        sites.connect(Rank.trusted)
+    caller = sites.connect()
+    assert caller is not None
+    assert not caller.is_ended()
--- a/tests/untrusted/test_crowds_beside_callers.py
+++ b/tests/untrusted/test_crowds_beside_callers.py
@@ -11,9 +11,11 @@
 import pytest
 
 from tests.untrusted import jobs, programs
-from tests.untrusted.clients import Clients
+from tests.untrusted.clients import HEAD, Clients
 from tests.untrusted.programs import PORTS, Group, Running
 from tests.untrusted.test_untrusted_clients import (
+    READ_REQUEST,
+    assert_answers,
     assert_unharmed,
 )
 
@@ -77,6 +79,25 @@
     assert_unharmed(entry)
 
 
+@pytest.mark.parametrize(
+    'port', [PORTS.control, PORTS.ready, PORTS.first], ids=lambda port: port
+)
+def test_connections_that_are_not_callers(
+    entry: Running, stack: ExitStack, port: int
+) -> None:
+    """Each of the callers' connections is answered, whoever else connects."""
+    crowd = Clients(entry, port, stack)
+    crowd.send_each(programs.MAX_FDS + 100, lambda: (HEAD,))
+    entry.settle()
+    for _ in range(20):
+        status = programs.send_request(
+            entry.address, PORTS.callers, READ_REQUEST
+        )
+        assert status is not None
+    assert_answers(entry, PORTS.callers, READ_REQUEST)
+    assert_unharmed(entry)
+
+
 def test_announcements_with_many_labels(
     agent: Running, stack: ExitStack
 ) -> None:
--- a/wasabiturn/connection/client_claims.py
+++ b/wasabiturn/connection/client_claims.py
@@ -8,7 +8,6 @@
 import enum
 import heapq
 from collections.abc import Iterable
-from operator import attrgetter
 from typing import Any, final
 
 import attrs
@@ -83,21 +82,34 @@
 
 
 def choose_for_connection(
-    claims: Iterable[Claim], count: int, rank: Rank
+    claims: Iterable[Claim],
+    count: int,
+    rank: Rank,
+    is_reserve_used: bool = False,
 ) -> list[Claim]:
     """Return up to ``count`` connections to close for one of ``rank``.
 
     Lower ranks come first, and ranks above ``rank`` never. Of one rank, those
     that never carried a whole request come first, then the ones that have been
     idle for the longest time. One with a whole request is never chosen.
+
+    Once trusted clients have used all that is reserved for them, those that
+    never carried a whole request count as callers: anyone may have opened them.
     """
+
+    def rank_of(claim: Claim) -> Rank:
+        is_proven = claim.has_served or not is_reserve_used
+        return claim.rank if is_proven else Rank.caller
+
     candidates = [
         claim
         for claim in claims
-        if claim.rank <= rank and claim.phase in _WITHOUT_WHOLE_REQUEST
+        if rank_of(claim) <= rank and claim.phase in _WITHOUT_WHOLE_REQUEST
     ]
     return heapq.nsmallest(
-        count, candidates, key=attrgetter('rank', 'has_served', 'since')
+        count,
+        candidates,
+        key=lambda claim: (rank_of(claim), claim.has_served, claim.since),
     )
 
 
--- a/wasabiturn/connection/client_guard.py
+++ b/wasabiturn/connection/client_guard.py
@@ -86,6 +86,15 @@
             return self.max_connections - self.reserved_connections
         return self.max_connections
 
+    @property
+    def limit_beyond_reserve(self) -> int:
+        """Return how many there may be for trusted clients beyond theirs.
+
+        Callers still find room for as many as are closed at a time.
+        """
+        limit = self.limit_of(Rank.caller)
+        return limit - _count_closed(limit)
+
 
 def create_bounds(
     memory_mb: int = DEFAULT_MEMORY_MB, max_fds: int = DEFAULT_MAX_FDS
@@ -131,6 +140,7 @@
         self.bounds = bounds or create_bounds()
         self.used_bytes = 0
         self.clients: dict[GuardedClient, None] = {}
+        self._trusted_clients = 0
         self._clock = clock
         self._log = RejectionLog(clock)
         self._on_rejection = on_rejection
@@ -143,11 +153,16 @@
         Connections that were closed count until their descriptors are free.
         """
         limit = self.bounds.limit_of(rank)
-        count = max(limit // CLOSED_DIVISOR, 1)
+        is_reserve_used = self._is_reserve_used()
+        if rank is Rank.trusted and is_reserve_used:
+            limit = self.bounds.limit_beyond_reserve
+        count = _count_closed(limit)
         if len(self.clients) < limit - count:
             return True
         self._close(
-            choose_for_connection(self._list_claims(), count, rank),
+            choose_for_connection(
+                self._list_claims(), count, rank, is_reserve_used
+            ),
             RejectionCause.connections,
         )
         if len(self.clients) < limit:
@@ -161,12 +176,14 @@
             self._checked_at = self._clock.seconds()
             self._ticker.start(CHECK_SECONDS, now=False)
         self.clients[client] = None
+        self._trusted_clients += client.rank is Rank.trusted
 
     def remove(self, client: GuardedClient) -> None:
         """Remove a connection that was lost."""
         if client in self.clients:
             self._set_held(client, 0)
             self.clients.pop(client)
+            self._trusted_clients -= client.rank is Rank.trusted
             if not self.clients:
                 self._ticker.stop()
 
@@ -192,6 +209,9 @@
         if self._on_rejection is not None:
             self._on_rejection(cause, rank)
 
+    def _is_reserve_used(self) -> bool:
+        return self._trusted_clients >= self.bounds.reserved_connections
+
     def _set_held(self, client: GuardedClient, held_bytes: int) -> None:
         self.used_bytes += held_bytes - client.held_bytes
         client.held_bytes = held_bytes
@@ -232,3 +252,8 @@
         now = self._clock.seconds()
         for client in list(self.clients):
             client.check_deadlines(now)
+
+
+def _count_closed(limit: int) -> int:
+    """Return how many connections are closed at a time near a limit."""
+    return max(limit // CLOSED_DIVISOR, 1)
