The queue of new connections follows the memory

Cause: 1,024 connections that wait may hold some ten KB each in buffers of the system, which count as memory of the process on the platform; on an instance of 160 MB that is more than is left.

Why it works: two for each MB, 320 for that instance. The test with 250 connections beside a stopped entry holds as before.

--- a/wasabiturn/connection/client_guard.py
+++ b/wasabiturn/connection/client_guard.py
@@ -35,6 +35,11 @@
 LINK_DIVISOR = 8
 # Share of the budget for decoded requests that wait for an answer of the group.
 WAITING_DIVISOR = 2
+# New connections of one address that wait until the loop accepts them. Each may
+# have sent some ten KB, which count as memory of the process.
+BACKLOG_PER_MB = 2
+MAX_BACKLOG = 1024
+DEFAULT_BACKLOG = min(DEFAULT_MEMORY_MB * BACKLOG_PER_MB, MAX_BACKLOG)
 FILE_DESCRIPTORS = 200
 # Ports, links that this process opens, and connections to its worker.
 OWN_DESCRIPTORS = 64
@@ -63,6 +68,7 @@
     budget_bytes: int
     max_connections: int
     reserved_connections: int
+    backlog: int = DEFAULT_BACKLOG
 
     @property
     def link_bytes(self) -> int:
@@ -107,6 +113,7 @@
         budget_bytes=memory_mb * _BYTES_PER_MB // BUDGET_DIVISOR,
         max_connections=connections,
         reserved_connections=min(reserved, MAX_RESERVED, connections // 2),
+        backlog=min(memory_mb * BACKLOG_PER_MB, MAX_BACKLOG),
     )
 
 
--- a/wasabiturn/platform/program.py
+++ b/wasabiturn/platform/program.py
@@ -122,11 +122,15 @@
     def _open_site(self, endpoint: Endpoint, address: Address) -> None:
         reactor = self.context.reactor
         site = create_site(address, reactor, self.guard, self.pause_detector)
-        port = listen(reactor, endpoint, site)
+        port = self._listen(endpoint, site)
         self.sites.append(site)
         self._ports.append(port)
         self._stack.callback(port.stopListening)
 
+    def _listen(self, endpoint: Endpoint, factory: Any) -> Any:
+        backlog = self.guard.bounds.backlog
+        return listen(self.context.reactor, endpoint, factory, backlog)
+
     def _open_metrics(self) -> None:
         port = METRICS_PORTS_BY_ROLE[self.dispatch.hello.role]
         endpoint = Endpoint(self.platform.address, port)
@@ -141,7 +145,7 @@
             self.dispatch, reactor, dialled=False, guard=self.guard
         )
         endpoint = Endpoint(self.platform.address, self.platform.link_port)
-        port = listen(reactor, endpoint, factory)
+        port = self._listen(endpoint, factory)
         self._stack.callback(port.stopListening)
 
     def _start_reloader(self) -> None:
--- a/wasabiturn/process/daemon.py
+++ b/wasabiturn/process/daemon.py
@@ -12,6 +12,7 @@
 from twisted.internet.error import CannotListenError
 
 from wasabiturn.conf.sections import Settings
+from wasabiturn.connection.client_guard import DEFAULT_BACKLOG
 from wasabiturn.exceptions import ProcessError, WasabiturnError
 from wasabiturn.utils.clock import use_boot_clock
 from wasabiturn.utils.logs import create_component_log, open_log_output
@@ -21,10 +22,6 @@
     open_rate_limited_lines,
 )
 
-# New connections that wait until the loop accepts them. Beyond it, clients send
-# their first packet again after a second and more.
-ACCEPT_BACKLOG = 1024
-
 _log = create_component_log('process')
 
 
@@ -195,9 +192,17 @@
         self.exit_status = 1
 
 
-def listen(reactor: Any, endpoint: Any, factory: Any) -> Any:
+def listen(
+    reactor: Any,
+    endpoint: Any,
+    factory: Any,
+    backlog: int = DEFAULT_BACKLOG,
+) -> Any:
     """Listen on ``endpoint``; the caller owns the returned port.
 
+    ``backlog`` new connections wait until the loop accepts them. Beyond it,
+    clients send their first packet again after a second and more.
+
     Raises:
         ProcessError: the port is in use or not permitted.
     """
@@ -205,7 +210,7 @@
         return reactor.listenTCP(
             endpoint.port,
             factory,
-            backlog=ACCEPT_BACKLOG,
+            backlog=backlog,
             interface=endpoint.host,
         )
     except CannotListenError as error:
--- a/wasabiturn/process/exposition.py
+++ b/wasabiturn/process/exposition.py
@@ -152,4 +152,4 @@
     site = HttpSite(
         create_metrics_response, reactor, clients=SiteClients(guard)
     )
-    return listen(reactor, endpoint, site)
+    return listen(reactor, endpoint, site, guard.bounds.backlog)
