Long log lines are bounded by their bytes

What callers saw: nothing. Each refused request writes a line with its path, and a path may be as long as a head (16 KB configured, 64 KB at most): 400 lines a second, the only bound, are 6 to 26 MB a second of output, for which the process pays with processor time.

Cause: log lines were bounded by their number only.

Why it works: 262,144 bytes a second are written, what is over is dropped and counted like lines over the rate; a path is cut at 256 characters.

--- a/tests/utils/test_rate_limited_lines.py
+++ b/tests/utils/test_rate_limited_lines.py
@@ -1,8 +1,10 @@
 """Tests of the rate-limited output of log lines."""
 
 import os
+from pathlib import Path
 
 from wasabiturn.utils.rate_limited_lines import (
+    MAX_BYTES_PER_SECOND,
     MAX_LINES_PER_SECOND,
     open_rate_limited_lines,
 )
@@ -36,3 +38,17 @@
     ]
     os.close(read_end)
     os.close(write_end)
+
+
+def test_long_lines_are_bounded_by_their_bytes(tmp_path: Path) -> None:
+    path = tmp_path / 'log'
+    with path.open('wb') as log:
+        lines = open_rate_limited_lines(log.fileno())
+        lines.clock = lambda: 10.0
+        for _ in range(MAX_LINES_PER_SECOND):
+            lines.write(b'x' * 16_383 + b'\n')
+        assert path.stat().st_size <= MAX_BYTES_PER_SECOND
+        assert lines.dropped > 0
+        lines.clock = lambda: 11.0
+        lines.write(b'next\n')
+    assert path.read_bytes().endswith(b'next\n')
--- a/wasabiturn/platform/http_server.py
+++ b/wasabiturn/platform/http_server.py
@@ -25,6 +25,8 @@
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
 MIN_RETRY_AFTER_SECONDS = 1
+# Of a path, which may be as long as the head of a request.
+MAX_LOGGED_CHARACTERS = 256
 
 _log = create_component_log('http')
 
@@ -110,7 +112,7 @@
     _log.decision(
         'request failed; sending an error response',
         method=request.method,
-        path=request.path,
+        path=request.path[:MAX_LOGGED_CHARACTERS],
         status=response.status,
         reason=str(error),
     )
--- a/wasabiturn/utils/rate_limited_lines.py
+++ b/wasabiturn/utils/rate_limited_lines.py
@@ -8,6 +8,8 @@
 import attrs
 
 MAX_LINES_PER_SECOND = 400
+# Some lines hold what a client has sent.
+MAX_BYTES_PER_SECOND = 262_144
 
 
 @final
@@ -24,6 +26,7 @@
     # Second of ``clock`` in which ``written`` lines have been written.
     second: int = 0
     written: int = 0
+    written_bytes: int = 0
     dropped: int = 0
 
     def write(self, line: bytes) -> int:
@@ -31,19 +34,27 @@
         second = int(self.clock())
         if second != self.second:
             self._begin_second(second)
-        if line and self.written >= MAX_LINES_PER_SECOND:
+        if line and self._is_over_rate(line):
             self.dropped += 1
         elif line:
             self.written += 1
+            self.written_bytes += len(line)
             self._write(line)
         return len(line)
 
     def flush(self) -> None:
         """Do nothing: each line is written at once."""
 
+    def _is_over_rate(self, line: bytes) -> bool:
+        return (
+            self.written >= MAX_LINES_PER_SECOND
+            or self.written_bytes + len(line) > MAX_BYTES_PER_SECOND
+        )
+
     def _begin_second(self, second: int) -> None:
         self.second = second
         self.written = 0
+        self.written_bytes = 0
         if self.dropped:
             dropped = self.dropped
             self.dropped = 0
