Counting the jobs of a queue costs one pass for many callers

What callers saw: beside 32 clients that asked for the count of a queue of 4,000 jobs, submissions to another queue took up to 0.33 s, and 214 counts a second were all that a leader gave; with the jobs that a larger instance has room for, and on a slower processor, its turns are taken up.

Cause: each count went through all open jobs, 4.6 ms in one turn of the loop.

Whether a queue exists is not kept.

--- a/wasabiturn/batch/state/batch_state.py
+++ b/wasabiturn/batch/state/batch_state.py
@@ -1,6 +1,6 @@
 """Replicated state of queues and jobs."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import final
 
 import attrs
@@ -38,12 +38,6 @@
     on_start: Callable[[Task], None] | None = None
     on_end: Callable[[Task], None] | None = None
 
-    def list_pending(self, queue: str) -> Iterator[Job]:
-        """Yield the jobs in ``queue`` with no run known to have begun."""
-        for job in self.open_jobs_by_id.values():
-            if not job.has_begun and job.accepted.declaration.queue == queue:
-                yield job
-
     def add_job(self, job: Job) -> None:
         """Add a job and its tasks."""
         self.jobs_by_id[job.job_id] = job
--- a/wasabiturn/process/control/batch/job_calls.py
+++ b/wasabiturn/process/control/batch/job_calls.py
@@ -1,6 +1,6 @@
 """Handling of job calls by the leader: submit, cancel, read and count."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import final
 
 import attrs
@@ -9,6 +9,8 @@
 from wasabiturn.batch import BatchState
 from wasabiturn.batch.queueing.queue_table import QueueTable
 from wasabiturn.batch.state.jobs import Job, count_tasks
+from wasabiturn.connection.dispatch import Dispatch
+from wasabiturn.connection.link import Link
 from wasabiturn.messages.batch import (
     AcceptJob,
     BatchChange,
@@ -17,9 +19,11 @@
     JobDeclaration,
     Queue,
 )
-from wasabiturn.messages.kinds import JobAction, JobOutcome
+from wasabiturn.messages.kinds import JobAction, JobOutcome, Method
 from wasabiturn.process.control.batch.job_admission import JobAdmission
+from wasabiturn.process.control.batch.pending_counts import PendingCounts
 from wasabiturn.process.control.batch.pipeline import Pipeline
+from wasabiturn.process.control.batch.starts import wall_clock_ms
 from wasabiturn.utils.logs import create_component_log
 
 _OUTCOMES_TO_CONFIRM = frozenset((JobOutcome.no_queue, JobOutcome.no_job))
@@ -39,6 +43,7 @@
     pipeline: Pipeline
     queue_table: QueueTable
     admission: JobAdmission
+    counts: PendingCounts
     committed_state: Callable[[], BatchState]
 
     def answer(self, call: JobCall, wall_ms: int) -> Deferred[JobAnswer]:
@@ -149,14 +154,19 @@
         return JobAnswer(outcome=JobOutcome.ok, state=job.state)
 
     def _count(self, queue: Queue) -> JobAnswer:
-        # Only the leader's copy knows which ordered runs have begun.
-        ahead = self.pipeline.batch_state.jobs_by_id
-        pending = sum(
-            not ahead.get(job.job_id, job).has_begun
-            for job in self.committed_state().list_pending(queue_key(queue))
+        pending = self.counts.find(
+            queue_key(queue), self.pipeline.read_clock(), self._list_pending
         )
         return JobAnswer(outcome=JobOutcome.ok, pending=pending)
 
+    def _list_pending(self) -> Iterator[str]:
+        """Yield the queue of each committed job that has not begun."""
+        # Only the leader's copy knows which ordered runs have begun.
+        ahead = self.pipeline.batch_state.jobs_by_id
+        for job in self.committed_state().open_jobs_by_id.values():
+            if not job.has_begun and not ahead.get(job.job_id, job).has_begun:
+                yield job.queue
+
     def _find_job(
         self, batch_state: BatchState, queue: Queue, job_id: str
     ) -> Job | None:
@@ -167,6 +177,34 @@
         return job if is_in_queue else None
 
 
+def register_job_calls(
+    dispatch: Dispatch,
+    require_pipeline: Callable[[], Pipeline],
+    queue_table: QueueTable,
+    admission: JobAdmission,
+    committed_state: Callable[[], BatchState],
+) -> None:
+    """Register the handler of calls on jobs.
+
+    ``require_pipeline`` returns the pipeline of the present term, or raises
+    ``CallError`` on a member that does not lead.
+    """
+    counts = PendingCounts()
+
+    def handle(link: Link, call: JobCall) -> Deferred[JobAnswer]:
+        handler = JobCallHandler(
+            pipeline=require_pipeline(),
+            queue_table=queue_table,
+            admission=admission,
+            counts=counts,
+            committed_state=committed_state,
+        )
+        return handler.answer(call, wall_clock_ms())
+
+    # A caller may have sent the opposite elsewhere since.
+    dispatch.handle(Method.job, JobCall, handle, drops_expired=True)
+
+
 def queue_key(queue: Queue) -> str:
     """Return the key of a queue, the same in every routing version."""
     return f'{queue.host}{queue.prefix}'
--- a/wasabiturn/process/control/batch/leader.py
+++ b/wasabiturn/process/control/batch/leader.py
@@ -15,9 +15,7 @@
 from wasabiturn.batch.queueing.queue_table import QueueReader, QueueTable
 from wasabiturn.connection.calls import CallError
 from wasabiturn.connection.dispatch import Dispatch
-from wasabiturn.connection.link import Link
-from wasabiturn.messages import batch as messages
-from wasabiturn.messages.kinds import FailureCode, Method
+from wasabiturn.messages.kinds import FailureCode
 from wasabiturn.process.control.batch.client_limits import (
     ClientLimitsTable,
     LimitsReader,
@@ -25,12 +23,12 @@
 )
 from wasabiturn.process.control.batch.clock_follower import ClockFollower
 from wasabiturn.process.control.batch.job_admission import create_admission
-from wasabiturn.process.control.batch.job_calls import JobCallHandler
+from wasabiturn.process.control.batch.job_calls import register_job_calls
 from wasabiturn.process.control.batch.leader_term import LeaderTerm
 from wasabiturn.process.control.batch.operator_calls import (
     register_operator_calls,
 )
-from wasabiturn.process.control.batch.starts import TermSettings, wall_clock_ms
+from wasabiturn.process.control.batch.starts import TermSettings
 from wasabiturn.process.control.batch.status_calls import (
     register_status_calls,
 )
@@ -94,13 +92,12 @@
         self._stop_leading()
 
     def _register_handlers(self, dispatch: Dispatch) -> None:
-        handle = dispatch.handle
-        # A caller or operator may have sent the opposite elsewhere since.
-        handle(
-            Method.job,
-            messages.JobCall,
-            self._handle_job,
-            drops_expired=True,
+        register_job_calls(
+            dispatch,
+            lambda: self._require_leader_term().pipeline,
+            self._queue_table,
+            self._admission,
+            lambda: self._replica.state.batch,
         )
         register_operator_calls(
             dispatch,
@@ -189,19 +186,6 @@
             raise CallError(FailureCode.not_leader, 'not the leader', leader)
         return self._leader_term
 
-    def _handle_job(
-        self,
-        link: Link,
-        call: messages.JobCall,
-    ) -> Deferred[messages.JobAnswer]:
-        handler = JobCallHandler(
-            pipeline=self._require_leader_term().pipeline,
-            queue_table=self._queue_table,
-            admission=self._admission,
-            committed_state=lambda: self._replica.state.batch,
-        )
-        return handler.answer(call, wall_clock_ms())
-
 
 def create_batch_leader(
     context: Context,
