What a worker announces of itself has limits

What callers saw: nothing yet. Anyone who reaches an agent's address and names the life of its worker may announce 1 MB of labels.

Cause: an announcement was bounded by its body alone, and its labels go to the leader with each report, once a second and with each end of a run; the leader keeps them for each worker, about 2 MB decoded.

The tests in tests/platform/test_decoding.py fail before.

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -285,3 +285,20 @@
     body = {'born': 1, 'clock_ms': 2, 'running': [], 'ended': rows}
     listing = decode_listing(encode(body))
     assert listing.is_truncated is (ends == MAX_LISTED_ENDS)
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'labels': ['a'] * 65},
+        {'labels': ['a' * 257]},
+        {'service': 's' * 257},
+        {'zone': 'z' * 257},
+    ],
+)
+def test_an_announcement_that_outgrows_reports_is_refused(
+    fields: dict[str, Any],
+) -> None:
+    """What is kept of it goes to the leader with each report."""
+    with pytest.raises(InvalidBodyError):
+        decode_identity('i-1', encode(ANNOUNCEMENT | fields), 'home')
--- a/wasabiturn/platform/agent_program.py
+++ b/wasabiturn/platform/agent_program.py
@@ -35,7 +35,9 @@
         WorkerOrders,
         lambda link, orders: run_reconciler.apply_orders(orders),
     )
-    handler = AnnouncementHandler(run_reconciler, platform.data_centre)
+    handler = AnnouncementHandler(
+        run_reconciler, platform.data_centre, platform.worker_limits
+    )
     program.addresses = [
         Address(
             platform.control_listen,
--- a/wasabiturn/platform/announced_fields.py
+++ b/wasabiturn/platform/announced_fields.py
@@ -5,12 +5,16 @@
 in a message that cannot hold it. Fields that are not named here may be added.
 """
 
-from typing import Any
+from typing import Any, final
+
+import attrs
 
 from wasabiturn.platform.fields import (
     MAX_EXACT,
     InvalidBodyError,
+    check_str,
     read_int,
+    read_list,
     read_required_str,
     read_str,
 )
@@ -35,6 +39,51 @@
 CAPACITY_NAMES = frozenset(('cpu', 'mem_mb', 'gpu'))
 
 
+@final
+@attrs.frozen
+class WorkerLimits:
+    """Largest amounts of one announcement; texts in bytes of UTF-8.
+
+    What an agent keeps of it goes to the leader with each report.
+    """
+
+    max_labels: int = 64
+    # Of a label, a service or a zone.
+    max_name_bytes: int = 256
+
+
+DEFAULT_WORKER_LIMITS = WorkerLimits()
+
+
+def read_labels(
+    fields: dict[str, Any], limits: WorkerLimits
+) -> tuple[str, ...]:
+    """Return the labels of a worker.
+
+    Raises:
+        InvalidBodyError: they are invalid, too many or too long.
+    """
+    labels = read_list(fields, 'labels')
+    if len(labels) > limits.max_labels:
+        raise InvalidBodyError(f'more than {limits.max_labels} labels')
+    return tuple(
+        check_name(check_str(label, 'labels'), limits) for label in labels
+    )
+
+
+def check_name(name: str, limits: WorkerLimits) -> str:
+    """Return a name that a worker announces.
+
+    Raises:
+        InvalidBodyError: it is too long.
+    """
+    if len(name.encode()) > limits.max_name_bytes:
+        raise InvalidBodyError(
+            f'a name has more than {limits.max_name_bytes} bytes'
+        )
+    return name
+
+
 def check_announcement(fields: dict[str, Any]) -> None:
     """Check that all fields are there, and the types of those not used.
 
--- a/wasabiturn/platform/announcements.py
+++ b/wasabiturn/platform/announcements.py
@@ -5,6 +5,11 @@
 import attrs
 
 from wasabiturn.connection.http_messages import HttpRequest
+from wasabiturn.platform.announced_fields import (
+    DEFAULT_WORKER_LIMITS,
+    MAX_ID_LENGTH,
+    WorkerLimits,
+)
 from wasabiturn.platform.http_server import (
     BAD_REQUEST,
     NOT_FOUND,
@@ -28,6 +33,7 @@
 
     run_reconciler: RunReconciler
     data_centre: str
+    limits: WorkerLimits = DEFAULT_WORKER_LIMITS
 
     def handle(self, request: HttpRequest) -> Response:
         """Handle one request."""
@@ -37,13 +43,13 @@
         if path.startswith(_DEREGISTER_PREFIX):
             _log.event(
                 'worker deregistered',
-                worker=path.removeprefix(_DEREGISTER_PREFIX),
+                worker=path.removeprefix(_DEREGISTER_PREFIX)[:MAX_ID_LENGTH],
             )
             return Response(status=OK)
         if not path.startswith(_ANNOUNCE_PREFIX):
             return Response(status=NOT_FOUND)
         worker = path.removeprefix(_ANNOUNCE_PREFIX)
         self.run_reconciler.announce(
-            decode_identity(worker, request.body, self.data_centre)
+            decode_identity(worker, request.body, self.data_centre, self.limits)
         )
         return Response(status=OK)
--- a/wasabiturn/platform/settings.py
+++ b/wasabiturn/platform/settings.py
@@ -2,7 +2,7 @@
 
 import math
 from pathlib import Path
-from typing import Any, final
+from typing import Any, TypeVar, final
 
 import attrs
 import yaml
@@ -21,6 +21,10 @@
 )
 from wasabiturn.connection.endpoint import Endpoint, parse_endpoint
 from wasabiturn.exceptions import SettingsError
+from wasabiturn.platform.announced_fields import (
+    DEFAULT_WORKER_LIMITS,
+    WorkerLimits,
+)
 from wasabiturn.platform.job_limits import DEFAULT_JOB_LIMITS, JobLimits
 
 # Offsets from the first port of the range that the platform assigns.
@@ -39,6 +43,8 @@
 MIN_FDS = 300
 _MB = 1_000_000
 
+LimitsType = TypeVar('LimitsType', JobLimits, WorkerLimits)
+
 
 @final
 @attrs.frozen
@@ -71,6 +77,7 @@
     memory_mb: int = DEFAULT_MEMORY_MB
     max_fds: int = DEFAULT_MAX_FDS
     job_limits: JobLimits = DEFAULT_JOB_LIMITS
+    worker_limits: WorkerLimits = DEFAULT_WORKER_LIMITS
 
     @property
     def link_port(self) -> int:
@@ -194,17 +201,24 @@
             limits.get('memory_mb') or DEFAULT_MEMORY_MB, MIN_MEMORY_MB
         ),
         max_fds=_read_amount(limits.get('max_fds') or DEFAULT_MAX_FDS, MIN_FDS),
-        job_limits=_read_job_limits(fields.get('job_limits') or {}),
+        job_limits=_read_limits(DEFAULT_JOB_LIMITS, fields, 'job_limits'),
+        worker_limits=_read_limits(
+            DEFAULT_WORKER_LIMITS, fields, 'worker_limits'
+        ),
     )
 
 
-def _read_job_limits(fields: dict[str, Any]) -> JobLimits:
-    """Return the limits of a job; those that are not given have defaults."""
-    known = attrs.asdict(DEFAULT_JOB_LIMITS)
-    given = {name: fields[name] for name in known if name in fields}
-    return JobLimits(
-        **{name: _read_amount(amount, 1) for name, amount in given.items()}
-    )
+def _read_limits(
+    defaults: LimitsType, fields: dict[str, Any], key: str
+) -> LimitsType:
+    """Return the limits at ``key``, and the defaults of those not given."""
+    declared = fields.get(key) or {}
+    known = {each.name for each in attrs.fields(type(defaults))}
+    given = {
+        name: _read_amount(declared[name], 1)
+        for name in known & declared.keys()
+    }
+    return attrs.evolve(defaults, **given)
 
 
 def _parse_optional_endpoint(endpoint_text: str | None) -> Endpoint | None:
--- a/wasabiturn/platform/workers.py
+++ b/wasabiturn/platform/workers.py
@@ -1,18 +1,20 @@
 """Decoding of workers' announcements."""
 
 from wasabiturn.platform.announced_fields import (
+    DEFAULT_WORKER_LIMITS,
+    WorkerLimits,
     check_announcement,
     check_id,
+    check_name,
     read_birth,
     read_capacity,
+    read_labels,
 )
 from wasabiturn.platform.fields import (
     MAX_EXACT,
     InvalidBodyError,
-    check_str,
     decode_object,
     read_int,
-    read_list,
     read_required_str,
     read_str,
 )
@@ -25,6 +27,7 @@
     worker: str,
     body: bytes,
     data_centre: str,
+    limits: WorkerLimits = DEFAULT_WORKER_LIMITS,
 ) -> WorkerIdentity:
     """Return the identity and capacity that a worker announces.
 
@@ -37,14 +40,12 @@
     state = read_str(fields, 'state')
     if state not in {'ready', 'draining'}:
         raise InvalidBodyError(f'a worker is {state!r}')
-    labels = tuple(
-        check_str(each, 'labels') for each in read_list(fields, 'labels')
-    )
+    labels = read_labels(fields, limits)
     return WorkerIdentity(
         worker=check_id(worker),
         born_ms=read_birth(fields),
-        service_name=read_required_str(fields, 'service'),
-        data_centre=read_str(fields, 'zone') or data_centre,
+        service_name=check_name(read_required_str(fields, 'service'), limits),
+        data_centre=check_name(read_str(fields, 'zone'), limits) or data_centre,
         # One label names the rack; the others name the worker's kind.
         rack=next((each for each in labels if _is_rack(each)), ''),
         labels=labels,
