--- a/benchmarks/platform_soak/calls.py
+++ b/benchmarks/platform_soak/calls.py
@@ -126,7 +126,10 @@
         _settle(self._answered, Answer(NO_ANSWER))
 
     def _handle_response(self, status: int, body: bytes) -> None:
-        self._pool.add(self._endpoint, self)
+        if self._reader.keeps_alive():
+            self._pool.add(self._endpoint, self)
+        else:
+            cast(Any, self.transport).loseConnection()
         _settle(self._answered, Answer(status, body))
 
 
