An entry sets room aside for the bodies that it streams

What callers saw: nothing yet; found in reading. Each of an entry's 3,832 connections may leave 256 KB of a body unsent to an agent that is slow, and 64 KB that are kept to be sent again, or 1 MB with an idempotency key: 1.2 GB, or 4.8 GB, of an instance of 424 MB.

Cause: bodies that are streamed were in no budget; only connections and rates were bounded.

Evidence: test_bodies_that_agents_do_not_take_are_bounded: 20 requests are all passed on before, six at most now, the others get 503 with a time and "not run". It was not shown with processes.

Why it works: a request is admitted only while the most that may be held of its body fits in the budget, and the room is given back when it is answered or its caller is gone. A request without a body needs none, and a single body is always passed on.

--- a/tests/process/entry/fakes.py
+++ b/tests/process/entry/fakes.py
@@ -44,6 +44,7 @@
     Header,
     RecordAnswers,
 )
+from wasabiturn.process.entry.body_room import BodyRoom
 from wasabiturn.process.entry.claim_calls import ClaimCalls
 from wasabiturn.process.entry.front import CallerFactory
 from wasabiturn.process.entry.readiness import Readiness
@@ -386,6 +387,7 @@
         self.settings = read_settings(source)
         assert self.settings.entry is not None
         pool: Any = self.pool
+        self.body_room = BodyRoom(10_000_000)
         self.router = Router(pool, DataCentre('dc-a'), self.clock, Random(7))
         self.admission = RequestAdmission(
             InstanceName(name),
@@ -393,6 +395,7 @@
             Readiness(self.session, self.clock),
             self.router,
             ClaimCalls(self.session, name, 'first'),
+            self.body_room,
         )
         self.factory = CallerFactory(self.clock, self.admission.create_handler)
 
--- a/tests/process/entry/test_front.py
+++ b/tests/process/entry/test_front.py
@@ -328,3 +328,39 @@
         if channel is not None:
             channel.makeConnection(StringTransport())
     assert len(guard.clients) <= 16
+
+
+UPLOAD = 'POST /standdesk/x HTTP/1.1\r\nHost: x\r\nContent-Length: 250000\r\n'
+
+
+@pytest.mark.parametrize('key', ['', 'Idempotency-Key: k\r\n'])
+@pytest.mark.parametrize(
+    'framing', ['Content-Length: 1000000', 'Transfer-Encoding: chunked']
+)
+def test_bodies_that_agents_do_not_take_are_bounded(
+    harness: EntryHarness, framing: str, key: str
+) -> None:
+    """A body that is refused was not passed on, so that it has not run."""
+    harness.body_room.max_bytes = 2_000_000
+    head = f'POST /standdesk/x HTTP/1.1\r\nHost: x\r\n{key}{framing}\r\n\r\n'
+    callers = [harness.call(head) for _ in range(20)]
+    refused = [caller for caller in callers if caller.received]
+    assert 0 < len(callers) - len(refused) <= 6
+    assert harness.body_room.reserved_bytes <= 2_000_000
+    for caller in refused:
+        assert caller.received.startswith('HTTP/1.1 503')
+        assert 'Wasabiturn-Outcome: not-run' in caller.received
+        assert 'Retry-After' in caller.received
+    for caller in callers:
+        caller.hang_up()
+    assert harness.body_room.reserved_bytes == 0
+    assert not harness.call(head).received
+
+
+def test_a_single_body_is_passed_on_however_little_room_there_is(
+    harness: EntryHarness,
+) -> None:
+    harness.body_room.max_bytes = 1
+    assert not harness.call(f'{UPLOAD}\r\n').received
+    assert harness.call(f'{UPLOAD}\r\n').received.startswith('HTTP/1.1 503')
+    assert harness.call(GET).received == ''
--- a/wasabiturn/process/entry/program.py
+++ b/wasabiturn/process/entry/program.py
@@ -17,6 +17,7 @@
 from wasabiturn.process.daemon import Component, Context, listen
 from wasabiturn.process.entry.agents import AgentPool
 from wasabiturn.process.entry.api_relay import create_api_relay
+from wasabiturn.process.entry.body_room import create_body_room
 from wasabiturn.process.entry.claim_calls import ClaimCalls
 from wasabiturn.process.entry.draining import Drainer
 from wasabiturn.process.entry.front import create_caller_factory
@@ -69,6 +70,7 @@
             self._readiness,
             router,
             self._claims,
+            create_body_room(context),
         )
         self._callers = create_caller_factory(
             context, self._admission.create_handler
--- a/wasabiturn/process/entry/requests.py
+++ b/wasabiturn/process/entry/requests.py
@@ -12,14 +12,15 @@
 from wasabiturn.ids import InstanceName, RequestId
 from wasabiturn.messages.kinds import Kind
 from wasabiturn.messages.state import Header
+from wasabiturn.process.entry.body_room import BodyRoom, find_body_bytes
 from wasabiturn.process.entry.caller import CallerRequest
 from wasabiturn.process.entry.claim_calls import ClaimCalls
 from wasabiturn.process.entry.exchange import Exchange
 from wasabiturn.process.entry.interfaces import RequestHandler
-from wasabiturn.process.entry.keyed import KeyedRequest
+from wasabiturn.process.entry.keyed import MAX_KEYED_BODY_BYTES, KeyedRequest
 from wasabiturn.process.entry.readiness import Readiness
 from wasabiturn.process.entry.router import Router
-from wasabiturn.request.buffered_body import BufferedBody
+from wasabiturn.request.buffered_body import MAX_BUFFERED_BYTES, BufferedBody
 from wasabiturn.request.hop_by_hop import remove_hop_by_hop
 from wasabiturn.request.inbound import (
     InboundRequest,
@@ -37,6 +38,7 @@
 from wasabiturn.request.refusal import Refusal, refuse_not_run
 from wasabiturn.request.retry import earn_retry
 
+RETRY_AFTER_SECONDS = 1
 _HEALTH_TARGET = '/-/health'
 _READY_TARGET = '/-/ready'
 _ENCODING = 'latin-1'
@@ -57,8 +59,10 @@
         readiness: Readiness,
         router: Router,
         claims: ClaimCalls,
+        body_room: BodyRoom,
     ) -> None:
         """Create the admission of one entry's requests."""
+        self._body_room = body_room
         self._name = name
         self._section = section
         self._readiness = readiness
@@ -127,13 +131,9 @@
                 ),
             )
         if not self._may_run(request):
-            return Error(
-                refuse_not_run(
-                    HTTPStatus.SERVICE_UNAVAILABLE,
-                    'no contact with control',
-                    1,
-                ),
-            )
+            return Error(_refuse_for_now('no contact with control'))
+        if not self._body_room.has_room(_find_held_bytes(caller, request)):
+            return Error(_refuse_for_now('too many bodies are on their way'))
         return admit(
             self._in_flight,
             self._limits,
@@ -160,6 +160,9 @@
                 request.caller,
             ),
         )
+        held_bytes = _find_held_bytes(caller, request)
+        self._body_room.reserve(held_bytes)
+        caller.on_done.append(partial(self._body_room.release, held_bytes))
         if request.idempotency.key is not None:
             return KeyedRequest(request, caller, self._router, self._claims)
         exchange = Exchange(
@@ -172,6 +175,19 @@
         return exchange
 
 
+def _find_held_bytes(caller: CallerRequest, request: InboundRequest) -> int:
+    """Return the most that is held of the body of a request."""
+    is_keyed = request.idempotency.key is not None
+    kept_bytes = MAX_KEYED_BODY_BYTES if is_keyed else MAX_BUFFERED_BYTES
+    return find_body_bytes(caller.body_length, kept_bytes)
+
+
+def _refuse_for_now(reason: str) -> Refusal:
+    return refuse_not_run(
+        HTTPStatus.SERVICE_UNAVAILABLE, reason, RETRY_AFTER_SECONDS
+    )
+
+
 def _answer_probe(caller: CallerRequest, status: HTTPStatus) -> None:
     text = f'{status.phrase}\n'.encode()
     caller.send_head(status, [Header('Content-Length', str(len(text)))])
