Each occurrence of a step counts in the room of a job

A job of many occurrences keeps an object for each step of each of them, 894 bytes with one task (measured), and was counted with 800.

--- a/tests/batch/state/test_budget.py
+++ b/tests/batch/state/test_budget.py
@@ -133,6 +133,15 @@
     assert counted / 3 < stored_bytes < counted
 
 
+def test_each_occurrence_of_a_step_counts() -> None:
+    """It is an object of its own, which takes more than its only task."""
+    once = accept('a', step(100)).accepts[0]
+    often = accept('a', step(1)).accepts[0]
+    often.declaration.occurrences = 100
+    difference = measure_job(often, 100) - measure_job(once, 100)
+    assert difference.memory_bytes > 99 * 400
+
+
 def test_the_smallest_member_decides() -> None:
     small = create_state_budget(300, 128_000_000, 16_000_000)
     large = create_state_budget(424, 64_000_000, 8_000_000)
--- a/tests/untrusted/jobs.py
+++ b/tests/untrusted/jobs.py
@@ -20,6 +20,8 @@
 OTHER_PREFIX = '/otra/'
 STEP = {'count': 1, 'cpu': 100, 'mem_mb': 10, 'est_ms': 1000}
 SPEC_BYTES = 4000
+# Unix time in a later century.
+FAR_MS = 5_000_000_000_000
 
 
 def create_job(spec: str = 'a', steps: int = 1, **fields: Any) -> bytes:
@@ -28,6 +30,18 @@
     return json.dumps({'spec': spec, 'steps': [step] * steps}).encode()
 
 
+def create_periodic_job(occurrences: int) -> bytes:
+    """Return the body that submits a job for the far future."""
+    fields = {
+        'spec': 'a',
+        'steps': [STEP],
+        'repeats': occurrences,
+        'first_ms': FAR_MS,
+        'interval_ms': 1000,
+    }
+    return json.dumps(fields).encode()
+
+
 def create_two_queues(version: int) -> dict[str, Any]:
     """Return a configuration with a second queue."""
     routing = soak_settings.create_routing(version)
--- a/tests/untrusted/test_whole_jobs.py
+++ b/tests/untrusted/test_whole_jobs.py
@@ -120,6 +120,7 @@
             id='wide_texts',
         ),
         pytest.param(400, jobs.create_job(count=240), id='many_tasks'),
+        pytest.param(400, jobs.create_periodic_job(240), id='many_occurrences'),
         pytest.param(60, jobs.create_job(steps=1500), id='many_steps'),
         pytest.param(
             300, jobs.create_job(image='i' * 250_000), id='long_names'
--- a/wasabiturn/messages/footprint.py
+++ b/wasabiturn/messages/footprint.py
@@ -13,7 +13,9 @@
 
 # Objects of one copy of the state, without texts.
 _JOB_BYTES = 1500
-_STEP_BYTES = 800
+_STEP_BYTES = 400
+# A step of one occurrence.
+_PART_BYTES = 500
 # With the names that it gets once it has been started.
 _TASK_BYTES = 800
 # An element of a list, and the number that it refers to.
@@ -88,9 +90,13 @@
 
 def measure_job(accepted: AcceptJob, tasks: int) -> Footprint:
     """Return the room of a job with this number of tasks in all."""
-    of_tasks = Footprint(tasks * _TASK_BYTES, tasks * _STORED_TASK_BYTES)
+    declaration = accepted.declaration
+    parts = max(declaration.occurrences, 1) * len(declaration.steps)
+    of_tasks = Footprint(
+        tasks * _TASK_BYTES + parts * _PART_BYTES, tasks * _STORED_TASK_BYTES
+    )
     of_terms = _measure_texts(accepted.terms.service_name)
-    return measure_declaration(accepted.declaration) + of_terms + of_tasks
+    return measure_declaration(declaration) + of_terms + of_tasks
 
 
 def measure_declaration(declaration: JobDeclaration) -> Footprint:
