--- a/benchmarks/platform_soak/calls.py
+++ b/benchmarks/platform_soak/calls.py
@@ -1,6 +1,7 @@
 """HTTP calls, each on a connection of its own or on one that is kept."""
 
 import json
+from collections.abc import Callable
 from typing import Any, cast, final
 
 import attrs
@@ -89,8 +90,7 @@
         _CallFactory(call, answered),
         timeout=timeout_seconds,
     )
-    timer = reactor.callLater(timeout_seconds, _expire, answered, connector)
-    return answered.addCallback(_cancel_timer, timer)
+    return _await(reactor, answered, timeout_seconds, connector.disconnect)
 
 
 @final
@@ -112,6 +112,11 @@
         if self.connected:
             cast(Any, self.transport).write(request)
 
+    def abort(self) -> None:
+        """End the connection, if it was ever open."""
+        if self.transport is not None:
+            cast(Any, self.transport).abortConnection()
+
     def connectionMade(self) -> None:
         """Send the first request."""
         cast(Any, self.transport).write(self._request)
@@ -162,10 +167,7 @@
                 timeout=timeout_seconds,
             )
         connection.send(encode_request(request, host), answered)
-        timer = self.reactor.callLater(
-            timeout_seconds, _give_up, answered, connection
-        )
-        return answered.addCallback(_cancel_timer, timer)
+        return _await(self.reactor, answered, timeout_seconds, connection.abort)
 
     def add(self, endpoint: Endpoint, connection: _KeptConnection) -> None:
         """Keep a connection whose call was answered."""
@@ -195,15 +197,20 @@
         answered.callback(answer)
 
 
-def _expire(answered: Deferred[Answer], connector: Any) -> None:
-    connector.disconnect()
-    _settle(answered, Answer(NO_ANSWER))
+def _await(
+    reactor: Any,
+    answered: Deferred[Answer],
+    timeout_seconds: float,
+    abort: Callable[[], None],
+) -> Deferred[Answer]:
+    """Abort a call that is not answered in time."""
 
+    def expire() -> None:
+        _settle(answered, Answer(NO_ANSWER))
+        abort()
 
-def _give_up(answered: Deferred[Answer], connection: _KeptConnection) -> None:
-    _settle(answered, Answer(NO_ANSWER))
-    if connection.transport is not None:
-        cast(Any, connection.transport).abortConnection()
+    timer = reactor.callLater(timeout_seconds, expire)
+    return answered.addCallback(_cancel_timer, timer)
 
 
 def _cancel_timer(answer: Answer, timer: Any) -> Answer:
--- a/benchmarks/platform_soak/changes.py
+++ b/benchmarks/platform_soak/changes.py
@@ -14,6 +14,7 @@
 
 from benchmarks.platform_soak.calls import Answer, send_call
 from benchmarks.platform_soak.fleet import Fleet
+from benchmarks.platform_soak.series import Series
 from benchmarks.platform_soak.settings import create_crowded_routing
 from benchmarks.soak.programs import Program
 from wasabiturn.connection.http_messages import HttpRequest
@@ -42,7 +43,13 @@
     accepted: int = 0
     signals: int = 0
     is_stopped: bool = False
-    _left_in_series: int = 0
+    _series: Series = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Draw the series from the same random numbers as the events."""
+        self._series = Series(
+            self.random, MAX_SERIES, GAP_SECONDS, PAUSE_SECONDS
+        )
 
     def start(self) -> None:
         """Send the first change, and go on until stopped."""
@@ -52,13 +59,7 @@
             self._signal()
         else:
             self._configure()
-        if self._left_in_series:
-            self._left_in_series -= 1
-            wait = self.random.choice(GAP_SECONDS)
-        else:
-            self._left_in_series = self.random.randrange(MAX_SERIES)
-            wait = self.random.choice(PAUSE_SECONDS)
-        self.reactor.callLater(wait, self.start)
+        self.reactor.callLater(self._series.draw_wait(), self.start)
 
     def _signal(self) -> None:
         name = self.random.choice(sorted(self.fleet.programs_by_name))
--- a/benchmarks/platform_soak/faults.py
+++ b/benchmarks/platform_soak/faults.py
@@ -14,6 +14,7 @@
 
 from benchmarks.platform_soak.fleet import Fleet
 from benchmarks.platform_soak.journal import FaultEvent, Journal
+from benchmarks.platform_soak.series import Series
 from benchmarks.platform_soak.settings import GRACE_SECONDS
 from benchmarks.soak.programs import Program
 from benchmarks.soak.relay import NetworkPath
@@ -61,20 +62,20 @@
     # Programs that did not end in their grace time.
     overdue_stops: list[str] = attrs.field(factory=list)
     is_stopped: bool = False
-    _left_in_series: int = 0
+    _series: Series = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Draw the series from the same random numbers as the events."""
+        self._series = Series(
+            self.random, MAX_SERIES, GAP_SECONDS, PAUSE_SECONDS
+        )
 
     def start(self) -> None:
         """Inject the first fault, and go on until stopped."""
         if self.is_stopped:
             return
         self._inject_next()
-        if self._left_in_series:
-            self._left_in_series -= 1
-            wait = self.random.choice(GAP_SECONDS)
-        else:
-            self._left_in_series = self.random.randrange(MAX_SERIES)
-            wait = self.random.choice(PAUSE_SECONDS)
-        self.reactor.callLater(wait, self.start)
+        self.reactor.callLater(self._series.draw_wait(), self.start)
 
     def is_calm(self) -> bool:
         """Return whether no fault goes on and no more will come."""
