The room of a process counts that said hello before it was a member

While a group forms nobody is one, so only the newest of them counted afterwards, and a smaller member that had said hello before was overlooked. test_a_process_counts_that_said_hello_before_it_became_a_member fails before. Now the 64 newest of those that are no members are kept.

--- a/wasabiturn/process/control/batch/group_budget.py
+++ b/wasabiturn/process/control/batch/group_budget.py
@@ -12,6 +12,9 @@
 from wasabiturn.version.raft.membership import name_of
 from wasabiturn.version.replica import Replica
 
+# Processes of the group that are no members yet, or no longer.
+MAX_STRANGERS = 64
+
 
 @final
 @attrs.define
@@ -31,7 +34,7 @@
         peer = link.peer
         if peer.role is Role.control and peer.state_budget is not None:
             self.budgets_by_name[peer.name] = peer.state_budget
-            self._forget_departed(peer.name)
+            self._forget_departed()
 
     def find(self) -> StateBudget | None:
         """Return what fits in each member, or none if that is not known."""
@@ -44,10 +47,17 @@
             known.append(self.own)
         return find_smallest(known)
 
-    def _forget_departed(self, newest: str) -> None:
-        """Forget processes that are no members, but one that may become one."""
-        kept = {*list_members(self.replica), newest}
-        for name in self.budgets_by_name.keys() - kept:
+    def _forget_departed(self) -> None:
+        """Forget the longest known processes that are no members.
+
+        Some are kept, as a process says hello before it becomes a member.
+        """
+        strangers = [
+            name
+            for name in self.budgets_by_name
+            if name not in list_members(self.replica)
+        ]
+        for name in strangers[:-MAX_STRANGERS]:
             self.budgets_by_name.pop(name)
 
 
