What a link does not carry is counted and logged

Calls and notices that are not sent on a link whose peer takes nothing were dropped without a word, and jobs that an entry refuses while others wait showed only as a status. Now wasabiturn_unsent_messages_total counts the former, with a line each 5 s for a link; the latter count as rejected clients (memory, caller). Keys of such lines are forgotten, as queues come and go.

--- a/wasabiturn/connection/dispatch.py
+++ b/wasabiturn/connection/dispatch.py
@@ -19,6 +19,10 @@
 StreamHandler = Callable[['Link', Any, Stream], None]
 
 
+def _count_nothing() -> None:
+    """Do nothing, in a process without metrics."""
+
+
 @final
 @attrs.define
 class CallRoute:
@@ -53,6 +57,8 @@
     hello: Hello
     revision: Callable[[], int] = int
     max_unsent_bytes: int = MAX_UNSENT_BYTES
+    # Called for each call or notice that a link does not carry for that.
+    count_unsent: Callable[[], None] = _count_nothing
     calls_by_method: dict[int, CallRoute] = attrs.field(factory=dict)
     streams_by_method: dict[int, StreamRoute] = attrs.field(factory=dict)
     on_open: list[Callable[['Link'], None]] = attrs.field(factory=list)
--- a/wasabiturn/connection/link.py
+++ b/wasabiturn/connection/link.py
@@ -5,6 +5,7 @@
 for ``SILENCE_LIMIT_SECONDS``.
 """
 
+import itertools
 from collections.abc import Callable
 from typing import Any, TypeVar, cast, final
 
@@ -31,6 +32,7 @@
 from wasabiturn.messages.kinds import FailureCode, FrameKind, Method
 from wasabiturn.messages.link import Failure, Frame, Hello
 from wasabiturn.utils.logs import create_component_log
+from wasabiturn.utils.tally_log import TallyLog
 
 HEARTBEAT_INTERVAL_SECONDS = 0.5
 SILENCE_LIMIT_SECONDS = 1.5
@@ -64,12 +66,13 @@
         self.on_open: list[Callable[[Link], None]] = []
         self.on_close: list[Callable[[Link], None]] = []
         self._clock = clock
-        self._next_exchange = 1 if dialled else 2
+        self._exchanges = itertools.count(1 if dialled else 2, 2)
         self._buffer = FrameBuffer(MAX_FIRST_FRAME_BYTES)
         self._guard = guard
         self._client: LinkClient | None = None
         self.calls = CallTable(clock=clock)
         self._peer_clock = PeerClock()
+        self._unsent_log = TallyLog(_log, 'sends nothing to a peer', clock)
         self._streams_by_exchange: dict[int, Stream] = {}
         self.last_received = 0.0
         self._last_sent = 0.0
@@ -102,9 +105,9 @@
         """
         if not self.is_open:
             return fail(CallError(FailureCode.closed, 'link is closed'))
-        if _is_clogged(self):
+        if self._is_clogged():
             return fail(CallError(FailureCode.unavailable, CLOGGED_LINK))
-        exchange = self._allocate_exchange()
+        exchange = next(self._exchanges)
         reply_deferred = self.calls.start(
             exchange, reply_class, timeout_seconds
         )
@@ -123,7 +126,7 @@
 
         It is dropped while the peer takes nothing of what was sent before.
         """
-        if self.is_open and not _is_clogged(self):
+        if self.is_open and not self._is_clogged():
             self.send_frame(FrameKind.notice, 0, method, pack(message))
 
     def open_stream(
@@ -133,7 +136,7 @@
         receiver: StreamReceiver,
     ) -> Stream:
         """Open a stream; it is reset at once if the link is closed."""
-        exchange = self._allocate_exchange()
+        exchange = next(self._exchanges)
         stream = Stream(link=self, exchange=exchange, method=method)
         stream.attach(receiver)
         if not self.is_open:
@@ -229,10 +232,13 @@
             for callback in (*self.on_close, *self.dispatch.on_close):
                 callback(self)
 
-    def _allocate_exchange(self) -> int:
-        exchange = self._next_exchange
-        self._next_exchange += 2
-        return exchange
+    def _is_clogged(self) -> bool:
+        """Return whether the peer takes nothing of what was sent before."""
+        if not is_clogged(self.transport, self.dispatch.max_unsent_bytes):
+            return False
+        self.dispatch.count_unsent()
+        self._unsent_log.record(self.peer.name, peer=self.peer.name)
+        return True
 
     def _check_liveness(self) -> None:
         now = self._clock.seconds()
@@ -320,11 +326,6 @@
         stream.handle_frame(frame)
 
 
-def _is_clogged(link: Link) -> bool:
-    """Return whether the peer takes nothing of what was sent before."""
-    return is_clogged(link.transport, link.dispatch.max_unsent_bytes)
-
-
 def _has_expired(call: Frame, now: float) -> bool:
     """Return whether the sender of a call has stopped waiting; log it."""
     now_ms = milliseconds_in(now)
--- a/wasabiturn/messages/footprint.py
+++ b/wasabiturn/messages/footprint.py
@@ -1,7 +1,7 @@
 """How much room stored jobs take, in memory and in a snapshot.
 
-The amounts are estimates from above, the same on each replica: they follow from
-what a job declares, and never from what its tasks do.
+The amounts are estimates from above. They follow from what a job declares, and
+never from what its tasks do. Only a leader decides by them.
 """
 
 import sys
--- a/wasabiturn/platform/entry_program.py
+++ b/wasabiturn/platform/entry_program.py
@@ -8,6 +8,7 @@
 
 from wasabiturn.connection.client_claims import Rank
 from wasabiturn.connection.http_limits import CALLER_LIMITS
+from wasabiturn.connection.rejections import RejectionCause
 from wasabiturn.messages.kinds import Role
 from wasabiturn.platform.addresses import Address
 from wasabiturn.platform.callers import CallerHandler
@@ -41,7 +42,12 @@
             program.group.calls,
             leader_contact.is_fresh,
             platform.job_limits,
-            WaitingJobs(program.guard.bounds.waiting_bytes),
+            WaitingJobs(
+                program.guard.bounds.waiting_bytes,
+                on_refusal=lambda: program.guard.record(
+                    RejectionCause.memory, Rank.caller
+                ),
+            ),
         ).handle,
     )
 
--- a/wasabiturn/platform/program.py
+++ b/wasabiturn/platform/program.py
@@ -73,6 +73,7 @@
             exposition.count_rejection,
         )
         self.dispatch.max_unsent_bytes = self.guard.bounds.link_bytes
+        self.dispatch.count_unsent = exposition.unsent_messages.inc
         self.addresses: list[Address] = []
         # For programs whose clients ask another instance after a while.
         self.pause_detector: PauseDetector | None = None
--- a/wasabiturn/process/entry/waiting_jobs.py
+++ b/wasabiturn/process/entry/waiting_jobs.py
@@ -20,12 +20,20 @@
 AnswerType = TypeVar('AnswerType')
 
 
+def _ignore_refusal() -> None:
+    """Do nothing, in a process without metrics."""
+
+
 @final
 @attrs.define
 class WaitingJobs:
-    """Jobs of one entry that wait for the answers to their calls."""
+    """Jobs of one entry that wait for the answers to their calls.
+
+    ``on_refusal`` is called for each that is not sent, as there is no room.
+    """
 
     max_bytes: int = MAX_WAITING_BYTES
+    on_refusal: Callable[[], None] = _ignore_refusal
     held_bytes: int = 0
 
     def hold(
@@ -41,6 +49,7 @@
             return send()
         size = measure_declaration(declaration).memory_bytes
         if self.held_bytes and self.held_bytes + size > self.max_bytes:
+            self.on_refusal()
             return fail(CallError(FailureCode.unavailable, NO_ROOM))
         self.held_bytes += size
         return send().addBoth(self._release, size)
--- a/wasabiturn/process/exposition.py
+++ b/wasabiturn/process/exposition.py
@@ -127,6 +127,13 @@
 )
 
 
+unsent_messages = Counter(
+    'wasabiturn_unsent_messages',
+    'Calls and notices not sent, as their link keeps too much unsent.',
+    registry=registry,
+)
+
+
 def count_rejection(cause: RejectionCause, rank: Rank) -> None:
     """Count a client that has met a limit."""
     rejected_clients.labels(cause.value, rank.name).inc()
--- a/wasabiturn/utils/tally_log.py
+++ b/wasabiturn/utils/tally_log.py
@@ -9,6 +9,8 @@
 
 # Time between two lines with one key.
 LINE_SECONDS = 5.0
+# With more keys, those without a recent line are forgotten.
+MAX_KEYS = 100
 
 
 @final
@@ -20,10 +22,7 @@
 
 @final
 class TallyLog:
-    """Logs the first occurrence, and the number of those since the last line.
-
-    The keys must be few, as each is kept.
-    """
+    """Logs the first occurrence, then how many came since the last line."""
 
     def __init__(self, log: ComponentLog, sentence: str, clock: Any) -> None:
         """Create the log of ``sentence``; ``clock`` is the reactor."""
@@ -41,3 +40,12 @@
             return
         self._log.event(self._sentence, count=tally.unlogged, **fields)
         self._tallies_by_key[key] = _Tally(now)
+        if len(self._tallies_by_key) > MAX_KEYS:
+            self._forget_old(now)
+
+    def _forget_old(self, now: float) -> None:
+        self._tallies_by_key = {
+            key: tally
+            for key, tally in self._tallies_by_key.items()
+            if now < tally.logged_at + LINE_SECONDS
+        }
