Many large changes of one turn go into several commands

What callers saw: nothing yet; found in reading. With 17 entries and more, large jobs that arrive in one turn of the leader's loop, or one beside a large configuration, make a command over the 4 MB that a member submits. The commit fails, callers hear 504, and the leader stops leading; the jobs come again.

Cause: the changes of one turn, and the starts of one plan, were merged without regard to their size.

Evidence: tests/process/control/test_pipeline.py on: 40 jobs of 340 KB beside a configuration of 3.5 MB make a command of 13.8 MB, 60,000 starts one of 4.7 MB. It was not shown with processes: an entry's link brings 64 KB a turn.

Why it works: a change that would make more than 1 MB begins a new command, in the same order, and starts are committed 20,000 at a time. The largest job takes 0.9 MB, the largest configuration that fits at all is alone.

--- a/tests/process/control/test_pipeline.py
+++ b/tests/process/control/test_pipeline.py
@@ -15,9 +15,11 @@
     Routing,
     SettledStart,
 )
+from wasabiturn.messages.codec import pack
 from wasabiturn.messages.kinds import JobState
 from wasabiturn.messages.state import Command, Outcome
 from wasabiturn.process.control.batch.pipeline import Pipeline, PipelineHooks
+from wasabiturn.process.control.member import MAX_COMMAND_BYTES
 
 
 class FakeReplica:
@@ -26,11 +28,13 @@
     def __init__(self) -> None:
         self.stored = BatchState()
         self.commands = 0
+        self.largest_bytes = 0
 
     def submit(self, command: Command) -> Deferred[Outcome]:
         assert command.batch is not None
         apply_batch_change(self.stored, command.batch)
         self.commands += 1
+        self.largest_bytes = max(self.largest_bytes, len(pack(command)))
         return succeed(Outcome())
 
 
@@ -110,3 +114,34 @@
     clock.advance(0)
     assert fake_replica.commands == 2
     assert fake_replica.stored.tasks_by_name['j.0.0.0'].is_settled
+
+
+def test_many_large_jobs_of_one_turn_are_no_command_that_is_too_large() -> None:
+    """Its commit would fail, and the leader stop leading, again and again."""
+    fake_replica, clock = FakeReplica(), Clock()
+    pipeline = create_pipeline(fake_replica, clock)
+    acknowledged: list[None] = []
+    routing = Routing(version=1, document=b'x' * 3_500_000)
+    for change in (
+        BatchChange(routing=routing),
+        *[accept(f'{n}', *[step(1, image='i' * 256)] * 700) for n in range(40)],
+    ):
+        pipeline.record(change).addCallback(acknowledged.append)
+    clock.advance(0)
+    assert len(acknowledged) == 41
+    assert len(fake_replica.stored.jobs_by_id) == 40
+    assert fake_replica.largest_bytes < MAX_COMMAND_BYTES
+    assert fake_replica.commands < 20
+
+
+def test_any_number_of_starts_is_committed() -> None:
+    fake_replica, clock = FakeReplica(), Clock()
+    pipeline = create_pipeline(fake_replica, clock)
+    pipeline.add(accept('job', step(60_000)))
+    starts = [
+        start(f'job.0.0.{index}', worker='i-12345678').starts[0]
+        for index in range(60_000)
+    ]
+    pipeline.commit_planned(starts)
+    assert len(fake_replica.stored.active_by_name) == 60_000
+    assert fake_replica.largest_bytes < MAX_COMMAND_BYTES
--- a/wasabiturn/process/control/batch/pipeline.py
+++ b/wasabiturn/process/control/batch/pipeline.py
@@ -19,6 +19,7 @@
 from wasabiturn.batch.state.clock import StateClock
 from wasabiturn.connection.calls import CallError
 from wasabiturn.messages.batch import BatchChange, StartRun
+from wasabiturn.messages.footprint import measure_declaration
 from wasabiturn.messages.kinds import FailureCode
 from wasabiturn.messages.state import Command, Outcome
 from wasabiturn.process import exposition
@@ -28,6 +29,13 @@
 
 _UNORDERED_FIELDS = frozenset(('settled', 'overdue', 'limits', 'clock_ms'))
 
+# Changes are merged up to this size, as a command has a largest one; see
+# ``MAX_COMMAND_BYTES`` of ``process/control/member.py``.
+MAX_MERGED_BYTES = 1_000_000
+# A start takes about 100 bytes. Those of one gang are rarely parted.
+MAX_STARTS = 20_000
+_RECORD_BYTES = 128
+
 _log = create_component_log('queues')
 
 
@@ -35,6 +43,7 @@
 @attrs.define
 class _Batch:
     change: BatchChange = attrs.field(factory=BatchChange)
+    size_bytes: int = 0
     waiters: list[Deferred[None]] = attrs.field(factory=list)
     submitted_at: float = 0.0
 
@@ -114,7 +123,10 @@
 
         Returns the merged change that it became part of.
         """
-        if not _can_merge(self._batch.change, change):
+        size_bytes = self._batch.size_bytes + _measure_change(change)
+        if size_bytes > MAX_MERGED_BYTES or not _can_merge(
+            self._batch.change, change
+        ):
             self._submit(self._take_batch())
         self.add_to_next(change)
         self.schedule_flush()
@@ -128,16 +140,12 @@
         self._hooks.before_apply(change)
         apply_batch_change(self.batch_state, change)
         _merge_change(self._batch.change, change)
+        self._batch.size_bytes += _measure_change(change)
 
     def commit_planned(self, starts: list[StartRun]) -> None:
         """Commit starts that the working copy has already, without a plan."""
-        if not starts:
-            return
-        change = BatchChange(starts=starts, clock_ms=self.read_clock())
-        if not _can_merge(self._batch.change, change):
-            self._submit(self._take_batch())
-        _merge_change(self._batch.change, change)
-        self._submit(self._take_batch())
+        for first in range(0, len(starts), MAX_STARTS):
+            self._commit_starts(starts[first : first + MAX_STARTS])
 
     def schedule_flush(self) -> None:
         """Plan and flush at the end of this event loop iteration."""
@@ -154,6 +162,13 @@
         error = CallError(FailureCode.not_leader, 'leadership was lost')
         _fail_all(self._take_batch().waiters, error)
 
+    def _commit_starts(self, starts: list[StartRun]) -> None:
+        change = BatchChange(starts=starts, clock_ms=self.read_clock())
+        if not _can_merge(self._batch.change, change):
+            self._submit(self._take_batch())
+        _merge_change(self._batch.change, change)
+        self._submit(self._take_batch())
+
     def _flush(self) -> None:
         # What callers recorded must still be committed and answered, and what
         # was planned before an error be offered.
@@ -221,6 +236,20 @@
     merged.clock_ms = max(merged.clock_ms, change.clock_ms)
 
 
+def _measure_change(change: BatchChange) -> int:
+    """Return about how many bytes a change takes in a command."""
+    routing = change.routing
+    documents_bytes = 0 if routing is None else len(routing.document)
+    jobs_bytes = sum(
+        measure_declaration(accepted.declaration).stored_bytes
+        for accepted in change.accepts
+    )
+    checkpoints_bytes = sum(len(end.checkpoint) for end in change.ends)
+    records = len(change.ends) + len(change.starts) + len(change.settled)
+    texts_bytes = documents_bytes + jobs_bytes + checkpoints_bytes
+    return texts_bytes + records * _RECORD_BYTES
+
+
 def _can_merge(merged: BatchChange, change: BatchChange) -> bool:
     """Return whether a merged change has the effect of both in turn."""
     if merged.routing is not None and change.routing is not None:
