A worker has no more tasks than its orders can name

Cause: tasks without processors and memory all fit on one worker, and orders name each with the text of its job. Beyond 8 MiB no frame carries them: the answer to each report failed, and the worker got no lease.

A crowd of such tasks takes places as tasks with sizes take capacity.

--- a/wasabiturn/batch/fleet.py
+++ b/wasabiturn/batch/fleet.py
@@ -39,6 +39,9 @@
 # Parts that end are not removed one by one; above this number all entries are
 # dropped.
 MAX_REFUSED_PARTS = 10_000
+# Tasks of one worker, however little they need: its orders, with texts of 4,000
+# bytes, fit in a frame, and its reports are handled in a short turn.
+MAX_RUNS = 1000
 
 
 @final
@@ -266,6 +269,8 @@
 
     def has_room_for(self, step: Step, tasks: int = 1) -> bool:
         """Return whether tasks fit; lasting ones take reserved places."""
+        if len(self.allocations_by_task) + tasks > MAX_RUNS:
+            return False
         millicores = 0 if step.fills else step.millicores * tasks
         memory_mb = step.memory_mb * tasks
         accelerators = step.accelerators * tasks
