What is learnt of images is bounded

What callers saw: nothing yet; found in reading. Callers choose the names of images, and every two seconds a leader stores what it has learnt of all pairs of a lasting and a filling one that ran beside each other lately.

Cause: nothing bounded the pairs, nor the images whose tails are learnt. 10,000 pairs with names of 256 bytes make a command of 5.5 MB, over the 4 MB that a member submits: the commit fails, and the leader stops leading.

It was not shown with processes.

Why it works: the 2,000 pairs seen last, and the 2,000 images learnt last, are kept; the users' deployments have some hundred pairs.

--- a/wasabiturn/batch/placing/interference.py
+++ b/wasabiturn/batch/placing/interference.py
@@ -8,6 +8,7 @@
 Variances have a lower bound, as pressures may change within seconds.
 """
 
+import heapq
 import math
 from collections.abc import Iterable, Mapping
 from typing import final
@@ -39,6 +40,8 @@
 # Time constant with which an estimate without samples returns to the prior.
 DECAY_SECONDS = 60.0
 ESTIMATE_LIFETIME_SECONDS = 5 * DECAY_SECONDS
+# Callers choose the names of images. All pairs are stored together.
+MAX_PAIRS = 2000
 # Two lasting images are wholly dissimilar if their pressures from one filling
 # image differ by this much.
 DISSIMILAR_PRESSURE_GAP = 3.0
@@ -93,18 +96,23 @@
                 self._update_job(group, uses, now)
 
     def drop_decayed(self, now: float) -> None:
-        """Drop estimates that have decayed to the prior."""
+        """Drop estimates that have decayed to the prior, or are too many."""
         oldest = now - ESTIMATE_LIFETIME_SECONDS
         self.load_by_job = {
             job_id: load
             for job_id, load in self.load_by_job.items()
             if load.seen_at is not None and load.seen_at > oldest
         }
-        self.pressure_by_pair = {
-            pair: pressure
+        recent = [
+            (pair, pressure)
             for pair, pressure in self.pressure_by_pair.items()
             if pressure.seen_at > oldest
-        }
+        ]
+        if len(recent) > MAX_PAIRS:
+            recent = heapq.nlargest(
+                MAX_PAIRS, recent, key=lambda each: each[1].seen_at
+            )
+        self.pressure_by_pair = dict(recent)
 
     def load(self, job_id: str) -> Load:
         """Return the load estimate of a lasting job."""
--- a/wasabiturn/batch/placing/loads.py
+++ b/wasabiturn/batch/placing/loads.py
@@ -77,6 +77,10 @@
         return min(max(extrapolated, MIN_LOAD), MAX_LOAD)
 
 
+# Callers choose the names of images.
+MAX_IMAGES = 2000
+
+
 @final
 @attrs.define
 class UnloadedTails:
@@ -90,6 +94,9 @@
         lower = min(UNLOADED_PART_OF_TAIL * tail, unloaded)
         unloaded += UNLOADED_TAIL_RATE * (lower - unloaded)
         self.tail_by_image[image] = unloaded
+        if len(self.tail_by_image) > MAX_IMAGES:
+            # The one that was learnt first.
+            self.tail_by_image.pop(next(iter(self.tail_by_image)))
         return max(1 - unloaded / tail, MIN_LOAD)
 
 
