Checks, sizes and lists that stood twice are one each

Found in reading the change once more; behaviour stays as it is, but that a refused name of a worker is told with the field that it stands in. The bytes of a text are checked in one function, for jobs and for announcements. A job that shrinks sets its own room, which two methods of the state did. A recorded change is measured once, the members are listed once for each hello, and Job.queue is used where it was spelled out.

--- a/wasabiturn/batch/placing/durations.py
+++ b/wasabiturn/batch/placing/durations.py
@@ -52,7 +52,7 @@
         if seconds <= 0:
             return
         estimate = part.step.estimate_ms / _MS
-        queue = part.job.accepted.declaration.queue
+        queue = part.job.queue
         _find_mean(self._by_step, part.name, MAX_STEPS).add(seconds, estimate)
         _find_mean(self._by_queue, queue, MAX_QUEUES).add(seconds, estimate)
 
@@ -62,7 +62,7 @@
         if of_step is not None:
             return of_step.seconds
         estimate = part.step.estimate_ms / _MS
-        of_queue = self._by_queue.get(part.job.accepted.declaration.queue)
+        of_queue = self._by_queue.get(part.job.queue)
         if of_queue is None:
             return estimate
         if estimate > 0:
--- a/wasabiturn/batch/state/batch_state.py
+++ b/wasabiturn/batch/state/batch_state.py
@@ -7,7 +7,7 @@
 
 from wasabiturn.batch.state.jobs import Job, Task
 from wasabiturn.messages.batch import PressureRecord, Routing
-from wasabiturn.messages.footprint import ENDED_JOB, Usage
+from wasabiturn.messages.footprint import Usage
 from wasabiturn.messages.kinds import BatchTaskState, JobState
 
 
@@ -48,8 +48,7 @@
     def add_ended_job(self, job: Job) -> None:
         """Add a job of which only the state is kept."""
         job.shrink()
-        job.footprint = ENDED_JOB
-        self.usage.add(job.queue, ENDED_JOB)
+        self.usage.add(job.queue, job.footprint)
         self.jobs_by_id[job.job_id] = job
         self.ended_jobs_by_id[job.job_id] = job
 
@@ -117,5 +116,4 @@
         """Keep only the state of a job that has ended."""
         self.usage.remove(job.queue, job.footprint)
         job.shrink()
-        job.footprint = ENDED_JOB
-        self.usage.add(job.queue, ENDED_JOB)
+        self.usage.add(job.queue, job.footprint)
--- a/wasabiturn/batch/state/jobs.py
+++ b/wasabiturn/batch/state/jobs.py
@@ -12,6 +12,7 @@
     Step,
 )
 from wasabiturn.messages.footprint import (
+    ENDED_JOB,
     NO_FOOTPRINT,
     Footprint,
     measure_job,
@@ -220,6 +221,7 @@
 
     def shrink(self) -> None:
         """Forget the steps of an ended job; it is only asked for its state."""
+        self.footprint = ENDED_JOB
         declaration = self.accepted.declaration
         self.parts_by_key = {}
         self.accepted = attrs.evolve(
--- a/wasabiturn/platform/announced_fields.py
+++ b/wasabiturn/platform/announced_fields.py
@@ -12,7 +12,7 @@
 from wasabiturn.platform.fields import (
     MAX_EXACT,
     InvalidBodyError,
-    check_str,
+    check_short_str,
     read_int,
     read_list,
     read_required_str,
@@ -67,23 +67,11 @@
     if len(labels) > limits.max_labels:
         raise InvalidBodyError(f'more than {limits.max_labels} labels')
     return tuple(
-        check_name(check_str(label, 'labels'), limits) for label in labels
+        check_short_str(label, 'labels', limits.max_name_bytes)
+        for label in labels
     )
 
 
-def check_name(name: str, limits: WorkerLimits) -> str:
-    """Return a name that a worker announces.
-
-    Raises:
-        InvalidBodyError: it is too long.
-    """
-    if len(name.encode()) > limits.max_name_bytes:
-        raise InvalidBodyError(
-            f'a name has more than {limits.max_name_bytes} bytes'
-        )
-    return name
-
-
 def check_announcement(fields: dict[str, Any]) -> None:
     """Check that all fields are there, and the types of those not used.
 
--- a/wasabiturn/platform/fields.py
+++ b/wasabiturn/platform/fields.py
@@ -71,16 +71,24 @@
 
 
 def read_short_str(fields: dict[str, Any], key: str, max_bytes: int) -> str:
-    """Return the string at ``key``, of at most ``max_bytes`` in UTF-8.
+    """Return the string at ``key``, or an empty string if it is absent.
 
     Raises:
-        InvalidBodyError: the value is longer, or no string that a message can
-            hold.
+        InvalidBodyError: as ``check_short_str``.
     """
-    text = read_str(fields, key)
-    if len(text.encode()) > max_bytes:
+    return check_short_str(fields.get(key, ''), key, max_bytes)
+
+
+def check_short_str(text: Any, key: str, max_bytes: int) -> str:
+    """Return ``text``, found at ``key``, if it has few bytes in UTF-8.
+
+    Raises:
+        InvalidBodyError: it has more than ``max_bytes``, or is no string that a
+            message can hold.
+    """
+    if len(check_str(text, key).encode()) > max_bytes:
         raise InvalidBodyError(f'{key} has more than {max_bytes} bytes')
-    return text
+    return str(text)
 
 
 def check_str(text: Any, key: str) -> str:
--- a/wasabiturn/platform/workers.py
+++ b/wasabiturn/platform/workers.py
@@ -5,7 +5,6 @@
     WorkerLimits,
     check_announcement,
     check_id,
-    check_name,
     read_birth,
     read_capacity,
     read_labels,
@@ -13,9 +12,11 @@
 from wasabiturn.platform.fields import (
     MAX_EXACT,
     InvalidBodyError,
+    check_short_str,
     decode_object,
     read_int,
     read_required_str,
+    read_short_str,
     read_str,
 )
 from wasabiturn.process.agent.runs.port import WorkerIdentity
@@ -41,11 +42,14 @@
     if state not in {'ready', 'draining'}:
         raise InvalidBodyError(f'a worker is {state!r}')
     labels = read_labels(fields, limits)
+    max_bytes = limits.max_name_bytes
     return WorkerIdentity(
         worker=check_id(worker),
         born_ms=read_birth(fields),
-        service_name=check_name(read_required_str(fields, 'service'), limits),
-        data_centre=check_name(read_str(fields, 'zone'), limits) or data_centre,
+        service_name=check_short_str(
+            read_required_str(fields, 'service'), 'service', max_bytes
+        ),
+        data_centre=read_short_str(fields, 'zone', max_bytes) or data_centre,
         # One label names the rack; the others name the worker's kind.
         rack=next((each for each in labels if _is_rack(each)), ''),
         labels=labels,
--- a/wasabiturn/process/control/batch/group_budget.py
+++ b/wasabiturn/process/control/batch/group_budget.py
@@ -52,10 +52,9 @@
 
         Some are kept, as a process says hello before it becomes a member.
         """
+        members = list_members(self.replica)
         strangers = [
-            name
-            for name in self.budgets_by_name
-            if name not in list_members(self.replica)
+            name for name in self.budgets_by_name if name not in members
         ]
         for name in strangers[:-MAX_STRANGERS]:
             self.budgets_by_name.pop(name)
--- a/wasabiturn/process/control/batch/job_calls.py
+++ b/wasabiturn/process/control/batch/job_calls.py
@@ -173,8 +173,7 @@
         job = batch_state.jobs_by_id.get(job_id)
         if job is None:
             return None
-        is_in_queue = job.accepted.declaration.queue == queue_key(queue)
-        return job if is_in_queue else None
+        return job if job.queue == queue_key(queue) else None
 
 
 def register_job_calls(
--- a/wasabiturn/process/control/batch/pipeline.py
+++ b/wasabiturn/process/control/batch/pipeline.py
@@ -123,24 +123,26 @@
 
         Returns the merged change that it became part of.
         """
-        size_bytes = self._batch.size_bytes + _measure_change(change)
-        if size_bytes > MAX_MERGED_BYTES or not _can_merge(
-            self._batch.change, change
-        ):
+        size_bytes = _measure_change(change)
+        is_full = self._batch.size_bytes + size_bytes > MAX_MERGED_BYTES
+        if is_full or not _can_merge(self._batch.change, change):
             self._submit(self._take_batch())
-        self.add_to_next(change)
+        self._apply(change, size_bytes)
         self.schedule_flush()
         return self._batch.change
 
     def add_to_next(self, change: BatchChange) -> None:
         """Apply ``change`` and commit it with the next one that is flushed."""
+        self._apply(change, _measure_change(change))
+
+    def _apply(self, change: BatchChange, size_bytes: int) -> None:
         if change == BatchChange():
             return
         change.clock_ms = self.read_clock()
         self._hooks.before_apply(change)
         apply_batch_change(self.batch_state, change)
         _merge_change(self._batch.change, change)
-        self._batch.size_bytes += _measure_change(change)
+        self._batch.size_bytes += size_bytes
 
     def commit_planned(self, starts: list[StartRun]) -> None:
         """Commit starts that the working copy has already, without a plan."""
