Waiting jobs and streamed bodies reserve room by one class

WaitingJobs and BodyRoom each counted bytes against a bound, and let a single one pass however large it is. MemoryRoom does it for both, beside what it needs of the instance; the assertions of the tests are the same. Behaviour is as before.

--- a/tests/process/entry/fakes.py
+++ b/tests/process/entry/fakes.py
@@ -44,9 +44,9 @@
     Header,
     RecordAnswers,
 )
-from wasabiturn.process.entry.body_room import BodyRoom
 from wasabiturn.process.entry.claim_calls import ClaimCalls
 from wasabiturn.process.entry.front import CallerFactory
+from wasabiturn.process.entry.memory_room import MemoryRoom
 from wasabiturn.process.entry.readiness import Readiness
 from wasabiturn.process.entry.requests import RequestAdmission
 from wasabiturn.process.entry.router import Router
@@ -387,7 +387,7 @@
         self.settings = read_settings(source)
         assert self.settings.entry is not None
         pool: Any = self.pool
-        self.body_room = BodyRoom(10_000_000)
+        self.body_room = MemoryRoom(10_000_000)
         self.router = Router(pool, DataCentre('dc-a'), self.clock, Random(7))
         self.admission = RequestAdmission(
             InstanceName(name),
--- a/tests/process/entry/test_waiting_jobs.py
+++ b/tests/process/entry/test_waiting_jobs.py
@@ -6,6 +6,7 @@
 from wasabiturn.messages.batch import JobDeclaration, Step
 from wasabiturn.messages.footprint import measure_declaration
 from wasabiturn.messages.kinds import FailureCode
+from wasabiturn.process.entry.memory_room import MemoryRoom
 from wasabiturn.process.entry.waiting_jobs import WaitingJobs
 
 JOB = JobDeclaration(steps=[Step() for _ in range(100)])
@@ -33,26 +34,26 @@
 
 def test_jobs_beyond_the_room_are_not_sent_until_others_are_answered() -> None:
     group = Group()
-    waiting = WaitingJobs(2 * measure_declaration(JOB).memory_bytes)
+    waiting = WaitingJobs(MemoryRoom(2 * measure_declaration(JOB).memory_bytes))
     outcomes = [hold(waiting, group, JOB) for _ in range(3)]
     assert outcomes == ['', '', FailureCode.unavailable.name]
     assert len(group.calls) == 2
     group.calls[0].callback('done')
     group.calls[1].errback(CallError(FailureCode.outcome_unknown, ''))
-    assert waiting.held_bytes == 0
+    assert waiting.room.reserved_bytes == 0
     assert not hold(waiting, group, JOB)
 
 
 def test_a_single_job_is_sent_however_large_it_is() -> None:
     group = Group()
-    waiting = WaitingJobs(1)
+    waiting = WaitingJobs(MemoryRoom(1))
     assert not hold(waiting, group, JOB)
-    assert waiting.held_bytes > 1
+    assert waiting.room.reserved_bytes > 1
 
 
 def test_a_read_is_always_sent() -> None:
     group = Group()
-    waiting = WaitingJobs(1)
+    waiting = WaitingJobs(MemoryRoom(1))
     hold(waiting, group, JOB)
     assert not hold(waiting, group, None)
     assert len(group.calls) == 2
--- a/wasabiturn/platform/entry_program.py
+++ b/wasabiturn/platform/entry_program.py
@@ -24,6 +24,7 @@
 from wasabiturn.process.daemon import Context
 from wasabiturn.process.entry.configured_limits import ConfiguredLimits
 from wasabiturn.process.entry.leader_contact import LeaderContact
+from wasabiturn.process.entry.memory_room import MemoryRoom
 from wasabiturn.process.entry.waiting_jobs import WaitingJobs
 from wasabiturn.process.member_directory import MemberDirectory
 from wasabiturn.utils.pauses import PauseDetector
@@ -43,7 +44,7 @@
             leader_contact.is_fresh,
             platform.job_limits,
             WaitingJobs(
-                program.guard.bounds.waiting_bytes,
+                MemoryRoom(program.guard.bounds.waiting_bytes),
                 on_refusal=lambda: program.guard.record(
                     RejectionCause.memory, Rank.caller
                 ),
--- a/wasabiturn/process/entry/body_room.py
+++ b/wasabiturn/process/entry/memory_room.py
@@ -1,7 +1,8 @@
-"""Room for the bodies of requests that an entry streams to agents.
+"""Memory that an entry sets aside for requests on their way.
 
-A body is never held as a whole, but its first part is kept while the request
-may be sent again, and an agent that is slow leaves a window of it unsent.
+The body of one that is streamed is never held as a whole, but its first part is
+kept while the request may be sent again, and an agent that is slow leaves a
+window of it unsent.
 """
 
 from typing import final
@@ -15,30 +16,30 @@
 
 @final
 @attrs.define
-class BodyRoom:
-    """Memory that is set aside for bodies, whether they come or not."""
+class MemoryRoom:
+    """Room for several things, each of which reserves what it may take."""
 
     max_bytes: int
     reserved_bytes: int = 0
 
     def has_room(self, size: int) -> bool:
-        """Return whether ``size`` more fits; a single body always does."""
+        """Return whether ``size`` more fits; a single thing always does."""
         if not size or not self.reserved_bytes:
             return True
         return self.reserved_bytes + size <= self.max_bytes
 
     def reserve(self, size: int) -> None:
-        """Set room aside for one body."""
+        """Set room aside."""
         self.reserved_bytes += size
 
     def release(self, size: int) -> None:
-        """Give the room of one body back."""
+        """Give room back."""
         self.reserved_bytes -= size
 
 
-def create_body_room(context: Context) -> BodyRoom:
+def create_body_room(context: Context) -> MemoryRoom:
     """Create the room of an entry on this instance."""
-    return BodyRoom(create_instance_bounds(context).budget_bytes)
+    return MemoryRoom(create_instance_bounds(context).budget_bytes)
 
 
 def find_body_bytes(length: int | None, kept_bytes: int) -> int:
--- a/wasabiturn/process/entry/program.py
+++ b/wasabiturn/process/entry/program.py
@@ -17,10 +17,10 @@
 from wasabiturn.process.daemon import Component, Context, listen
 from wasabiturn.process.entry.agents import AgentPool
 from wasabiturn.process.entry.api_relay import create_api_relay
-from wasabiturn.process.entry.body_room import create_body_room
 from wasabiturn.process.entry.claim_calls import ClaimCalls
 from wasabiturn.process.entry.draining import Drainer
 from wasabiturn.process.entry.front import create_caller_factory
+from wasabiturn.process.entry.memory_room import create_body_room
 from wasabiturn.process.entry.readiness import Readiness
 from wasabiturn.process.entry.requests import RequestAdmission
 from wasabiturn.process.entry.router import Router
--- a/wasabiturn/process/entry/requests.py
+++ b/wasabiturn/process/entry/requests.py
@@ -12,12 +12,12 @@
 from wasabiturn.ids import InstanceName, RequestId
 from wasabiturn.messages.kinds import Kind
 from wasabiturn.messages.state import Header
-from wasabiturn.process.entry.body_room import BodyRoom, find_body_bytes
 from wasabiturn.process.entry.caller import CallerRequest
 from wasabiturn.process.entry.claim_calls import ClaimCalls
 from wasabiturn.process.entry.exchange import Exchange
 from wasabiturn.process.entry.interfaces import RequestHandler
 from wasabiturn.process.entry.keyed import MAX_KEYED_BODY_BYTES, KeyedRequest
+from wasabiturn.process.entry.memory_room import MemoryRoom, find_body_bytes
 from wasabiturn.process.entry.readiness import Readiness
 from wasabiturn.process.entry.router import Router
 from wasabiturn.request.buffered_body import MAX_BUFFERED_BYTES, BufferedBody
@@ -59,7 +59,7 @@
         readiness: Readiness,
         router: Router,
         claims: ClaimCalls,
-        body_room: BodyRoom,
+        body_room: MemoryRoom,
     ) -> None:
         """Create the admission of one entry's requests."""
         self._body_room = body_room
--- a/wasabiturn/process/entry/waiting_jobs.py
+++ b/wasabiturn/process/entry/waiting_jobs.py
@@ -13,6 +13,7 @@
 from wasabiturn.messages.batch import JobDeclaration
 from wasabiturn.messages.footprint import measure_declaration
 from wasabiturn.messages.kinds import FailureCode
+from wasabiturn.process.entry.memory_room import MemoryRoom
 
 MAX_WAITING_BYTES = 42_000_000
 NO_ROOM = 'too many jobs wait for an answer of the group'
@@ -32,9 +33,10 @@
     ``on_refusal`` is called for each that is not sent, as there is no room.
     """
 
-    max_bytes: int = MAX_WAITING_BYTES
+    room: MemoryRoom = attrs.field(
+        factory=lambda: MemoryRoom(MAX_WAITING_BYTES)
+    )
     on_refusal: Callable[[], None] = _ignore_refusal
-    held_bytes: int = 0
 
     def hold(
         self,
@@ -48,12 +50,12 @@
         if declaration is None:
             return send()
         size = measure_declaration(declaration).memory_bytes
-        if self.held_bytes and self.held_bytes + size > self.max_bytes:
+        if not self.room.has_room(size):
             self.on_refusal()
             return fail(CallError(FailureCode.unavailable, NO_ROOM))
-        self.held_bytes += size
+        self.room.reserve(size)
         return send().addBoth(self._release, size)
 
     def _release(self, outcome: Any, size: int) -> Any:
-        self.held_bytes -= size
+        self.room.release(size)
         return outcome
