Soak and tests/untrusted read usage and announce by the same code

What a program uses of memory, descriptors and disk, and the body of an announcement, were written in both. Program reads the former, settings.py makes the latter. Crowds, bounds and assertions are the same.

--- a/benchmarks/platform_soak/limits_watch.py
+++ b/benchmarks/platform_soak/limits_watch.py
@@ -1,16 +1,13 @@
 """Watches that each program of a soak stays within its instance."""
 
-import os
-from pathlib import Path
 from typing import Any, final
 
 from benchmarks.platform_soak.fleet import Fleet
-from benchmarks.soak.programs import Program
+from benchmarks.soak.programs import Program, measure_folder
 from wasabiturn.connection.client_guard import DEFAULT_MAX_FDS
 from wasabiturn.utils.ticker import Ticker
 
 LOOK_SECONDS = 0.25
-_KB_PER_MB = 1024
 _BYTES_PER_MB = 1_000_000
 
 
@@ -40,7 +37,7 @@
             self._look_at(name, program)
             folder = self._fleet.sites_by_name[name].data_folder
             if folder is not None:
-                used = sum(map(_find_size, folder.iterdir()))
+                used = measure_folder(folder)
                 self._record(name, 'disk MB', used // _BYTES_PER_MB)
 
     def find_excesses(self) -> list[str]:
@@ -64,31 +61,17 @@
         )
 
     def _look_at(self, name: str, program: Program) -> None:
-        if program.process is None or not program.is_running():
+        if not program.is_running():
             return
-        pid = program.process.pid
         try:
-            self._record(name, 'memory MB', _read_peak_mb(pid))
-            self._record(
-                name, 'descriptors', len(os.listdir(f'/proc/{pid}/fd'))
-            )
-        except (FileNotFoundError, StopIteration):
+            peak_mb = int(program.read_peak_memory_mb())
+            descriptors = program.count_descriptors()
+        except (OSError, StopIteration):
             # It has ended since.
             return
+        self._record(name, 'memory MB', peak_mb)
+        self._record(name, 'descriptors', descriptors)
 
     def _record(self, name: str, what: str, used: int) -> None:
         key = (name, what)
         self.peaks[key] = max(self.peaks.get(key, 0), used)
-
-
-def _read_peak_mb(pid: int) -> int:
-    status = Path(f'/proc/{pid}/status').read_text('utf-8')
-    line = next(line for line in status.splitlines() if 'VmHWM' in line)
-    return int(line.split()[1]) // _KB_PER_MB
-
-
-def _find_size(path: Path) -> int:
-    try:
-        return path.stat().st_size
-    except FileNotFoundError:
-        return 0
--- a/benchmarks/platform_soak/settings.py
+++ b/benchmarks/platform_soak/settings.py
@@ -140,6 +140,25 @@
     return routing
 
 
+def create_announcement(labels: list[str]) -> bytes:
+    """Return the body by which a worker announces itself."""
+    fields = {
+        'service': SERVICE,
+        'addr': '127.0.0.1:1',
+        'zone': DATA_CENTRES[0],
+        'version': 'v1',
+        'slots': 8,
+        'state': 'ready',
+        'cold_left_ms': 0,
+        'capacity': {'cpu': 16_000, 'mem_mb': 32_768, 'gpu': 0},
+        'labels': labels,
+        'clock_ms': 1,
+        'seq': 1,
+        'born': 1,
+    }
+    return json.dumps(fields).encode()
+
+
 def _create_fields(site: Site) -> dict[str, Any]:
     ports = site.ports
     listen = {}
--- a/benchmarks/platform_soak/untrusted.py
+++ b/benchmarks/platform_soak/untrusted.py
@@ -19,7 +19,7 @@
     CROWD_PREFIX,
     HOST,
     PREFIX,
-    SERVICE,
+    create_announcement,
 )
 from wasabiturn.connection.endpoint import Endpoint
 
@@ -96,21 +96,7 @@
 
 def _create_announcements(random: Random) -> bytes:
     """Return announcements of workers that are not there."""
-    fields = {
-        'service': SERVICE,
-        'addr': '127.0.0.1:1',
-        'zone': 'zone-a',
-        'version': 'v1',
-        'slots': 8,
-        'state': 'ready',
-        'cold_left_ms': 0,
-        'capacity': {'cpu': 16_000, 'mem_mb': 32_768, 'gpu': 0},
-        'labels': ['x' * NAME_BYTES for _ in range(LABELS)],
-        'clock_ms': 1,
-        'seq': 1,
-        'born': 1,
-    }
-    body = json.dumps(fields).encode()
+    body = create_announcement(['x' * NAME_BYTES for _ in range(LABELS)])
     return b''.join(
         _encode('POST', f'/api/Instances.Heartbeat/i-{number}', body)
         for number in range(random.randrange(WHOLE_REQUESTS))
--- a/benchmarks/soak/programs.py
+++ b/benchmarks/soak/programs.py
@@ -11,6 +11,7 @@
 import attrs
 
 STOP_TIMEOUT_SECONDS = 90
+_KIB = 1024
 
 
 @final
@@ -64,6 +65,25 @@
         self._signal(signal.SIGCONT)
         self.frozen = False
 
+    def read_peak_memory_mb(self) -> float:
+        """Return the largest resident memory since the start.
+
+        Raises:
+            OSError: the process has ended.
+        """
+        text = self._find_process_folder().joinpath('status').read_text('utf-8')
+        line = next(line for line in text.splitlines() if 'VmHWM' in line)
+        return int(line.split()[1]) / _KIB
+
+    def count_descriptors(self) -> int:
+        """Return how many descriptors are open; raises as above."""
+        return len(os.listdir(self._find_process_folder() / 'fd'))
+
+    def _find_process_folder(self) -> Path:
+        if self.process is None:
+            raise ProcessLookupError(f'{self.name} is not running')
+        return Path('/proc') / str(self.process.pid)
+
     def is_running(self) -> bool:
         """Return whether the process has been started and has not ended."""
         return self.process is not None and self.process.poll() is None
@@ -109,3 +129,15 @@
         arguments=('-m', f'wasabiturn.standins.{module}', *words),
         output=folder / f'{name}.out',
     )
+
+
+def measure_folder(folder: Path) -> int:
+    """Return the bytes of the files in a folder, which may go meanwhile."""
+    return sum(map(_find_size, folder.iterdir()))
+
+
+def _find_size(path: Path) -> int:
+    try:
+        return path.stat().st_size
+    except FileNotFoundError:
+        return 0
--- a/tests/untrusted/jobs.py
+++ b/tests/untrusted/jobs.py
@@ -152,22 +152,3 @@
             elif response is not None and status in {429, 503}:
                 has_time = response.getheader('Retry-After') is not None
                 self.refused_without_time += not has_time
-
-
-def create_announcement(labels: list[str]) -> bytes:
-    """Return the body by which a worker announces itself."""
-    fields = {
-        'service': soak_settings.SERVICE,
-        'addr': '127.0.0.1:1',
-        'zone': soak_settings.DATA_CENTRES[0],
-        'version': 'v1',
-        'slots': 8,
-        'state': 'ready',
-        'cold_left_ms': 0,
-        'capacity': {'cpu': 16_000, 'mem_mb': 32_768, 'gpu': 0},
-        'labels': labels,
-        'clock_ms': 1,
-        'seq': 1,
-        'born': 1,
-    }
-    return json.dumps(fields).encode()
--- a/tests/untrusted/programs.py
+++ b/tests/untrusted/programs.py
@@ -1,7 +1,6 @@
 """The platform's programs, started on loopback addresses with low limits."""
 
 import json
-import os
 import secrets
 import socket
 import time
@@ -10,7 +9,7 @@
 import attrs
 
 from benchmarks.platform_soak import settings as soak_settings
-from benchmarks.soak.programs import Program
+from benchmarks.soak.programs import Program, measure_folder
 
 PORTS = soak_settings.Ports(15300)
 GROUP_SIZE = 3
@@ -51,10 +50,10 @@
     def observe(self) -> None:
         """Record how many descriptors are open now."""
         if self.program.is_running():
-            count = len(os.listdir(f'/proc/{self.pid}/fd'))
+            count = self.program.count_descriptors()
             self.peak_descriptors = max(self.peak_descriptors, count)
         if self.data_folder is not None:
-            used = sum(map(_find_size, self.data_folder.iterdir()))
+            used = measure_folder(self.data_folder)
             self.peak_disk_bytes = max(self.peak_disk_bytes, used)
 
     def settle(self) -> None:
@@ -77,9 +76,7 @@
 
     def peak_memory_mb(self) -> float:
         """Return the largest resident memory since the start."""
-        text = Path(f'/proc/{self.pid}/status').read_text('utf-8')
-        line = next(line for line in text.splitlines() if 'VmHWM' in line)
-        return int(line.split()[1]) / KIB
+        return self.program.read_peak_memory_mb()
 
 
 @attrs.define(eq=False)
@@ -142,14 +139,6 @@
         return folder
 
 
-def _find_size(path: Path) -> int:
-    """Return the size of a file, which may be gone meanwhile."""
-    try:
-        return path.stat().st_size
-    except FileNotFoundError:
-        return 0
-
-
 def start_group(
     folder: Path,
     memory_mb: int = CONTROL_MEMORY_MB,
--- a/tests/untrusted/test_crowds_beside_callers.py
+++ b/tests/untrusted/test_crowds_beside_callers.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from benchmarks.platform_soak.settings import create_announcement
 from tests.untrusted import jobs, programs
 from tests.untrusted.clients import HEAD, Clients
 from tests.untrusted.programs import PORTS, Group, Running
@@ -103,7 +104,7 @@
 ) -> None:
     """Whole announcements, each as large as an address accepts."""
     crowd = Clients(agent, PORTS.control, stack)
-    body = jobs.create_announcement(labels=['r1-3', *['x' * 30] * 28_000])
+    body = create_announcement(['r1-3', *['x' * 30] * 28_000])
     request = programs.encode_post('/api/Instances.Heartbeat/i-0', body)
     crowd.send_each(60, lambda: (request,))
     assert_unharmed(agent, programs.AGENT_MEMORY_MB, PORTS.control, request)
